--- /dev/null
+++ b/Makefile
@@ -0,0 +1,56 @@
+# Front door of the project. Two commands for a fresh machine: make run, make test.
+GO ?= go
+export CGO_ENABLED = 1
+TOOL = $(GO) tool -modfile=tools/go.mod
+BIN = bin
+RACE_COUNT ?= 1
+
+.PHONY: build run up test fmt lint vet generate check-generate unit bench bench-capacity fuzz clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/havenwinchd ./cmd/havenwinch ./standin
+
+run: build
+	$(GO) run ./tests/tour
+
+up: build
+	$(GO) run ./tests/tour --stay
+
+test: check-fmt vet lint check-generate build unit
+
+check-fmt:
+	@files=$$(gofmt -l $$(git ls-files '*.go' | grep -v '^gen/')); \
+	if [ -n "$$files" ]; then echo "not formatted, run make fmt:"; echo "$$files"; exit 1; fi
+
+fmt:
+	gofmt -w $$(git ls-files '*.go' | grep -v '^gen/')
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(TOOL) staticcheck ./...
+	$(TOOL) buf lint
+
+generate:
+	$(TOOL) buf generate
+
+# The committed generated code must be what the generator makes.
+check-generate:
+	@rm -rf .generated && mkdir .generated
+	@$(TOOL) buf generate -o .generated
+	@diff -r gen .generated/gen || { echo "generated code is stale, run make generate"; rm -rf .generated; exit 1; }
+	@rm -rf .generated
+
+# SKIP is set by .ci/run from KNOWN-RED.txt and empty otherwise.
+unit:
+	$(GO) test -race -count=$(RACE_COUNT) $(if $(SKIP),-skip '$(SKIP)') ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+fuzz:
+	$(GO) test -run 'TestRandom' -rapid.checks=2000 ./modules/raft ./models/ledger ./models/state
+
+clean:
+	rm -rf $(BIN) .generated
--- /dev/null
+++ b/cmd/havenwinch/client.go
@@ -0,0 +1,129 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"github.com/valyala/fasthttp"
+
+	"havenwinch.dev/havenwinch/structs"
+)
+
+const requestTimeout = 15 * time.Second
+
+// client speaks to the admin interface of one or more boxes.
+type client struct {
+	boxes []string
+	key   string
+}
+
+func newClient(c *cli.Command) *client {
+	var boxes []string
+	for _, list := range c.StringSlice("admin") {
+		boxes = append(boxes, strings.Split(list, ",")...)
+	}
+	return &client{boxes: boxes, key: c.String("operator-key")}
+}
+
+// do sends a request to one box and reads its JSON answer. A refused command
+// has an answer too, so its status is passed in accept.
+func (c *client) do(box, method, path string, body, answer any, accept ...int) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + box + path)
+	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.key)
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		req.SetBody(data)
+	}
+	if err := fasthttp.DoTimeout(req, resp, requestTimeout); err != nil {
+		return &failure{code: exitUnreachable, message: fmt.Sprintf("box %s can't be reached (%v): check --admin", box, err)}
+	}
+	for _, status := range append(accept, fasthttp.StatusOK) {
+		if resp.StatusCode() == status {
+			return json.Unmarshal(resp.Body(), answer)
+		}
+	}
+	return refusal(resp)
+}
+
+// refusal turns an error answer into the failure that fits.
+func refusal(resp *fasthttp.Response) error {
+	var e structs.ErrorBody
+	if err := json.Unmarshal(resp.Body(), &e); err != nil || e.Error.Kind == "" {
+		return &failure{code: exitError, message: fmt.Sprintf("status %d: %s", resp.StatusCode(), resp.Body())}
+	}
+	return refusalOf(e.Error)
+}
+
+func refusalOf(e structs.Error) error {
+	code := exitRefused
+	if e.Run == structs.RunUnknown {
+		code = exitUnknown
+	}
+	message := fmt.Sprintf("%s: %s (run: %s", e.Kind, e.Message, e.Run)
+	if e.RetryAfter > 0 {
+		message += fmt.Sprintf(", ask again in %gs", e.RetryAfter)
+	}
+	return &failure{code: code, message: message + ")"}
+}
+
+// first asks the boxes in turn until one answers. Commands carry numbers, so
+// asking another box does no harm.
+func (c *client) first(ask func(box string) error) error {
+	var err error
+	for _, box := range c.boxes {
+		err = ask(box)
+		f, ok := err.(*failure)
+		if !ok || f.code != exitUnreachable {
+			return err
+		}
+	}
+	return err
+}
+
+func (c *client) command(cmd structs.Command) (structs.CommandResult, error) {
+	var result structs.CommandResult
+	err := c.first(func(box string) error {
+		return c.do(box, fasthttp.MethodPost, "/admin/v1/commands", cmd, &result, fasthttp.StatusConflict)
+	})
+	return result, err
+}
+
+func (c *client) query(text string) (structs.QueryResult, error) {
+	var result structs.QueryResult
+	err := c.first(func(box string) error {
+		return c.do(box, fasthttp.MethodGet, "/admin/v1/query?q="+url.QueryEscape(text), nil, &result)
+	})
+	return result, err
+}
+
+func printJSON(w io.Writer, v any) {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(v)
+}
+
+func printTable(columns []string, rows [][]string) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, strings.ToUpper(strings.Join(columns, "\t")))
+	for _, row := range rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	_ = w.Flush()
+}
--- /dev/null
+++ b/cmd/havenwinch/command.go
@@ -0,0 +1,89 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"havenwinch.dev/havenwinch/modules/setting"
+	"havenwinch.dev/havenwinch/structs"
+)
+
+// language is shown by the help of query and command.
+const language = `Commands:
+  create organisation NAME share N
+  set organisation NAME share N
+  create budget ORG/NAME tokens N
+  grant N to ORG/NAME             reduce N from ORG/NAME
+  create group ORG/NAME budget ORG/NAME [models A,B] [services S]
+        [priority batch|interactive] [default-tokens N]
+  set group ORG/NAME budget ORG/NAME [...]
+  add key DIGEST to ORG/NAME      remove key DIGEST from ORG/NAME
+  drain box|target NAME           undrain box|target NAME
+  rollout NAME = VALUE
+
+Queries:
+  show organisations|groups|budgets|allotments|keepers|drains|rollouts|
+       revision|commands|keys
+       [where COLUMN = VALUE [and ...]] [by COLUMN] [limit N]
+
+Exit codes: 0 done, 1 wrong use, 2 refused, 3 outcome unknown (send it again
+under the same number), 4 no box can be reached.`
+
+func env(name string) cli.ValueSourceChain { return cli.EnvVars(setting.EnvironmentName(name)) }
+
+// command returns the tool's command line.
+func command() *cli.Command {
+	return &cli.Command{
+		Name:                  "havenwinch",
+		Usage:                 "operate a router fleet, or call it",
+		Description:           language,
+		EnableShellCompletion: true,
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "admin", Usage: "addresses of boxes' admin listeners, parted by commas", Value: []string{"127.0.0.1:7001"}, Sources: env("admin")},
+			&cli.StringFlag{Name: "operator-key", Usage: "key of an operator", Sources: env("operator-key")},
+			&cli.StringFlag{Name: "output", Usage: "table or json", Value: "table", Sources: env("output")},
+		},
+		Commands: []*cli.Command{queryCommand(), commandCommand(), timelineCommand(), statusCommand(), sendCommand(), keyCommand()},
+	}
+}
+
+// commandCommand sends a command of the language.
+func commandCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "command",
+		Usage:       "send a command",
+		ArgsUsage:   "TEXT",
+		Description: language,
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "number", Usage: "number of the command, the same when it is sent again (default: from the time)"},
+			&cli.Uint64Flag{Name: "if-revision", Usage: "only take effect at this revision"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			number := c.Uint64("number")
+			if number == 0 {
+				number = uint64(time.Now().UnixMicro())
+			}
+			result, err := newClient(c).command(structs.Command{Number: number, Text: strings.Join(c.Args().Slice(), " "), ExpectRevision: c.Uint64("if-revision")})
+			if err != nil {
+				return err
+			}
+			if c.String("output") == "json" {
+				printJSON(os.Stdout, result)
+			} else {
+				fmt.Printf("%s (number %d, revision %d)\n", result.Message, result.Number, result.Revision)
+			}
+			if result.Refusal != "" {
+				return &failure{code: exitRefused, message: "refused: " + result.Refusal}
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/havenwinchd/wire.go
@@ -0,0 +1,279 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"log/slog"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/dig"
+
+	"havenwinch.dev/havenwinch/models/allot"
+	"havenwinch.dev/havenwinch/models/ledger"
+	"havenwinch.dev/havenwinch/models/target"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/disk"
+	"havenwinch.dev/havenwinch/modules/graceful"
+	"havenwinch.dev/havenwinch/modules/hlc"
+	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/modules/raft"
+	"havenwinch.dev/havenwinch/modules/setting"
+	"havenwinch.dev/havenwinch/routers/admin"
+	"havenwinch.dev/havenwinch/routers/between"
+	"havenwinch.dev/havenwinch/routers/caller"
+	"havenwinch.dev/havenwinch/services/configuration"
+	"havenwinch.dev/havenwinch/services/control"
+	"havenwinch.dev/havenwinch/services/dispatch"
+	"havenwinch.dev/havenwinch/services/engine"
+	"havenwinch.dev/havenwinch/services/keeper"
+	"havenwinch.dev/havenwinch/services/metrics"
+	"havenwinch.dev/havenwinch/services/peers"
+	"havenwinch.dev/havenwinch/services/platform"
+	"havenwinch.dev/havenwinch/services/timeline"
+)
+
+// controlPart is what a box with the role control has; Node is nil elsewhere.
+type controlPart struct {
+	Node    *raft.Node
+	Machine *control.Machine
+	Service *control.Service
+}
+
+// identity names this process: the box and a name that ends with the process.
+type identity struct {
+	Box string
+}
+
+// container returns the parts of a box. What a role lacks is nil in its part.
+func container(settings *setting.Settings) (*dig.Container, error) {
+	c := dig.New()
+	constructors := []any{
+		func() *setting.Settings { return settings },
+		func() clock.Clock { return clock.System{} },
+		func() identity { return identity{Box: settings.Box + "@" + uuid.NewString()} },
+		func() *slog.Logger {
+			return logging.New(os.Stderr, settings.LogLevel, settings.Box, settings.DataCentre)
+		},
+		func() *graceful.Manager { return graceful.New(settings.StopLimit) },
+		hlc.New,
+		func(stamps *hlc.Clock) *timeline.Recorder {
+			return timeline.New(settings.Box, settings.DataCentre, stamps)
+		},
+		metrics.New,
+		engine.New,
+		newPeers,
+		newControlClient,
+		newControlPart,
+		newStore,
+		newFollower,
+		newRemoteKeepers,
+		newDispatcher,
+		newKeeper,
+		newPoller,
+		newCaller,
+		newBox,
+	}
+	for _, constructor := range constructors {
+		if err := c.Provide(constructor); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func newPeers(s *setting.Settings, c clock.Clock, stamps *hlc.Clock) (*peers.Peers, error) {
+	tls, err := peers.LoadTLS(s.BetweenCert, s.BetweenKey, s.BetweenCA)
+	if err != nil {
+		return nil, err
+	}
+	return peers.New(peers.Options{Box: s.Box, Secret: s.Secret, Clock: c, Stamps: stamps, TLS: tls}), nil
+}
+
+func newControlClient(s *setting.Settings, p *peers.Peers) *control.Client {
+	return control.NewClient(s.ControlNames(), p.Control(s.ControlBoxes))
+}
+
+func newControlPart(s *setting.Settings, p *peers.Peers, c clock.Clock, r *timeline.Recorder, l *slog.Logger) (*controlPart, error) {
+	if !s.Has(setting.RoleControl) {
+		return &controlPart{}, nil
+	}
+	d, err := disk.Open(filepath.Join(s.DataDir, "control"))
+	if err != nil {
+		return nil, err
+	}
+	machine := control.NewMachine()
+	node, err := raft.NewNode(raft.NodeOptions{
+		Options: raft.Options{
+			Self:      s.Box,
+			Members:   s.ControlNames(),
+			Election:  s.Election,
+			Heartbeat: s.Heartbeat,
+			Rand:      rand.New(rand.NewSource(time.Now().UnixNano())),
+		},
+		Disk:        d,
+		Transport:   p.Consensus(s.ControlBoxes),
+		Machine:     machine,
+		Clock:       c,
+		Log:         l,
+		Incarnation: uuid.NewString,
+	})
+	if err != nil {
+		return nil, err
+	}
+	service := control.New(control.Options{Log: node, Machine: machine, Holders: p, Policy: allot.Proportional{}, Clock: c, Recorder: r, Logger: l})
+	return &controlPart{Node: node, Machine: machine, Service: service}, nil
+}
+
+func newStore(s *setting.Settings, c clock.Clock) (*configuration.Store, error) {
+	if s.DataDir == "" {
+		return configuration.NewStore(c, nil)
+	}
+	d, err := disk.Open(s.DataDir)
+	if err != nil {
+		return nil, err
+	}
+	return configuration.NewStore(c, d)
+}
+
+// newFollower prefers the relays of the data centre, its keepers; these and
+// all others without a relay follow the control boxes.
+func newFollower(s *setting.Settings, store *configuration.Store, p *peers.Peers, r *timeline.Recorder, l *slog.Logger) *configuration.Follower {
+	return &configuration.Follower{
+		Box:      s.Box,
+		Store:    store,
+		Recorder: r,
+		Logger:   l,
+		Connect:  p.Configuration,
+		Upstreams: func() []string {
+			var list []string
+			if s.Has(setting.RoleControl) {
+				list = append(list, s.ControlBoxes[s.Box])
+			}
+			for _, k := range store.Keepers() {
+				if k.GetDataCentre() == s.DataCentre && !s.Has(setting.RoleKeeper) {
+					list = append(list, k.GetAddress())
+				}
+			}
+			for _, name := range s.ControlNames() {
+				list = append(list, s.ControlBoxes[name])
+			}
+			return list
+		},
+	}
+}
+
+func newRemoteKeepers(s *setting.Settings, store *configuration.Store, p *peers.Peers) *dispatch.RemoteKeepers {
+	return &dispatch.RemoteKeepers{Self: s.Box, Config: store, Client: p.Keeper}
+}
+
+func newDispatcher(s *setting.Settings, id identity, keepers *dispatch.RemoteKeepers, store *configuration.Store, engines *engine.Client, c clock.Clock, r *timeline.Recorder, l *slog.Logger, g *graceful.Manager, m *metrics.Metrics) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Options{
+		Box:        id.Box,
+		Name:       s.Box,
+		DataCentre: s.DataCentre,
+		KeyWindow:  s.KeyWindow,
+		Keepers:    keepers,
+		Config:     store,
+		Engines:    engines,
+		Policy:     target.PolicyByName(s.Policy),
+		Clock:      c,
+		Recorder:   r,
+		Logger:     l,
+		NewID:      uuid.NewString,
+		Seed:       time.Now().UnixNano(),
+		Draining:   g.IsDraining,
+		Metrics:    m,
+	})
+}
+
+// newKeeper returns nil on a box without the role.
+func newKeeper(s *setting.Settings, client *control.Client, keepers *dispatch.RemoteKeepers, d *dispatch.Dispatcher, c clock.Clock, r *timeline.Recorder, l *slog.Logger) (*keeper.Keeper, error) {
+	if !s.Has(setting.RoleKeeper) {
+		return nil, nil
+	}
+	folder, err := disk.Open(filepath.Join(s.DataDir, "keeper"))
+	if err != nil {
+		return nil, err
+	}
+	k, err := keeper.New(keeper.Options{
+		Box:          s.Box,
+		DataCentre:   s.DataCentre,
+		Address:      s.BetweenAddress,
+		Disk:         folder,
+		Clock:        c,
+		Control:      client,
+		Homes:        keepers,
+		Recoverer:    d,
+		Recorder:     r,
+		Logger:       l,
+		Incarnation:  uuid.NewString,
+		Ledger:       ledger.Options{Window: s.KeyWindow, BoxTimeout: s.BoxTimeout},
+		SyncInterval: s.SyncInterval,
+	})
+	if err != nil {
+		return nil, err
+	}
+	keepers.Local = k
+	return k, nil
+}
+
+func newPoller(s *setting.Settings, d *dispatch.Dispatcher, engines *engine.Client, l *slog.Logger) *platform.Poller {
+	return &platform.Poller{Lister: &platform.HTTPLister{URL: s.PlatformURL}, Reporter: engines, Targets: d, Logger: l}
+}
+
+func newCaller(s *setting.Settings, d *dispatch.Dispatcher, store *configuration.Store, m *metrics.Metrics, r *timeline.Recorder, l *slog.Logger, g *graceful.Manager) *caller.Caller {
+	return caller.New(caller.Options{
+		Dispatcher: d,
+		Config:     store,
+		Counter:    m,
+		Recorder:   r,
+		Logger:     l,
+		Work:       g.Hammer(),
+		MaxBody:    s.MaxBody,
+		MaxWait:    s.MaxWait,
+		NewID:      uuid.NewString,
+		Now:        time.Now,
+	})
+}
+
+func newAdmin(b *box) *admin.Admin {
+	return admin.New(admin.Options{
+		Control:   b.client,
+		Box:       b,
+		Operators: b.settings.Operators,
+		Recorder:  b.recorder,
+		Registry:  b.metrics.Registry,
+		Logger:    b.logger,
+		Work:      b.graceful.Hammer(),
+	})
+}
+
+func newBetween(b *box) between.Options {
+	opts := between.Options{
+		Node:     b.control.Node,
+		Control:  b.control.Service,
+		Keeper:   b.keeper,
+		Source:   b.store,
+		Stopping: b.stopping,
+		Handler:  b.peers.HandlerOptions(),
+	}
+	if b.control.Node != nil {
+		opts.Source = configuration.MachineSource{Machine: b.control.Machine, Confirmed: b.control.Node.OutOfTouch}
+	}
+	return opts
+}
+
+// run builds a box and lives its life.
+func run(settings *setting.Settings) error {
+	c, err := container(settings)
+	if err != nil {
+		return err
+	}
+	return dig.RootCause(c.Invoke(func(b *box) error { return b.live(context.Background()) }))
+}
--- /dev/null
+++ b/models/state/budget.go
@@ -0,0 +1,177 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package state
+
+import (
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+)
+
+// Budget is a prepaid amount, split among holders as in an escrow (O'Neil
+// 1986; bounded counters, Balegas et al. 2015). What is granted is at any time
+// at least what all holders together were allotted and have not returned, and
+// a holder spends only from that, so no cut can lead to overspending.
+type Budget struct {
+	Name       string
+	Granted    uint64
+	Allotments map[string]*statev1.Allotment
+	// held is the sum over all holders of allotted less returned.
+	held uint64
+}
+
+func newBudget(name string, tokens uint64) *Budget {
+	return &Budget{Name: name, Granted: tokens, Allotments: map[string]*statev1.Allotment{}}
+}
+
+func (b *Budget) row() *statev1.Budget {
+	return &statev1.Budget{Name: b.Name, Granted: b.Granted, Allotments: Sorted(b.Allotments)}
+}
+
+func budgetOf(row *statev1.Budget) *Budget {
+	b := newBudget(row.GetName(), row.GetGranted())
+	for _, a := range row.GetAllotments() {
+		b.Allotments[a.GetHolder()] = a
+		b.held += Held(a)
+	}
+	return b
+}
+
+// Held is what a holder was allotted and has not returned, spent or not.
+func Held(a *statev1.Allotment) uint64 { return a.GetAllotted() - a.GetReturned() }
+
+// Unallotted is what no holder has.
+func (b *Budget) Unallotted() uint64 { return b.Granted - b.held }
+
+// HeldByAll is what all holders together have, spent or not.
+func (b *Budget) HeldByAll() uint64 { return b.held }
+
+// Spent is what all holders have reported as spent.
+func (b *Budget) Spent() uint64 {
+	spent := uint64(0)
+	for _, a := range b.Allotments {
+		spent += a.GetSpent()
+	}
+	return spent
+}
+
+func (b *Budget) allotment(holder string) *statev1.Allotment {
+	a := b.Allotments[holder]
+	if a == nil {
+		a = &statev1.Allotment{Holder: holder}
+		b.Allotments[holder] = a
+	}
+	return a
+}
+
+// grant allots at most the named tokens.
+func (b *Budget) grant(holder string, tokens uint64) {
+	tokens = min(tokens, b.Unallotted())
+	if tokens == 0 {
+		return
+	}
+	b.allotment(holder).Allotted += tokens
+	b.held += tokens
+}
+
+// report takes a holder's counters in; older ones change nothing.
+func (b *Budget) report(holder string, r *statev1.BudgetReport) {
+	a := b.allotment(holder)
+	if r.GetReturned() > a.GetReturned() && r.GetReturned() <= a.GetAllotted() {
+		b.held -= r.GetReturned() - a.GetReturned()
+		a.Returned = r.GetReturned()
+	}
+	a.Spent = max(a.GetSpent(), min(r.GetSpent(), Held(a)))
+	a.Reserved, a.Rate, a.Need = r.GetReserved(), r.GetRate(), r.GetNeed()
+}
+
+// ErrHolderLost says that a ledger is no longer in force.
+type ErrHolderLost struct {
+	Holder string
+}
+
+func (e ErrHolderLost) Error() string {
+	return "ledger " + e.Holder + " is not in force: register it, or start the box with an empty data folder"
+}
+
+// SyncAnswer is the answer to a Sync.
+type SyncAnswer struct {
+	// Budgets are the names that were reported or granted.
+	Budgets []string
+	Err     error
+}
+
+func (s *State) applySync(m *statev1.Sync) SyncAnswer {
+	if !s.inForce(m.GetHolder()) {
+		return SyncAnswer{Err: ErrHolderLost{Holder: m.GetHolder()}}
+	}
+	var names []string
+	for _, r := range m.GetReports() {
+		if b := s.Budgets[r.GetBudget()]; b != nil {
+			b.report(m.GetHolder(), r)
+			names = append(names, b.Name)
+		}
+	}
+	for _, g := range m.GetGrants() {
+		if b := s.Budgets[g.GetBudget()]; b != nil {
+			b.grant(m.GetHolder(), g.GetTokens())
+		}
+	}
+	for _, u := range m.GetUsages() {
+		s.putUsage(m.GetHolder(), u)
+	}
+	return SyncAnswer{Budgets: names}
+}
+
+func (s *State) putUsage(holder string, u *statev1.GroupUsage) {
+	key := UsageKey{Group: u.GetGroup(), Holder: holder}
+	old := s.Usages[key]
+	s.Usages[key] = &statev1.GroupUsage{
+		Group:      u.GetGroup(),
+		Holder:     holder,
+		Spent:      max(old.GetSpent(), u.GetSpent()),
+		Requests:   max(old.GetRequests(), u.GetRequests()),
+		Reserved:   u.GetReserved(),
+		Waiting:    u.GetWaiting(),
+		WrittenOff: max(old.GetWrittenOff(), u.GetWrittenOff()),
+	}
+}
+
+func (s *State) inForce(holder string) bool {
+	for _, k := range s.Keepers {
+		if k.GetHolder() == holder {
+			return true
+		}
+	}
+	return false
+}
+
+// RegisterAnswer is the answer to a RegisterKeeper.
+type RegisterAnswer struct {
+	Holder string
+	Err    error
+}
+
+// Holder is the name of a keeper's ledger.
+func Holder(box, incarnation string) string { return box + "@" + incarnation }
+
+func (s *State) applyRegister(r *statev1.RegisterKeeper) RegisterAnswer {
+	holder := Holder(r.GetBox(), r.GetIncarnation())
+	old := s.Keepers[r.GetBox()]
+	for _, lost := range old.GetLost() {
+		if lost == holder {
+			return RegisterAnswer{Err: ErrHolderLost{Holder: holder}}
+		}
+	}
+	next := &statev1.KeeperMember{Box: r.GetBox(), DataCentre: r.GetDataCentre(), Address: r.GetAddress(), Holder: holder, Joined: r.GetTime()}
+	if old != nil {
+		next.Joined = old.GetJoined()
+	}
+	next.Lost = append(next.Lost, old.GetLost()...)
+	if old != nil && old.GetHolder() != holder {
+		next.Lost = append(next.Lost, old.GetHolder())
+	}
+	if old == nil || old.GetHolder() != holder || old.GetAddress() != r.GetAddress() || old.GetDataCentre() != r.GetDataCentre() {
+		s.change(&statev1.Change{Row: &statev1.Change_Keeper{Keeper: next}})
+	}
+	return RegisterAnswer{Holder: holder}
+}
--- /dev/null
+++ b/models/state/state.go
@@ -0,0 +1,238 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package state is the deterministic state that the control boxes replicate:
+// organisations, groups, keys, budgets with their allotments, the
+// configuration's line of revisions, and the answers to operators' commands.
+// Applying the same entries in the same order gives the same state anywhere.
+package state
+
+import (
+	"sort"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+)
+
+const (
+	// Version of the snapshot's form.
+	Version = 1
+	// MaxChanges is how many changes are kept for watchers to catch up by.
+	MaxChanges = 4096
+	// MaxResults is how many answers are kept for each operator.
+	MaxResults = 1024
+	// MaxTokens bounds amounts, so that sums of them can't overflow.
+	MaxTokens = uint64(1) << 53
+)
+
+// State holds the tables. It is not safe for concurrent use.
+type State struct {
+	Revision      uint64
+	Organisations map[string]*statev1.Organisation
+	Groups        map[string]*statev1.Group
+	Keys          map[string]*statev1.AccessKey
+	Drains        map[string]*statev1.Drain
+	Rollouts      map[string]*statev1.Rollout
+	Keepers       map[string]*statev1.KeeperMember
+	Budgets       map[string]*Budget
+	Usages        map[UsageKey]*statev1.GroupUsage
+	Results       map[string][]*statev1.CommandResult
+	Changes       []*statev1.Change
+}
+
+// UsageKey names one holder's count for one group.
+type UsageKey struct {
+	Group  string
+	Holder string
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{
+		Organisations: map[string]*statev1.Organisation{},
+		Groups:        map[string]*statev1.Group{},
+		Keys:          map[string]*statev1.AccessKey{},
+		Drains:        map[string]*statev1.Drain{},
+		Rollouts:      map[string]*statev1.Rollout{},
+		Keepers:       map[string]*statev1.KeeperMember{},
+		Budgets:       map[string]*Budget{},
+		Usages:        map[UsageKey]*statev1.GroupUsage{},
+		Results:       map[string][]*statev1.CommandResult{},
+	}
+}
+
+// Apply takes one entry in and returns the answer to it: a
+// *statev1.CommandResult, a SyncAnswer or a RegisterAnswer.
+func (s *State) Apply(e *statev1.Entry) any {
+	switch kind := e.GetKind().(type) {
+	case *statev1.Entry_Command:
+		return s.applyCommand(kind.Command)
+	case *statev1.Entry_Sync:
+		return s.applySync(kind.Sync)
+	case *statev1.Entry_RegisterKeeper:
+		return s.applyRegister(kind.RegisterKeeper)
+	default:
+		return errors.Errorf("an entry of an unknown kind: the box runs an older version, upgrade it")
+	}
+}
+
+// change puts a row of the configuration in force under the next revision.
+func (s *State) change(c *statev1.Change) {
+	s.Revision++
+	c.Revision = s.Revision
+	s.Put(c)
+	s.Changes = append(s.Changes, c)
+	if len(s.Changes) > 2*MaxChanges {
+		s.Changes = append([]*statev1.Change(nil), s.Changes[len(s.Changes)-MaxChanges:]...)
+	}
+}
+
+// Put stores the row of a change; boxes that follow the configuration use it
+// on their own copy.
+func (s *State) Put(c *statev1.Change) {
+	switch row := c.GetRow().(type) {
+	case *statev1.Change_Organisation:
+		s.Organisations[row.Organisation.GetName()] = row.Organisation
+	case *statev1.Change_Group:
+		s.Groups[row.Group.GetName()] = row.Group
+	case *statev1.Change_Key:
+		putOrRemove(s.Keys, row.Key.GetDigest(), row.Key, row.Key.GetRemoved())
+	case *statev1.Change_Drain:
+		putOrRemove(s.Drains, DrainKey(row.Drain.GetKind(), row.Drain.GetName()), row.Drain, row.Drain.GetEnded())
+	case *statev1.Change_Rollout:
+		s.Rollouts[row.Rollout.GetName()] = row.Rollout
+	case *statev1.Change_Keeper:
+		s.Keepers[row.Keeper.GetBox()] = row.Keeper
+	}
+	s.Revision = c.GetRevision()
+}
+
+func putOrRemove[R any](table map[string]R, key string, row R, removed bool) {
+	if removed {
+		delete(table, key)
+		return
+	}
+	table[key] = row
+}
+
+// DrainKey is the key of a drain's row.
+func DrainKey(kind statev1.Drain_Kind, name string) string {
+	return kind.String() + "/" + name
+}
+
+// ChangesAfter returns the changes after a revision, and false when they are
+// no longer all held.
+func (s *State) ChangesAfter(revision uint64) ([]*statev1.Change, bool) {
+	if revision >= s.Revision {
+		return nil, true
+	}
+	if len(s.Changes) == 0 || s.Changes[0].GetRevision() > revision+1 {
+		return nil, false
+	}
+	first := sort.Search(len(s.Changes), func(i int) bool { return s.Changes[i].GetRevision() > revision })
+	return s.Changes[first:], true
+}
+
+// Configuration returns all rows that boxes need.
+func (s *State) Configuration() *statev1.Configuration {
+	return &statev1.Configuration{
+		Revision:      s.Revision,
+		Organisations: Sorted(s.Organisations),
+		Groups:        Sorted(s.Groups),
+		Keys:          Sorted(s.Keys),
+		Drains:        Sorted(s.Drains),
+		Rollouts:      Sorted(s.Rollouts),
+		Keepers:       Sorted(s.Keepers),
+	}
+}
+
+// Sorted returns a table's rows in the order of their keys.
+func Sorted[R any](table map[string]R) []R {
+	keys := make([]string, 0, len(table))
+	for key := range table {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	rows := make([]R, 0, len(keys))
+	for _, key := range keys {
+		rows = append(rows, table[key])
+	}
+	return rows
+}
+
+// LoadConfiguration replaces all rows of the configuration.
+func (s *State) LoadConfiguration(c *statev1.Configuration) {
+	fresh := New()
+	for _, r := range c.GetOrganisations() {
+		fresh.Organisations[r.GetName()] = r
+	}
+	for _, r := range c.GetGroups() {
+		fresh.Groups[r.GetName()] = r
+	}
+	for _, r := range c.GetKeys() {
+		fresh.Keys[r.GetDigest()] = r
+	}
+	for _, r := range c.GetDrains() {
+		fresh.Drains[DrainKey(r.GetKind(), r.GetName())] = r
+	}
+	for _, r := range c.GetRollouts() {
+		fresh.Rollouts[r.GetName()] = r
+	}
+	for _, r := range c.GetKeepers() {
+		fresh.Keepers[r.GetBox()] = r
+	}
+	fresh.Budgets, fresh.Usages, fresh.Results = s.Budgets, s.Usages, s.Results
+	fresh.Revision = c.GetRevision()
+	*s = *fresh
+}
+
+// Encode returns the whole state.
+func (s *State) Encode() ([]byte, error) {
+	snapshot := &statev1.Snapshot{Version: Version, Configuration: s.Configuration()}
+	for _, b := range Sorted(s.Budgets) {
+		snapshot.Budgets = append(snapshot.Budgets, b.row())
+	}
+	for _, u := range s.Usages {
+		snapshot.Usages = append(snapshot.Usages, u)
+	}
+	sort.Slice(snapshot.Usages, func(i, j int) bool {
+		a, b := snapshot.Usages[i], snapshot.Usages[j]
+		if a.GetGroup() != b.GetGroup() {
+			return a.GetGroup() < b.GetGroup()
+		}
+		return a.GetHolder() < b.GetHolder()
+	})
+	for _, results := range Sorted(s.Results) {
+		snapshot.Results = append(snapshot.Results, results...)
+	}
+	from := max(0, len(s.Changes)-MaxChanges)
+	snapshot.Changes = s.Changes[from:]
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+	return data, errors.WithStack(err)
+}
+
+// Decode returns the state that Encode wrote.
+func Decode(data []byte) (*State, error) {
+	var snapshot statev1.Snapshot
+	if err := proto.Unmarshal(data, &snapshot); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if snapshot.GetVersion() > Version {
+		return nil, errors.Errorf("the snapshot has version %d, this program reads up to %d: upgrade it", snapshot.GetVersion(), Version)
+	}
+	s := New()
+	s.LoadConfiguration(snapshot.GetConfiguration())
+	for _, row := range snapshot.GetBudgets() {
+		s.Budgets[row.GetName()] = budgetOf(row)
+	}
+	for _, u := range snapshot.GetUsages() {
+		s.Usages[UsageKey{Group: u.GetGroup(), Holder: u.GetHolder()}] = u
+	}
+	for _, r := range snapshot.GetResults() {
+		s.Results[r.GetOperator()] = append(s.Results[r.GetOperator()], r)
+	}
+	s.Changes = snapshot.GetChanges()
+	return s, nil
+}
--- /dev/null
+++ b/modules/raft/core_election.go
@@ -0,0 +1,122 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package raft
+
+import (
+	"time"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+)
+
+// campaign asks all members for their votes. The pre-vote before it changes
+// nothing anywhere, so that a box that was cut off does not disturb a leader
+// when it returns.
+func (c *Core) campaign(now time.Duration, pre bool) {
+	c.leader = ""
+	c.votes = map[string]bool{c.opts.Self: true}
+	c.resetDue(now)
+	term := c.term + 1
+	if pre {
+		c.role = PreCandidate
+	} else {
+		c.role = Candidate
+		c.term, c.vote = term, c.opts.Self
+		c.storeHard()
+	}
+	if c.won() {
+		c.advance(now)
+		return
+	}
+	for _, name := range c.others() {
+		c.send(Request{To: name, SentAt: now, Vote: &betweenv1.VoteRequest{
+			Term:        term,
+			Candidate:   c.opts.Self,
+			LastIndex:   c.log.last(),
+			LastTerm:    c.log.lastTerm(),
+			PreVote:     pre,
+			Incarnation: c.incarnation,
+		}})
+	}
+}
+
+func (c *Core) won() bool { return len(c.votes) >= c.quorum() }
+
+func (c *Core) advance(now time.Duration) {
+	if c.role == PreCandidate {
+		c.campaign(now, false)
+		return
+	}
+	c.lead(now)
+}
+
+func (c *Core) lead(now time.Duration) {
+	c.role = Leader
+	c.leader = c.opts.Self
+	c.peers = map[string]*progress{}
+	for _, name := range c.others() {
+		c.peers[name] = &progress{next: c.log.last() + 1}
+	}
+	c.proposed = map[string]string{}
+	c.since = now
+	c.appendOwn(betweenv1.LogEntry_KIND_TERM, nil)
+	c.Flush(now)
+}
+
+// HandleVote answers a candidate.
+func (c *Core) HandleVote(r *betweenv1.VoteRequest, now time.Duration) *betweenv1.VoteResponse {
+	refuse := &betweenv1.VoteResponse{Term: c.term, Incarnation: c.incarnation}
+	if !c.Member() || c.members[r.GetCandidate()] != r.GetIncarnation() {
+		return refuse
+	}
+	// Silence towards candidates is what a leader's lease rests on.
+	if c.role == Leader || now-c.heard < c.opts.Election {
+		return refuse
+	}
+	if !c.upToDate(r) {
+		return refuse
+	}
+	if r.GetPreVote() {
+		return &betweenv1.VoteResponse{Term: c.term, Granted: r.GetTerm() > c.term, Incarnation: c.incarnation}
+	}
+	return c.castVote(r, now)
+}
+
+func (c *Core) castVote(r *betweenv1.VoteRequest, now time.Duration) *betweenv1.VoteResponse {
+	if r.GetTerm() > c.term {
+		c.follow(r.GetTerm(), "", now)
+	}
+	granted := r.GetTerm() == c.term && (c.vote == "" || c.vote == r.GetCandidate())
+	if granted && c.vote == "" {
+		c.vote = r.GetCandidate()
+		c.storeHard()
+	}
+	if granted {
+		c.resetDue(now)
+	}
+	return &betweenv1.VoteResponse{Term: c.term, Granted: granted, Incarnation: c.incarnation}
+}
+
+func (c *Core) upToDate(r *betweenv1.VoteRequest) bool {
+	if r.GetLastTerm() != c.log.lastTerm() {
+		return r.GetLastTerm() > c.log.lastTerm()
+	}
+	return r.GetLastIndex() >= c.log.last()
+}
+
+// VoteReply takes a member's answer in.
+func (c *Core) VoteReply(from string, asked *betweenv1.VoteRequest, r *betweenv1.VoteResponse, now time.Duration) {
+	if r.GetTerm() > c.term {
+		c.follow(r.GetTerm(), "", now)
+		return
+	}
+	wanted := c.role == PreCandidate && asked.GetPreVote() && asked.GetTerm() == c.term+1 ||
+		c.role == Candidate && !asked.GetPreVote() && asked.GetTerm() == c.term
+	if !wanted || !r.GetGranted() || c.members[from] != r.GetIncarnation() {
+		return
+	}
+	c.votes[from] = true
+	if c.won() {
+		c.advance(now)
+	}
+}
--- /dev/null
+++ b/modules/raft/node.go
@@ -0,0 +1,467 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package raft
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/disk"
+	"havenwinch.dev/havenwinch/modules/wal"
+)
+
+// Transport carries messages to the other members by name.
+type Transport interface {
+	Vote(ctx context.Context, to string, r *betweenv1.VoteRequest) (*betweenv1.VoteResponse, error)
+	Append(ctx context.Context, to string, r *betweenv1.AppendRequest) (*betweenv1.AppendResponse, error)
+	Install(ctx context.Context, to string, r *betweenv1.InstallRequest) (*betweenv1.InstallResponse, error)
+	Identify(ctx context.Context, to string, r *betweenv1.IdentifyRequest) (*betweenv1.IdentifyResponse, error)
+}
+
+// Machine is the deterministic state that the log drives.
+type Machine interface {
+	// Apply takes one entry in and returns the answer for its proposer.
+	Apply(data []byte) any
+	// Snapshot returns the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state.
+	Restore(data []byte) error
+}
+
+// NodeOptions configure a Node.
+type NodeOptions struct {
+	Options
+	Disk      disk.Disk
+	Transport Transport
+	Machine   Machine
+	Clock     clock.Clock
+	Log       *slog.Logger
+	// Incarnation names a new disk.
+	Incarnation func() string
+	// CompactAfter is the size of the log file, in bytes, after which a
+	// snapshot is taken.
+	CompactAfter int64
+}
+
+const (
+	defaultCompactAfter = 8 << 20
+	// maxBatch bounds the proposals that share one sync.
+	maxBatch = 256
+	// ticksPerHeartbeat is how often the clock is looked at.
+	ticksPerHeartbeat = 3
+)
+
+// Node drives a Core: it stores, sends and applies what the Core decides.
+type Node struct {
+	opts      NodeOptions
+	mu        sync.Mutex
+	core      *Core
+	log       *wal.Log
+	stored    Stored
+	waiters   map[uint64]waiter
+	applied   uint64
+	failed    error
+	proposals chan proposal
+	ctx       context.Context
+	sends     sync.WaitGroup
+}
+
+type waiter struct {
+	term uint64
+	done chan outcome
+}
+
+type outcome struct {
+	answer any
+	err    error
+}
+
+type proposal struct {
+	data []byte
+	done chan outcome
+}
+
+// NewNode reads the disk. Run starts the node.
+func NewNode(opts NodeOptions) (*Node, error) {
+	if opts.CompactAfter == 0 {
+		opts.CompactAfter = defaultCompactAfter
+	}
+	log, stored, err := openStore(opts.Disk, opts.Incarnation)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{opts: opts, log: log, stored: stored, waiters: map[uint64]waiter{}, proposals: make(chan proposal, maxBatch)}
+	n.applied = stored.SnapshotIndex
+	if stored.Snapshot != nil {
+		if err := opts.Machine.Restore(stored.Snapshot); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+// Run takes part in the group until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	n.ctx = ctx
+	if err := n.join(ctx); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(n.opts.Heartbeat / ticksPerHeartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			n.stop(ctx.Err())
+			n.sends.Wait()
+			return nil
+		case <-ticker.C:
+			n.step(func(now time.Duration) { n.core.Tick(now) })
+		case p := <-n.proposals:
+			n.propose(n.batch(p))
+		}
+	}
+}
+
+// batch takes further proposals along that are waiting already.
+func (n *Node) batch(first proposal) []proposal {
+	batch := []proposal{first}
+	for len(batch) < maxBatch {
+		select {
+		case p := <-n.proposals:
+			batch = append(batch, p)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (n *Node) propose(batch []proposal) {
+	n.step(func(now time.Duration) {
+		for _, p := range batch {
+			index, term, err := n.core.Propose(p.data, now)
+			if err != nil {
+				p.done <- outcome{err: errors.WithStack(err)}
+				continue
+			}
+			n.waiters[index] = waiter{term: term, done: p.done}
+		}
+		n.core.Flush(now)
+	})
+}
+
+// Propose puts data through the log and returns the machine's answer. An
+// ErrNotLeader is certain: nothing happened. After any other error the outcome
+// is unknown.
+func (n *Node) Propose(ctx context.Context, data []byte) (any, error) {
+	p := proposal{data: data, done: make(chan outcome, 1)}
+	select {
+	case n.proposals <- p:
+	case <-ctx.Done():
+		return nil, errors.WithStack(ErrNotLeader{})
+	}
+	select {
+	case o := <-p.done:
+		return o.answer, o.err
+	case <-ctx.Done():
+		return nil, errors.WithStack(ErrOutcomeUnknown{Reason: ctx.Err().Error()})
+	}
+}
+
+// ReadBarrier returns once the machine shows everything that was committed
+// anywhere before the call, or ErrNotLeader.
+func (n *Node) ReadBarrier() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.usable(); err != nil {
+		return err
+	}
+	now := n.opts.Clock.Boot()
+	if n.core.Lease(now) <= now || n.applied < n.core.commit {
+		return errors.WithStack(ErrNotLeader{Leader: n.core.leader})
+	}
+	return nil
+}
+
+// Lease returns the boot time until which this box alone leads, zero when it
+// does not.
+func (n *Node) Lease() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.usable() != nil {
+		return 0
+	}
+	return n.core.Lease(n.opts.Clock.Boot())
+}
+
+// OutOfTouch returns how long ago this box was last known to be in step with
+// the group: as a leader with a quorum, as a follower with its leader.
+func (n *Node) OutOfTouch() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.opts.Clock.Boot()
+	switch {
+	case n.usable() != nil:
+		return now
+	case n.core.role == Leader:
+		return now - n.core.quorumAcked(now)
+	default:
+		return now - n.core.heard
+	}
+}
+
+// Status returns a reading for operators.
+func (n *Node) Status() Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.core == nil {
+		return Status{}
+	}
+	return n.core.Status()
+}
+
+func (n *Node) usable() error {
+	if n.failed != nil {
+		return errors.WithStack(ErrStopped{Reason: n.failed})
+	}
+	if n.core == nil {
+		return errors.WithStack(ErrNotLeader{})
+	}
+	return nil
+}
+
+// step lets the Core decide and carries out what it wants.
+func (n *Node) step(decide func(now time.Duration)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.usable() != nil {
+		return
+	}
+	decide(n.opts.Clock.Boot())
+	n.carryOut()
+}
+
+// carryOut stores before it applies and applies before it sends; the caller
+// holds the lock.
+func (n *Node) carryOut() {
+	out := n.core.Take()
+	if err := n.storeOutput(out); err != nil {
+		n.stopLocked(err)
+		return
+	}
+	for _, e := range out.Committed {
+		n.apply(e)
+	}
+	n.dropStale()
+	n.compact()
+	for _, r := range out.Requests {
+		n.dispatch(r)
+	}
+}
+
+func (n *Node) storeOutput(out Output) error {
+	if out.Restore != nil {
+		return n.restore(out.Restore)
+	}
+	if len(out.Records) == 0 {
+		return nil
+	}
+	records, err := encodeRecords(out.Records)
+	if err != nil {
+		return err
+	}
+	return n.log.Append(records...)
+}
+
+func (n *Node) restore(r *betweenv1.InstallRequest) error {
+	snapshot, err := snapshotOf(n.core, r.GetData())
+	if err != nil {
+		return err
+	}
+	if err := n.log.Compact(snapshot); err != nil {
+		return err
+	}
+	if err := n.opts.Machine.Restore(r.GetData()); err != nil {
+		return err
+	}
+	n.applied = r.GetLastIndex()
+	return nil
+}
+
+func (n *Node) apply(e *betweenv1.LogEntry) {
+	var answer any
+	if e.GetKind() == betweenv1.LogEntry_KIND_DATA {
+		answer = n.opts.Machine.Apply(e.GetData())
+	}
+	n.applied = e.GetIndex()
+	w, ok := n.waiters[e.GetIndex()]
+	if !ok {
+		return
+	}
+	delete(n.waiters, e.GetIndex())
+	if w.term != e.GetTerm() {
+		w.done <- outcome{err: errors.WithStack(ErrOutcomeUnknown{Reason: "the leader changed"})}
+		return
+	}
+	w.done <- outcome{answer: answer}
+}
+
+// dropStale answers proposers whose entries this box no longer decides on.
+func (n *Node) dropStale() {
+	if n.core.role == Leader || len(n.waiters) == 0 {
+		return
+	}
+	for index, w := range n.waiters {
+		w.done <- outcome{err: errors.WithStack(ErrOutcomeUnknown{Reason: "the leader changed"})}
+		delete(n.waiters, index)
+	}
+}
+
+func (n *Node) compact() {
+	if n.log.Size() < n.opts.CompactAfter {
+		return
+	}
+	data, err := n.opts.Machine.Snapshot()
+	if err != nil {
+		n.opts.Log.Error("the control state could not be encoded", "error", err)
+		return
+	}
+	if err := n.compactTo(data); err != nil {
+		n.stopLocked(err)
+	}
+}
+
+// compactTo stores a snapshot of what is applied and the entries after it.
+func (n *Node) compactTo(data []byte) error {
+	n.core.Compact(n.applied, data)
+	snapshot, err := snapshotOf(n.core, data)
+	if err != nil {
+		return err
+	}
+	var records []*betweenv1.LogRecord
+	for _, e := range n.core.log.list {
+		records = append(records, &betweenv1.LogRecord{Record: &betweenv1.LogRecord_Entry{Entry: e}})
+	}
+	encoded, err := encodeRecords(records)
+	if err != nil {
+		return err
+	}
+	return n.log.Compact(snapshot, encoded...)
+}
+
+func (n *Node) stop(reason error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stopLocked(reason)
+	_ = n.log.Close()
+}
+
+func (n *Node) stopLocked(reason error) {
+	if n.failed != nil {
+		return
+	}
+	n.failed = reason
+	n.opts.Log.Warn("left the control group", "reason", reason.Error())
+	for index, w := range n.waiters {
+		w.done <- outcome{err: errors.WithStack(ErrOutcomeUnknown{Reason: reason.Error()})}
+		delete(n.waiters, index)
+	}
+}
+
+// Failed returns why the node takes no part any more, nil while it does.
+func (n *Node) Failed() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.failed
+}
+
+func (n *Node) dispatch(r Request) {
+	n.sends.Add(1)
+	go func() {
+		defer n.sends.Done()
+		ctx, cancel := context.WithTimeout(n.ctx, 2*n.opts.Election)
+		defer cancel()
+		n.exchange(ctx, r)
+	}()
+}
+
+func (n *Node) exchange(ctx context.Context, r Request) {
+	var err error
+	switch {
+	case r.Vote != nil:
+		var resp *betweenv1.VoteResponse
+		if resp, err = n.opts.Transport.Vote(ctx, r.To, r.Vote); err == nil {
+			n.step(func(now time.Duration) { n.core.VoteReply(r.To, r.Vote, resp, now) })
+		}
+	case r.Append != nil:
+		var resp *betweenv1.AppendResponse
+		if resp, err = n.opts.Transport.Append(ctx, r.To, r.Append); err == nil {
+			n.step(func(now time.Duration) { n.core.AppendReply(r.To, r.Append, resp, r.SentAt, now) })
+		}
+	case r.Install != nil:
+		var resp *betweenv1.InstallResponse
+		if resp, err = n.opts.Transport.Install(ctx, r.To, r.Install); err == nil {
+			n.step(func(now time.Duration) { n.core.InstallReply(r.To, r.Install, resp, r.SentAt, now) })
+		}
+	}
+	if err != nil {
+		n.step(func(time.Duration) { n.core.Failed(r.To) })
+	}
+}
+
+// HandleVote answers another member; what it promises is stored first.
+func (n *Node) HandleVote(r *betweenv1.VoteRequest) (resp *betweenv1.VoteResponse, err error) {
+	err = n.handle(func(now time.Duration) { resp = n.core.HandleVote(r, now) })
+	return resp, err
+}
+
+// HandleAppend answers another member; what it acknowledges is stored first.
+func (n *Node) HandleAppend(r *betweenv1.AppendRequest) (resp *betweenv1.AppendResponse, err error) {
+	err = n.handle(func(now time.Duration) { resp = n.core.HandleAppend(r, now) })
+	return resp, err
+}
+
+// HandleInstall answers another member.
+func (n *Node) HandleInstall(r *betweenv1.InstallRequest) (resp *betweenv1.InstallResponse, err error) {
+	err = n.handle(func(now time.Duration) { resp = n.core.HandleInstall(r, now) })
+	return resp, err
+}
+
+func (n *Node) handle(decide func(now time.Duration)) error {
+	n.step(decide)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.usable()
+}
+
+// HandleIdentify tells another member what this disk is known by.
+func (n *Node) HandleIdentify() *betweenv1.IdentifyResponse {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	members := n.stored.Members
+	if n.core != nil {
+		members = n.core.members
+	}
+	return &betweenv1.IdentifyResponse{Box: n.opts.Self, Incarnation: n.stored.Incarnation, Members: listMembers(members)}
+}
+
+// CompactNow takes a snapshot at once, for tests and benchmarks.
+func (n *Node) CompactNow() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.usable(); err != nil {
+		return err
+	}
+	data, err := n.opts.Machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	return n.compactTo(data)
+}
--- /dev/null
+++ b/modules/raft/store.go
@@ -0,0 +1,121 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package raft
+
+import (
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	"havenwinch.dev/havenwinch/modules/disk"
+	"havenwinch.dev/havenwinch/modules/wal"
+)
+
+// openStore reads what a disk holds and gives a new disk its incarnation.
+func openStore(d disk.Disk, incarnation func() string) (*wal.Log, Stored, error) {
+	log, content, err := wal.Open(d)
+	if err != nil {
+		return nil, Stored{}, err
+	}
+	stored, err := replay(content)
+	if err != nil {
+		return nil, Stored{}, err
+	}
+	if stored.Incarnation == "" {
+		stored.Incarnation = incarnation()
+		err = storeIdentity(log, stored)
+	}
+	return log, stored, err
+}
+
+func storeIdentity(log *wal.Log, s Stored) error {
+	id := &betweenv1.Identity{Incarnation: s.Incarnation, Members: listMembers(s.Members)}
+	record, err := proto.Marshal(&betweenv1.LogRecord{Record: &betweenv1.LogRecord_Identity{Identity: id}})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return log.Append(record)
+}
+
+func listMembers(members map[string]string) []*betweenv1.Member {
+	var list []*betweenv1.Member
+	for box, incarnation := range members {
+		list = append(list, &betweenv1.Member{Box: box, Incarnation: incarnation})
+	}
+	return list
+}
+
+func mapMembers(list []*betweenv1.Member) map[string]string {
+	members := map[string]string{}
+	for _, m := range list {
+		members[m.GetBox()] = m.GetIncarnation()
+	}
+	return members
+}
+
+func replay(content wal.Content) (Stored, error) {
+	s := Stored{Members: map[string]string{}}
+	log := entries{}
+	if content.Snapshot != nil {
+		var snapshot betweenv1.LogSnapshot
+		if err := proto.Unmarshal(content.Snapshot, &snapshot); err != nil {
+			return s, errors.WithStack(err)
+		}
+		s.SnapshotIndex, s.SnapshotTerm, s.Snapshot = snapshot.GetIndex(), snapshot.GetTerm(), snapshot.GetData()
+		s.Term, s.Vote = snapshot.GetHard().GetTerm(), snapshot.GetHard().GetVote()
+		s.setIdentity(snapshot.GetIdentity())
+		log.reset(s.SnapshotIndex, s.SnapshotTerm)
+	}
+	for _, data := range content.Records {
+		var record betweenv1.LogRecord
+		if err := proto.Unmarshal(data, &record); err != nil {
+			return s, errors.WithStack(err)
+		}
+		s.take(&record, &log)
+	}
+	s.Entries = log.list
+	return s, nil
+}
+
+func (s *Stored) take(record *betweenv1.LogRecord, log *entries) {
+	switch r := record.GetRecord().(type) {
+	case *betweenv1.LogRecord_Hard:
+		s.Term, s.Vote = r.Hard.GetTerm(), r.Hard.GetVote()
+	case *betweenv1.LogRecord_Identity:
+		s.setIdentity(r.Identity)
+	case *betweenv1.LogRecord_Entry:
+		if r.Entry.GetIndex() > log.index {
+			log.put(r.Entry)
+		}
+	}
+}
+
+func (s *Stored) setIdentity(id *betweenv1.Identity) {
+	s.Incarnation = id.GetIncarnation()
+	s.Members = mapMembers(id.GetMembers())
+}
+
+// snapshotOf encodes a Core's stored state with the machine's data.
+func snapshotOf(c *Core, data []byte) ([]byte, error) {
+	encoded, err := proto.Marshal(&betweenv1.LogSnapshot{
+		Index:    c.log.index,
+		Term:     c.log.term,
+		Identity: c.identity(),
+		Hard:     &betweenv1.HardState{Term: c.term, Vote: c.vote},
+		Data:     data,
+	})
+	return encoded, errors.WithStack(err)
+}
+
+func encodeRecords(records []*betweenv1.LogRecord) ([][]byte, error) {
+	encoded := make([][]byte, 0, len(records))
+	for _, r := range records {
+		data, err := proto.Marshal(r)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		encoded = append(encoded, data)
+	}
+	return encoded, nil
+}
--- /dev/null
+++ b/services/control/control.go
@@ -0,0 +1,249 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package control
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/allot"
+	"havenwinch.dev/havenwinch/models/language"
+	"havenwinch.dev/havenwinch/models/state"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/services/timeline"
+)
+
+// recallTimeout bounds how long a holder in need waits for others to return.
+const recallTimeout = 250 * time.Millisecond
+
+// Log is the replicated log.
+type Log interface {
+	Propose(ctx context.Context, data []byte) (any, error)
+	ReadBarrier() error
+}
+
+// Holders reaches keepers to ask tokens back.
+type Holders interface {
+	Recall(ctx context.Context, address string, r *betweenv1.RecallRequest) (*betweenv1.RecallResponse, error)
+}
+
+// Options configure a Service.
+type Options struct {
+	Log      Log
+	Machine  *Machine
+	Holders  Holders
+	Policy   allot.Policy
+	Clock    clock.Clock
+	Recorder *timeline.Recorder
+	Logger   *slog.Logger
+}
+
+// Service answers operators and keepers.
+type Service struct {
+	opts    Options
+	recalls recalls
+}
+
+// New returns a service.
+func New(opts Options) *Service {
+	return &Service{opts: opts, recalls: recalls{busy: map[string]bool{}}}
+}
+
+func (s *Service) propose(ctx context.Context, e *statev1.Entry) (any, error) {
+	data, err := proto.Marshal(e)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return s.opts.Log.Propose(ctx, data)
+}
+
+// Command parses an operator's command and puts it through the log.
+func (s *Service) Command(ctx context.Context, r *betweenv1.CommandRequest) (*statev1.CommandResult, error) {
+	c, err := language.ParseCommand(r.GetOperator(), r.GetNumber(), r.GetExpectRevision(), r.GetText())
+	if err != nil {
+		return nil, err
+	}
+	answer, err := s.propose(ctx, &statev1.Entry{Kind: &statev1.Entry_Command{Command: c}})
+	if err != nil {
+		return nil, err
+	}
+	result, ok := answer.(*statev1.CommandResult)
+	if !ok {
+		return nil, errors.Errorf("the state answered a command with %T: all control boxes must run one version", answer)
+	}
+	outcome := result.GetRefusal()
+	if outcome == "" {
+		outcome = "accepted"
+	}
+	s.opts.Recorder.Record("command", "", fmt.Sprintf("%s #%d %s at revision %d", r.GetOperator(), r.GetNumber(), outcome, result.GetRevision()))
+	return result, nil
+}
+
+// Register brings a keeper's ledger into force.
+func (s *Service) Register(ctx context.Context, r *statev1.RegisterKeeper) (*betweenv1.RegisterResponse, error) {
+	r.Time = s.opts.Clock.Wall().UnixMilli()
+	answer, err := s.propose(ctx, &statev1.Entry{Kind: &statev1.Entry_RegisterKeeper{RegisterKeeper: r}})
+	if err != nil {
+		return nil, err
+	}
+	registered, ok := answer.(state.RegisterAnswer)
+	if !ok {
+		return nil, errors.Errorf("the state answered a registration with %T", answer)
+	}
+	if registered.Err != nil {
+		return nil, registered.Err
+	}
+	resp := &betweenv1.RegisterResponse{Holder: registered.Holder}
+	s.opts.Machine.Read(func(st *state.State) {
+		resp.LostBefore = len(st.Keepers[r.GetBox()].GetLost()) > 0
+	})
+	s.opts.Recorder.Record("keeper registered", "", registered.Holder)
+	return resp, nil
+}
+
+// Sync takes a holder's reports in and grants what the policy plans. When a
+// waiting request of the holder lacks tokens that others have free, these are
+// asked back first.
+func (s *Service) Sync(ctx context.Context, m *statev1.Sync) (*betweenv1.SyncResponse, error) {
+	if err := s.opts.Log.ReadBarrier(); err != nil {
+		return nil, err
+	}
+	grants, missing := s.plan(m.GetHolder(), m.GetReports())
+	m.Grants = grants
+	if err := s.proposeSync(ctx, m); err != nil {
+		return nil, err
+	}
+	urgent, later := splitByNeed(missing, m.GetReports())
+	s.recallLater(later)
+	if len(urgent) > 0 {
+		s.recallNow(ctx, urgent)
+		again, _ := s.plan(m.GetHolder(), m.GetReports())
+		if len(again) > 0 {
+			if err := s.proposeSync(ctx, &statev1.Sync{Holder: m.GetHolder(), Grants: again}); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return s.rows(m.GetHolder(), m.GetReports()), nil
+}
+
+func (s *Service) proposeSync(ctx context.Context, m *statev1.Sync) error {
+	answer, err := s.propose(ctx, &statev1.Entry{Kind: &statev1.Entry_Sync{Sync: m}})
+	if err != nil {
+		return err
+	}
+	synced, ok := answer.(state.SyncAnswer)
+	if !ok {
+		return errors.Errorf("the state answered a report with %T", answer)
+	}
+	return synced.Err
+}
+
+// plan asks the policy about each reported budget.
+func (s *Service) plan(holder string, reports []*statev1.BudgetReport) (grants []*statev1.Grant, missing []recall) {
+	s.opts.Machine.Read(func(st *state.State) {
+		for _, r := range reports {
+			b := st.Budgets[r.GetBudget()]
+			if b == nil {
+				continue
+			}
+			holders, asker := viewOf(st, b, holder, r)
+			if asker < 0 {
+				continue
+			}
+			plan := s.opts.Policy.Plan(b.Unallotted(), holders, asker)
+			if plan.Grant > 0 {
+				grants = append(grants, &statev1.Grant{Budget: b.Name, Tokens: plan.Grant})
+			}
+			for _, one := range plan.Recalls {
+				missing = append(missing, recall{budget: b.Name, holder: one.Holder, asker: holder, tokens: one.Tokens, address: addressOf(st, one.Holder)})
+			}
+		}
+	})
+	return grants, missing
+}
+
+// viewOf returns what the policy sees: all ledgers in force, the asker's with
+// the numbers it has just reported.
+func viewOf(st *state.State, b *state.Budget, asker string, r *statev1.BudgetReport) ([]allot.Holder, int) {
+	at := -1
+	var holders []allot.Holder
+	for _, k := range state.Sorted(st.Keepers) {
+		a := b.Allotments[k.GetHolder()]
+		h := allot.Holder{Name: k.GetHolder(), Rate: a.GetRate(), Need: a.GetNeed()}
+		if a != nil {
+			h.Free = free(state.Held(a), a.GetSpent(), a.GetReserved())
+		}
+		if k.GetHolder() == asker {
+			at = len(holders)
+			h.Rate, h.Need = r.GetRate(), r.GetNeed()
+			if a != nil {
+				h.Free = free(a.GetAllotted()-min(a.GetAllotted(), max(a.GetReturned(), r.GetReturned())), r.GetSpent(), r.GetReserved())
+			}
+		}
+		holders = append(holders, h)
+	}
+	return holders, at
+}
+
+func free(held, spent, reserved uint64) uint64 {
+	if spent+reserved >= held {
+		return 0
+	}
+	return held - spent - reserved
+}
+
+func addressOf(st *state.State, holder string) string {
+	for _, k := range st.Keepers {
+		if k.GetHolder() == holder {
+			return k.GetAddress()
+		}
+	}
+	return ""
+}
+
+// rows returns what a holder has of the reported budgets.
+func (s *Service) rows(holder string, reports []*statev1.BudgetReport) *betweenv1.SyncResponse {
+	resp := &betweenv1.SyncResponse{}
+	s.opts.Machine.Read(func(st *state.State) {
+		for _, r := range reports {
+			b := st.Budgets[r.GetBudget()]
+			if b == nil {
+				continue
+			}
+			resp.Rows = append(resp.Rows, &betweenv1.AllottedRow{
+				Budget:     b.Name,
+				Allotted:   b.Allotments[holder].GetAllotted(),
+				Unallotted: b.Unallotted(),
+				Gone:       gone(st, b),
+				Granted:    b.Granted,
+			})
+		}
+	})
+	return resp
+}
+
+// gone is what can't come back: what is spent, and all that lost ledgers held.
+func gone(st *state.State, b *state.Budget) uint64 {
+	inForce := map[string]bool{}
+	for _, k := range st.Keepers {
+		inForce[k.GetHolder()] = true
+	}
+	sum := uint64(0)
+	for holder, a := range b.Allotments {
+		if inForce[holder] {
+			sum += a.GetSpent()
+		} else {
+			sum += state.Held(a)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/services/control/query.go
@@ -0,0 +1,258 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package control
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/language"
+	"havenwinch.dev/havenwinch/models/state"
+)
+
+// digestShown is how many digits of a key's digest a query shows.
+const digestShown = 12
+
+// ErrUnknownColumn says that a query names a column that its table lacks.
+type ErrUnknownColumn struct {
+	Column  string
+	Columns []string
+}
+
+func (e ErrUnknownColumn) Error() string {
+	return "there is no column " + e.Column + ": use one of " + strings.Join(e.Columns, ", ")
+}
+
+// table is a query's answer in the making.
+type table struct {
+	columns []string
+	rows    [][]string
+}
+
+func (t *table) add(cells ...string) { t.rows = append(t.rows, cells) }
+
+func number(n uint64) string { return strconv.FormatUint(n, 10) }
+
+// Query answers a query about everything that was committed before it.
+func (s *Service) Query(text string) (*betweenv1.QueryResponse, error) {
+	q, err := language.ParseQuery(text)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.opts.Log.ReadBarrier(); err != nil {
+		return nil, err
+	}
+	var t *table
+	resp := &betweenv1.QueryResponse{}
+	s.opts.Machine.Read(func(st *state.State) {
+		t = tables[q.Subject](st)
+		resp.Revision = st.Revision
+	})
+	if err := t.apply(q); err != nil {
+		return nil, err
+	}
+	resp.Columns = t.columns
+	for _, row := range t.rows {
+		resp.Rows = append(resp.Rows, &betweenv1.QueryRow{Cells: row})
+	}
+	return resp, nil
+}
+
+// tables makes the table of each subject of the language.
+var tables = map[string]func(st *state.State) *table{
+	"organisations": organisations,
+	"groups":        groups,
+	"budgets":       budgets,
+	"allotments":    allotments,
+	"keepers":       keepers,
+	"drains":        drains,
+	"rollouts":      rollouts,
+	"revision":      revision,
+	"commands":      commands,
+	"keys":          keys,
+}
+
+func organisations(st *state.State) *table {
+	type sums struct{ granted, spent uint64 }
+	byName := map[string]sums{}
+	for _, b := range st.Budgets {
+		name := state.OrganisationOf(b.Name)
+		sum := byName[name]
+		sum.granted += b.Granted
+		sum.spent += b.Spent()
+		byName[name] = sum
+	}
+	t := &table{columns: []string{"organisation", "share", "granted", "spent"}}
+	for _, o := range state.Sorted(st.Organisations) {
+		sum := byName[o.GetName()]
+		t.add(o.GetName(), number(uint64(o.GetShare())), number(sum.granted), number(sum.spent))
+	}
+	return t
+}
+
+func groups(st *state.State) *table {
+	usage := map[string]*statev1.GroupUsage{}
+	for _, u := range st.Usages {
+		sum := usage[u.GetGroup()]
+		if sum == nil {
+			sum = &statev1.GroupUsage{}
+			usage[u.GetGroup()] = sum
+		}
+		sum.Spent += u.GetSpent()
+		sum.WrittenOff += u.GetWrittenOff()
+		sum.Reserved += u.GetReserved()
+		sum.Waiting += u.GetWaiting()
+		sum.Requests += u.GetRequests()
+	}
+	t := &table{columns: []string{"group", "organisation", "budget", "models", "services", "priority", "requests", "billed", "written_off", "reserved", "waiting"}}
+	for _, g := range state.Sorted(st.Groups) {
+		u := usage[g.GetName()]
+		t.add(g.GetName(), state.OrganisationOf(g.GetName()), g.GetBudget(), strings.Join(g.GetModels(), ","), strings.Join(g.GetServices(), ","),
+			PriorityName(g.GetPriority()), number(u.GetRequests()), number(u.GetSpent()-u.GetWrittenOff()), number(u.GetWrittenOff()), number(u.GetReserved()), number(u.GetWaiting()))
+	}
+	return t
+}
+
+// PriorityName returns the word for a priority.
+func PriorityName(p statev1.Priority) string {
+	if p == statev1.Priority_PRIORITY_INTERACTIVE {
+		return "interactive"
+	}
+	return "batch"
+}
+
+func budgets(st *state.State) *table {
+	t := &table{columns: []string{"budget", "granted", "spent", "reserved", "free", "unallotted", "lost"}}
+	for _, b := range state.Sorted(st.Budgets) {
+		spent, reserved := b.Spent(), uint64(0)
+		for _, a := range b.Allotments {
+			reserved += a.GetReserved()
+		}
+		lost := gone(st, b) - min(gone(st, b), spent)
+		remaining := b.Granted - spent
+		t.add(b.Name, number(b.Granted), number(spent), number(reserved), number(remaining-min(remaining, reserved+lost)), number(b.Unallotted()), number(lost))
+	}
+	return t
+}
+
+func allotments(st *state.State) *table {
+	t := &table{columns: []string{"budget", "holder", "allotted", "returned", "spent", "reserved", "rate"}}
+	for _, b := range state.Sorted(st.Budgets) {
+		for _, a := range state.Sorted(b.Allotments) {
+			t.add(b.Name, a.GetHolder(), number(a.GetAllotted()), number(a.GetReturned()), number(a.GetSpent()), number(a.GetReserved()), number(a.GetRate()))
+		}
+	}
+	return t
+}
+
+func keepers(st *state.State) *table {
+	t := &table{columns: []string{"box", "data_centre", "address", "holder", "lost"}}
+	for _, k := range state.Sorted(st.Keepers) {
+		t.add(k.GetBox(), k.GetDataCentre(), k.GetAddress(), k.GetHolder(), strings.Join(k.GetLost(), ","))
+	}
+	return t
+}
+
+func drains(st *state.State) *table {
+	t := &table{columns: []string{"kind", "name"}}
+	for _, d := range state.Sorted(st.Drains) {
+		kind := "target"
+		if d.GetKind() == statev1.Drain_KIND_BOX {
+			kind = "box"
+		}
+		t.add(kind, d.GetName())
+	}
+	return t
+}
+
+func rollouts(st *state.State) *table {
+	t := &table{columns: []string{"name", "value", "meaning"}}
+	names := make([]string, 0, len(state.Rollouts))
+	for name := range state.Rollouts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		t.add(name, strconv.FormatInt(st.Value(name), 10), state.Rollouts[name].Meaning)
+	}
+	return t
+}
+
+func revision(st *state.State) *table {
+	return &table{columns: []string{"revision"}, rows: [][]string{{number(st.Revision)}}}
+}
+
+func commands(st *state.State) *table {
+	t := &table{columns: []string{"operator", "number", "outcome", "message", "revision"}}
+	for _, results := range state.Sorted(st.Results) {
+		for _, r := range results {
+			outcome := r.GetRefusal()
+			if outcome == "" {
+				outcome = "accepted"
+			}
+			t.add(r.GetOperator(), number(r.GetNumber()), outcome, r.GetMessage(), number(r.GetRevision()))
+		}
+	}
+	return t
+}
+
+func keys(st *state.State) *table {
+	t := &table{columns: []string{"group", "digest"}}
+	for _, k := range state.Sorted(st.Keys) {
+		t.add(k.GetGroup(), k.GetDigest()[:digestShown])
+	}
+	return t
+}
+
+// apply filters, orders and limits a table.
+func (t *table) apply(q *language.Query) error {
+	for _, f := range q.Filters {
+		at, err := t.column(f.Column)
+		if err != nil {
+			return err
+		}
+		var kept [][]string
+		for _, row := range t.rows {
+			if row[at] == f.Value {
+				kept = append(kept, row)
+			}
+		}
+		t.rows = kept
+	}
+	if q.Order != "" {
+		at, err := t.column(q.Order)
+		if err != nil {
+			return err
+		}
+		sort.SliceStable(t.rows, func(i, j int) bool { return before(t.rows[i][at], t.rows[j][at]) })
+	}
+	if q.Limit > 0 && q.Limit < len(t.rows) {
+		t.rows = t.rows[:q.Limit]
+	}
+	return nil
+}
+
+func (t *table) column(name string) (int, error) {
+	for i, c := range t.columns {
+		if c == name {
+			return i, nil
+		}
+	}
+	return 0, errors.WithStack(ErrUnknownColumn{Column: name, Columns: t.columns})
+}
+
+// before orders numbers from high to low and words from A to Z.
+func before(a, b string) bool {
+	x, errX := strconv.ParseUint(a, 10, 64)
+	y, errY := strconv.ParseUint(b, 10, 64)
+	if errX == nil && errY == nil {
+		return x > y
+	}
+	return a < b
+}
--- /dev/null
+++ b/services/dispatch/service.go
@@ -0,0 +1,125 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/queue"
+	"havenwinch.dev/havenwinch/models/target"
+	"havenwinch.dev/havenwinch/services/engine"
+	"havenwinch.dev/havenwinch/structs"
+)
+
+// ServiceRequest is a call of a plain service. Its Request carries no bound;
+// Model is empty.
+type ServiceRequest struct {
+	*Request
+	Service string
+	Call    engine.ServiceCall
+}
+
+// maxServiceTries is how many servers a call that may be repeated is sent to.
+const maxServiceTries = 2
+
+// ServeService sends a call to a server of a plain service. A call that may
+// not be repeated reaches at most one server; with a key it does so at most
+// once over all attempts of the caller.
+func (d *Dispatcher) ServeService(ctx context.Context, r *ServiceRequest) (*engine.ServiceAnswer, *Refusal) {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	need := target.Need{Service: r.Service, Interactive: true, DataCentre: d.opts.DataCentre, Exclude: map[string]bool{}}
+	if refusal := d.precheckService(need, r); refusal != nil {
+		return nil, refusal
+	}
+	if r.Anonymous {
+		return d.callService(ctx, r, need, nil)
+	}
+	a, refusal := d.reserve(ctx, r.Request, d.candidates(r.Request))
+	if refusal != nil {
+		return nil, refusal
+	}
+	if !a.mine {
+		return nil, serviceAgain(a)
+	}
+	defer d.holds(a.keeper, -1)
+	if a.taken && !r.Repeatable {
+		return nil, &Refusal{Kind: structs.KindOutcomeUnknown, Run: structs.RunUnknown,
+			Message: "the box that sent this call has died before it was answered: nothing was sent now; ask the service itself whether the call took effect"}
+	}
+	return d.callService(ctx, r, need, a)
+}
+
+func serviceAgain(a *Admission) *Refusal {
+	if a.record.GetState() == statev1.RequestState_REQUEST_STATE_DONE {
+		return &Refusal{Kind: structs.KindAnswerGone, Run: structs.RunYes, Message: "this call was sent before under the same key and its answer is not kept: nothing was sent now"}
+	}
+	return &Refusal{Kind: structs.KindRunning, Run: structs.RunUnknown, RetryAfter: retryStop, Message: "an earlier attempt under this key is under way: ask again after the stated time"}
+}
+
+func (d *Dispatcher) precheckService(need target.Need, r *ServiceRequest) *Refusal {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	candidates, pool := d.poolOf(need)
+	if len(candidates) == 0 {
+		return &Refusal{Kind: structs.KindNoTarget, Run: structs.RunNo, RetryAfter: retryKeeper, Message: "no server of service " + r.Service + " is listed now: ask again after the stated time"}
+	}
+	return d.checkQueue(pool, true, 0, r.Deadline)
+}
+
+// callService tries servers in turn, as far as the call may be repeated or
+// certainly was not sent.
+func (d *Dispatcher) callService(ctx context.Context, r *ServiceRequest, need target.Need, a *Admission) (*engine.ServiceAnswer, *Refusal) {
+	at := &attempt{d: d, a: a}
+	for try := 1; ; try++ {
+		s, refusal := d.acquire(ctx, queue.Item{Organisation: r.Organisation, Interactive: true, Deadline: d.opts.Clock.Boot() + time.Until(r.Deadline)}, need, func(int) error { return nil })
+		if refusal != nil {
+			return nil, at.endService(ctx, refusal)
+		}
+		if a != nil {
+			if accepted, err := at.start(ctx, s.target.Name); err != nil || !accepted {
+				d.release(s, true)
+				return nil, at.endService(ctx, &Refusal{Kind: structs.KindBudgetUnreachable, Run: structs.RunNo, RetryAfter: retryKeeper, Message: "the start of this call could not be recorded, so it was not sent: ask again after the stated time"})
+			}
+		}
+		d.opts.Recorder.Record("service called", r.ID, s.target.Name)
+		call := r.Call
+		call.Timeout = time.Until(r.Deadline)
+		answer, err := d.opts.Engines.CallService(ctx, s.address, call)
+		d.release(s, err == nil)
+		if err == nil {
+			at.endService(ctx, nil)
+			return answer, nil
+		}
+		notSent := engine.IsErrNotSent(err)
+		again := try < maxServiceTries && (notSent || r.Repeatable) && ctx.Err() == nil && d.mayRetry(s.pool)
+		if !again {
+			return nil, at.endService(ctx, serviceFailed(notSent, r.Repeatable))
+		}
+		need.Exclude[s.target.Name] = true
+	}
+}
+
+func serviceFailed(notSent, repeatable bool) *Refusal {
+	if notSent {
+		return &Refusal{Kind: structs.KindTargetFailed, Run: structs.RunNo, RetryAfter: retryTarget, Message: "no server took the call: ask again after the stated time"}
+	}
+	refusal := &Refusal{Kind: structs.KindTargetFailed, Run: structs.RunUnknown, Message: "the server closed the connection without an answer: ask the service itself whether the call took effect before sending it under a new key"}
+	if repeatable {
+		refusal.RetryAfter = retryTarget
+		refusal.Message = "the server closed the connection without an answer: ask again after the stated time"
+	}
+	return refusal
+}
+
+// endService settles the record of a call with a key; the call was not sent
+// when the refusal says so.
+func (at *attempt) endService(ctx context.Context, refusal *Refusal) *Refusal {
+	if at.a != nil {
+		at.finish(ctx, 0, refusal != nil && refusal.Run == structs.RunNo)
+	}
+	return refusal
+}
--- /dev/null
+++ b/services/peers/peers.go
@@ -0,0 +1,232 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package peers connects boxes with each other: clients by address, the
+// listener, who may speak, and the stamps that order the time line.
+package peers
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/hlc"
+	"havenwinch.dev/havenwinch/services/timeline"
+)
+
+const (
+	headerAuth    = "Havenwinch-Auth"
+	headerStamp   = "Havenwinch-Stamp"
+	headerRequest = "Havenwinch-Request"
+
+	// maxMessage bounds a message between boxes, in bytes.
+	maxMessage = 256 << 20
+	// authWindow is how far the clocks of two boxes may differ.
+	authWindow = 10 * time.Minute
+
+	dialTimeout = 2 * time.Second
+	idleTimeout = 90 * time.Second
+	pingAfter   = 5 * time.Second
+)
+
+// Options configure Peers.
+type Options struct {
+	Box    string
+	Secret []byte
+	Clock  clock.Clock
+	Stamps *hlc.Clock
+	// TLS is nil for plain connections.
+	TLS *tls.Config
+}
+
+// Peers makes clients to other boxes and checks what arrives from them.
+type Peers struct {
+	opts   Options
+	client *http.Client
+
+	mu      sync.Mutex
+	keepers map[string]betweenv1connect.KeeperServiceClient
+}
+
+// New returns peers that speak HTTP/2, over TLS when it is configured.
+func New(opts Options) *Peers {
+	var protocols http.Protocols
+	protocols.SetHTTP2(opts.TLS != nil)
+	protocols.SetUnencryptedHTTP2(opts.TLS == nil)
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		Protocols:       &protocols,
+		TLSClientConfig: opts.TLS,
+		DialContext:     dialer.DialContext,
+		IdleConnTimeout: idleTimeout,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingAfter},
+	}
+	return &Peers{opts: opts, client: &http.Client{Transport: transport}, keepers: map[string]betweenv1connect.KeeperServiceClient{}}
+}
+
+// LoadTLS reads the files for mutual TLS; empty names give nil.
+func LoadTLS(cert, key, authority string) (*tls.Config, error) {
+	if cert == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		return nil, errors.Wrap(err, "between-cert and between-key can't be used: check that they belong together")
+	}
+	pem, err := os.ReadFile(authority)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("between-ca %s holds no certificate: use a PEM file", authority)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
+
+// BaseURL returns the URL of a box at an address.
+func (p *Peers) BaseURL(address string) string {
+	if p.opts.TLS != nil {
+		return "https://" + address
+	}
+	return "http://" + address
+}
+
+// ClientOptions returns the options for connect clients.
+func (p *Peers) ClientOptions() []connect.ClientOption {
+	return []connect.ClientOption{connect.WithInterceptors(p), connect.WithReadMaxBytes(maxMessage)}
+}
+
+// HandlerOptions returns the options for connect handlers.
+func (p *Peers) HandlerOptions() []connect.HandlerOption {
+	return []connect.HandlerOption{connect.WithInterceptors(p), connect.WithReadMaxBytes(maxMessage)}
+}
+
+// HTTPClient returns the client to other boxes.
+func (p *Peers) HTTPClient() *http.Client { return p.client }
+
+// Keeper returns the client of a keeper.
+func (p *Peers) Keeper(address string) betweenv1connect.KeeperServiceClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	client := p.keepers[address]
+	if client == nil {
+		client = betweenv1connect.NewKeeperServiceClient(p.client, p.BaseURL(address), p.ClientOptions()...)
+		p.keepers[address] = client
+	}
+	return client
+}
+
+// Server returns an HTTP server for handlers of other boxes' calls.
+func (p *Peers) Server(handler http.Handler) *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(p.opts.TLS != nil)
+	protocols.SetUnencryptedHTTP2(p.opts.TLS == nil)
+	return &http.Server{Handler: handler, Protocols: &protocols, TLSConfig: p.opts.TLS, ReadHeaderTimeout: dialTimeout}
+}
+
+// sign returns "box time code", where the code covers the procedure.
+func (p *Peers) sign(procedure string) string {
+	at := strconv.FormatInt(p.opts.Clock.Wall().Unix(), 10)
+	return p.opts.Box + " " + at + " " + p.code(p.opts.Box, at, procedure)
+}
+
+func (p *Peers) code(box, at, procedure string) string {
+	mac := hmac.New(sha256.New, p.opts.Secret)
+	mac.Write([]byte(box + " " + at + " " + procedure))
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+// verify checks what sign made.
+func (p *Peers) verify(header, procedure string) error {
+	fields := strings.Fields(header)
+	if len(fields) != 3 || !hmac.Equal([]byte(fields[2]), []byte(p.code(fields[0], fields[1], procedure))) {
+		return connect.NewError(connect.CodeUnauthenticated, errors.New("this box does not share the secret: check secret-file on both boxes"))
+	}
+	at, err := strconv.ParseInt(fields[1], 10, 64)
+	if err != nil || p.opts.Clock.Wall().Sub(time.Unix(at, 0)).Abs() > authWindow {
+		return connect.NewError(connect.CodeUnauthenticated, errors.New("the clocks of the two boxes differ too much: set them"))
+	}
+	return nil
+}
+
+func (p *Peers) outgoing(ctx context.Context, header http.Header, procedure string) {
+	header.Set(headerAuth, p.sign(procedure))
+	header.Set(headerStamp, p.opts.Stamps.Now().String())
+	if request := timeline.RequestOf(ctx); request != "" {
+		header.Set(headerRequest, request)
+	}
+}
+
+func (p *Peers) incoming(ctx context.Context, header http.Header, procedure string) (context.Context, error) {
+	if err := p.verify(header.Get(headerAuth), procedure); err != nil {
+		return ctx, err
+	}
+	p.opts.Stamps.Observe(hlc.Parse(header.Get(headerStamp)))
+	return timeline.WithRequest(ctx, header.Get(headerRequest)), nil
+}
+
+// WrapUnary implements connect.Interceptor.
+func (p *Peers) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+		if r.Spec().IsClient {
+			p.outgoing(ctx, r.Header(), r.Spec().Procedure)
+			resp, err := next(ctx, r)
+			if err == nil {
+				p.opts.Stamps.Observe(hlc.Parse(resp.Header().Get(headerStamp)))
+			}
+			return resp, err
+		}
+		ctx, err := p.incoming(ctx, r.Header(), r.Spec().Procedure)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := next(ctx, r)
+		if err == nil {
+			resp.Header().Set(headerStamp, p.opts.Stamps.Now().String())
+		}
+		return resp, err
+	}
+}
+
+// WrapStreamingClient implements connect.Interceptor.
+func (p *Peers) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return func(ctx context.Context, spec connect.Spec) connect.StreamingClientConn {
+		conn := next(ctx, spec)
+		p.outgoing(ctx, conn.RequestHeader(), spec.Procedure)
+		return conn
+	}
+}
+
+// WrapStreamingHandler implements connect.Interceptor.
+func (p *Peers) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return func(ctx context.Context, conn connect.StreamingHandlerConn) error {
+		ctx, err := p.incoming(ctx, conn.RequestHeader(), conn.Spec().Procedure)
+		if err != nil {
+			return err
+		}
+		return next(ctx, conn)
+	}
+}
--- /dev/null
+++ b/services/timeline/timeline.go
@@ -0,0 +1,93 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package timeline keeps the newest events of a box for the merged time line
+// over all processes. Events hold no prompt, key or prefix.
+package timeline
+
+import (
+	"context"
+	"sort"
+	"sync"
+
+	"havenwinch.dev/havenwinch/modules/hlc"
+	"havenwinch.dev/havenwinch/structs"
+)
+
+// Capacity is how many events a box keeps.
+const Capacity = 16 << 10
+
+// Recorder keeps events in a ring.
+type Recorder struct {
+	box        string
+	dataCentre string
+	clock      *hlc.Clock
+
+	mu   sync.Mutex
+	ring []structs.Event
+	next int
+}
+
+// New returns a recorder for a box.
+func New(box, dataCentre string, clock *hlc.Clock) *Recorder {
+	return &Recorder{box: box, dataCentre: dataCentre, clock: clock}
+}
+
+// Record notes an event of a request, or of none.
+func (r *Recorder) Record(kind, request, detail string) {
+	e := structs.Event{
+		Stamp:      r.clock.Now().String(),
+		Box:        r.box,
+		DataCentre: r.dataCentre,
+		Kind:       kind,
+		Request:    request,
+		Detail:     detail,
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ring) < Capacity {
+		r.ring = append(r.ring, e)
+		return
+	}
+	r.ring[r.next] = e
+	r.next = (r.next + 1) % Capacity
+}
+
+// Events returns the kept events of a request, or all when it is empty.
+func (r *Recorder) Events(request string) []structs.Event {
+	r.mu.Lock()
+	events := make([]structs.Event, 0, len(r.ring))
+	for i := range r.ring {
+		e := r.ring[(r.next+i)%len(r.ring)]
+		if request == "" || e.Request == request {
+			events = append(events, e)
+		}
+	}
+	r.mu.Unlock()
+	Sort(events)
+	return events
+}
+
+// Sort puts events of any boxes into their causal order.
+func Sort(events []structs.Event) {
+	sort.SliceStable(events, func(i, j int) bool {
+		a, b := hlc.Parse(events[i].Stamp), hlc.Parse(events[j].Stamp)
+		if a != b {
+			return a.Less(b)
+		}
+		return events[i].Box < events[j].Box
+	})
+}
+
+type requestKey struct{}
+
+// WithRequest marks a context with the request it works for.
+func WithRequest(ctx context.Context, request string) context.Context {
+	return context.WithValue(ctx, requestKey{}, request)
+}
+
+// RequestOf returns the request that a context works for.
+func RequestOf(ctx context.Context) string {
+	request, _ := ctx.Value(requestKey{}).(string)
+	return request
+}
--- /dev/null
+++ b/tests/tour/main.go
@@ -0,0 +1,192 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Command tour shows the main job on a small fleet of separate processes: an
+// operator prepares a budget, a caller gets a streamed answer, its bill and a
+// plain refusal, and the request's time line is shown. With --stay the fleet
+// goes on until it is interrupted.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"havenwinch.dev/havenwinch/modules/digest"
+	"havenwinch.dev/havenwinch/tests/fleet"
+)
+
+const (
+	groupKey  = "hw-key-of-the-tour"
+	addressed = 10 * time.Second
+)
+
+// Specs are the boxes of the tour: three entries in two data centres and a
+// control box.
+var specs = []fleet.BoxSpec{
+	{Name: "entry-a1", DataCentre: "dc-a", Roles: "entry,keeper"},
+	{Name: "entry-a2", DataCentre: "dc-a", Roles: "entry"},
+	{Name: "entry-b1", DataCentre: "dc-b", Roles: "entry,keeper"},
+	{Name: "control-1", DataCentre: "dc-a", Roles: "control"},
+}
+
+func main() {
+	stay := flag.Bool("stay", false, "leave the fleet running until interrupted")
+	bin := flag.String("bin", "bin", "folder of the programs")
+	flag.Parse()
+	if err := run(*bin, *stay); err != nil {
+		fmt.Fprintln(os.Stderr, "tour:", err)
+		os.Exit(1)
+	}
+}
+
+// tour is one run.
+type tour struct {
+	fleet   *fleet.Fleet
+	standin *exec.Cmd
+}
+
+func run(bin string, stay bool) error {
+	folder, err := os.MkdirTemp("", "havenwinch-tour-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	t := &tour{}
+	platform, err := t.startStandin(bin, folder)
+	if err != nil {
+		return err
+	}
+	defer t.stopStandin()
+	if t.fleet, err = fleet.New(bin, folder, platform, specs); err != nil {
+		return err
+	}
+	defer t.fleet.Close()
+	if err := t.fleet.StartAll(); err != nil {
+		return err
+	}
+	fmt.Print("== the fleet\n", t.fleet)
+	if err := t.show(); err != nil {
+		return err
+	}
+	if stay {
+		fmt.Printf("\nrunning until interrupted; use:\n  export HAVENWINCH_ADMIN=%s\n  export HAVENWINCH_OPERATOR_KEY=%s\n  export HAVENWINCH_KEY=%s HAVENWINCH_CALLER=%s\n",
+			t.fleet.Admins(), fleet.OperatorKey, groupKey, t.fleet.Boxes["entry-a1"].Caller)
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		<-ctx.Done()
+	}
+	return t.stop()
+}
+
+func (t *tour) startStandin(bin, folder string) (string, error) {
+	file := filepath.Join(folder, "platform")
+	t.standin = exec.Command(filepath.Join(bin, "standin"), "--data-centre", "dc-a", "--data-centre", "dc-b", "--address-file", file)
+	if err := t.standin.Start(); err != nil {
+		return "", errors.WithStack(err)
+	}
+	deadline := time.Now().Add(addressed)
+	for time.Now().Before(deadline) {
+		data, err := os.ReadFile(file)
+		if err == nil && strings.HasPrefix(string(data), "http://") {
+			return string(data), nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return "", errors.New("the stand-ins did not start in time")
+}
+
+func (t *tour) stopStandin() {
+	_ = t.standin.Process.Signal(syscall.SIGTERM)
+	_ = t.standin.Wait()
+}
+
+// show runs the steps and prints each with its answer.
+func (t *tour) show() error {
+	setup := []string{
+		"create organisation north share 1",
+		"create budget north/main tokens 1000",
+		"create group north/lectures budget north/main models lecture-small services portal",
+		"add key " + digest.Of([]byte(groupKey)) + " to north/lectures",
+	}
+	for i, text := range setup {
+		if err := t.step(true, "command", "--number", fmt.Sprint(i+1), text); err != nil {
+			return err
+		}
+	}
+	if err := t.fleet.AwaitReady(); err != nil {
+		return err
+	}
+	answer, err := t.tool("send", "--key", groupKey, "--model", "lecture-small", "--max-tokens", "12", "--idempotency-key", "tour-1", "Sum up the hearing of Monday.")
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\n== havenwinch send (a caller's request)\n%s", answer)
+	if err := t.step(false, "send", "--key", groupKey, "--model", "lecture-small", "--max-tokens", "5000", "A request that the budget can't cover."); err == nil {
+		return errors.New("the refusal did not come")
+	}
+	if err := t.awaitSpent(); err != nil {
+		return err
+	}
+	if err := t.step(true, "query", "show groups"); err != nil {
+		return err
+	}
+	if err := t.step(true, "query", "show budgets"); err != nil {
+		return err
+	}
+	request := regexp.MustCompile(`request ([0-9a-f-]{36}) billed`).FindStringSubmatch(answer)
+	if request == nil {
+		return errors.New("the answer named no request")
+	}
+	return t.step(true, "timeline", "--request", request[1])
+}
+
+// awaitSpent waits until the keepers' reports have reached control.
+func (t *tour) awaitSpent() error {
+	deadline := time.Now().Add(addressed)
+	for time.Now().Before(deadline) {
+		out, err := t.tool("query", "show groups where requests = 1 and reserved = 0")
+		if err == nil && strings.Contains(out, "north/lectures") {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return errors.New("the bill did not reach control in time")
+}
+
+func (t *tour) tool(args ...string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	return t.fleet.Tool(ctx, args...)
+}
+
+func (t *tour) step(must bool, args ...string) error {
+	out, err := t.tool(args...)
+	fmt.Printf("\n== havenwinch %s\n%s", strings.Join(args, " "), out)
+	if err != nil && must {
+		return errors.Wrapf(err, "havenwinch %s", args[0])
+	}
+	return err
+}
+
+// stop ends all boxes as planned, the control box last.
+func (t *tour) stop() error {
+	fmt.Print("\n== stopping\n")
+	for _, name := range t.fleet.Names() {
+		if err := t.fleet.Stop(name); err != nil {
+			return errors.Wrapf(err, "box %s", name)
+		}
+		fmt.Printf("%s stopped\n", name)
+	}
+	return nil
+}
