--- /dev/null
+++ b/models/ledger/escrow_test.go
@@ -0,0 +1,349 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package ledger_test
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/ledger"
+	"havenwinch.dev/havenwinch/models/state"
+	"havenwinch.dev/havenwinch/tests/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+const (
+	budgetName = "north/main"
+	groupName  = "north/a"
+)
+
+var options = ledger.Options{Window: time.Hour, BoxTimeout: 3 * time.Second}
+
+// holder is a ledger with its disk.
+type holder struct {
+	box    string
+	ledger *ledger.Ledger
+	disk   [][]byte
+	lives  int
+	// served is what targets have worked for requests of this ledger.
+	served uint64
+}
+
+// world is control, three holders, and messages between them that are lost,
+// repeated and reordered.
+type world struct {
+	t       *rapid.T
+	state   *state.State
+	holders []*holder
+	// reports and rows are messages on their way.
+	reports []*statev1.Sync
+	rows    []row
+	now     ledger.Times
+	keys    int
+	// served is what targets have really worked, per key and run.
+	served uint64
+	// wipes says that disks may be lost.
+	wipes bool
+}
+
+type row struct {
+	holder   string
+	allotted uint64
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, state: state.New()}
+	w.now = ledger.Times{Wall: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), Boot: time.Hour}
+	w.command(&statev1.Command{Action: &statev1.Command_CreateOrganisation{CreateOrganisation: &statev1.CreateOrganisation{Name: "north", Share: 1}}})
+	w.command(&statev1.Command{Action: &statev1.Command_CreateBudget{CreateBudget: &statev1.CreateBudget{Name: budgetName, Tokens: 400}}})
+	for _, box := range []string{"k1", "k2", "k3"} {
+		h := &holder{box: box}
+		w.holders = append(w.holders, h)
+		w.begin(h)
+	}
+	return w
+}
+
+func (w *world) command(c *statev1.Command) *statev1.CommandResult {
+	w.keys++
+	c.Operator, c.Number, c.Digest = "op", uint64(w.keys), fmt.Sprint(w.keys)
+	return w.state.Apply(&statev1.Entry{Kind: &statev1.Entry_Command{Command: c}}).(*statev1.CommandResult)
+}
+
+// begin starts a ledger on an empty disk.
+func (w *world) begin(h *holder) {
+	h.lives++
+	h.ledger = ledger.New(options, fmt.Sprintf("%s-%d", h.box, h.lives), w.now.Wall, w.now.Boot)
+	h.disk, h.served = nil, 0
+	answer := w.state.Apply(&statev1.Entry{Kind: &statev1.Entry_RegisterKeeper{RegisterKeeper: &statev1.RegisterKeeper{Box: h.box, Incarnation: h.ledger.Incarnation}}})
+	if err := answer.(state.RegisterAnswer).Err; err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+func (h *holder) name() string { return state.Holder(h.box, h.ledger.Incarnation) }
+
+// store makes records last.
+func (w *world) store(h *holder, records []*statev1.LedgerRecord) {
+	for _, r := range records {
+		data, err := proto.Marshal(r)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		h.disk = append(h.disk, data)
+	}
+}
+
+// restart loads a ledger from its disk; what was not stored is gone.
+func (w *world) restart(h *holder) {
+	fresh := ledger.New(options, h.ledger.Incarnation, w.now.Wall, w.now.Boot)
+	for _, data := range h.disk {
+		var r statev1.LedgerRecord
+		if err := proto.Unmarshal(data, &r); err != nil {
+			w.t.Fatal(err)
+		}
+		fresh.Take(&r)
+	}
+	h.ledger = fresh
+}
+
+func (w *world) pick() *holder { return rapid.SampledFrom(w.holders).Draw(w.t, "holder") }
+
+func (w *world) reserve(h *holder, key string, foreign string) {
+	bound := rapid.Uint64Range(1, 200).Draw(w.t, "bound")
+	r := &statev1.RequestRecord{Group: groupName, Key: key, Budget: budgetName, Bound: bound, Repeatable: true, ForeignHome: foreign, Deadline: w.now.Wall.Add(time.Hour).UnixMilli()}
+	out := h.ledger.Reserve(r, "entry@1", w.now)
+	if rapid.IntRange(0, 9).Draw(w.t, "die") == 0 {
+		w.restart(h)
+		return
+	}
+	w.store(h, out.Records)
+	if out.Status == betweenv1.ReserveStatus_RESERVE_STATUS_EXHAUSTED {
+		h.ledger.Want(budgetName, bound)
+	}
+}
+
+// work moves one open request of a holder on: it starts or it ends.
+func (w *world) work(h *holder) {
+	var open []string
+	for key, r := range h.ledger.Requests {
+		if ledger.IsOpen(r) {
+			open = append(open, key)
+		}
+	}
+	if len(open) == 0 {
+		return
+	}
+	sort.Strings(open)
+	r := h.ledger.Requests[rapid.SampledFrom(open).Draw(w.t, "key")]
+	if r.GetState() == statev1.RequestState_REQUEST_STATE_RESERVED {
+		out, ok := h.ledger.Start(r.GetGroup(), r.GetKey(), ledger.StartOptions{Attempt: r.GetAttempt(), Target: "engine"}, w.now)
+		if !ok {
+			w.t.Fatalf("start of %s refused", r.GetKey())
+		}
+		w.store(h, out.Records)
+		return
+	}
+	w.end(h, r)
+}
+
+func (w *world) end(h *holder, r *statev1.RequestRecord) {
+	used := rapid.Uint64Range(0, r.GetBound()+50).Draw(w.t, "used")
+	if rapid.IntRange(0, 4).Draw(w.t, "another run") == 0 {
+		// The first run is lost; what it may have used stays out of the budget.
+		out, ok := h.ledger.Start(r.GetGroup(), r.GetKey(), ledger.StartOptions{Attempt: r.GetAttempt(), Target: "other", Lost: min(used, r.GetBound())}, w.now)
+		if ok {
+			w.serve(h, min(used, r.GetBound()))
+			w.store(h, out.Records)
+		}
+		return
+	}
+	out := h.ledger.Settle(r.GetGroup(), r.GetKey(), r.GetAttempt(), used, false, w.now)
+	w.serve(h, min(used, r.GetBound()))
+	w.store(h, out.Records)
+	// A repeated settlement must change nothing.
+	if again := h.ledger.Settle(r.GetGroup(), r.GetKey(), r.GetAttempt(), used+1, false, w.now); len(again.Records) > 0 {
+		w.t.Fatal("a repeated settlement changed the ledger")
+	}
+}
+
+func (w *world) serve(h *holder, tokens uint64) {
+	w.served += tokens
+	h.served += tokens
+}
+
+func (w *world) report(h *holder) {
+	reports, usages := h.ledger.Reports(10, w.now.Boot)
+	w.reports = append(w.reports, &statev1.Sync{Holder: h.name(), Reports: reports, Usages: usages})
+}
+
+// control takes a report that may be late or a repetition, and grants.
+func (w *world) control() {
+	if len(w.reports) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.reports)-1).Draw(w.t, "report")
+	m := proto.CloneOf(w.reports[i])
+	m.Grants = []*statev1.Grant{{Budget: budgetName, Tokens: rapid.Uint64Range(0, 500).Draw(w.t, "grant")}}
+	if rapid.Bool().Draw(w.t, "forget") {
+		w.reports = append(w.reports[:i], w.reports[i+1:]...)
+	}
+	w.state.Apply(&statev1.Entry{Kind: &statev1.Entry_Sync{Sync: m}})
+	if a := w.state.Budgets[budgetName].Allotments[m.GetHolder()]; a != nil {
+		w.rows = append(w.rows, row{holder: m.GetHolder(), allotted: a.GetAllotted()})
+	}
+}
+
+// allot brings one answer of control to its holder.
+func (w *world) allot() {
+	if len(w.rows) == 0 {
+		return
+	}
+	r := w.rows[rapid.IntRange(0, len(w.rows)-1).Draw(w.t, "row")]
+	for _, h := range w.holders {
+		if h.name() == r.holder {
+			w.store(h, h.ledger.Allot(budgetName, r.allotted))
+		}
+	}
+}
+
+func (w *world) step() {
+	w.now.Wall = w.now.Wall.Add(time.Millisecond)
+	w.now.Boot += time.Millisecond
+	switch rapid.SampledFrom([]string{"reserve", "reserve", "again", "work", "work", "work", "work", "report", "report", "control", "control", "allot", "allot", "return", "restart", "wipe", "grant", "reduce", "claim", "again", "again"}).Draw(w.t, "step") {
+	case "reserve":
+		w.keys++
+		w.reserve(w.pick(), fmt.Sprintf("key-%d", w.keys), "")
+	case "again":
+		// The same key at any holder, while its home may be cut off.
+		w.reserve(w.pick(), fmt.Sprintf("shared-%d", rapid.IntRange(0, 2).Draw(w.t, "key")), "k1")
+	case "work":
+		w.work(w.pick())
+	case "report":
+		w.report(w.pick())
+	case "control":
+		w.control()
+	case "allot":
+		w.allot()
+	case "return":
+		h := w.pick()
+		w.store(h, h.ledger.Return(budgetName, rapid.Uint64Range(0, 300).Draw(w.t, "return")))
+	case "restart":
+		w.restart(w.pick())
+	case "wipe":
+		if w.wipes {
+			w.lose(w.pick())
+		}
+	case "grant":
+		w.command(&statev1.Command{Action: &statev1.Command_GrantBudget{GrantBudget: &statev1.GrantBudget{Name: budgetName, Tokens: 100}}})
+	case "reduce":
+		w.command(&statev1.Command{Action: &statev1.Command_ReduceBudget{ReduceBudget: &statev1.ReduceBudget{Name: budgetName, Tokens: rapid.Uint64Range(1, 400).Draw(w.t, "reduce")}}})
+	case "claim":
+		w.claim(w.pick())
+	}
+}
+
+// lose takes a holder's disk away. Runs it had open go on unseen, so they
+// count as served in full.
+func (w *world) lose(h *holder) {
+	for _, r := range h.ledger.Requests {
+		if r.GetState() == statev1.RequestState_REQUEST_STATE_STARTED {
+			w.served += r.GetBound()
+		}
+	}
+	w.begin(h)
+}
+
+// claim lets a holder ask the home of a key that it ran.
+func (w *world) claim(h *holder) {
+	for _, r := range h.ledger.Pending(100) {
+		home := w.holders[0]
+		if home == h {
+			w.store(h, h.ledger.Claimed(r.GetGroup(), r.GetKey(), true, h.name(), w.now).Records)
+			continue
+		}
+		granted, by, out := home.ledger.Claim(r, h.name(), w.now)
+		w.store(home, out.Records)
+		w.store(h, h.ledger.Claimed(r.GetGroup(), r.GetKey(), granted, by, w.now).Records)
+	}
+}
+
+// check verifies that what was served and what may still be served never
+// exceeds what is granted, and that every ledger stays within its allotment.
+func (w *world) check() {
+	granted := w.state.Budgets[budgetName].Granted
+	may := w.served
+	for _, h := range w.holders {
+		b := h.ledger.Budget(budgetName)
+		may += b.Reserved
+		if b.Row.GetSpent() != h.served {
+			w.t.Fatalf("%s counts %d tokens as spent, %d were served", h.name(), b.Row.GetSpent(), h.served)
+		}
+		if used := b.Row.GetReturned() + b.Row.GetSpent() + b.Reserved; used > b.Row.GetAllotted() {
+			w.t.Fatalf("%s has used %d of %d allotted tokens", h.name(), used, b.Row.GetAllotted())
+		}
+	}
+	if may > granted {
+		w.t.Fatalf("%d tokens are served or reserved, %d granted", may, granted)
+	}
+	if held := w.state.Budgets[budgetName].HeldByAll(); held > granted {
+		w.t.Fatalf("%d tokens are allotted, %d granted", held, granted)
+	}
+}
+
+// settle ends everything and checks that each key has one bill at most.
+func (w *world) settle() {
+	for range 3 {
+		for _, h := range w.holders {
+			w.claim(h)
+		}
+	}
+	for _, h := range w.holders {
+		for _, r := range h.ledger.Requests {
+			if ledger.IsOpen(r) {
+				out := h.ledger.Settle(r.GetGroup(), r.GetKey(), r.GetAttempt(), r.GetBound(), false, w.now)
+				w.serve(h, r.GetBound())
+				w.store(h, out.Records)
+			}
+		}
+	}
+	w.check()
+	bills := map[string]string{}
+	for _, h := range w.holders {
+		for _, r := range h.ledger.Requests {
+			if r.GetState() != statev1.RequestState_REQUEST_STATE_DONE {
+				continue
+			}
+			if other := bills[r.GetKey()]; other != "" {
+				w.t.Fatalf("key %s is billed by %s and by %s", r.GetKey(), other, h.name())
+			}
+			bills[r.GetKey()] = h.name()
+		}
+	}
+}
+
+// TestRandomEscrow runs budgets over random schedules of lost, repeated and
+// reordered messages, restarts, lost disks, grants and reductions.
+func TestRandomEscrow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.wipes = rapid.IntRange(0, 3).Draw(t, "wipes") == 0
+		for range rapid.IntRange(10, 200).Draw(t, "steps") {
+			w.step()
+			w.check()
+		}
+		if !w.wipes {
+			// A home that has lost its disk has forgotten who bills its keys.
+			w.settle()
+		}
+	})
+}
--- /dev/null
+++ b/modules/raft/core_test.go
@@ -0,0 +1,546 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package raft
+
+import (
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	"havenwinch.dev/havenwinch/modules/wal"
+	"havenwinch.dev/havenwinch/tests/seeded"
+)
+
+const (
+	testElection  = 100 * time.Millisecond
+	testHeartbeat = 20 * time.Millisecond
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+// member is a Core with a disk and a machine that lists what was applied.
+type member struct {
+	core     *Core
+	name     string
+	snapshot []byte
+	records  [][]byte
+	applied  []string
+	down     bool
+	// asleep members do nothing while the clock goes on, as when frozen.
+	asleep bool
+	wipes  int
+}
+
+// message is a request or an answer on its way.
+type message struct {
+	from   string
+	r      Request
+	answer proto.Message
+}
+
+// group is a control group on a network that loses, repeats and reorders.
+type group struct {
+	t rapid.TB
+	// random draws the schedule; it is nil in tests with a fixed one.
+	random  *rapid.T
+	now     time.Duration
+	names   []string
+	members map[string]*member
+	network []message
+	// committed is what any member has ever applied, by index.
+	committed []string
+	leaders   map[uint64]string
+	proposed  int
+	seed      int64
+}
+
+func newGroup(t rapid.TB, names ...string) *group {
+	g := &group{t: t, now: time.Hour, names: names, members: map[string]*member{}, leaders: map[uint64]string{}}
+	identity := map[string]string{}
+	for _, name := range names {
+		identity[name] = name + "-0"
+	}
+	for _, name := range names {
+		m := &member{name: name}
+		id := &betweenv1.Identity{Incarnation: name + "-0", Members: listMembers(identity)}
+		m.records = [][]byte{encode(t, &betweenv1.LogRecord{Record: &betweenv1.LogRecord_Identity{Identity: id}})}
+		g.members[name] = m
+		g.boot(m)
+	}
+	return g
+}
+
+func encode(t rapid.TB, m proto.Message) []byte {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// boot starts a member from its disk.
+func (g *group) boot(m *member) {
+	stored, err := replay(wal.Content{Snapshot: m.snapshot, Records: m.records})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.seed++
+	m.core = New(Options{Self: m.name, Members: g.names, Election: testElection, Heartbeat: testHeartbeat, Rand: rand.New(rand.NewSource(g.seed))}, stored, g.now)
+	m.applied = split(stored.Snapshot)
+	m.down = false
+}
+
+func split(snapshot []byte) []string {
+	if len(snapshot) == 0 {
+		return nil
+	}
+	return strings.Split(string(snapshot), "\n")
+}
+
+// act lets a member decide and carries out what it wants; with lose, the box
+// dies after it has stored and before it sends.
+func (g *group) act(m *member, decide func(c *Core), lose bool) {
+	decide(m.core)
+	out := m.core.Take()
+	if out.Restore != nil {
+		m.snapshot, _ = snapshotOf(m.core, out.Restore.GetData())
+		m.records = nil
+		m.applied = split(out.Restore.GetData())
+	}
+	for _, r := range out.Records {
+		m.records = append(m.records, encode(g.t, r))
+	}
+	for _, e := range out.Committed {
+		m.applied = append(m.applied, fmt.Sprintf("%d:%x", e.GetTerm(), e.GetData()))
+		g.note(m, int(e.GetIndex()))
+	}
+	if lose {
+		m.down = true
+		return
+	}
+	for _, r := range out.Requests {
+		g.network = append(g.network, message{from: m.name, r: r})
+	}
+}
+
+// note checks that an applied entry is what every other member has applied.
+func (g *group) note(m *member, index int) {
+	if index != len(m.applied) {
+		g.t.Fatalf("%s applied entry %d as number %d", m.name, index, len(m.applied))
+	}
+	value := m.applied[index-1]
+	if index <= len(g.committed) {
+		if g.committed[index-1] != value {
+			g.t.Fatalf("%s applied %q at %d, another %q", m.name, value, index, g.committed[index-1])
+		}
+		return
+	}
+	g.committed = append(g.committed, value)
+}
+
+// deliver hands a message over and puts the answer on the network.
+func (g *group) deliver(msg message) {
+	to := g.members[msg.r.To]
+	if msg.answer != nil {
+		to = g.members[msg.from]
+	}
+	if to.down || to.asleep {
+		return
+	}
+	if msg.answer != nil {
+		g.act(to, func(c *Core) { g.reply(c, msg) }, false)
+		return
+	}
+	g.act(to, func(c *Core) {
+		switch {
+		case msg.r.Vote != nil:
+			msg.answer = c.HandleVote(msg.r.Vote, g.now)
+		case msg.r.Append != nil:
+			msg.answer = c.HandleAppend(msg.r.Append, g.now)
+		default:
+			msg.answer = c.HandleInstall(msg.r.Install, g.now)
+		}
+	}, false)
+	g.network = append(g.network, msg)
+}
+
+func (g *group) reply(c *Core, msg message) {
+	switch answer := msg.answer.(type) {
+	case *betweenv1.VoteResponse:
+		c.VoteReply(msg.r.To, msg.r.Vote, answer, g.now)
+	case *betweenv1.AppendResponse:
+		c.AppendReply(msg.r.To, msg.r.Append, answer, msg.r.SentAt, g.now)
+	case *betweenv1.InstallResponse:
+		c.InstallReply(msg.r.To, msg.r.Install, answer, msg.r.SentAt, g.now)
+	}
+}
+
+// check verifies what must hold after every step.
+func (g *group) check() {
+	leases := 0
+	for _, name := range g.names {
+		m := g.members[name]
+		if m.down {
+			continue
+		}
+		if m.core.role == Leader {
+			if other := g.leaders[m.core.term]; other != "" && other != name {
+				g.t.Fatalf("%s and %s both lead term %d", name, other, m.core.term)
+			}
+			g.leaders[m.core.term] = name
+		}
+		// A frozen leader counts too: its lease goes on as its clock does.
+		if m.core.Lease(g.now) > g.now {
+			leases++
+		}
+	}
+	if leases > 1 {
+		g.t.Fatalf("%d boxes hold a lease at once", leases)
+	}
+}
+
+func (g *group) pick(label string) *member {
+	return g.members[rapid.SampledFrom(g.names).Draw(g.random, label)]
+}
+
+func (g *group) tick() {
+	g.now += time.Duration(rapid.IntRange(1, 30).Draw(g.random, "ms")) * time.Millisecond
+	for _, name := range g.names {
+		if m := g.members[name]; !m.down && !m.asleep {
+			g.act(m, func(c *Core) { c.Tick(g.now) }, false)
+		}
+	}
+}
+
+// steps are drawn from evenly, so those that stand often happen often.
+var steps = strings.Fields(strings.Repeat("deliver ", 14) + strings.Repeat("tick ", 5) +
+	"drop repeat propose propose crash boot boot reboot freeze thaw thaw compact wipe rush")
+
+func (g *group) step() {
+	switch rapid.SampledFrom(steps).Draw(g.random, "step") {
+	case "tick":
+		g.tick()
+	case "deliver":
+		g.take(func(msg message, rest []message) { g.network = rest; g.deliver(msg) })
+	case "drop":
+		g.take(func(msg message, rest []message) {
+			g.network = rest
+			if m := g.members[msg.from]; !m.down {
+				m.core.Failed(msg.r.To)
+			}
+		})
+	case "repeat":
+		g.take(func(msg message, _ []message) { g.deliver(msg) })
+	case "propose":
+		g.propose(rapid.Bool().Draw(g.random, "lose"))
+	case "crash":
+		g.pick("crash").down = true
+	case "boot":
+		if m := g.pick("boot"); m.down {
+			g.boot(m)
+		}
+	case "freeze":
+		g.pick("freeze").asleep = true
+	case "thaw":
+		g.pick("thaw").asleep = false
+	case "reboot":
+		if m := g.pick("reboot"); !m.down {
+			g.boot(m)
+		}
+	case "rush":
+		// One member's clock alone runs into an election.
+		if m := g.pick("rush"); !m.down && !m.asleep {
+			g.act(m, func(c *Core) { c.Tick(c.due) }, false)
+		}
+	case "compact":
+		g.compact(g.pick("compact"))
+	case "wipe":
+		g.wipe(g.pick("wipe"))
+	}
+}
+
+func (g *group) take(do func(msg message, rest []message)) {
+	if len(g.network) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(g.network)-1).Draw(g.random, "message")
+	msg := g.network[i]
+	rest := append(append([]message(nil), g.network[:i]...), g.network[i+1:]...)
+	do(msg, rest)
+}
+
+func (g *group) propose(lose bool) {
+	for _, name := range g.names {
+		m := g.members[name]
+		if m.down || m.asleep || m.core.role != Leader {
+			continue
+		}
+		g.proposed++
+		g.act(m, func(c *Core) {
+			_, _, _ = c.Propose(fmt.Appendf(nil, "p%d", g.proposed), g.now)
+			c.Flush(g.now)
+		}, lose && g.proposed%7 == 0)
+	}
+}
+
+func (g *group) compact(m *member) {
+	if m.down || len(m.applied) == 0 {
+		return
+	}
+	data := []byte(strings.Join(m.applied, "\n"))
+	m.core.Compact(uint64(len(m.applied)), data)
+	m.snapshot, _ = snapshotOf(m.core, data)
+	m.records = nil
+	for _, e := range m.core.log.list {
+		m.records = append(m.records, encode(g.t, &betweenv1.LogRecord{Record: &betweenv1.LogRecord_Entry{Entry: e}}))
+	}
+}
+
+// wipe loses a member's disk. The next disk may only be lost once the last one
+// is repaired: when all disks are admitted at all members.
+func (g *group) wipe(m *member) {
+	for _, name := range g.names {
+		other := g.members[name]
+		if other.down {
+			return
+		}
+		for _, admitted := range g.names {
+			if other.core.members[admitted] != g.members[admitted].core.incarnation {
+				return
+			}
+		}
+	}
+	g.loseDisk(m)
+}
+
+// settle ends all faults and lets the group come to rest.
+func (g *group) settle() {
+	for _, name := range g.names {
+		m := g.members[name]
+		m.asleep = false
+		if m.down {
+			g.boot(m)
+		}
+	}
+	for range 400 {
+		g.now += 5 * time.Millisecond
+		for _, name := range g.names {
+			g.act(g.members[name], func(c *Core) { c.Tick(g.now) }, false)
+		}
+		for n := 0; len(g.network) > 0 && n < 200; n++ {
+			msg := g.network[0]
+			g.network = g.network[1:]
+			g.deliver(msg)
+		}
+	}
+}
+
+// TestRandomSchedules runs the log over random schedules of crashes, freezes,
+// lost disks and a network that loses, repeats and reorders.
+func TestRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c"}
+		if rapid.Bool().Draw(t, "five") {
+			names = append(names, "d", "e")
+		}
+		g := newGroup(t, names...)
+		g.random = t
+		for range rapid.IntRange(20, 300).Draw(t, "steps") {
+			g.step()
+			g.check()
+		}
+		g.settle()
+		g.check()
+		g.propose(false)
+		g.settle()
+		for _, name := range names {
+			m := g.members[name]
+			if len(m.applied) != len(g.committed) {
+				t.Fatalf("%s has applied %d of %d entries after all faults ended", name, len(m.applied), len(g.committed))
+			}
+			if !m.core.Member() {
+				t.Fatalf("%s was not admitted again", name)
+			}
+		}
+	})
+}
+
+// quietGroup returns a group at rest, with a leader.
+func quietGroup(t *testing.T) *group {
+	g := newGroup(t, "a", "b", "c")
+	g.settle()
+	return g
+}
+
+func (g *group) leader() *member {
+	var found *member
+	for _, name := range g.names {
+		if m := g.members[name]; m.core.role == Leader && (found == nil || m.core.term > found.core.term) {
+			found = m
+		}
+	}
+	if found == nil {
+		g.t.Fatal("no member leads")
+	}
+	return found
+}
+
+func TestFrozenLeaderHasNoLeaseWhenThawed(t *testing.T) {
+	g := quietGroup(t)
+	old := g.leader()
+	if old.core.Lease(g.now) <= g.now {
+		g.t.Fatal("the leader has no lease")
+	}
+	old.asleep = true
+	g.now += 10 * testElection
+	if old.core.Lease(g.now) > g.now {
+		g.t.Fatal("the lease must end while the leader is frozen")
+	}
+}
+
+func TestEmptyDiskNeitherVotesNorCounts(t *testing.T) {
+	g := quietGroup(t)
+	old := g.leader()
+	var victim, other *member
+	for _, name := range g.names {
+		if m := g.members[name]; m != old && victim == nil {
+			victim = m
+		} else if m != old {
+			other = m
+		}
+	}
+	other.down = true
+	g.loseDisk(victim)
+	before := old.core.commit
+	g.propose(false)
+	for range 50 {
+		g.now += 5 * time.Millisecond
+		for n := len(g.network); n > 0; n-- {
+			msg := g.network[0]
+			g.network = g.network[1:]
+			g.deliver(msg)
+		}
+		g.act(old, func(c *Core) { c.Tick(g.now) }, false)
+	}
+	if old.core.commit != before {
+		g.t.Fatal("an entry was committed by a disk that had been lost")
+	}
+	vote := &betweenv1.VoteRequest{Term: 99, Candidate: old.name, LastIndex: 99, LastTerm: 99, Incarnation: old.core.incarnation}
+	if victim.core.HandleVote(vote, g.now+time.Hour).GetGranted() {
+		g.t.Fatal("an empty disk voted")
+	}
+}
+
+// loseDisk loses a disk whatever state the others are in.
+func (g *group) loseDisk(m *member) {
+	m.wipes++
+	id := &betweenv1.Identity{Incarnation: fmt.Sprintf("%s-%d", m.name, m.wipes), Members: listMembers(m.core.members)}
+	m.snapshot, m.records = nil, [][]byte{encode(g.t, &betweenv1.LogRecord{Record: &betweenv1.LogRecord_Identity{Identity: id}})}
+	g.boot(m)
+}
+
+func TestReturningMemberDoesNotDisturb(t *testing.T) {
+	g := quietGroup(t)
+	leader := g.leader()
+	term := leader.core.term
+	for _, name := range g.names {
+		if m := g.members[name]; m != leader {
+			// Cut off long enough to want an election many times over.
+			for range 20 {
+				g.now += testElection
+				m.core.Tick(g.now)
+				m.core.Take()
+			}
+			break
+		}
+	}
+	if got := leader.core.term; got != term {
+		g.t.Fatalf("term rose from %d to %d", term, got)
+	}
+	g.settle()
+	if g.leader().core.term > term+1 {
+		g.t.Fatal("the returning member forced elections")
+	}
+}
+
+func TestVoteOutlivesRestart(t *testing.T) {
+	g := quietGroup(t)
+	voter := g.members["a"]
+	ask := func(candidate string) bool {
+		r := &betweenv1.VoteRequest{Term: 50, Candidate: candidate, LastIndex: 99, LastTerm: 49, Incarnation: candidate + "-0"}
+		granted := false
+		g.act(voter, func(c *Core) { granted = c.HandleVote(r, g.now).GetGranted() }, false)
+		return granted
+	}
+	g.now += 2 * testElection
+	voter.core.role = Follower
+	if !ask("b") {
+		t.Fatal("the first candidate got no vote")
+	}
+	g.boot(voter)
+	g.now += 2 * testElection
+	if ask("c") {
+		t.Fatal("a second candidate got a vote in the same term after a restart")
+	}
+}
+
+func TestNobodyVotesWhileALeaseMayStand(t *testing.T) {
+	tests := map[string]func(g *group, voter *member){
+		"heard of the leader": func(*group, *member) {},
+		"restarted":           func(g *group, voter *member) { g.boot(voter) },
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := quietGroup(t)
+			leader := g.leader()
+			for _, name := range g.names {
+				voter := g.members[name]
+				if voter == leader {
+					continue
+				}
+				prepare(g, voter)
+				r := &betweenv1.VoteRequest{Term: 50, Candidate: leader.name, LastIndex: 99, LastTerm: 49, Incarnation: leader.core.incarnation}
+				if leader.core.Lease(g.now) > g.now && voter.core.HandleVote(r, g.now).GetGranted() {
+					t.Errorf("%s voted while the leader had a lease", name)
+				}
+			}
+		})
+	}
+}
+
+func TestEntriesOfAnEarlierTermAreNotCommittedAlone(t *testing.T) {
+	g := quietGroup(t)
+	c := g.leader().core
+	earlier := &betweenv1.LogEntry{Index: c.log.last() + 1, Term: c.term, Kind: betweenv1.LogEntry_KIND_DATA}
+	c.append(earlier)
+	c.term++
+	before := c.commit
+	for _, p := range c.peers {
+		p.match = earlier.GetIndex()
+	}
+	c.advanceCommit(g.now)
+	if c.commit != before {
+		t.Fatal("an entry of an earlier term was committed by counting alone")
+	}
+}
+
+func TestAdmissionOutlivesRestart(t *testing.T) {
+	g := quietGroup(t)
+	victim := g.members["a"]
+	g.loseDisk(victim)
+	g.settle()
+	for _, name := range g.names {
+		m := g.members[name]
+		g.boot(m)
+		if !m.core.Member() || m.core.members["a"] != "a-1" {
+			t.Errorf("%s forgot at its restart that the new disk of a counts", name)
+		}
+	}
+}
