--- a/models/ledger/escrow_test.go
+++ b/models/ledger/escrow_test.go
@@ -167,11 +167,11 @@
 		}
 		return
 	}
-	out := h.ledger.Settle(r.GetGroup(), r.GetKey(), r.GetAttempt(), used, false, w.now)
+	out := h.ledger.Settle(r.GetGroup(), r.GetKey(), ledger.Bill{Attempt: r.GetAttempt(), Used: used}, w.now)
 	w.serve(h, min(used, r.GetBound()))
 	w.store(h, out.Records)
 	// A repeated settlement must change nothing.
-	if again := h.ledger.Settle(r.GetGroup(), r.GetKey(), r.GetAttempt(), used+1, false, w.now); len(again.Records) > 0 {
+	if again := h.ledger.Settle(r.GetGroup(), r.GetKey(), ledger.Bill{Attempt: r.GetAttempt(), Used: used + 1}, w.now); len(again.Records) > 0 {
 		w.t.Fatal("a repeated settlement changed the ledger")
 	}
 }
@@ -310,7 +310,7 @@
 	for _, h := range w.holders {
 		for _, r := range h.ledger.Requests {
 			if ledger.IsOpen(r) {
-				out := h.ledger.Settle(r.GetGroup(), r.GetKey(), r.GetAttempt(), r.GetBound(), false, w.now)
+				out := h.ledger.Settle(r.GetGroup(), r.GetKey(), ledger.Bill{Attempt: r.GetAttempt(), Used: r.GetBound()}, w.now)
 				w.serve(h, r.GetBound())
 				w.store(h, out.Records)
 			}
--- a/models/ledger/ledger.go
+++ b/models/ledger/ledger.go
@@ -249,7 +249,7 @@
 	case r == nil:
 		return nil
 	case r.GetState() == statev1.RequestState_REQUEST_STATE_RESERVED && r.GetDeadline()+reservedGrace <= milli:
-		return l.Settle(r.GetGroup(), r.GetKey(), r.GetAttempt(), 0, true, now).Records
+		return l.Settle(r.GetGroup(), r.GetKey(), Bill{Attempt: r.GetAttempt(), NotRun: true}, now).Records
 	case IsOpen(r) || r.GetChanged()+l.opts.Window.Milliseconds() > milli:
 		return nil
 	case l.pending[due.key]:
--- a/models/ledger/settle.go
+++ b/models/ledger/settle.go
@@ -13,22 +13,33 @@
 	"havenwinch.dev/havenwinch/modules/digest"
 )
 
+// Bill is how an attempt ended.
+type Bill struct {
+	Attempt uint32
+	Used    uint64
+	// NotRun says that the request certainly was not run; nothing is billed.
+	NotRun bool
+	// Uncertain says that it is not known whether the request was run.
+	Uncertain bool
+}
+
 // Settle ends an attempt: it bills what was used, at most the bound, or
 // releases a request that certainly was not run. Repeating it, or settling an
 // attempt that was taken over, changes nothing and returns the record.
-func (l *Ledger) Settle(group, key string, attempt uint32, used uint64, notRun bool, now Times) Outcome {
+func (l *Ledger) Settle(group, key string, bill Bill, now Times) Outcome {
 	old := l.Requests[RequestKey(group, key)]
-	if old == nil || !IsOpen(old) || old.GetAttempt() != attempt {
+	if old == nil || !IsOpen(old) || old.GetAttempt() != bill.Attempt {
 		return Outcome{Request: old}
 	}
 	next := proto.CloneOf(old)
 	next.Changed = now.Wall.UnixMilli()
-	if notRun {
+	if bill.NotRun {
 		next.State = statev1.RequestState_REQUEST_STATE_RELEASED
 		return l.store(next, betweenv1.ReserveStatus_RESERVE_STATUS_DONE)
 	}
 	next.State = statev1.RequestState_REQUEST_STATE_DONE
-	next.Billed = min(used, old.GetBound())
+	next.Billed = min(bill.Used, old.GetBound())
+	next.Uncertain = bill.Uncertain
 	l.charge(next)
 	if next.GetClaimedBy() != "" {
 		l.writeOff(next)
@@ -66,7 +77,7 @@
 	if old.GetState() != statev1.RequestState_REQUEST_STATE_RESERVED || old.GetBox() != box {
 		return Outcome{Request: old}
 	}
-	return l.Settle(group, key, old.GetAttempt(), 0, true, now)
+	return l.Settle(group, key, Bill{Attempt: old.GetAttempt(), NotRun: true}, now)
 }
 
 func (l *Ledger) storeWithRows(r *statev1.RequestRecord) Outcome {
--- a/routers/caller/caller.go
+++ b/routers/caller/caller.go
@@ -107,7 +107,7 @@
 		WriteTimeout:                 writeTimeout,
 		IdleTimeout:                  idleTimeout,
 		ReadBufferSize:               maxHeader,
-		MaxRequestBodySize:           opts.MaxBody,
+		StreamRequestBody:            true,
 		NoDefaultServerHeader:        true,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
@@ -216,14 +216,12 @@
 	c.refuse(s, &dispatch.Refusal{Kind: structs.KindInternal, Run: structs.RunUnknown, Message: "the box failed: ask again with the same idempotency key, and tell the operators the request id"})
 }
 
-// badConnection answers what never became a request: a body over the limit,
-// headers over the limit, a request sent too slowly or only in part.
+// badConnection answers what never became a request: headers over the limit, a
+// request sent too slowly or only in part.
 func (c *Caller) badConnection(ctx *fasthttp.RequestCtx, err error) {
 	s := &session{ctx: ctx, id: c.opts.NewID()}
 	var small *fasthttp.ErrSmallBuffer
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		c.refuse(s, &dispatch.Refusal{Kind: structs.KindTooLarge, Run: structs.RunNo, Message: "the body is larger than " + strconv.Itoa(c.opts.MaxBody) + " bytes: send less"})
 	case errors.As(err, &small):
 		c.refuse(s, &dispatch.Refusal{Kind: structs.KindMalformed, Run: structs.RunNo, Message: "the headers are larger than " + strconv.Itoa(maxHeader) + " bytes: send fewer"})
 	default:
--- a/routers/caller/parse.go
+++ b/routers/caller/parse.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -187,13 +188,39 @@
 	return nil
 }
 
+// maxDrained is how much of a body over the limit is read before it is refused:
+// a caller that is still sending when the connection closes would lose the
+// answer.
+const maxDrained = 64 << 20
+
+// readBody returns a copy of the body, which outlives the handler.
+func (c *Caller) readBody(s *session) ([]byte, *dispatch.Refusal) {
+	stream := s.ctx.RequestBodyStream()
+	if stream == nil {
+		return append([]byte(nil), s.ctx.PostBody()...), nil
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, int64(c.opts.MaxBody)+1))
+	if err != nil {
+		return nil, &dispatch.Refusal{Kind: structs.KindMalformed, Run: structs.RunNo, Message: "the body did not arrive whole: send it again"}
+	}
+	if len(body) <= c.opts.MaxBody {
+		return body, nil
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(stream, maxDrained))
+	s.ctx.SetConnectionClose()
+	return nil, &dispatch.Refusal{Kind: structs.KindTooLarge, Run: structs.RunNo, Message: "the body is larger than " + strconv.Itoa(c.opts.MaxBody) + " bytes: send less"}
+}
+
 // parseChat reads a chat request and prepares the body for the engine.
 func (c *Caller) parseChat(s *session) (*dispatch.Request, bool, *dispatch.Refusal) {
 	r := &dispatch.Request{Repeatable: true}
 	if refusal := c.parseHeaders(s, r); refusal != nil {
 		return nil, false, refusal
 	}
-	body := s.ctx.PostBody()
+	body, refusal := c.readBody(s)
+	if refusal != nil {
+		return nil, false, refusal
+	}
 	var chat structs.ChatRequest
 	if err := json.Unmarshal(body, &chat); err != nil {
 		return nil, false, &dispatch.Refusal{Kind: structs.KindMalformed, Run: structs.RunNo, Message: "the body is no chat request (" + err.Error() + "): send JSON as docs/API.md shows"}
--- a/routers/caller/requests.go
+++ b/routers/caller/requests.go
@@ -48,6 +48,9 @@
 
 // runOf says what a record proves about a run.
 func runOf(r *statev1.RequestRecord) structs.Run {
+	if r.GetUncertain() {
+		return structs.RunUnknown
+	}
 	switch r.GetState() {
 	case statev1.RequestState_REQUEST_STATE_RESERVED, statev1.RequestState_REQUEST_STATE_RELEASED:
 		return structs.RunNo
@@ -188,7 +191,10 @@
 	if query := string(s.ctx.URI().QueryString()); query != "" {
 		path += "?" + query
 	}
-	body := append([]byte(nil), s.ctx.PostBody()...)
+	body, refusal := c.readBody(s)
+	if refusal != nil {
+		return nil, refusal
+	}
 	r.Digest = digest.Of([]byte(method), []byte(path), body)
 	return &dispatch.ServiceRequest{
 		Request: r,
--- a/services/dispatch/follow.go
+++ b/services/dispatch/follow.go
@@ -17,8 +17,6 @@
 	"havenwinch.dev/havenwinch/structs"
 )
 
-type recordRow = statev1.RequestRecord
-
 func streamID(r *statev1.RequestRecord) string { return ledger.StreamID(r, r.GetRuns()) }
 
 // followInterval is the time between looks at a record whose request has not
@@ -109,6 +107,10 @@
 }
 
 func gone(record *statev1.RequestRecord) *Refusal {
+	if record.GetUncertain() {
+		return &Refusal{Kind: structs.KindOutcomeUnknown, Run: structs.RunUnknown, Billed: record.GetBilled(),
+			Message: "the target of this request was lost, and whether it was run can't be known any more: take a new key to run it anew"}
+	}
 	return &Refusal{Kind: structs.KindAnswerGone, Run: structs.RunYes, Billed: record.GetBilled(),
 		Message: "this request was run and its answer is no longer kept by its target: take a new key to run it anew"}
 }
--- a/services/dispatch/serve.go
+++ b/services/dispatch/serve.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/ledger"
 	"havenwinch.dev/havenwinch/models/queue"
 	"havenwinch.dev/havenwinch/models/target"
@@ -262,10 +263,10 @@
 // billed.
 func (at *attempt) giveUp(ctx context.Context, refusal *Refusal) (Result, *Refusal) {
 	if at.lost == 0 {
-		at.finish(ctx, 0, true)
+		at.finish(ctx, ledger.Bill{NotRun: true})
 		return Result{}, refusal
 	}
-	record := at.finish(ctx, at.lost, false)
+	record := at.finish(ctx, ledger.Bill{Used: at.lost})
 	refusal.Run, refusal.Billed = structs.RunYes, record.GetBilled()
 	return Result{}, refusal
 }
@@ -295,7 +296,7 @@
 	case out.err == nil:
 		return at.whole(ctx, out), nil
 	case out.notRun && at.lost == 0:
-		at.finish(ctx, 0, true)
+		at.finish(ctx, ledger.Bill{NotRun: true})
 		return Result{}, &Refusal{Kind: structs.KindTargetFailed, Run: structs.RunNo, RetryAfter: retryTarget,
 			Message: "no target took the request: ask again after the stated time"}
 	default:
@@ -307,11 +308,11 @@
 // nothing was sent; a former run that was lost is billed.
 func (at *attempt) notStarted(ctx context.Context) (Result, *Refusal) {
 	if at.lost > 0 {
-		record := at.finish(ctx, at.lost, false)
+		record := at.finish(ctx, ledger.Bill{Used: at.lost})
 		return Result{}, &Refusal{Kind: structs.KindTargetFailed, Run: structs.RunYes, Billed: record.GetBilled(),
 			Message: "the target failed while it ran the request, and the budget has no room for another run: take a new key to run it anew"}
 	}
-	record := at.finish(ctx, 0, true)
+	record := at.finish(ctx, ledger.Bill{NotRun: true})
 	if record != nil && record.GetAttempt() != at.a.record.GetAttempt() {
 		return Result{}, at.overtaken()
 	}
@@ -320,7 +321,7 @@
 }
 
 func (at *attempt) whole(ctx context.Context, out outcome) Result {
-	record := at.finish(ctx, out.usage.Total(), false)
+	record := at.finish(ctx, ledger.Bill{Used: out.usage.Total()})
 	result := Result{Usage: out.usage, Billed: min(out.usage.Total(), at.a.Request.Bound), Finish: out.finish, Target: out.target, Replayed: out.replay}
 	if record != nil {
 		result.Billed, result.WrittenOff = record.GetBilled(), record.GetWrittenOff()
@@ -337,10 +338,10 @@
 	}
 	used, run := at.endRun(ctx, out)
 	if run == structs.RunNo && at.lost == 0 {
-		at.finish(ctx, 0, true)
+		at.finish(ctx, ledger.Bill{NotRun: true})
 		return Result{}, &Refusal{Kind: structs.KindTargetFailed, Run: run, RetryAfter: retryTarget, Message: "the target failed before it ran the request: ask again after the stated time"}
 	}
-	record := at.finish(ctx, used, false)
+	record := at.finish(ctx, ledger.Bill{Used: used, Uncertain: run == structs.RunUnknown})
 	refusal := &Refusal{Kind: structs.KindTargetFailed, Run: run, Billed: min(used, at.a.Request.Bound),
 		Message: "the target failed while it ran the request: the answer is lost; take a new key to run it anew"}
 	switch {
@@ -391,16 +392,17 @@
 
 // finish settles; while the keeper can't be reached it goes on in the
 // background.
-func (at *attempt) finish(ctx context.Context, used uint64, notRun bool) *recordRow {
+func (at *attempt) finish(ctx context.Context, bill ledger.Bill) *statev1.RequestRecord {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTime)
 	defer cancel()
 	record := at.a.record
 	resp, err := at.d.settler.now(ctx, at.a.keeper, &betweenv1.SettleRequest{
-		Group:   record.GetGroup(),
-		Key:     record.GetKey(),
-		Attempt: record.GetAttempt(),
-		Used:    used,
-		NotRun:  notRun,
+		Group:     record.GetGroup(),
+		Key:       record.GetKey(),
+		Attempt:   record.GetAttempt(),
+		Used:      bill.Used,
+		NotRun:    bill.NotRun,
+		Uncertain: bill.Uncertain,
 	})
 	if err != nil {
 		at.record("settling", "the keeper can't be reached yet")
--- a/services/dispatch/service.go
+++ b/services/dispatch/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/ledger"
 	"havenwinch.dev/havenwinch/models/queue"
 	"havenwinch.dev/havenwinch/models/target"
 	"havenwinch.dev/havenwinch/services/engine"
@@ -54,6 +55,9 @@
 }
 
 func serviceAgain(a *Admission) *Refusal {
+	if a.record.GetUncertain() {
+		return serviceFailed(false, false)
+	}
 	if a.record.GetState() == statev1.RequestState_REQUEST_STATE_DONE {
 		return &Refusal{Kind: structs.KindAnswerGone, Run: structs.RunYes, Message: "this call was sent before under the same key and its answer is not kept: nothing was sent now"}
 	}
@@ -119,7 +123,7 @@
 // when the refusal says so.
 func (at *attempt) endService(ctx context.Context, refusal *Refusal) *Refusal {
 	if at.a != nil {
-		at.finish(ctx, 0, refusal != nil && refusal.Run == structs.RunNo)
+		at.finish(ctx, ledger.Bill{NotRun: refusal != nil && refusal.Run == structs.RunNo, Uncertain: refusal != nil})
 	}
 	return refusal
 }
--- a/services/keeper/keeper.go
+++ b/services/keeper/keeper.go
@@ -227,7 +227,8 @@
 	if r.GetAttempt() == 0 {
 		return k.ledger.ReleaseUnseen(r.GetGroup(), r.GetKey(), r.GetBox(), now)
 	}
-	return k.ledger.Settle(r.GetGroup(), r.GetKey(), r.GetAttempt(), r.GetUsed(), r.GetNotRun(), now)
+	bill := ledger.Bill{Attempt: r.GetAttempt(), Used: r.GetUsed(), NotRun: r.GetNotRun(), Uncertain: r.GetUncertain()}
+	return k.ledger.Settle(r.GetGroup(), r.GetKey(), bill, now)
 }
 
 // Lookup returns the record of a key.
--- a/services/keeper/orphans.go
+++ b/services/keeper/orphans.go
@@ -35,7 +35,7 @@
 	k.mu.Unlock()
 	for _, r := range orphans {
 		if r.GetState() == statev1.RequestState_REQUEST_STATE_RESERVED {
-			k.finish(ctx, r, 0, true, "its box died before it was sent")
+			k.finish(ctx, r, ledger.Bill{NotRun: true}, "its box died before it was sent")
 			continue
 		}
 		k.recover(ctx, r)
@@ -50,13 +50,13 @@
 	found, err := k.opts.Recoverer.Recover(ctx, r, abandon)
 	switch {
 	case err != nil && late > lostGrace.Milliseconds():
-		k.finish(context.WithoutCancel(ctx), r, r.GetBound(), false, "its target can't be asked, billed in full")
+		k.finish(context.WithoutCancel(ctx), r, ledger.Bill{Used: r.GetBound(), Uncertain: true}, "its target can't be asked, billed in full")
 	case err != nil:
 		k.opts.Logger.Debug("a target can't be asked about an orphan", "target", r.GetTarget(), "error", err)
 	case found.Absent:
-		k.finish(ctx, r, 0, true, "its target never got it")
+		k.finish(ctx, r, ledger.Bill{NotRun: true}, "its target never got it")
 	case found.Ended:
-		k.finish(ctx, r, found.Used, false, "billed by what its target reports")
+		k.finish(ctx, r, ledger.Bill{Used: found.Used}, "billed by what its target reports")
 	}
 }
 
@@ -66,10 +66,11 @@
 
 // finish settles an orphan under the attempt that was looked at, so that a
 // retry that has taken over meanwhile is left alone.
-func (k *Keeper) finish(ctx context.Context, r *statev1.RequestRecord, used uint64, notRun bool, reason string) {
+func (k *Keeper) finish(ctx context.Context, r *statev1.RequestRecord, bill ledger.Bill, reason string) {
+	bill.Attempt = r.GetAttempt()
 	var out ledger.Outcome
 	err := k.step(ctx, func(now ledger.Times) ledger.Outcome {
-		out = k.ledger.Settle(r.GetGroup(), r.GetKey(), r.GetAttempt(), used, notRun, now)
+		out = k.ledger.Settle(r.GetGroup(), r.GetKey(), bill, now)
 		return out
 	})
 	if err == nil && out.Status == betweenv1.ReserveStatus_RESERVE_STATUS_DONE {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -12,6 +12,7 @@
 	"container/heap"
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -332,3 +333,14 @@
 	*h = old[:len(old)-1]
 	return last
 }
+
+// Words returns a run's whole text once it has ended.
+func (r *Run) Words() string {
+	for {
+		words, ended, _, changed := r.after(0)
+		if ended {
+			return strings.Join(words, "")
+		}
+		<-changed
+	}
+}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,21 +21,23 @@
 
 	mu    sync.Mutex
 	calls map[string]int
-	close int
+	// close counts the calls that are to be closed; servers may share it.
+	close *atomic.Int64
 }
 
 // New returns a service.
 func New(name string, delay time.Duration) *Service {
-	return &Service{Name: name, Delay: delay, calls: map[string]int{}}
+	return &Service{Name: name, Delay: delay, calls: map[string]int{}, close: &atomic.Int64{}}
 }
 
 // CloseNext makes the next n calls be read and then closed without a word.
 func (s *Service) CloseNext(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.close = n
+	s.close.Store(int64(n))
 }
 
+// CloseOnceWith makes two servers share their count of calls to close.
+func (s *Service) CloseOnceWith(other *Service) { other.close = s.close }
+
 // Calls returns how often a method and path was called.
 func (s *Service) Calls(methodAndPath string) int {
 	s.mu.Lock()
@@ -48,10 +51,7 @@
 	key := r.Method + " " + r.URL.Path
 	s.calls[key]++
 	n := s.calls[key]
-	abort := s.close > 0
-	if abort {
-		s.close--
-	}
+	abort := s.close.Add(-1) >= 0
 	s.mu.Unlock()
 	time.Sleep(s.Delay)
 	if abort {
--- /dev/null
+++ b/tests/single/single.go
@@ -0,0 +1,324 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package single puts the parts of one box together inside a test: callers'
+// interface, dispatcher, a keeper on a disk in memory, control state without
+// a network, and stand-in targets.
+package single
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/allot"
+	"havenwinch.dev/havenwinch/models/ledger"
+	"havenwinch.dev/havenwinch/models/target"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/digest"
+	"havenwinch.dev/havenwinch/modules/disk/disktest"
+	"havenwinch.dev/havenwinch/modules/hlc"
+	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/routers/caller"
+	"havenwinch.dev/havenwinch/services/configuration"
+	"havenwinch.dev/havenwinch/services/control"
+	"havenwinch.dev/havenwinch/services/dispatch"
+	"havenwinch.dev/havenwinch/services/engine"
+	"havenwinch.dev/havenwinch/services/keeper"
+	"havenwinch.dev/havenwinch/services/metrics"
+	"havenwinch.dev/havenwinch/services/platform"
+	"havenwinch.dev/havenwinch/services/timeline"
+	standin "havenwinch.dev/havenwinch/standin/engine"
+	list "havenwinch.dev/havenwinch/standin/platform"
+)
+
+// Key is the access key of group north/a, which may call model m1 and service
+// portal at any priority; BatchKey that of north/batch.
+const (
+	Key      = "key-of-north-a"
+	BatchKey = "key-of-north-batch"
+	// Box is the name of the box, DataCentre where it stands.
+	Box        = "box-1"
+	DataCentre = "dc-a"
+)
+
+// log applies entries at once, as a group of one would.
+type log struct {
+	mu      sync.Mutex
+	machine *control.Machine
+}
+
+func (l *log) Propose(_ context.Context, data []byte) (any, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Apply(data), nil
+}
+
+func (l *log) ReadBarrier() error { return nil }
+
+// controlCalls answers a keeper without a network.
+type controlCalls struct{ service *control.Service }
+
+func (c *controlCalls) Register(ctx context.Context, r *betweenv1.RegisterRequest) (*betweenv1.RegisterResponse, error) {
+	return c.service.Register(ctx, r.GetRegister())
+}
+
+func (c *controlCalls) Sync(ctx context.Context, r *betweenv1.SyncRequest) (*betweenv1.SyncResponse, error) {
+	return c.service.Sync(ctx, r.GetSync())
+}
+
+// holders reaches the one keeper.
+type holders struct{ single *Single }
+
+func (h *holders) Recall(ctx context.Context, _ string, r *betweenv1.RecallRequest) (*betweenv1.RecallResponse, error) {
+	return h.single.Keeper.Recall(ctx, r)
+}
+
+// Single is the box.
+type Single struct {
+	T          testing.TB
+	Control    *control.Service
+	Machine    *control.Machine
+	Store      *configuration.Store
+	Keeper     *keeper.Keeper
+	Dispatcher *dispatch.Dispatcher
+	Caller     *caller.Caller
+	Recorder   *timeline.Recorder
+	Disk       *disktest.Memory
+	Platform   *list.Platform
+	Engines    []*standin.Engine
+	Policy     target.Policy
+	URL        string
+	Logger     *slog.Logger
+	number     uint64
+}
+
+// Options describe the box and its targets.
+type Options struct {
+	Tokens  uint64
+	Engines []standin.Options
+	// Services are handlers of the plain service portal.
+	Services []http.Handler
+	Window   time.Duration
+	// Keepers wraps the access to the ledger, to make it fail.
+	Keepers func(dispatch.Keepers) dispatch.Keepers
+	MaxBody int
+}
+
+// DefaultEngine is a quick engine.
+var DefaultEngine = standin.Options{Slots: 8, PrefillPerSecond: 1_000_000, TokenTime: time.Millisecond, CacheBlocks: 64}
+
+// New builds the box and starts it; it ends with the test.
+func New(t testing.TB, opts Options) *Single {
+	t.Helper()
+	s := &Single{T: t, Disk: disktest.New(), Platform: list.New(1), Logger: logging.Discard(), Machine: control.NewMachine()}
+	stamps := hlc.New(clock.System{})
+	s.Recorder = timeline.New(Box, DataCentre, stamps)
+	s.Control = control.New(control.Options{
+		Log: &log{machine: s.Machine}, Machine: s.Machine, Holders: &holders{single: s}, Policy: allot.Proportional{},
+		Clock: clock.System{}, Recorder: s.Recorder, Logger: s.Logger,
+	})
+	s.configure(opts.Tokens)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	s.build(ctx, opts)
+	s.addTargets(opts)
+	s.listen(ctx, opts)
+	s.await()
+	return s
+}
+
+func (s *Single) configure(tokens uint64) {
+	s.T.Helper()
+	texts := []string{
+		"create organisation north share 1",
+		"create budget north/main tokens " + strconv.FormatUint(tokens, 10),
+		"create group north/a budget north/main models m1 services portal default-tokens 20",
+		"create group north/batch budget north/main models m1 priority batch",
+		"create group north/other budget north/main models m2",
+		"add key " + digest.Of([]byte(Key)) + " to north/a",
+		"add key " + digest.Of([]byte(BatchKey)) + " to north/batch",
+	}
+	for _, text := range texts {
+		s.Command(text)
+	}
+}
+
+// Command runs an operator's command that must succeed.
+func (s *Single) Command(text string) {
+	s.T.Helper()
+	s.number++
+	r, err := s.Control.Command(context.Background(), &betweenv1.CommandRequest{Operator: "test", Number: s.number, Text: text})
+	if err != nil || r.GetRefusal() != "" {
+		s.T.Fatalf("%s: %v %s", text, err, r.GetMessage())
+	}
+	if s.Store != nil {
+		s.follow()
+	}
+}
+
+func (s *Single) follow() {
+	s.T.Helper()
+	source := configuration.MachineSource{Machine: s.Machine, Confirmed: func() time.Duration { return 0 }}
+	if _, err := s.Store.Take(source.Since(s.Store.Revision())); err != nil {
+		s.T.Fatal(err)
+	}
+	if s.Dispatcher != nil {
+		s.Dispatcher.Refresh()
+	}
+}
+
+func (s *Single) build(ctx context.Context, opts Options) {
+	s.T.Helper()
+	if opts.Window == 0 {
+		opts.Window = time.Hour
+	}
+	store, err := configuration.NewStore(clock.System{}, nil)
+	if err != nil {
+		s.T.Fatal(err)
+	}
+	s.Store = store
+	remote := &dispatch.RemoteKeepers{Self: Box, Config: store, Client: func(string) betweenv1connect.KeeperServiceClient { return nil }}
+	var keepers dispatch.Keepers = remote
+	if opts.Keepers != nil {
+		keepers = opts.Keepers(remote)
+	}
+	s.Policy = target.CacheLoad{}
+	s.Dispatcher = dispatch.New(dispatch.Options{
+		Box: Box + "@1", Name: Box, DataCentre: DataCentre, KeyWindow: opts.Window, Keepers: keepers, Config: store,
+		Engines: engine.New(), Policy: s.Policy, Clock: clock.System{}, Recorder: s.Recorder, Logger: s.Logger,
+		NewID: uuid.NewString, Seed: 1, Draining: func() bool { return false }, Metrics: metrics.New(),
+	})
+	s.Keeper, err = keeper.New(keeper.Options{
+		Box: Box, DataCentre: DataCentre, Address: "127.0.0.1:1", Disk: s.Disk, Clock: clock.System{},
+		Control: &controlCalls{service: s.Control}, Homes: remote, Recoverer: s.Dispatcher, Recorder: s.Recorder, Logger: s.Logger,
+		Incarnation: uuid.NewString, Ledger: ledger.Options{Window: opts.Window, BoxTimeout: 3 * time.Second}, SyncInterval: 20 * time.Millisecond,
+	})
+	if err != nil {
+		s.T.Fatal(err)
+	}
+	remote.Local = s.Keeper
+	go func() { _ = s.Keeper.Run(ctx) }()
+	go s.Dispatcher.Run(ctx)
+}
+
+func (s *Single) addTargets(opts Options) {
+	if opts.Engines == nil {
+		opts.Engines = []standin.Options{DefaultEngine}
+	}
+	for i, o := range opts.Engines {
+		e := standin.New(o)
+		s.Engines = append(s.Engines, e)
+		name := "engine-" + strconv.FormatUint(uint64(i+1), 10)
+		s.Platform.Put(list.Target{Name: name, Address: s.serve(e.Handler()), Kind: "engine", Models: []string{"m1"}, DataCentre: DataCentre, State: "live"})
+	}
+	for i, h := range opts.Services {
+		name := "portal-" + strconv.FormatUint(uint64(i+1), 10)
+		s.Platform.Put(list.Target{Name: name, Address: s.serve(h), Kind: "service", Service: "portal", DataCentre: DataCentre, State: "live"})
+	}
+}
+
+func (s *Single) serve(h http.Handler) string {
+	server := httptest.NewUnstartedServer(h)
+	server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	server.Start()
+	s.T.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.Listener.Addr().String()
+}
+
+func (s *Single) listen(ctx context.Context, opts Options) {
+	if opts.MaxBody == 0 {
+		opts.MaxBody = 1 << 20
+	}
+	s.Caller = caller.New(caller.Options{
+		Dispatcher: s.Dispatcher, Config: s.Store, Counter: metrics.New(), Recorder: s.Recorder, Logger: s.Logger,
+		Work: ctx, MaxBody: opts.MaxBody, MaxWait: time.Hour, NewID: uuid.NewString, Now: time.Now,
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.T.Fatal(err)
+	}
+	s.URL = "http://" + l.Addr().String()
+	go func() { _ = s.Caller.Server().Serve(l) }()
+	s.T.Cleanup(func() { _ = s.Caller.Server().Shutdown() })
+}
+
+// Poll brings the platform's list and the targets' reports to the dispatcher.
+func (s *Single) Poll() {
+	s.T.Helper()
+	rows, err := s.rows()
+	if err != nil {
+		s.T.Fatal(err)
+	}
+	s.Dispatcher.TakeList(rows)
+	p := &platform.Poller{Reporter: engine.New(), Targets: s.Dispatcher, Logger: s.Logger}
+	p.PollReports(context.Background())
+}
+
+func (s *Single) rows() ([]*target.Target, error) {
+	server := httptest.NewServer(s.Platform.Handler())
+	defer server.Close()
+	lister := &platform.HTTPLister{URL: server.URL}
+	l, _, err := lister.List(context.Background())
+	return platform.Rows(l), err
+}
+
+// await returns once the keeper is in force and the targets are known.
+func (s *Single) await() {
+	s.T.Helper()
+	s.Eventually("the keeper is in force", func() bool { return s.Keeper.Err() == nil })
+	s.follow()
+	s.Poll()
+}
+
+// Eventually waits for a condition that background work will meet.
+func (s *Single) Eventually(what string, met func() bool) {
+	s.T.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !met() {
+		if time.Now().After(deadline) {
+			s.T.Fatalf("not met: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Record returns the ledger's record of a key.
+func (s *Single) Record(group, key string) *statev1.RequestRecord {
+	s.T.Helper()
+	resp, err := s.Keeper.Lookup(context.Background(), &betweenv1.LookupRequest{Group: group, Key: key})
+	if err != nil {
+		s.T.Fatal(err)
+	}
+	return resp.GetRequest()
+}
+
+// Cell returns one cell of a query's only row.
+func (s *Single) Cell(query, column string) string {
+	s.T.Helper()
+	resp, err := s.Control.Query(query)
+	if err != nil || len(resp.GetRows()) != 1 {
+		s.T.Fatalf("%s: %v, %d rows", query, err, len(resp.GetRows()))
+	}
+	for i, c := range resp.GetColumns() {
+		if c == column {
+			return resp.GetRows()[0].GetCells()[i]
+		}
+	}
+	s.T.Fatalf("%s has no column %s", query, column)
+	return ""
+}
