dispatch: engine faults in a table; a forgotten run is written off in full

Cause: TestEngineFaults found that a run which its engine had begun and then forgot was written off with 0 tokens (14 billed of 16 made): the engine's answer 'not known' was taken for its usage. A request that passed its deadline at a silent engine was refused as target_failed. Ruled out: late settlement; the ledger had what it was told. Change: one function ends a run and says what it used for both cases; a run that was seen and is not known any more counts with its whole bound. Run: 18 faults, whole and streamed, go test -race -count=3: before 3 cases failed, now none.

--- /dev/null
+++ b/routers/caller/faults_test.go
@@ -0,0 +1,122 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package caller_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	standin "havenwinch.dev/havenwinch/standin/engine"
+	"havenwinch.dev/havenwinch/structs"
+	"havenwinch.dev/havenwinch/tests/single"
+)
+
+// TestEngineFaults brings about what an engine can do wrong. It says what the
+// caller is told, how often the request was read and run over both engines,
+// and that the bill is at most what was run. All runs are of one request with
+// a key; the fault hits whichever engine is asked first.
+func TestEngineFaults(t *testing.T) {
+	const all = "w1 w2 w3 w4 w5 w6 w7 w8"
+	tests := map[string]struct {
+		fault    standin.Fault
+		stream   bool
+		once     bool
+		status   int
+		kind     structs.Kind
+		run      structs.Run
+		received int
+		served   int
+	}{
+		"closes unread, whole":               {standin.FaultClose, false, false, 200, "", "", 2, 1},
+		"closes unread, streamed":            {standin.FaultClose, true, false, 200, "", "", 2, 1},
+		"closes unread, not repeatable":      {standin.FaultClose, false, true, 200, "", "", 2, 1},
+		"error before running":               {standin.FaultError, false, false, 200, "", "", 2, 1},
+		"error, not repeatable":              {standin.FaultError, false, true, 200, "", "", 2, 1},
+		"truncated, whole":                   {standin.FaultTruncate, false, false, 200, "", "", 1, 1},
+		"truncated, streamed":                {standin.FaultTruncate, true, false, 200, "", "", 1, 1},
+		"truncated, not repeatable":          {standin.FaultTruncate, true, true, 200, "", "", 1, 1},
+		"forgotten, whole":                   {standin.FaultForget, false, false, 200, "", "", 2, 2},
+		"forgotten, streamed":                {standin.FaultForget, true, false, 200, structs.KindTruncated, structs.RunYes, 1, 1},
+		"forgotten, whole, not repeatable":   {standin.FaultForget, false, true, 502, structs.KindTargetFailed, structs.RunYes, 1, 1},
+		"event of another run, whole":        {standin.FaultCross, false, false, 200, "", "", 1, 1},
+		"event of another run, streamed":     {standin.FaultCross, true, false, 200, "", "", 1, 1},
+		"event sent twice":                   {standin.FaultRepeat, true, false, 200, "", "", 1, 1},
+		"never answers":                      {standin.FaultSilent, false, false, 429, structs.KindDeadline, structs.RunNo, 1, 0},
+		"never answers, not repeatable":      {standin.FaultSilent, false, true, 429, structs.KindDeadline, structs.RunNo, 1, 0},
+		"no fault":                           {standin.FaultNone, true, false, 200, "", "", 1, 1},
+		"no fault, whole and not repeatable": {standin.FaultNone, false, true, 200, "", "", 1, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := single.New(t, single.Options{Tokens: 1000, Engines: []standin.Options{single.DefaultEngine, single.DefaultEngine}})
+			s.Engines[0].ShareFaults(s.Engines[1])
+			s.Engines[0].SetFault(test.fault, 1)
+			headers := []string{"Idempotency-Key: key-1", "Prefer: wait=2"}
+			if test.once {
+				headers = append(headers, "Havenwinch-Repeatable: no")
+			}
+			got := send(t, s, "POST", chatPath, chat("hi", 8, fmt.Sprintf(`,"stream":%v`, test.stream)), headers...)
+			checkFault(t, s, got, test.stream, test.status, test.kind, test.run)
+			received, served := counts(s)
+			if received != test.received || served != test.served {
+				t.Errorf("read %d times and run %d times, want %d and %d", received, served, test.received, test.served)
+			}
+			if test.status == 200 && test.kind == "" && !strings.HasPrefix(stripped(t, got, test.stream), all) {
+				t.Errorf("the answer is not whole: %s", got.body)
+			}
+			r := s.Record("north/a", "key-1")
+			if r.GetState() != statev1.RequestState_REQUEST_STATE_DONE && r.GetState() != statev1.RequestState_REQUEST_STATE_RELEASED {
+				t.Errorf("the request is left %v", r.GetState())
+			}
+			_, _, first := s.Engines[0].Counts()
+			_, _, second := s.Engines[1].Counts()
+			if paid := r.GetBilled() + r.GetWrittenOff(); paid < first+second {
+				t.Errorf("%d tokens are billed or written off, the engines made %d", paid, first+second)
+			}
+		})
+	}
+}
+
+func counts(s *single.Single) (received, served int) {
+	for _, e := range s.Engines {
+		r, v, _ := e.Counts()
+		received, served = received+r, served+v
+	}
+	return received, served
+}
+
+func checkFault(t *testing.T, s *single.Single, got answer, stream bool, status int, kind structs.Kind, run structs.Run) {
+	t.Helper()
+	if stream {
+		ended := strings.HasSuffix(got.body, "data: [DONE]\n\n")
+		failed := strings.Contains(got.body, fmt.Sprintf(`"kind":%q`, kind)) && strings.Contains(got.body, fmt.Sprintf(`"run":%q`, run))
+		if got.status != status || ended != (kind == "") || (kind != "") != failed {
+			t.Errorf("got %d: %s", got.status, got.body)
+		}
+		return
+	}
+	if got.status != status || got.Error.Kind != kind || got.Error.Run != run {
+		t.Errorf("got %d %q run %q: %s\n%v", got.status, got.Error.Kind, got.Error.Run, got.body, s.Recorder.Events(""))
+	}
+}
+
+// stripped returns an answer's words without their second halves, which depend
+// on the prompt.
+func stripped(t *testing.T, a answer, stream bool) string {
+	text := ""
+	if stream {
+		text = streamText(t, a.body)
+	} else {
+		text = a.Choices[0].Message.Content
+	}
+	var words []string
+	for _, word := range strings.Fields(text) {
+		first, _, _ := strings.Cut(word, "-")
+		words = append(words, first)
+	}
+	return strings.Join(words, " ")
+}
--- a/services/dispatch/serve.go
+++ b/services/dispatch/serve.go
@@ -275,15 +275,8 @@
 // when it ends the run, otherwise the whole bound.
 func (at *attempt) noteLost(ctx context.Context, out outcome, s *slot) {
 	at.lost = 0
-	if out.notRun {
-		at.record("not run", s.target.Name)
-		return
-	}
-	at.lost = at.a.Request.Bound
-	ctx, cancel := context.WithTimeout(ctx, cancelTime)
-	defer cancel()
-	if fate, err := at.d.opts.Engines.Cancel(ctx, s.address, at.streamID()); err == nil {
-		at.lost = fate.PromptTokens + fate.CompletionTokens
+	if !out.notRun {
+		at.lost, _ = at.endRun(ctx, out)
 	}
 	at.record("run lost", fmt.Sprintf("%s, at most %d tokens", s.target.Name, at.lost))
 }
@@ -339,6 +332,9 @@
 	used, run := at.endRun(ctx, out)
 	if run == structs.RunNo && at.lost == 0 {
 		at.finish(ctx, ledger.Bill{NotRun: true})
+		if ctx.Err() == context.DeadlineExceeded {
+			return Result{}, tooLate()
+		}
 		return Result{}, &Refusal{Kind: structs.KindTargetFailed, Run: run, RetryAfter: retryTarget, Message: "the target failed before it ran the request: ask again after the stated time"}
 	}
 	record := at.finish(ctx, ledger.Bill{Used: used, Uncertain: run == structs.RunUnknown})
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -63,8 +63,7 @@
 	waiting runHeap
 	order   uint64
 	cache   prefixCache
-	fault   Fault
-	faults  int
+	faults  *faults
 	token   uint64
 	orders  []string
 	// Served counts runs that were begun, Received requests that were read.
@@ -78,7 +77,7 @@
 	if opts.Keep == 0 {
 		opts.Keep = 10 * time.Minute
 	}
-	return &Engine{opts: opts, runs: map[string]*Run{}, cache: newPrefixCache(opts.CacheBlocks)}
+	return &Engine{opts: opts, runs: map[string]*Run{}, cache: newPrefixCache(opts.CacheBlocks), faults: &faults{}}
 }
 
 // Prompt is what a run is asked for.
@@ -107,21 +106,31 @@
 	start     chan struct{}
 }
 
+// faults are what the next requests go wrong by; engines may share them.
+type faults struct {
+	mu   sync.Mutex
+	kind Fault
+	left int
+}
+
 // SetFault makes the next n requests go wrong.
 func (e *Engine) SetFault(f Fault, n int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.fault, e.faults = f, n
+	e.faults.mu.Lock()
+	defer e.faults.mu.Unlock()
+	e.faults.kind, e.faults.left = f, n
 }
 
+// ShareFaults lets a fault hit whichever of two engines is asked first.
+func (e *Engine) ShareFaults(other *Engine) { other.faults = e.faults }
+
 func (e *Engine) takeFault() Fault {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.faults == 0 {
+	e.faults.mu.Lock()
+	defer e.faults.mu.Unlock()
+	if e.faults.left == 0 {
 		return FaultNone
 	}
-	e.faults--
-	return e.fault
+	e.faults.left--
+	return e.faults.kind
 }
 
 // Counts returns how many requests were received, runs begun and tokens made.
