--- a/models/ledger/ledger.go
+++ b/models/ledger/ledger.go
@@ -38,10 +38,12 @@
 	Created int64
 	// Blind says that an earlier ledger of this box was lost: keys from before
 	// Created can't be vouched for.
-	Blind    bool
-	Budgets  map[string]*Budget
-	Usages   map[string]*Usage
-	Requests map[string]*statev1.RequestRecord
+	Blind bool
+	// Registered says that control has brought this ledger into force once.
+	Registered bool
+	Budgets    map[string]*Budget
+	Usages     map[string]*Usage
+	Requests   map[string]*statev1.RequestRecord
 	// open holds the keys of unfinished requests by box.
 	open map[string]map[string]bool
 	// beats holds the boot time at which a box was last heard of.
@@ -262,7 +264,7 @@
 
 // Snapshot returns the whole ledger.
 func (l *Ledger) Snapshot() *statev1.LedgerSnapshot {
-	s := &statev1.LedgerSnapshot{Incarnation: l.Incarnation, Created: l.Created, Blind: l.Blind}
+	s := &statev1.LedgerSnapshot{Incarnation: l.Incarnation, Created: l.Created, Blind: l.Blind, Registered: l.Registered}
 	for _, b := range l.Budgets {
 		s.Budgets = append(s.Budgets, b.Row)
 	}
@@ -277,7 +279,8 @@
 
 // Load takes a snapshot into an empty ledger.
 func (l *Ledger) Load(s *statev1.LedgerSnapshot) {
-	l.Incarnation, l.Created, l.Blind = s.GetIncarnation(), s.GetCreated(), s.GetBlind()
+	l.Incarnation, l.Created = s.GetIncarnation(), s.GetCreated()
+	l.Blind, l.Registered = s.GetBlind(), s.GetRegistered()
 	for _, row := range s.GetBudgets() {
 		l.Take(&statev1.LedgerRecord{Budget: row})
 	}
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -116,8 +116,10 @@
 	if err := s.opts.Log.ReadBarrier(); err != nil {
 		return nil, err
 	}
-	grants, missing := s.plan(m.GetHolder(), m.GetReports())
-	m.Grants = grants
+	var missing []recall
+	if !m.GetLeaving() {
+		m.Grants, missing = s.plan(m.GetHolder(), m.GetReports())
+	}
 	if err := s.proposeSync(ctx, m); err != nil {
 		return nil, err
 	}
--- a/services/keeper/sync.go
+++ b/services/keeper/sync.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
@@ -111,42 +112,49 @@
 		Address:     k.opts.Address,
 		Incarnation: k.ledger.Incarnation,
 	}})
-	if err == nil {
-		k.enforce(resp)
+	if err != nil {
+		return err
 	}
-	return err
+	return k.enforce(resp)
 }
 
-// serveUnregistered lets a ledger work that already has allotments, so that a
+// serveUnregistered lets a ledger work that was in force before, so that a
 // restart while control is cut off does not silence the data centre. What it
 // was allotted is its own until control has recorded another ledger for the
 // box, and that one starts without it.
 func (k *Keeper) serveUnregistered() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.holder != "" {
+	if k.holder != "" || !k.ledger.Registered {
 		return
 	}
-	for _, b := range k.ledger.Budgets {
-		if b.Row.GetAllotted() > 0 {
-			k.holder = k.holderOf()
-			k.opts.Recorder.Record("keeper serves while control is cut off", "", k.holder)
-			return
-		}
-	}
+	k.holder = k.holderOf()
+	k.opts.Recorder.Record("keeper serves while control is cut off", "", k.holder)
 }
 
-func (k *Keeper) enforce(resp *betweenv1.RegisterResponse) {
+// enforce notes for good that control has brought the ledger into force.
+func (k *Keeper) enforce(resp *betweenv1.RegisterResponse) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.holder = resp.GetHolder()
-	if resp.GetLostBefore() && len(k.ledger.Requests) == 0 && len(k.ledger.Budgets) == 0 && !k.ledger.Blind {
-		k.ledger.Blind = true
-		if data, err := proto.Marshal(k.ledger.Snapshot()); err == nil {
-			_ = k.committer.Compact(data)
+	if !k.ledger.Registered {
+		k.ledger.Registered = true
+		k.ledger.Blind = resp.GetLostBefore()
+		if err := k.snapshot(); err != nil {
+			return err
 		}
 	}
+	k.holder = resp.GetHolder()
 	k.opts.Recorder.Record("keeper in force", "", k.holder)
+	return nil
+}
+
+// snapshot replaces the log by the ledger as it is; the caller holds the lock.
+func (k *Keeper) snapshot() error {
+	data, err := proto.Marshal(k.ledger.Snapshot())
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return k.committer.Compact(data)
 }
 
 // Sync reports what has changed and takes the allotments in. It returns true
@@ -187,7 +195,13 @@
 	if err := k.committer.Wait(ctx, k.committer.Position()); err != nil {
 		return nil, err
 	}
-	return k.opts.Control.Sync(ctx, &betweenv1.SyncRequest{Sync: &statev1.Sync{Holder: k.Holder(), Reports: reports, Usages: usages}})
+	return k.opts.Control.Sync(ctx, &betweenv1.SyncRequest{Sync: &statev1.Sync{Holder: k.Holder(), Reports: reports, Usages: usages, Leaving: k.isStopping()}})
+}
+
+func (k *Keeper) isStopping() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.stopping
 }
 
 func (k *Keeper) unreached(reports []*statev1.BudgetReport) {
@@ -229,12 +243,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	data, err := proto.Marshal(k.ledger.Snapshot())
-	if err != nil {
-		k.opts.Logger.Error("the ledger does not encode", "error", err)
-		return
-	}
-	if err := k.committer.Compact(data); err != nil {
+	if err := k.snapshot(); err != nil {
 		k.opts.Logger.Error("the ledger can't be compacted", "error", err)
 	}
 }
--- a/tests/tour/main.go
+++ b/tests/tour/main.go
@@ -155,7 +155,7 @@
 func (t *tour) awaitSpent() error {
 	deadline := time.Now().Add(addressed)
 	for time.Now().Before(deadline) {
-		out, err := t.tool("query", "show groups where requests = 1 and reserved = 0")
+		out, err := t.tool("query", "show groups where requests = 1 and reserved = 0 and waiting = 0")
 		if err == nil && strings.Contains(out, "north/lectures") {
 			return nil
 		}
