allot: tokens are spread by demand with an even floor, by measurement

Change: control grants unasked to holders far below their target, from 2000 tokens on, and repeats it until they report it; policies take floor and keep. Conclusion: spread with floor 1 and nothing kept is what the daemon runs.

--- a/cmd/havenwinchd/wire.go
+++ b/cmd/havenwinchd/wire.go
@@ -138,7 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
-	service := control.New(control.Options{Log: node, Machine: machine, Holders: p, Policy: allot.Proportional{}, Clock: c, Recorder: r, Logger: l})
+	service := control.New(control.Options{Log: node, Machine: machine, Holders: p, Policy: allot.Chosen(), Clock: c, Recorder: r, Logger: l})
 	return &controlPart{Node: node, Machine: machine, Service: service}, nil
 }
 
--- a/models/allot/allot.go
+++ b/models/allot/allot.go
@@ -23,12 +23,14 @@
 type Plan struct {
 	// Grant is what to allot out of the unallotted tokens.
 	Grant uint64
+	// Spread are grants to other holders, before they ask.
+	Spread []Move
 	// Recalls are what to ask back from others.
-	Recalls []Recall
+	Recalls []Move
 }
 
-// Recall asks one holder for free tokens.
-type Recall struct {
+// Move is an amount for or from one holder.
+type Move struct {
 	Holder string
 	Tokens uint64
 }
@@ -73,32 +75,49 @@
 	return Plan{Grant: unallotted, Recalls: pull(holders, asker, need-unallotted, nil)}
 }
 
-const (
-	// floorShare is the part of the demand that is spread evenly, so that a
-	// holder without demand is not left without tokens.
-	floorShare = 0.1
-	// slack is how far a holder's free tokens may lie under its target before
-	// it is topped up, and as far above before it is asked to give back.
-	slack = 0.25
-)
+// slack is how far a holder's free tokens may lie under its target before it is
+// topped up, and as far above before it is asked to give back.
+const slack = 0.25
 
 // Proportional hands everything out in proportion to demand, so that all
 // holders would last about equally long if they were cut off now.
-type Proportional struct{}
+type Proportional struct {
+	// SpreadFrom is the smallest amount that is granted to a holder that has
+	// not asked, so that it can serve a first request while it is cut off.
+	// Zero grants nothing unasked.
+	SpreadFrom uint64
+	// Floor is the part of the demand that is spread evenly, so that a holder
+	// without demand is not left without tokens.
+	Floor float64
+	// Keep is the part that control keeps back, for demand that turns and so
+	// that a lost ledger takes less with it.
+	Keep float64
+}
+
+// DefaultSpread is the smallest unasked amount: a little over what one usual
+// request reserves. Smaller shares would serve nobody.
+const DefaultSpread = 2000
+
+// Chosen is the policy that the daemon runs; docs/MEASUREMENTS.md has the
+// comparison that led to it.
+func Chosen() Policy {
+	return Proportional{SpreadFrom: DefaultSpread, Floor: 1}
+}
 
 // Plan implements Policy.
-func (Proportional) Plan(unallotted uint64, holders []Holder, asker int) Plan {
-	targets := Targets(unallotted, holders)
+func (p Proportional) Plan(unallotted uint64, holders []Holder, asker int) Plan {
+	targets := p.Targets(unallotted, holders)
 	me := holders[asker]
 	low := float64(me.Free) < float64(targets[asker])*(1-slack)
 	if me.Need == 0 && !low {
-		return Plan{}
+		return Plan{Spread: p.spread(unallotted, holders, targets, asker)}
 	}
 	wanted := me.Need
 	if targets[asker] > me.Free {
 		wanted = max(wanted, targets[asker]-me.Free)
 	}
 	plan := Plan{Grant: min(wanted, unallotted)}
+	plan.Spread = p.spread(unallotted-plan.Grant, holders, targets, asker)
 	if short := wanted - plan.Grant; short > 0 {
 		must := uint64(0)
 		if me.Need > plan.Grant {
@@ -109,8 +128,28 @@
 	return plan
 }
 
+// spread grants to holders far below their targets what is not allotted.
+func (p Proportional) spread(unallotted uint64, holders []Holder, targets []uint64, asker int) []Move {
+	if p.SpreadFrom == 0 {
+		return nil
+	}
+	var list []Move
+	for i, h := range holders {
+		if i == asker || float64(h.Free) >= float64(targets[i])*(1-slack) {
+			continue
+		}
+		tokens := min(targets[i]-h.Free, unallotted)
+		if tokens < p.SpreadFrom {
+			continue
+		}
+		unallotted -= tokens
+		list = append(list, Move{Holder: h.Name, Tokens: tokens})
+	}
+	return list
+}
+
 // Targets returns the free tokens that each holder should have.
-func Targets(unallotted uint64, holders []Holder) []uint64 {
+func (p Proportional) Targets(unallotted uint64, holders []Holder) []uint64 {
 	total, demand := unallotted, uint64(0)
 	for _, h := range holders {
 		total += h.Free
@@ -118,19 +157,19 @@
 	}
 	floor := 1.0
 	if demand > 0 {
-		floor = float64(demand) * floorShare / float64(len(holders))
+		floor = float64(demand) * p.Floor / float64(len(holders))
 	}
 	weights := float64(demand) + floor*float64(len(holders))
 	targets := make([]uint64, len(holders))
 	for i, h := range holders {
-		targets[i] = uint64(float64(total) * (float64(h.Rate) + floor) / weights)
+		targets[i] = uint64(float64(total) * (1 - p.Keep) * (float64(h.Rate) + floor) / weights)
 	}
 	return targets
 }
 
 // recall asks holders well above their target for the excess, and then, when
 // a waiting request must have more, for whatever is free.
-func recall(holders []Holder, targets []uint64, asker int, short, must uint64) []Recall {
+func recall(holders []Holder, targets []uint64, asker int, short, must uint64) []Move {
 	taken := make([]uint64, len(holders))
 	for i, h := range holders {
 		if i == asker || short == 0 || float64(h.Free) <= float64(targets[i])*(1+slack) {
@@ -148,7 +187,7 @@
 
 // pull gathers tokens from the holders with most free ones first, besides
 // what is taken from them already.
-func pull(holders []Holder, asker int, tokens uint64, taken []uint64) []Recall {
+func pull(holders []Holder, asker int, tokens uint64, taken []uint64) []Move {
 	if taken == nil {
 		taken = make([]uint64, len(holders))
 	}
@@ -170,11 +209,11 @@
 	return listRecalls(holders, taken)
 }
 
-func listRecalls(holders []Holder, taken []uint64) []Recall {
-	var list []Recall
+func listRecalls(holders []Holder, taken []uint64) []Move {
+	var list []Move
 	for i, h := range holders {
 		if taken[i] > 0 {
-			list = append(list, Recall{Holder: h.Name, Tokens: taken[i]})
+			list = append(list, Move{Holder: h.Name, Tokens: taken[i]})
 		}
 	}
 	return list
--- a/models/ledger/allotment.go
+++ b/models/ledger/allotment.go
@@ -42,6 +42,8 @@
 	}
 	b.Row = proto.CloneOf(b.Row)
 	b.Row.Allotted = total
+	// The next report tells control that the tokens have arrived.
+	l.dirty[budget] = true
 	return []*statev1.LedgerRecord{{Budget: b.Row}}
 }
 
--- a/models/state/budget.go
+++ b/models/state/budget.go
@@ -108,13 +108,12 @@
 	for _, r := range m.GetReports() {
 		if b := s.Budgets[r.GetBudget()]; b != nil {
 			b.report(m.GetHolder(), r)
+			s.told(m.GetHolder(), b.Name)
 			names = append(names, b.Name)
 		}
 	}
 	for _, g := range m.GetGrants() {
-		if b := s.Budgets[g.GetBudget()]; b != nil {
-			b.grant(m.GetHolder(), g.GetTokens())
-		}
+		s.grant(m.GetHolder(), g)
 	}
 	for _, u := range m.GetUsages() {
 		s.putUsage(m.GetHolder(), u)
@@ -122,6 +121,36 @@
 	return SyncAnswer{Budgets: names}
 }
 
+// grant allots tokens; a holder that did not ask is told with its next report.
+func (s *State) grant(asker string, g *statev1.Grant) {
+	b := s.Budgets[g.GetBudget()]
+	holder := g.GetHolder()
+	if holder == "" {
+		holder = asker
+	}
+	if b == nil || !s.inForce(holder) {
+		return
+	}
+	b.grant(holder, g.GetTokens())
+	if holder != asker {
+		s.tell(holder, b.Name)
+	}
+}
+
+func (s *State) tell(holder, budget string) {
+	if s.Untold[holder] == nil {
+		s.Untold[holder] = map[string]bool{}
+	}
+	s.Untold[holder][budget] = true
+}
+
+func (s *State) told(holder, budget string) {
+	delete(s.Untold[holder], budget)
+	if len(s.Untold[holder]) == 0 {
+		delete(s.Untold, holder)
+	}
+}
+
 func (s *State) putUsage(holder string, u *statev1.GroupUsage) {
 	key := UsageKey{Group: u.GetGroup(), Holder: holder}
 	old := s.Usages[key]
--- a/models/state/state.go
+++ b/models/state/state.go
@@ -40,6 +40,9 @@
 	Usages        map[UsageKey]*statev1.GroupUsage
 	Results       map[string][]*statev1.CommandResult
 	Changes       []*statev1.Change
+	// Untold holds, by holder, the budgets it was granted tokens of without
+	// having asked and has not reported since.
+	Untold map[string]map[string]bool
 }
 
 // UsageKey names one holder's count for one group.
@@ -60,6 +63,7 @@
 		Budgets:       map[string]*Budget{},
 		Usages:        map[UsageKey]*statev1.GroupUsage{},
 		Results:       map[string][]*statev1.CommandResult{},
+		Untold:        map[string]map[string]bool{},
 	}
 }
 
@@ -183,7 +187,7 @@
 	for _, r := range c.GetKeepers() {
 		fresh.Keepers[r.GetBox()] = r
 	}
-	fresh.Budgets, fresh.Usages, fresh.Results = s.Budgets, s.Usages, s.Results
+	fresh.Budgets, fresh.Usages, fresh.Results, fresh.Untold = s.Budgets, s.Usages, s.Results, s.Untold
 	fresh.Revision = c.GetRevision()
 	*s = *fresh
 }
@@ -209,6 +213,7 @@
 	}
 	from := max(0, len(s.Changes)-MaxChanges)
 	snapshot.Changes = s.Changes[from:]
+	snapshot.Untold = s.untoldRows()
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	return data, errors.WithStack(err)
 }
@@ -234,5 +239,24 @@
 		s.Results[r.GetOperator()] = append(s.Results[r.GetOperator()], r)
 	}
 	s.Changes = snapshot.GetChanges()
+	for _, row := range snapshot.GetUntold() {
+		for _, budget := range row.GetBudgets() {
+			s.tell(row.GetHolder(), budget)
+		}
+	}
 	return s, nil
 }
+
+func (s *State) untoldRows() []*statev1.Untold {
+	var rows []*statev1.Untold
+	for holder, budgets := range s.Untold {
+		row := &statev1.Untold{Holder: holder}
+		for budget := range budgets {
+			row.Budgets = append(row.Budgets, budget)
+		}
+		sort.Strings(row.Budgets)
+		rows = append(rows, row)
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].GetHolder() < rows[j].GetHolder() })
+	return rows
+}
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,13 @@
 	"havenwinch.dev/havenwinch/services/timeline"
 )
 
+// seenTimeout is how long ago a holder may have reported to be granted tokens
+// that it has not asked for.
+const seenTimeout = 5 * time.Second
+
+// maxRows bounds the unasked rows of one answer.
+const maxRows = 2048
+
 // recallTimeout bounds how long a holder in need waits for others to return.
 const recallTimeout = 250 * time.Millisecond
 
@@ -50,11 +58,15 @@
 type Service struct {
 	opts    Options
 	recalls recalls
+
+	mu sync.Mutex
+	// seen holds when a holder last reported; leaving ones are left out.
+	seen map[string]time.Duration
 }
 
 // New returns a service.
 func New(opts Options) *Service {
-	return &Service{opts: opts, recalls: recalls{busy: map[string]bool{}}}
+	return &Service{opts: opts, recalls: recalls{busy: map[string]bool{}}, seen: map[string]time.Duration{}}
 }
 
 func (s *Service) propose(ctx context.Context, e *statev1.Entry) (any, error) {
@@ -116,12 +128,15 @@
 	if err := s.opts.Log.ReadBarrier(); err != nil {
 		return nil, err
 	}
+	s.see(m)
 	var missing []recall
 	if !m.GetLeaving() {
 		m.Grants, missing = s.plan(m.GetHolder(), m.GetReports())
 	}
-	if err := s.proposeSync(ctx, m); err != nil {
-		return nil, err
+	if len(m.GetReports())+len(m.GetUsages()) > 0 {
+		if err := s.proposeSync(ctx, m); err != nil {
+			return nil, err
+		}
 	}
 	urgent, later := splitByNeed(missing, m.GetReports())
 	s.recallLater(later)
@@ -137,6 +152,23 @@
 	return s.rows(m.GetHolder(), m.GetReports()), nil
 }
 
+// see notes that a holder is at work, or is leaving.
+func (s *Service) see(m *statev1.Sync) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen[m.GetHolder()] = s.opts.Clock.Boot()
+	if m.GetLeaving() {
+		delete(s.seen, m.GetHolder())
+	}
+}
+
+func (s *Service) seenLately(holder string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.seen[holder]
+	return ok && s.opts.Clock.Boot()-at < seenTimeout
+}
+
 func (s *Service) proposeSync(ctx context.Context, m *statev1.Sync) error {
 	answer, err := s.propose(ctx, &statev1.Entry{Kind: &statev1.Entry_Sync{Sync: m}})
 	if err != nil {
@@ -165,6 +197,11 @@
 			if plan.Grant > 0 {
 				grants = append(grants, &statev1.Grant{Budget: b.Name, Tokens: plan.Grant})
 			}
+			for _, one := range plan.Spread {
+				if s.seenLately(one.Holder) {
+					grants = append(grants, &statev1.Grant{Budget: b.Name, Tokens: one.Tokens, Holder: one.Holder})
+				}
+			}
 			for _, one := range plan.Recalls {
 				missing = append(missing, recall{budget: b.Name, holder: one.Holder, asker: holder, tokens: one.Tokens, address: addressOf(st, one.Holder)})
 			}
@@ -216,8 +253,17 @@
 func (s *Service) rows(holder string, reports []*statev1.BudgetReport) *betweenv1.SyncResponse {
 	resp := &betweenv1.SyncResponse{}
 	s.opts.Machine.Read(func(st *state.State) {
+		names := map[string]bool{}
 		for _, r := range reports {
-			b := st.Budgets[r.GetBudget()]
+			names[r.GetBudget()] = true
+		}
+		for budget := range st.Untold[holder] {
+			if len(names) < len(reports)+maxRows {
+				names[budget] = true
+			}
+		}
+		for name := range names {
+			b := st.Budgets[name]
 			if b == nil {
 				continue
 			}
--- a/services/keeper/sync.go
+++ b/services/keeper/sync.go
@@ -160,10 +160,9 @@
 // Sync reports what has changed and takes the allotments in. It returns true
 // when requests wait for tokens that may still come.
 func (k *Keeper) Sync(ctx context.Context) bool {
+	// A report without rows is a sign of life, and fetches tokens that control
+	// has granted unasked.
 	reports, usages := k.reports()
-	if len(reports) == 0 && len(usages) == 0 {
-		return false
-	}
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	resp, err := k.exchange(ctx, reports, usages)
--- a/tests/single/single.go
+++ b/tests/single/single.go
@@ -126,7 +126,7 @@
 	stamps := hlc.New(clock.System{})
 	s.Recorder = timeline.New(Box, DataCentre, stamps)
 	s.Control = control.New(control.Options{
-		Log: &log{machine: s.Machine}, Machine: s.Machine, Holders: &holders{single: s}, Policy: allot.Proportional{},
+		Log: &log{machine: s.Machine}, Machine: s.Machine, Holders: &holders{single: s}, Policy: allot.Chosen(),
 		Clock: clock.System{}, Recorder: s.Recorder, Logger: s.Logger,
 	})
 	s.configure(opts.Tokens)
