target: cache plus load with weight 3, and gaps keep what is known

Cause: the decode weight of 8 and forgetting all at a gap were guesses. Conclusion: weight 3; reuse is the engine's decision in any case, so a stale guess costs a recomputation and nothing else.

--- a/models/state/rollout.go
+++ b/models/state/rollout.go
@@ -37,7 +37,7 @@
 	RolloutQueueRequests:    {Low: 1, High: 1_000_000, Default: 20_000, Meaning: "requests that may wait at one box"},
 	RolloutQueueTokens:      {Low: 1, High: 1 << 40, Default: 200_000_000, Meaning: "reserved tokens that may wait at one box"},
 	RolloutServiceSlots:     {Low: 1, High: 4096, Default: 32, Meaning: "requests in progress at one server of a plain service from one box"},
-	RolloutDecodeWeight:     {Low: 0, High: 1000, Default: 8, Meaning: "cost of a running request in prompt tokens, times 16"},
+	RolloutDecodeWeight:     {Low: 0, High: 1000, Default: 3, Meaning: "cost of a running request in prompt tokens, times 16"},
 	RolloutMaxTokens:        {Low: 1, High: 1_000_000, Default: 32_768, Meaning: "highest limit of generated tokens in one request"},
 }
 
--- a/models/target/cache.go
+++ b/models/target/cache.go
@@ -64,8 +64,7 @@
 	sequence uint64
 	known    map[Block]bool
 	fresh    time.Duration
-	// Stale and Gaps count events that were dropped and times when all that
-	// was known had to be forgotten.
+	// Stale and Gaps count events that came too late and gaps in the sequence.
 	Stale uint64
 	Gaps  uint64
 }
@@ -73,7 +72,10 @@
 // Next returns the epoch and sequence after which events are wanted.
 func (c *Cache) Next() (string, uint64) { return c.epoch, c.sequence }
 
-// Take takes events in. Another epoch, or a gap in the sequence, forgets all.
+// Take takes events in. Another epoch forgets all, since the cache is another
+// one. A gap is counted and what is known is kept: a lost eviction leads to a
+// worse guess and a recomputation, and forgetting all at every gap cost more
+// (docs/MEASUREMENTS.md).
 func (c *Cache) Take(epoch string, events []CacheEvent, now time.Duration) {
 	if epoch != c.epoch {
 		c.forget(epoch, 0)
@@ -86,7 +88,6 @@
 		}
 		if e.Sequence != c.sequence+1 {
 			c.Gaps++
-			c.forget(epoch, e.Sequence-1)
 		}
 		c.sequence = e.Sequence
 		c.note(e)
