--- a/models/queue/queue.go
+++ b/models/queue/queue.go
@@ -14,8 +14,9 @@
 	"time"
 )
 
-// batchEvery is the share of picks that batch has while both kinds wait.
-const batchEvery = 8
+// BatchEvery is how many picks there are for each that belongs to batch while
+// both kinds wait.
+const BatchEvery = 8
 
 // Item is a waiting request.
 type Item struct {
@@ -25,6 +26,8 @@
 	Pool string
 	// Tokens is its bound, the cost that is counted when it is picked.
 	Tokens int
+	// Work is the most tokens it may generate, the measure of its run time.
+	Work int
 	// Deadline is the boot time by which it must have its answer.
 	Deadline time.Duration
 	// Payload is the waiting request itself.
@@ -59,6 +62,22 @@
 type lane struct {
 	byOrganisation map[string]*fifo
 	count          int
+	work           int
+}
+
+// Load is the work that waits, by kind.
+type Load struct {
+	Interactive int
+	Batch       int
+}
+
+// Load returns the work that waits in a pool.
+func (q *Queue) Load(poolName string) Load {
+	p := q.pools[poolName]
+	if p == nil {
+		return Load{}
+	}
+	return Load{Interactive: p.lanes[laneOf(true)].work, Batch: p.lanes[laneOf(false)].work}
 }
 
 // New returns an empty queue; shares gives an organisation's weight.
@@ -154,7 +173,7 @@
 		return nil
 	}
 	at := laneOf(true)
-	if p.lanes[1].count == 0 || (p.lanes[0].count > 0 && p.picks%batchEvery == batchEvery-1) {
+	if p.lanes[1].count == 0 || (p.lanes[0].count > 0 && p.picks%BatchEvery == BatchEvery-1) {
 		at = laneOf(false)
 	}
 	if interactiveOnly {
@@ -224,6 +243,7 @@
 	}
 	heap.Push(f, it)
 	l.count++
+	l.work += it.Work
 }
 
 func (l *lane) remove(it *Item) {
@@ -233,6 +253,7 @@
 		delete(l.byOrganisation, it.Organisation)
 	}
 	l.count--
+	l.work -= it.Work
 }
 
 // fifo orders the requests of one organisation by deadline, then arrival.
--- a/routers/caller/parse.go
+++ b/routers/caller/parse.go
@@ -240,6 +240,7 @@
 	}
 	prompt := promptOf(chat.Messages)
 	r.Model = chat.Model
+	r.MaxTokens = maxTokens
 	r.Prompt = len(prompt)/bytesPerToken + 1
 	r.Bound = uint64(len(prompt) + messageTokens*len(chat.Messages) + requestTokens + maxTokens)
 	r.Digest = digest.Of(body)
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -73,8 +73,10 @@
 	Blocks []target.Block
 	// Prompt is the estimate of the prompt's tokens, Bound the most that the
 	// request can cost.
-	Prompt     int
-	Bound      uint64
+	Prompt int
+	Bound  uint64
+	// MaxTokens is the most it may generate.
+	MaxTokens  int
 	Priority   statev1.Priority
 	Repeatable bool
 	Deadline   time.Time
--- a/services/dispatch/serve.go
+++ b/services/dispatch/serve.go
@@ -100,6 +100,7 @@
 		Organisation: r.Organisation,
 		Interactive:  r.Interactive(),
 		Tokens:       int(r.Bound),
+		Work:         r.MaxTokens,
 		Deadline:     at.d.opts.Clock.Boot() + left,
 	}
 	return at.d.acquire(ctx, it, at.need, func(position int) error {
--- a/services/dispatch/service.go
+++ b/services/dispatch/service.go
@@ -71,7 +71,7 @@
 	if len(candidates) == 0 {
 		return &Refusal{Kind: structs.KindNoTarget, Run: structs.RunNo, RetryAfter: retryKeeper, Message: "no server of service " + r.Service + " is listed now: ask again after the stated time"}
 	}
-	return d.checkQueue(pool, true, 0, r.Deadline)
+	return d.checkQueue(pool, r.Request)
 }
 
 // callService tries servers in turn, as far as the call may be repeated or
--- a/services/dispatch/slots.go
+++ b/services/dispatch/slots.go
@@ -18,28 +18,14 @@
 	"havenwinch.dev/havenwinch/structs"
 )
 
-// pace is how fast a pool ends requests at this box, averaged.
-type pace struct {
-	perSecond float64
-	last      time.Duration
-}
-
-// paceWeight is the weight of the newest interval in the average.
-const paceWeight = 0.1
-
-func (p *pace) done(now time.Duration) {
-	if p.last > 0 && now > p.last {
-		p.perSecond = (1-paceWeight)*p.perSecond + paceWeight/(now-p.last).Seconds()
-	}
-	p.last = now
-}
-
 // slot is a place at a target, for one run.
 type slot struct {
 	target  *target.Target
 	address string
 	prompt  int
 	pool    string
+	work    int
+	begun   time.Duration
 	// scores explain why this target won.
 	scores []target.Score
 }
@@ -49,6 +35,8 @@
 	item  queue.Item
 	need  target.Need
 	given chan *slot
+	// hopeless is closed when the request can't be done in time any more.
+	hopeless chan struct{}
 }
 
 // limits returns the rolled-out values for a pool.
@@ -96,21 +84,22 @@
 	if len(candidates) == 0 {
 		return &Refusal{Kind: structs.KindNoTarget, Run: structs.RunNo, RetryAfter: retryKeeper, Message: "no target has model " + r.Model + " now: ask again after the stated time"}
 	}
-	return d.checkQueue(pool, r.Interactive(), int(r.Bound), r.Deadline)
+	return d.checkQueue(pool, r)
 }
 
-func (d *Dispatcher) checkQueue(pool string, interactive bool, bound int, deadline time.Time) *Refusal {
-	estimate := d.estimate(pool, interactive)
-	left := deadline.Sub(d.opts.Clock.Wall())
+func (d *Dispatcher) checkQueue(pool string, r *Request) *Refusal {
+	p := d.paceOf(pool)
+	estimate := time.Duration(waitMargin * float64(p.wait(d.queue.Load(pool), r.Interactive())))
+	left := r.Deadline.Sub(d.opts.Clock.Wall())
 	if left <= 0 {
 		return &Refusal{Kind: structs.KindDeadlinePast, Run: structs.RunNo, Message: "the deadline has passed: send a later one"}
 	}
-	if estimate > left {
-		return &Refusal{Kind: structs.KindDeadline, Run: structs.RunNo, RetryAfter: estimate - left,
-			Message: fmt.Sprintf("about %s of work waits before this request, longer than its deadline: ask again after the stated time or allow a later deadline", estimate.Round(time.Second))}
+	if needed := estimate + time.Duration(hopeMargin*float64(p.runTime(r.MaxTokens))); estimate > 0 && needed > left {
+		return &Refusal{Kind: structs.KindDeadline, Run: structs.RunNo, RetryAfter: max(needed-left, time.Second),
+			Message: fmt.Sprintf("work for about %s waits before this request, too much for its deadline: ask again after the stated time or allow a later deadline", estimate.Round(time.Millisecond))}
 	}
 	full := d.queue.Len() >= d.opts.Config.Value(state.RolloutQueueRequests) ||
-		d.queue.Tokens()+bound > d.opts.Config.Value(state.RolloutQueueTokens) && d.queue.Len() > 0
+		d.queue.Tokens()+int(r.Bound) > d.opts.Config.Value(state.RolloutQueueTokens) && d.queue.Len() > 0
 	if full {
 		return &Refusal{Kind: structs.KindOverloaded, Run: structs.RunNo, RetryAfter: max(estimate/2, time.Second),
 			Message: "the queue of this box is full: ask again after the stated time"}
@@ -118,19 +107,9 @@
 	return nil
 }
 
-// estimate is the time that the requests ahead will take.
-func (d *Dispatcher) estimate(pool string, interactive bool) time.Duration {
-	ahead := d.queue.Ahead(pool, interactive)
-	p := d.pace[pool]
-	if ahead == 0 || p == nil || p.perSecond == 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead) / p.perSecond * float64(time.Second))
-}
-
 // acquire waits for a slot. alive is called now and then while it waits.
 func (d *Dispatcher) acquire(ctx context.Context, it queue.Item, need target.Need, alive func(position int) error) (*slot, *Refusal) {
-	w := &waiting{item: it, need: need, given: make(chan *slot, 1)}
+	w := &waiting{item: it, need: need, given: make(chan *slot, 1), hopeless: make(chan struct{})}
 	w.item.Payload = w
 	d.mu.Lock()
 	_, pool := d.poolOf(need)
@@ -160,6 +139,8 @@
 			if alive(position) != nil {
 				return d.leaveQueue(w, &Refusal{Kind: structs.KindCancelled, Run: structs.RunNo, Message: "the caller left the queue"})
 			}
+		case <-w.hopeless:
+			return nil, tooLate()
 		case <-expired.C:
 			return d.leaveQueue(w, tooLate())
 		case <-ctx.Done():
@@ -197,19 +178,32 @@
 		if it == nil {
 			return
 		}
-		if d.give(it) {
+		if d.drop(it) || d.give(it) {
 			continue
 		}
 		if it.Interactive {
 			return
 		}
 		it = d.queue.Next(pool, true)
-		if it == nil || !d.give(it) {
+		if it == nil || !(d.drop(it) || d.give(it)) {
 			return
 		}
 	}
 }
 
+// drop gives a request up that can't be done by its deadline any more, so that
+// it is told at once and takes no place from one that can.
+func (d *Dispatcher) drop(it *queue.Item) bool {
+	left := it.Deadline - d.opts.Clock.Boot()
+	needed := time.Duration(hopeMargin * float64(d.paceOf(it.Pool).runTime(it.Work)))
+	if left >= needed {
+		return false
+	}
+	d.queue.Remove(it)
+	close(it.Payload.(*waiting).hopeless)
+	return true
+}
+
 // give finds a target for a waiting request.
 func (d *Dispatcher) give(it *queue.Item) bool {
 	w := it.Payload.(*waiting)
@@ -218,9 +212,14 @@
 	if decision.Target == nil {
 		return false
 	}
+	p := d.paceOf(it.Pool)
+	if d.queue.Load(it.Pool).Batch > 0 {
+		p.picked(!it.Interactive)
+	}
+	p.running++
 	d.queue.Take(it)
 	decision.Target.Begin(w.need.Prompt)
-	w.given <- &slot{target: decision.Target, address: decision.Target.Address, prompt: w.need.Prompt, pool: it.Pool, scores: decision.Scores}
+	w.given <- &slot{target: decision.Target, address: decision.Target.Address, prompt: w.need.Prompt, pool: it.Pool, work: it.Work, begun: d.opts.Clock.Boot(), scores: decision.Scores}
 	return true
 }
 
@@ -236,12 +235,11 @@
 	} else {
 		s.target.Health.Fail(now)
 	}
-	p := d.pace[s.pool]
-	if p == nil {
-		p = &pace{}
-		d.pace[s.pool] = p
+	p := d.paceOf(s.pool)
+	p.running--
+	if sound {
+		p.ran(now-s.begun, s.work)
 	}
-	p.done(now)
 	d.pump(s.pool)
 }
 
