orders, keeper, ledger: fenced orders; a request left memory until its deadline

BenchmarkMemoryGrowth found 58 MB after 20,000 requests and 218 MB after 100,000. Ruled out: the test's disk in memory (compacted earlier: 13 and 26 MB, 42 after 180,000) was a part of it only. Change: one exchange uses the library's codec over our own connection; each record has one due time that moves. What remains possible: a box frozen between reading back and sending reaches a target that does not check; the successor puts it right within 30 s.

--- a/cmd/havenwinch/command.go
+++ b/cmd/havenwinch/command.go
@@ -27,11 +27,12 @@
   set group ORG/NAME budget ORG/NAME [...]
   add key DIGEST to ORG/NAME      remove key DIGEST from ORG/NAME
   drain box|target NAME           undrain box|target NAME
-  rollout NAME = VALUE
+  rollout NAME = VALUE            order TARGET load MODEL:VERSION
+  order TARGET role NAME
 
 Queries:
   show organisations|groups|budgets|allotments|keepers|drains|rollouts|
-       revision|commands|keys
+       revision|commands|keys|orders
        [where COLUMN = VALUE [and ...]] [by COLUMN] [limit N]
 
 Exit codes: 0 done, 1 wrong use, 2 refused, 3 outcome unknown (send it again
--- a/cmd/havenwinchd/box.go
+++ b/cmd/havenwinchd/box.go
@@ -16,6 +16,7 @@
 	"go.uber.org/dig"
 
 	"havenwinch.dev/havenwinch/models/target"
+	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/graceful"
 	"havenwinch.dev/havenwinch/modules/setting"
 	"havenwinch.dev/havenwinch/routers/between"
@@ -23,8 +24,10 @@
 	"havenwinch.dev/havenwinch/services/configuration"
 	"havenwinch.dev/havenwinch/services/control"
 	"havenwinch.dev/havenwinch/services/dispatch"
+	"havenwinch.dev/havenwinch/services/engine"
 	"havenwinch.dev/havenwinch/services/keeper"
 	"havenwinch.dev/havenwinch/services/metrics"
+	"havenwinch.dev/havenwinch/services/orders"
 	"havenwinch.dev/havenwinch/services/peers"
 	"havenwinch.dev/havenwinch/services/platform"
 	"havenwinch.dev/havenwinch/services/timeline"
@@ -56,6 +59,8 @@
 	Caller     *caller.Caller
 	Recorder   *timeline.Recorder
 	Metrics    *metrics.Metrics
+	Engines    *engine.Client
+	Clock      clock.Clock
 }
 
 // box is a running daemon.
@@ -74,6 +79,7 @@
 	caller     *caller.Caller
 	recorder   *timeline.Recorder
 	metrics    *metrics.Metrics
+	orders     *orders.Sender
 
 	// stopping ends what other boxes rely on, after callers are served.
 	stopping context.Context
@@ -99,6 +105,7 @@
 		metrics:    p.Metrics,
 	}
 	b.stopping, b.stopped = context.WithCancel(p.Graceful.Hammer())
+	b.orders = newOrders(b, p.Engines, p.Clock)
 	b.gauges()
 	return b
 }
@@ -193,9 +200,12 @@
 			}
 		})
 	}
-	if b.settings.Has(setting.RoleEntry) || b.settings.Has(setting.RoleKeeper) {
+	if b.settings.PlatformURL != "" {
 		b.spawn(func() { b.poller.Run(b.stopping) })
 	}
+	if b.orders != nil {
+		b.spawn(func() { b.orders.Run(b.stopping) })
+	}
 	if b.settings.Has(setting.RoleEntry) {
 		b.spawn(func() { b.dispatcher.Run(b.stopping) })
 		b.spawn(func() { b.refresh(b.stopping) })
--- a/cmd/havenwinchd/wire.go
+++ b/cmd/havenwinchd/wire.go
@@ -34,6 +34,7 @@
 	"havenwinch.dev/havenwinch/services/engine"
 	"havenwinch.dev/havenwinch/services/keeper"
 	"havenwinch.dev/havenwinch/services/metrics"
+	"havenwinch.dev/havenwinch/services/orders"
 	"havenwinch.dev/havenwinch/services/peers"
 	"havenwinch.dev/havenwinch/services/platform"
 	"havenwinch.dev/havenwinch/services/timeline"
@@ -254,6 +255,21 @@
 	})
 }
 
+// newOrders returns nil on a box without the role control.
+func newOrders(b *box, engines *engine.Client, c clock.Clock) *orders.Sender {
+	if b.control.Node == nil {
+		return nil
+	}
+	return orders.New(orders.Options{
+		Lease:    b.control.Node,
+		States:   b.control.Machine,
+		Targets:  &engine.Orders{Client: engines, Address: b.dispatcher.AddressOf},
+		Clock:    c,
+		Recorder: b.recorder,
+		Logger:   b.logger,
+	})
+}
+
 func newAdmin(b *box) *admin.Admin {
 	return admin.New(admin.Options{
 		Control:   b.client,
--- a/models/language/language.go
+++ b/models/language/language.go
@@ -39,6 +39,7 @@
 	Drain   *drainTree   `parser:"| 'drain' @@"`
 	Undrain *drainTree   `parser:"| 'undrain' @@"`
 	Rollout *rolloutTree `parser:"| 'rollout' @@"`
+	Order   *orderTree   `parser:"| 'order' @@"`
 }
 
 type createTree struct {
@@ -86,6 +87,12 @@
 	Name string `parser:"@(Word | Number)"`
 }
 
+type orderTree struct {
+	Target string `parser:"@(Word | Number)"`
+	Kind   string `parser:"@( 'load' | 'role' )"`
+	Value  string `parser:"@(Word | Number)"`
+}
+
 type rolloutTree struct {
 	Name  string `parser:"@Word"`
 	Value string `parser:"'='? @( Word | Number )"`
@@ -93,7 +100,7 @@
 
 // Query is a parsed query.
 type Query struct {
-	Subject string   `parser:"'show' @( 'organisations' | 'groups' | 'budgets' | 'allotments' | 'keepers' | 'drains' | 'rollouts' | 'revision' | 'commands' | 'keys' )"`
+	Subject string   `parser:"'show' @( 'organisations' | 'groups' | 'budgets' | 'allotments' | 'keepers' | 'drains' | 'rollouts' | 'revision' | 'commands' | 'keys' | 'orders' )"`
 	Filters []Filter `parser:"( 'where' @@ ( 'and' @@ )* )?"`
 	Order   string   `parser:"( 'by' @Word )?"`
 	Limit   int      `parser:"( 'limit' @Number )?"`
@@ -190,6 +197,8 @@
 	case t.Rollout != nil:
 		row := &statev1.Rollout{Name: t.Rollout.Name, Value: t.Rollout.Value}
 		c.Action = &statev1.Command_PutRollout{PutRollout: &statev1.PutRollout{Rollout: row}}
+	case t.Order != nil:
+		c.Action = t.Order.action()
 	}
 }
 
@@ -241,6 +250,14 @@
 	return &statev1.Command_PutKey{PutKey: &statev1.PutKey{Key: key}}
 }
 
+func (t *orderTree) action() *statev1.Command_PutOrder {
+	o := &statev1.Order{Target: t.Target, Kind: statev1.Order_KIND_LOAD, Value: t.Value}
+	if t.Kind == "role" {
+		o.Kind = statev1.Order_KIND_ROLE
+	}
+	return &statev1.Command_PutOrder{PutOrder: &statev1.PutOrder{Order: o}}
+}
+
 func (t *drainTree) action(ended bool) *statev1.Command_PutDrain {
 	d := &statev1.Drain{Kind: statev1.Drain_KIND_TARGET, Name: t.Name, Ended: ended}
 	if t.Kind == "box" {
--- a/models/ledger/ledger.go
+++ b/models/ledger/ledger.go
@@ -52,6 +52,7 @@
 	// pending holds the keys of records whose home must still be asked.
 	pending  map[string]bool
 	expiries expiryHeap
+	due      map[string]*expiry
 	dirty    map[string]bool
 	dirtyUse map[string]bool
 }
@@ -94,6 +95,7 @@
 		beats:       map[string]time.Duration{},
 		began:       boot,
 		pending:     map[string]bool{},
+		due:         map[string]*expiry{},
 		dirty:       map[string]bool{},
 		dirtyUse:    map[string]bool{},
 	}
@@ -146,7 +148,7 @@
 // the open requests of its box and the due time of its removal.
 func (l *Ledger) put(r *statev1.RequestRecord) {
 	key := keyOf(r)
-	l.remove(key)
+	l.detach(key)
 	l.Requests[key] = r
 	if IsOpen(r) {
 		l.Budget(r.GetBudget()).Reserved += r.GetBound()
@@ -155,9 +157,9 @@
 			l.open[r.GetBox()] = map[string]bool{}
 		}
 		l.open[r.GetBox()][key] = true
-		heap.Push(&l.expiries, expiry{at: r.GetDeadline() + reservedGrace, key: key})
+		l.schedule(key, r.GetDeadline()+reservedGrace)
 	} else {
-		heap.Push(&l.expiries, expiry{at: r.GetChanged() + l.opts.Window.Milliseconds(), key: key})
+		l.schedule(key, r.GetChanged()+l.opts.Window.Milliseconds())
 	}
 	if r.GetForeignHome() != "" && r.GetState() != statev1.RequestState_REQUEST_STATE_RELEASED {
 		l.pending[key] = true
@@ -173,11 +175,17 @@
 }
 
 func (l *Ledger) remove(key string) {
+	l.detach(key)
+	l.unschedule(key)
+	delete(l.Requests, key)
+}
+
+// detach takes back what put has derived from a record.
+func (l *Ledger) detach(key string) {
 	r := l.Requests[key]
 	if r == nil {
 		return
 	}
-	delete(l.Requests, key)
 	delete(l.pending, key)
 	if !IsOpen(r) {
 		return
@@ -205,29 +213,58 @@
 	return n
 }
 
-// expiry is a record's due time of removal, in Unix milliseconds.
+// expiry is a record's due time of a look, in Unix milliseconds. Each record
+// has one, which moves with its state.
 type expiry struct {
-	at  int64
-	key string
+	at    int64
+	key   string
+	index int
 }
 
-type expiryHeap []expiry
+type expiryHeap []*expiry
 
 func (h expiryHeap) Len() int           { return len(h) }
 func (h expiryHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
 
 // Push implements heap.Interface.
-func (h *expiryHeap) Push(x any) { *h = append(*h, x.(expiry)) }
+func (h *expiryHeap) Push(x any) {
+	e := x.(*expiry)
+	e.index = len(*h)
+	*h = append(*h, e)
+}
 
 // Pop implements heap.Interface.
 func (h *expiryHeap) Pop() any {
 	old := *h
 	last := old[len(old)-1]
+	old[len(old)-1] = nil
 	*h = old[:len(old)-1]
 	return last
 }
 
+// schedule sets when a record is looked at next.
+func (l *Ledger) schedule(key string, at int64) {
+	if e := l.due[key]; e != nil {
+		e.at = at
+		heap.Fix(&l.expiries, e.index)
+		return
+	}
+	e := &expiry{at: at, key: key}
+	l.due[key] = e
+	heap.Push(&l.expiries, e)
+}
+
+func (l *Ledger) unschedule(key string) {
+	if e := l.due[key]; e != nil {
+		heap.Remove(&l.expiries, e.index)
+		delete(l.due, key)
+	}
+}
+
 // reservedGrace is how long after its deadline, in milliseconds, a reservation
 // that was never started is released.
 const reservedGrace = 60_000
@@ -237,29 +274,26 @@
 // at.
 func (l *Ledger) Expire(now Times) []*statev1.LedgerRecord {
 	var records []*statev1.LedgerRecord
-	for len(l.expiries) > 0 && l.expiries[0].at <= now.Wall.UnixMilli() {
-		due := heap.Pop(&l.expiries).(expiry)
-		records = append(records, l.expire(due, now)...)
+	milli := now.Wall.UnixMilli()
+	for len(l.expiries) > 0 && l.expiries[0].at <= milli {
+		key := l.expiries[0].key
+		// What stays is looked at again later.
+		l.schedule(key, milli+reservedGrace)
+		records = append(records, l.expire(key, now)...)
 	}
 	return records
 }
 
-func (l *Ledger) expire(due expiry, now Times) []*statev1.LedgerRecord {
-	r := l.Requests[due.key]
-	milli := now.Wall.UnixMilli()
+func (l *Ledger) expire(key string, now Times) []*statev1.LedgerRecord {
+	r := l.Requests[key]
 	switch {
-	case r == nil:
-		return nil
-	case r.GetState() == statev1.RequestState_REQUEST_STATE_RESERVED && r.GetDeadline()+reservedGrace <= milli:
+	case r.GetState() == statev1.RequestState_REQUEST_STATE_RESERVED:
 		return l.Settle(r.GetGroup(), r.GetKey(), Bill{Attempt: r.GetAttempt(), NotRun: true}, now).Records
-	case IsOpen(r) || r.GetChanged()+l.opts.Window.Milliseconds() > milli:
-		return nil
-	case l.pending[due.key]:
-		heap.Push(&l.expiries, expiry{at: milli + reservedGrace, key: due.key})
+	case IsOpen(r) || l.pending[key]:
 		return nil
 	}
-	l.remove(due.key)
-	return []*statev1.LedgerRecord{{Forget: due.key}}
+	l.remove(key)
+	return []*statev1.LedgerRecord{{Forget: key}}
 }
 
 // Snapshot returns the whole ledger.
--- a/models/state/command.go
+++ b/models/state/command.go
@@ -126,6 +126,8 @@
 		return s.putDrain(a.PutDrain.GetDrain())
 	case *statev1.Command_PutRollout:
 		return s.putRollout(a.PutRollout.GetRollout())
+	case *statev1.Command_PutOrder:
+		return s.putOrder(a.PutOrder.GetOrder())
 	default:
 		return "", refuse(RefusalInvalid, "the command holds no action")
 	}
@@ -264,6 +266,20 @@
 	return fmt.Sprintf("%s is %s", r.GetName(), r.GetValue()), nil
 }
 
+// OrderKey is the key of an order's row.
+func OrderKey(o *statev1.Order) string { return o.GetTarget() + "/" + o.GetKind().String() }
+
+// putOrder replaces the former order of the same kind under a higher token.
+func (s *State) putOrder(o *statev1.Order) (string, *refused) {
+	if !simpleName.MatchString(o.GetTarget()) {
+		return "", badName("target", o.GetTarget(), "lower-case letters, digits, dots and dashes")
+	}
+	s.LastToken++
+	row := &statev1.Order{Target: o.GetTarget(), Kind: o.GetKind(), Value: o.GetValue(), Token: s.LastToken}
+	s.Orders[OrderKey(row)] = row
+	return fmt.Sprintf("order %d for %s is recorded", row.GetToken(), row.GetTarget()), nil
+}
+
 func (s *State) checkPath(what, name string) *refused {
 	if !pathName.MatchString(name) {
 		return badName(what, name, "organisation/name in lower-case letters, digits, dots and dashes")
--- a/models/state/state.go
+++ b/models/state/state.go
@@ -40,6 +40,10 @@
 	Usages        map[UsageKey]*statev1.GroupUsage
 	Results       map[string][]*statev1.CommandResult
 	Changes       []*statev1.Change
+	// Orders holds the newest order of each kind to a target.
+	Orders map[string]*statev1.Order
+	// LastToken is the fencing token of the newest order.
+	LastToken uint64
 	// Untold holds, by holder, the budgets it was granted tokens of without
 	// having asked and has not reported since.
 	Untold map[string]map[string]bool
@@ -64,6 +68,7 @@
 		Usages:        map[UsageKey]*statev1.GroupUsage{},
 		Results:       map[string][]*statev1.CommandResult{},
 		Untold:        map[string]map[string]bool{},
+		Orders:        map[string]*statev1.Order{},
 	}
 }
 
@@ -188,6 +193,7 @@
 		fresh.Keepers[r.GetBox()] = r
 	}
 	fresh.Budgets, fresh.Usages, fresh.Results, fresh.Untold = s.Budgets, s.Usages, s.Results, s.Untold
+	fresh.Orders, fresh.LastToken = s.Orders, s.LastToken
 	fresh.Revision = c.GetRevision()
 	*s = *fresh
 }
@@ -214,6 +220,7 @@
 	from := max(0, len(s.Changes)-MaxChanges)
 	snapshot.Changes = s.Changes[from:]
 	snapshot.Untold = s.untoldRows()
+	snapshot.Orders, snapshot.LastToken = Sorted(s.Orders), s.LastToken
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	return data, errors.WithStack(err)
 }
@@ -239,6 +246,10 @@
 		s.Results[r.GetOperator()] = append(s.Results[r.GetOperator()], r)
 	}
 	s.Changes = snapshot.GetChanges()
+	s.LastToken = snapshot.GetLastToken()
+	for _, o := range snapshot.GetOrders() {
+		s.Orders[OrderKey(o)] = o
+	}
 	for _, row := range snapshot.GetUntold() {
 		for _, budget := range row.GetBudgets() {
 			s.tell(row.GetHolder(), budget)
--- a/routers/caller/bench_test.go
+++ b/routers/caller/bench_test.go
@@ -101,8 +101,8 @@
 	b.ReportMetric(float64(b.N)/time.Since(begin).Seconds(), "requests/s")
 }
 
-// BenchmarkMemoryGrowth sends 100,000 requests and compares the heap after the
-// first fifth with the end. Records stay for the key window, which is short
+// BenchmarkMemoryGrowth sends 180,000 requests and compares the heap after
+// 20,000, 100,000 and 180,000. Records stay for the key window, which is short
 // here, so that a leak shows and the window does not.
 func BenchmarkMemoryGrowth(b *testing.B) {
 	instant := standin.Options{Slots: 512, PrefillPerSecond: 1 << 30, CacheBlocks: 64, Keep: time.Second}
@@ -129,6 +129,8 @@
 		send(80_000)
 		b.ReportMetric(float64(before)/(1<<20), "MB-after-20k")
 		b.ReportMetric(float64(heap())/(1<<20), "MB-after-100k")
+		send(80_000)
+		b.ReportMetric(float64(heap())/(1<<20), "MB-after-180k")
 	}
 }
 
--- a/services/control/query.go
+++ b/services/control/query.go
@@ -76,6 +76,7 @@
 	"revision":      revision,
 	"commands":      commands,
 	"keys":          keys,
+	"orders":        orders,
 }
 
 func organisations(st *state.State) *table {
@@ -202,6 +203,18 @@
 	return t
 }
 
+func orders(st *state.State) *table {
+	t := &table{columns: []string{"target", "kind", "value", "token"}}
+	for _, o := range state.Sorted(st.Orders) {
+		kind := "load"
+		if o.GetKind() == statev1.Order_KIND_ROLE {
+			kind = "role"
+		}
+		t.add(o.GetTarget(), kind, o.GetValue(), number(o.GetToken()))
+	}
+	return t
+}
+
 func keys(st *state.State) *table {
 	t := &table{columns: []string{"group", "digest"}}
 	for _, k := range state.Sorted(st.Keys) {
--- a/services/dispatch/follow.go
+++ b/services/dispatch/follow.go
@@ -30,7 +30,7 @@
 	name := at.a.record.GetTarget()
 	at.record("taken over", fmt.Sprintf("run %d at %s", at.runs, name))
 	out := outcome{target: name, replay: true}
-	address := at.d.addressOf(name)
+	address := at.d.AddressOf(name)
 	if address == "" {
 		out.err = errors.New("the target is no longer listed")
 		return at.broken(ctx, out)
@@ -63,7 +63,7 @@
 		return Result{}, refusal
 	}
 	d.opts.Recorder.Record("following", a.Request.ID, fmt.Sprintf("run %d at %s", record.GetRuns(), record.GetTarget()))
-	address := d.addressOf(record.GetTarget())
+	address := d.AddressOf(record.GetTarget())
 	if address == "" {
 		return Result{}, gone(record)
 	}
@@ -117,7 +117,7 @@
 
 // Answer streams the answer of a recorded request from after an event on.
 func (d *Dispatcher) Answer(ctx context.Context, record *statev1.RequestRecord, after int) (*engine.Stream, *Refusal) {
-	address := d.addressOf(record.GetTarget())
+	address := d.AddressOf(record.GetTarget())
 	if address == "" || record.GetRuns() == 0 {
 		return nil, gone(record)
 	}
@@ -130,7 +130,7 @@
 
 // Cancel ends the run of a recorded request; whoever runs it settles it.
 func (d *Dispatcher) Cancel(ctx context.Context, record *statev1.RequestRecord) *Refusal {
-	address := d.addressOf(record.GetTarget())
+	address := d.AddressOf(record.GetTarget())
 	if address == "" {
 		return &Refusal{Kind: structs.KindRunning, Run: structs.RunUnknown, RetryAfter: retryStop,
 			Message: "the request has no target yet: ask again after the stated time"}
@@ -143,7 +143,7 @@
 
 // Recover implements keeper.Recoverer: what became of a run whose box died.
 func (d *Dispatcher) Recover(ctx context.Context, record *statev1.RequestRecord, abandon bool) (keeper.Recovery, error) {
-	address := d.addressOf(record.GetTarget())
+	address := d.AddressOf(record.GetTarget())
 	if address == "" {
 		return keeper.Recovery{}, errors.Errorf("target %s is not listed", record.GetTarget())
 	}
--- a/services/dispatch/serve.go
+++ b/services/dispatch/serve.go
@@ -362,7 +362,7 @@
 	if out.seen > 0 {
 		run = structs.RunYes
 	}
-	address := at.d.addressOf(out.target)
+	address := at.d.AddressOf(out.target)
 	if address == "" {
 		return at.a.Request.Bound, run
 	}
@@ -409,8 +409,8 @@
 	return resp.GetRequest()
 }
 
-// addressOf returns a target's address, empty when it is not known.
-func (d *Dispatcher) addressOf(name string) string {
+// AddressOf returns a target's address, empty when it is not known.
+func (d *Dispatcher) AddressOf(name string) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if t := d.targets.Targets[name]; t != nil {
--- a/services/engine/engine.go
+++ b/services/engine/engine.go
@@ -12,7 +12,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"strconv"
 	"time"
@@ -27,6 +26,7 @@
 	// token, while it queues and prefills, and between tokens.
 	quietTimeout = 2 * time.Minute
 	askTimeout   = 2 * time.Second
+	readBuffer   = 4096
 	// maxLine bounds one line of a stream, in bytes.
 	maxLine = 1 << 20
 	// maxServiceBody bounds an answer of a plain service, in bytes.
@@ -128,10 +128,12 @@
 
 func dial(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, dialTimeout) }
 
-// single is a client for exactly one exchange over one connection.
+// single is one exchange over a connection of its own. It uses the library's
+// codec and none of its clients, which keep connections and a goroutine each.
 type single struct {
-	host *fasthttp.HostClient
-	conn net.Conn
+	conn   net.Conn
+	reader *bufio.Reader
+	quiet  time.Duration
 }
 
 // newSingle dials; a failure here is certain not to have sent anything.
@@ -141,29 +143,30 @@
 	if err != nil {
 		return nil, errors.WithStack(ErrNotSent{Cause: err})
 	}
-	s := &single{conn: conn}
-	used := false
-	s.host = &fasthttp.HostClient{
-		Addr: address,
-		Dial: func(string) (net.Conn, error) {
-			if used {
-				return nil, errors.New("a second connection is never dialled for one request")
-			}
-			used = true
-			return conn, nil
-		},
-		MaxConns:                  1,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                neverRetry,
-		StreamResponseBody:        true,
-		ReadTimeout:               quiet,
-		WriteTimeout:              askTimeout,
-		MaxResponseBodySize:       maxServiceBody,
-		NoDefaultUserAgentHeader:  true,
+	return &single{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), quiet: quiet}, nil
+}
+
+// do sends a request once and reads the answer, or its headers when the
+// answer's body is streamed.
+func (s *single) do(req *fasthttp.Request, resp *fasthttp.Response) error {
+	req.SetConnectionClose()
+	if err := s.conn.SetWriteDeadline(time.Now().Add(askTimeout)); err != nil {
+		return err
+	}
+	w := bufio.NewWriterSize(s.conn, readBuffer)
+	if err := req.Write(w); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return err
 	}
-	return s, nil
+	s.patience()
+	return resp.ReadLimitBody(s.reader, maxServiceBody)
 }
 
+// patience sets how long the next read may take.
+func (s *single) patience() { _ = s.conn.SetReadDeadline(time.Now().Add(s.quiet)) }
+
 func (s *single) close() { _ = s.conn.Close() }
 
 // Stream is an answer on its way.
@@ -172,7 +175,6 @@
 	single *single
 	resp   *fasthttp.Response
 	lines  *bufio.Reader
-	body   io.Reader
 	stop   func() bool
 	last   int
 }
@@ -210,11 +212,12 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, s.close)
-	resp := fasthttp.AcquireResponse()
-	if err := s.host.Do(req, resp); err != nil {
+	// Not taken from the library's pool: a reader may still hold it when the
+	// stream is closed from elsewhere.
+	resp := &fasthttp.Response{StreamBody: true}
+	if err := s.do(req, resp); err != nil {
 		stop()
 		s.close()
-		fasthttp.ReleaseResponse(resp)
 		return nil, errors.WithStack(ErrBroken{Cause: err})
 	}
 	if code := resp.StatusCode(); code != fasthttp.StatusOK {
@@ -222,8 +225,7 @@
 		s.close()
 		return nil, errors.WithStack(ErrStatus{Code: code, NotRun: code >= 400 && code < 500})
 	}
-	body := resp.BodyStream()
-	return &Stream{id: id, single: s, resp: resp, body: body, lines: bufio.NewReaderSize(body, 4096), stop: stop, last: after}, nil
+	return &Stream{id: id, single: s, resp: resp, lines: bufio.NewReaderSize(resp.BodyStream(), readBuffer), stop: stop, last: after}, nil
 }
 
 // Close ends reading. The connection is closed, never given back.
@@ -245,6 +247,7 @@
 // end without the engine's mark is an ErrBroken.
 func (s *Stream) Next() (Event, error) {
 	event := Event{Sequence: s.last + 1}
+	s.single.patience()
 	for {
 		line, err := s.readLine()
 		if err != nil {
@@ -375,11 +378,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
 	req.SetRequestURI(url)
-	deadline := time.Now().Add(askTimeout)
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
-	}
-	if err := c.asks.DoDeadline(req, resp, deadline); err != nil {
+	if err := c.asks.DoDeadline(req, resp, deadlineOf(ctx)); err != nil {
 		return errors.WithStack(ErrBroken{Cause: err})
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- /dev/null
+++ b/services/engine/orders.go
@@ -0,0 +1,87 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+)
+
+// Orders brings orders to targets by their names. It implements
+// orders.Targets.
+type Orders struct {
+	Client *Client
+	// Address returns a target's address, empty when it is not listed.
+	Address func(target string) string
+}
+
+// wireOrder is an order on the wire.
+type wireOrder struct {
+	Token uint64 `json:"token"`
+	Kind  string `json:"kind"`
+	Value string `json:"value"`
+}
+
+func kindName(kind statev1.Order_Kind) string {
+	if kind == statev1.Order_KIND_ROLE {
+		return "role"
+	}
+	return "load"
+}
+
+// Send brings one order to a target.
+func (o *Orders) Send(ctx context.Context, target string, order *statev1.Order) error {
+	address := o.Address(target)
+	if address == "" {
+		return errors.Errorf("target %s is not listed", target)
+	}
+	body, err := json.Marshal(wireOrder{Token: order.GetToken(), Kind: kindName(order.GetKind()), Value: order.GetValue()})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return o.Client.post(ctx, "http://"+address+"/orders", body)
+}
+
+// InForce reads back which order of a kind a target has carried out, zero for
+// none.
+func (o *Orders) InForce(ctx context.Context, target string, kind statev1.Order_Kind) (uint64, error) {
+	address := o.Address(target)
+	if address == "" {
+		return 0, errors.Errorf("target %s is not listed", target)
+	}
+	var order wireOrder
+	err := o.Client.ask(ctx, fasthttp.MethodGet, "http://"+address+"/orders/"+kindName(kind), &order)
+	return order.Token, err
+}
+
+func (c *Client) post(ctx context.Context, url string, body []byte) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI(url)
+	req.SetBodyRaw(body)
+	if err := c.asks.DoDeadline(req, resp, deadlineOf(ctx)); err != nil {
+		return errors.WithStack(ErrBroken{Cause: err})
+	}
+	if resp.StatusCode() >= fasthttp.StatusBadRequest {
+		return errors.WithStack(ErrStatus{Code: resp.StatusCode()})
+	}
+	return nil
+}
+
+// deadlineOf returns a context's deadline, at most askTimeout from now.
+func deadlineOf(ctx context.Context) time.Time {
+	deadline := time.Now().Add(askTimeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		return d
+	}
+	return deadline
+}
--- a/services/engine/service.go
+++ b/services/engine/service.go
@@ -38,7 +38,6 @@
 	defer s.close()
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
-	s.host.StreamResponseBody = false
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -49,7 +48,7 @@
 		req.Header.SetContentType(call.ContentType)
 	}
 	req.SetBodyRaw(call.Body)
-	if err := s.host.Do(req, resp); err != nil {
+	if err := s.do(req, resp); err != nil {
 		return nil, errors.WithStack(ErrBroken{Cause: err})
 	}
 	return &ServiceAnswer{
--- a/services/keeper/keeper.go
+++ b/services/keeper/keeper.go
@@ -294,6 +294,16 @@
 	return Stats{Budgets: len(k.ledger.Budgets), Records: len(k.ledger.Requests), Open: k.ledger.Open()}
 }
 
+// Waiting returns how many requests wait for tokens of a budget.
+func (k *Keeper) Waiting(budget string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if q := k.queues[budget]; q != nil {
+		return q.Len()
+	}
+	return 0
+}
+
 // Syncs returns how many syncs of the disk took place.
 func (k *Keeper) Syncs() uint64 { return k.committer.Syncs() }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -64,8 +64,8 @@
 	order   uint64
 	cache   prefixCache
 	faults  *faults
-	token   uint64
-	orders  []string
+	orders  []Order
+	inForce map[string]Order
 	// Served counts runs that were begun, Received requests that were read.
 	served   int
 	received int
@@ -78,7 +78,7 @@
 	if opts.Keep == 0 {
 		opts.Keep = 10 * time.Minute
 	}
-	return &Engine{opts: opts, runs: map[string]*Run{}, cache: newPrefixCache(opts.CacheBlocks), faults: &faults{}}
+	return &Engine{opts: opts, runs: map[string]*Run{}, cache: newPrefixCache(opts.CacheBlocks), faults: &faults{}, inForce: map[string]Order{}}
 }
 
 // Prompt is what a run is asked for.
@@ -310,23 +310,37 @@
 	return e.running, e.waiting.Len(), promptQueued
 }
 
-// Order takes a fenced order. An engine that checks turns old tokens away.
-func (e *Engine) Order(token uint64, order string) bool {
+// Order is a fenced order.
+type Order struct {
+	Token uint64 `json:"token"`
+	Kind  string `json:"kind"`
+	Value string `json:"value"`
+}
+
+// Order takes an order. An engine that checks turns old tokens away.
+func (e *Engine) Order(o Order) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.opts.ChecksOrders && token < e.token {
+	if e.opts.ChecksOrders && o.Token < e.inForce[o.Kind].Token {
 		return false
 	}
-	e.token = max(e.token, token)
-	e.orders = append(e.orders, order)
+	e.inForce[o.Kind] = o
+	e.orders = append(e.orders, o)
 	return true
 }
 
-// Orders returns the orders that were carried out.
-func (e *Engine) Orders() []string {
+// Orders returns the orders that were carried out, in their order.
+func (e *Engine) Orders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Order(nil), e.orders...)
+}
+
+// InForce returns the last order of a kind.
+func (e *Engine) InForce(kind string) Order {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]string(nil), e.orders...)
+	return e.inForce[kind]
 }
 
 // runHeap orders waiting runs by priority, then arrival.
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -69,6 +69,7 @@
 	mux.HandleFunc("GET /load", e.load)
 	mux.HandleFunc("GET /cache/events", e.events)
 	mux.HandleFunc("POST /orders", e.takeOrder)
+	mux.HandleFunc("GET /orders/{kind}", func(w http.ResponseWriter, r *http.Request) { reply(w, e.InForce(r.PathValue("kind"))) })
 	mux.HandleFunc("POST /fault", e.setFault)
 	return mux
 }
@@ -215,15 +216,12 @@
 }
 
 func (e *Engine) takeOrder(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Token uint64 `json:"token"`
-		Order string `json:"order"`
-	}
+	var body Order
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if !e.Order(body.Token, body.Order) {
+	if !e.Order(body) {
 		http.Error(w, "an order with a newer token was taken before", http.StatusConflict)
 		return
 	}
--- a/tests/integration/death_test.go
+++ b/tests/integration/death_test.go
@@ -99,6 +99,34 @@
 	}
 }
 
+// TestFrozenLeaderSendsNoStaleOrder orders loads before, during and after a
+// freeze of the leader: no engine, whether it checks tokens or not, carries an
+// older order out after a newer one.
+func TestFrozenLeaderSendsNoStaleOrder(t *testing.T) {
+	b := newBench(t, three(), quickEngine, 1000)
+	inForce := func(value string) func() bool {
+		return func() bool { return b.engines["dc-a"].InForce("load").Value == value }
+	}
+	b.command("order engine-dc-a load m1:1")
+	b.eventually("the first order is carried out", inForce("m1:1"))
+	old := b.leader()
+	b.command("order engine-dc-a load m1:2")
+	b.ok(b.fleet.Signal(old, syscall.SIGSTOP))
+	b.eventually("another box leads", func() bool { return b.findLeader(old) != "" })
+	b.command("order engine-dc-a load m1:3")
+	b.eventually("the third order is carried out", inForce("m1:3"))
+	b.ok(b.fleet.Signal(old, syscall.SIGCONT))
+	b.command("order engine-dc-a load m1:4")
+	b.eventually("the fourth order is carried out", inForce("m1:4"))
+	last := uint64(0)
+	for _, o := range b.engines["dc-a"].Orders() {
+		if o.Token < last {
+			t.Errorf("order %d was carried out after %d", o.Token, last)
+		}
+		last = o.Token
+	}
+}
+
 // TestControlDiskLostThenAnotherBox strips one box of its disk, waits for its
 // repair, and then loses a second box: nothing that was accepted is gone.
 func TestControlDiskLostThenAnotherBox(t *testing.T) {
--- a/tests/single/single.go
+++ b/tests/single/single.go
@@ -203,7 +203,7 @@
 	s.Keeper, err = keeper.New(keeper.Options{
 		Box: Box, DataCentre: DataCentre, Address: "127.0.0.1:1", Disk: s.Disk, Clock: clock.System{},
 		Control: &controlCalls{service: s.Control}, Homes: remote, Recoverer: s.Dispatcher, Recorder: s.Recorder, Logger: s.Logger,
-		Incarnation: uuid.NewString, Ledger: ledger.Options{Window: opts.Window, BoxTimeout: 3 * time.Second}, SyncInterval: 20 * time.Millisecond,
+		Incarnation: uuid.NewString, Ledger: ledger.Options{Window: opts.Window, BoxTimeout: 3 * time.Second}, SyncInterval: 20 * time.Millisecond, CompactAfter: 1 << 20,
 	})
 	if err != nil {
 		s.T.Fatal(err)
