--- a/models/ledger/escrow_test.go
+++ b/models/ledger/escrow_test.go
@@ -198,7 +198,7 @@
 		w.reports = append(w.reports[:i], w.reports[i+1:]...)
 	}
 	w.state.Apply(&statev1.Entry{Kind: &statev1.Entry_Sync{Sync: m}})
-	if a := w.state.Budgets[budgetName].Allotments[m.GetHolder()]; a != nil {
+	if a := w.state.Budgets[budgetName].Of(m.GetHolder()); a != nil {
 		w.rows = append(w.rows, row{holder: m.GetHolder(), allotted: a.GetAllotted()})
 	}
 }
--- a/models/state/budget.go
+++ b/models/state/budget.go
@@ -4,6 +4,9 @@
 package state
 
 import (
+	"slices"
+	"strings"
+
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 )
 
@@ -12,25 +15,27 @@
 // at least what all holders together were allotted and have not returned, and
 // a holder spends only from that, so no cut can lead to overspending.
 type Budget struct {
-	Name       string
-	Granted    uint64
-	Allotments map[string]*statev1.Allotment
+	Name    string
+	Granted uint64
+	// Allotments stand in the order of their holders' names; a budget has few,
+	// and a table for each would take more memory than the rows.
+	Allotments []*statev1.Allotment
 	// held is the sum over all holders of allotted less returned.
 	held uint64
 }
 
 func newBudget(name string, tokens uint64) *Budget {
-	return &Budget{Name: name, Granted: tokens, Allotments: map[string]*statev1.Allotment{}}
+	return &Budget{Name: name, Granted: tokens}
 }
 
 func (b *Budget) row() *statev1.Budget {
-	return &statev1.Budget{Name: b.Name, Granted: b.Granted, Allotments: Sorted(b.Allotments)}
+	return &statev1.Budget{Name: b.Name, Granted: b.Granted, Allotments: b.Allotments}
 }
 
 func budgetOf(row *statev1.Budget) *Budget {
 	b := newBudget(row.GetName(), row.GetGranted())
 	for _, a := range row.GetAllotments() {
-		b.Allotments[a.GetHolder()] = a
+		b.insert(a)
 		b.held += Held(a)
 	}
 	return b
@@ -54,11 +59,30 @@
 	return spent
 }
 
+// Of returns a holder's row, nil when it has none.
+func (b *Budget) Of(holder string) *statev1.Allotment {
+	if at, found := b.find(holder); found {
+		return b.Allotments[at]
+	}
+	return nil
+}
+
+func (b *Budget) find(holder string) (int, bool) {
+	return slices.BinarySearchFunc(b.Allotments, holder, func(a *statev1.Allotment, wanted string) int {
+		return strings.Compare(a.GetHolder(), wanted)
+	})
+}
+
+func (b *Budget) insert(a *statev1.Allotment) {
+	at, _ := b.find(a.GetHolder())
+	b.Allotments = slices.Insert(b.Allotments, at, a)
+}
+
 func (b *Budget) allotment(holder string) *statev1.Allotment {
-	a := b.Allotments[holder]
+	a := b.Of(holder)
 	if a == nil {
 		a = &statev1.Allotment{Holder: holder}
-		b.Allotments[holder] = a
+		b.insert(a)
 	}
 	return a
 }
@@ -152,9 +176,14 @@
 }
 
 func (s *State) putUsage(holder string, u *statev1.GroupUsage) {
-	key := UsageKey{Group: u.GetGroup(), Holder: holder}
-	old := s.Usages[key]
-	s.Usages[key] = &statev1.GroupUsage{
+	rows := s.Usages[u.GetGroup()]
+	at := slices.IndexFunc(rows, func(row *statev1.GroupUsage) bool { return row.GetHolder() == holder })
+	if at < 0 {
+		at = len(rows)
+		rows = append(rows, nil)
+	}
+	old := rows[at]
+	rows[at] = &statev1.GroupUsage{
 		Group:      u.GetGroup(),
 		Holder:     holder,
 		Spent:      max(old.GetSpent(), u.GetSpent()),
@@ -163,6 +192,7 @@
 		Waiting:    u.GetWaiting(),
 		WrittenOff: max(old.GetWrittenOff(), u.GetWrittenOff()),
 	}
+	s.Usages[u.GetGroup()] = rows
 }
 
 func (s *State) inForce(holder string) bool {
--- a/models/state/state.go
+++ b/models/state/state.go
@@ -37,9 +37,10 @@
 	Rollouts      map[string]*statev1.Rollout
 	Keepers       map[string]*statev1.KeeperMember
 	Budgets       map[string]*Budget
-	Usages        map[UsageKey]*statev1.GroupUsage
-	Results       map[string][]*statev1.CommandResult
-	Changes       []*statev1.Change
+	// Usages holds, by group, what each holder has counted.
+	Usages  map[string][]*statev1.GroupUsage
+	Results map[string][]*statev1.CommandResult
+	Changes []*statev1.Change
 	// Orders holds the newest order of each kind to a target.
 	Orders map[string]*statev1.Order
 	// LastToken is the fencing token of the newest order.
@@ -49,12 +50,6 @@
 	Untold map[string]map[string]bool
 }
 
-// UsageKey names one holder's count for one group.
-type UsageKey struct {
-	Group  string
-	Holder string
-}
-
 // New returns an empty state.
 func New() *State {
 	return &State{
@@ -65,7 +60,7 @@
 		Rollouts:      map[string]*statev1.Rollout{},
 		Keepers:       map[string]*statev1.KeeperMember{},
 		Budgets:       map[string]*Budget{},
-		Usages:        map[UsageKey]*statev1.GroupUsage{},
+		Usages:        map[string][]*statev1.GroupUsage{},
 		Results:       map[string][]*statev1.CommandResult{},
 		Untold:        map[string]map[string]bool{},
 		Orders:        map[string]*statev1.Order{},
@@ -204,16 +199,9 @@
 	for _, b := range Sorted(s.Budgets) {
 		snapshot.Budgets = append(snapshot.Budgets, b.row())
 	}
-	for _, u := range s.Usages {
-		snapshot.Usages = append(snapshot.Usages, u)
+	for _, rows := range Sorted(s.Usages) {
+		snapshot.Usages = append(snapshot.Usages, rows...)
 	}
-	sort.Slice(snapshot.Usages, func(i, j int) bool {
-		a, b := snapshot.Usages[i], snapshot.Usages[j]
-		if a.GetGroup() != b.GetGroup() {
-			return a.GetGroup() < b.GetGroup()
-		}
-		return a.GetHolder() < b.GetHolder()
-	})
 	for _, results := range Sorted(s.Results) {
 		snapshot.Results = append(snapshot.Results, results...)
 	}
@@ -240,7 +228,7 @@
 		s.Budgets[row.GetName()] = budgetOf(row)
 	}
 	for _, u := range snapshot.GetUsages() {
-		s.Usages[UsageKey{Group: u.GetGroup(), Holder: u.GetHolder()}] = u
+		s.Usages[u.GetGroup()] = append(s.Usages[u.GetGroup()], u)
 	}
 	for _, r := range snapshot.GetResults() {
 		s.Results[r.GetOperator()] = append(s.Results[r.GetOperator()], r)
--- a/models/state/state_test.go
+++ b/models/state/state_test.go
@@ -219,7 +219,7 @@
 	if err := sync(second.Holder, 600); err != nil {
 		t.Fatal(err)
 	}
-	if got := s.state.Budgets["north/main"].Allotments[second.Holder].GetAllotted(); got != 400 {
+	if got := s.state.Budgets["north/main"].Of(second.Holder).GetAllotted(); got != 400 {
 		t.Errorf("the new ledger got %d tokens, want the 400 that the lost one does not hold", got)
 	}
 }
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -216,7 +216,7 @@
 	at := -1
 	var holders []allot.Holder
 	for _, k := range state.Sorted(st.Keepers) {
-		a := b.Allotments[k.GetHolder()]
+		a := b.Of(k.GetHolder())
 		h := allot.Holder{Name: k.GetHolder(), Rate: a.GetRate(), Need: a.GetNeed()}
 		if a != nil {
 			h.Free = free(state.Held(a), a.GetSpent(), a.GetReserved())
@@ -269,7 +269,7 @@
 			}
 			resp.Rows = append(resp.Rows, &betweenv1.AllottedRow{
 				Budget:     b.Name,
-				Allotted:   b.Allotments[holder].GetAllotted(),
+				Allotted:   b.Of(holder).GetAllotted(),
 				Unallotted: b.Unallotted(),
 				Gone:       gone(st, b),
 				Granted:    b.Granted,
@@ -286,8 +286,8 @@
 		inForce[k.GetHolder()] = true
 	}
 	sum := uint64(0)
-	for holder, a := range b.Allotments {
-		if inForce[holder] {
+	for _, a := range b.Allotments {
+		if inForce[a.GetHolder()] {
 			sum += a.GetSpent()
 		} else {
 			sum += state.Held(a)
--- a/services/control/query.go
+++ b/services/control/query.go
@@ -99,17 +99,16 @@
 
 func groups(st *state.State) *table {
 	usage := map[string]*statev1.GroupUsage{}
-	for _, u := range st.Usages {
-		sum := usage[u.GetGroup()]
-		if sum == nil {
-			sum = &statev1.GroupUsage{}
-			usage[u.GetGroup()] = sum
+	for group, rows := range st.Usages {
+		sum := &statev1.GroupUsage{}
+		for _, u := range rows {
+			sum.Spent += u.GetSpent()
+			sum.WrittenOff += u.GetWrittenOff()
+			sum.Reserved += u.GetReserved()
+			sum.Waiting += u.GetWaiting()
+			sum.Requests += u.GetRequests()
 		}
-		sum.Spent += u.GetSpent()
-		sum.WrittenOff += u.GetWrittenOff()
-		sum.Reserved += u.GetReserved()
-		sum.Waiting += u.GetWaiting()
-		sum.Requests += u.GetRequests()
+		usage[group] = sum
 	}
 	t := &table{columns: []string{"group", "organisation", "budget", "models", "services", "priority", "requests", "billed", "written_off", "reserved", "waiting"}}
 	for _, g := range state.Sorted(st.Groups) {
@@ -145,7 +144,7 @@
 func allotments(st *state.State) *table {
 	t := &table{columns: []string{"budget", "holder", "allotted", "returned", "spent", "reserved", "rate"}}
 	for _, b := range state.Sorted(st.Budgets) {
-		for _, a := range state.Sorted(b.Allotments) {
+		for _, a := range b.Allotments {
 			t.add(b.Name, a.GetHolder(), number(a.GetAllotted()), number(a.GetReturned()), number(a.GetSpent()), number(a.GetReserved()), number(a.GetRate()))
 		}
 	}
--- a/tests/measure/allotment/main.go
+++ b/tests/measure/allotment/main.go
@@ -324,8 +324,8 @@
 		row := l.Budget(budgetName)
 		free -= row.Row.GetSpent() + row.Reserved
 	}
-	for holder, a := range b.Allotments {
-		if !inForce[holder] {
+	for _, a := range b.Allotments {
+		if !inForce[a.GetHolder()] {
 			free -= state.Held(a)
 		}
 	}
@@ -367,7 +367,7 @@
 		again := r.plan(i, report)
 		r.apply(i, report, []*statev1.Grant{{Budget: budgetName, Tokens: again.Grant}})
 	}
-	l.Allot(budgetName, r.state.Budgets[budgetName].Allotments[r.holder(i)].GetAllotted())
+	l.Allot(budgetName, r.state.Budgets[budgetName].Of(r.holder(i)).GetAllotted())
 }
 
 func (r *run) find(holder string) int {
@@ -388,7 +388,7 @@
 	b := r.state.Budgets[budgetName]
 	var holders []allot.Holder
 	for i := range r.ledgers {
-		a := b.Allotments[r.holder(i)]
+		a := b.Of(r.holder(i))
 		h := allot.Holder{Name: r.holder(i), Rate: a.GetRate(), Need: a.GetNeed()}
 		if a != nil {
 			h.Free = state.Held(a) - min(state.Held(a), a.GetSpent()+a.GetReserved())
