--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN = bin
 RACE_COUNT ?= 1
 
-.PHONY: build run up test fmt lint vet generate check-generate unit bench bench-capacity fuzz clean
+.PHONY: build run up test fmt lint vet generate check-generate unit bench bench-policies bench-capacity bench-fleet fuzz clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/havenwinchd ./cmd/havenwinch ./standin
@@ -51,6 +51,17 @@
 
 CHECKS ?= 20000
 fuzz: export HAVENWINCH_FUZZ = 1
+bench-policies:
+	$(GO) run ./tests/measure/allotment
+	$(GO) run ./tests/measure/routing
+
+bench-capacity:
+	$(GO) test -run '^$$' -bench . -benchtime=0.5s -timeout 15m ./tests/measure/capacity
+	$(GO) test -run '^$$' -bench 'Choose|Idle|ReserveStartSettle|Queue' ./models/...
+
+bench-fleet: build
+	$(GO) run ./tests/measure/fleet
+
 fuzz:
 	$(GO) test -run TestRandom -rapid.checks=$(CHECKS) ./modules/raft ./models/ledger
 
--- a/modules/setting/flags.go
+++ b/modules/setting/flags.go
@@ -62,7 +62,7 @@
 		text("between-key", "", "TLS key between boxes", &s.BetweenKey),
 		text("between-ca", "", "TLS authority between boxes", &s.BetweenCA),
 		duration("election-timeout", time.Second, "time without a leader before an election, at least", &s.Election),
-		duration("heartbeat", 150*time.Millisecond, "time between a leader's signs of life", &s.Heartbeat),
+		duration("heartbeat", 250*time.Millisecond, "time between a leader's signs of life", &s.Heartbeat),
 		duration("sync-interval", time.Second, "time between a keeper's reports", &s.SyncInterval),
 		duration("box-timeout", 3*time.Second, "silence after which a box counts as dead", &s.BoxTimeout),
 		duration("key-window", 6*time.Hour, "how long records of ended requests are kept", &s.KeyWindow),
--- a/services/platform/platform.go
+++ b/services/platform/platform.go
@@ -21,12 +21,12 @@
 )
 
 const (
-	listInterval = 500 * time.Millisecond
+	listInterval = time.Second
 	listTimeout  = 2 * time.Second
 	maxList      = 16 << 20
 	// reportInterval is the time between looks at targets; reportsAtOnce
 	// bounds how many are asked at each.
-	reportInterval = 250 * time.Millisecond
+	reportInterval = 500 * time.Millisecond
 	reportsAtOnce  = 8
 )
 
--- a/tests/fleet/fleet.go
+++ b/tests/fleet/fleet.go
@@ -270,6 +270,14 @@
 	return errors.WithStack(b.cmd.Process.Signal(s))
 }
 
+// Pid returns a box's process number.
+func (f *Fleet) Pid(name string) int {
+	b := f.Boxes[name]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cmd.Process.Pid
+}
+
 // Kill ends a box at once.
 func (f *Fleet) Kill(name string) error {
 	if err := f.Signal(name, syscall.SIGKILL); err != nil {
--- a/tests/fleet/relay.go
+++ b/tests/fleet/relay.go
@@ -26,11 +26,12 @@
 	mu    sync.Mutex
 	links map[[2]string]Link
 	conns map[net.Conn][2]string
+	bytes map[[2]string]int64
 }
 
 // NewNetwork returns a network without faults.
 func NewNetwork() *Network {
-	return &Network{links: map[[2]string]Link{}, conns: map[net.Conn][2]string{}}
+	return &Network{links: map[[2]string]Link{}, conns: map[net.Conn][2]string{}, bytes: map[[2]string]int64{}}
 }
 
 // Set changes the link from one address to another, for open connections too.
@@ -49,6 +50,19 @@
 	}
 }
 
+// Bytes returns what has passed on all links that touch an address.
+func (n *Network) Bytes(address string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sum := int64(0)
+	for ends, bytes := range n.bytes {
+		if ends[0] != ends[1] && (ends[0] == address || ends[1] == address) {
+			sum += bytes
+		}
+	}
+	return sum
+}
+
 func (n *Network) link(ends [2]string) Link {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -98,6 +112,12 @@
 	n.pass(far, conn, ends)
 }
 
+func (n *Network) count(ends [2]string, size int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bytes[ends] += int64(size)
+}
+
 // pass copies bytes; what arrives while the link is cut is swallowed, in both
 // directions of a connection that the cut box has opened.
 func (n *Network) pass(w io.Writer, r io.Reader, ends [2]string) {
@@ -105,6 +125,7 @@
 	for {
 		size, err := r.Read(buffer)
 		l := n.link(ends)
+		n.count(ends, size)
 		if l.Delay > 0 {
 			time.Sleep(l.Delay)
 		}
--- a/tests/measure/routing/main.go
+++ b/tests/measure/routing/main.go
@@ -151,13 +151,12 @@
 
 // machine is one engine.
 type machine struct {
-	cache      cache
-	free       time.Duration
-	running    int
-	slow       int
-	work       float64
-	gone       bool
-	generation int
+	cache   cache
+	free    time.Duration
+	running int
+	slow    int
+	work    float64
+	gone    bool
 }
 
 // event is something due in virtual time.
@@ -206,13 +205,10 @@
 	missed   int
 	prompts  int
 	computed int
-	peak     float64
-	served   map[string]float64
-	gap      float64
 }
 
 func newWorld(t trace, p target.Policy) *world {
-	w := &world{trace: t, policy: p, table: target.NewTable(), machines: map[string]*machine{}, rng: rand.New(rand.NewSource(3)), served: map[string]float64{}}
+	w := &world{trace: t, policy: p, table: target.NewTable(), machines: map[string]*machine{}, rng: rand.New(rand.NewSource(3))}
 	w.queue = queue.New(func(string) int { return 1 })
 	for i := range engines {
 		name := fmt.Sprintf("engine-%d", i)
@@ -286,15 +282,9 @@
 			}
 		}
 		w.queue.Take(it)
-		w.fair(it)
 	}
 }
 
-// fair notes the largest gap between two organisations that both wait.
-func (w *world) fair(it *queue.Item) {
-	w.served[it.Organisation] += float64(it.Tokens)
-}
-
 func (w *world) start(j job, need target.Need) bool {
 	d := target.Choose(w.policy, w.table.ForModel(modelName), need, target.Limits{Slots: slots, InteractiveSlots: 2, DecodeWeight: 3}, w.now, w.rng)
 	if d.Target == nil {
