--- a/routers/caller/bench_test.go
+++ b/routers/caller/bench_test.go
@@ -101,6 +101,25 @@
 	b.ReportMetric(float64(b.N)/time.Since(begin).Seconds(), "requests/s")
 }
 
+// BenchmarkStreamedEvents is the cost of one event of a long stream, engine and
+// caller included.
+func BenchmarkStreamedEvents(b *testing.B) {
+	instant := standin.Options{Slots: 64, PrefillPerSecond: 1 << 30, CacheBlocks: 64}
+	const words = 5000
+	s := single.New(b, single.Options{Tokens: 1 << 50, Engines: []standin.Options{instant}})
+	client := &http.Client{}
+	body := chat("hello", words, `,"stream":true`)
+	begin := time.Now()
+	n := 0
+	for b.Loop() {
+		if _, status, err := timed(client, s.URL+chatPath, body); err != nil || status != 200 {
+			b.Fatal(status, err)
+		}
+		n++
+	}
+	b.ReportMetric(float64(time.Since(begin).Nanoseconds())/float64(n*words), "ns/event")
+}
+
 // BenchmarkMemoryGrowth sends 180,000 requests and compares the heap after
 // 20,000, 100,000 and 180,000. Records stay for the key window, which is short
 // here, so that a leak shows and the window does not.
--- a/tests/measure/fleet/main.go
+++ b/tests/measure/fleet/main.go
@@ -19,6 +19,7 @@
 
 	"github.com/pkg/errors"
 
+	"havenwinch.dev/havenwinch/standin/engine"
 	"havenwinch.dev/havenwinch/standin/platform"
 	"havenwinch.dev/havenwinch/structs"
 	"havenwinch.dev/havenwinch/tests/fleet"
@@ -51,7 +52,8 @@
 		return err
 	}
 	defer os.RemoveAll(folder)
-	list := httptest.NewServer(platform.New(1).Handler())
+	idleOnly := len(os.Args) > 1 && os.Args[1] == "idle"
+	list := httptest.NewServer(targets().Handler())
 	defer list.Close()
 	specs := []fleet.BoxSpec{
 		{Name: "box-a", DataCentre: "dc-a", Roles: "entry,keeper,control"},
@@ -75,6 +77,9 @@
 	if err := f.AwaitReady(); err != nil {
 		return err
 	}
+	if idleOnly {
+		return b.idle()
+	}
 	for _, step := range []func() error{b.idle, b.change, b.failover, func() error { return b.restart(fewChanges) }, func() error { return b.restart(manyChanges) }} {
 		if err := step(); err != nil {
 			return err
@@ -83,6 +88,20 @@
 	return nil
 }
 
+// targetsEach is how many engines a data centre has at the target of two years.
+const targetsEach = 132
+
+// targets lists so many engines for the first data centre, which all answer.
+func targets() *platform.Platform {
+	p := platform.New(1)
+	for i := range targetsEach {
+		e := engine.New(engine.Options{Slots: 8, PrefillPerSecond: 1000, CacheBlocks: 64})
+		server := httptest.NewServer(e.Handler())
+		p.Put(platform.Target{Name: fmt.Sprint("engine-", i), Address: server.Listener.Addr().String(), Kind: "engine", Models: []string{"m1"}, DataCentre: "dc-a", State: "live"})
+	}
+	return p
+}
+
 func (b *bench) command(text string) error {
 	b.number++
 	deadline := time.Now().Add(time.Minute)
