--- a/models/state/budget.go
+++ b/models/state/budget.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 
+	"google.golang.org/protobuf/proto"
+
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 )
 
@@ -29,7 +31,7 @@
 }
 
 func (b *Budget) row() *statev1.Budget {
-	return &statev1.Budget{Name: b.Name, Granted: b.Granted, Allotments: b.Allotments}
+	return &statev1.Budget{Name: b.Name, Granted: b.Granted, Allotments: slices.Clone(b.Allotments)}
 }
 
 func budgetOf(row *statev1.Budget) *Budget {
@@ -78,13 +80,17 @@
 	b.Allotments = slices.Insert(b.Allotments, at, a)
 }
 
-func (b *Budget) allotment(holder string) *statev1.Allotment {
-	a := b.Of(holder)
-	if a == nil {
-		a = &statev1.Allotment{Holder: holder}
+// replace puts a fresh copy of a holder's row in place of the old one, for the
+// caller to change: a snapshot may hold the old one.
+func (b *Budget) replace(holder string) *statev1.Allotment {
+	at, found := b.find(holder)
+	if !found {
+		a := &statev1.Allotment{Holder: holder}
 		b.insert(a)
+		return a
 	}
-	return a
+	b.Allotments[at] = proto.CloneOf(b.Allotments[at])
+	return b.Allotments[at]
 }
 
 // grant allots at most the named tokens.
@@ -93,13 +99,13 @@
 	if tokens == 0 {
 		return
 	}
-	b.allotment(holder).Allotted += tokens
+	b.replace(holder).Allotted += tokens
 	b.held += tokens
 }
 
 // report takes a holder's counters in; older ones change nothing.
 func (b *Budget) report(holder string, r *statev1.BudgetReport) {
-	a := b.allotment(holder)
+	a := b.replace(holder)
 	if r.GetReturned() > a.GetReturned() && r.GetReturned() <= a.GetAllotted() {
 		b.held -= r.GetReturned() - a.GetReturned()
 		a.Returned = r.GetReturned()
--- a/models/state/state.go
+++ b/models/state/state.go
@@ -8,6 +8,7 @@
 package state
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/pkg/errors"
@@ -140,32 +141,55 @@
 }
 
 // Configuration returns all rows that boxes need.
-func (s *State) Configuration() *statev1.Configuration {
-	return &statev1.Configuration{
-		Revision:      s.Revision,
-		Organisations: Sorted(s.Organisations),
-		Groups:        Sorted(s.Groups),
-		Keys:          Sorted(s.Keys),
-		Drains:        Sorted(s.Drains),
-		Rollouts:      Sorted(s.Rollouts),
-		Keepers:       Sorted(s.Keepers),
+func (s *State) Configuration() *statev1.Configuration { return s.freezeConfiguration()() }
+
+// freezeConfiguration holds on to all rows and returns what puts them in order.
+func (s *State) freezeConfiguration() func() *statev1.Configuration {
+	revision := s.Revision
+	organisations, groups, keys := freeze(s.Organisations), freeze(s.Groups), freeze(s.Keys)
+	drains, rollouts, keepers := freeze(s.Drains), freeze(s.Rollouts), freeze(s.Keepers)
+	return func() *statev1.Configuration {
+		return &statev1.Configuration{
+			Revision:      revision,
+			Organisations: organisations(),
+			Groups:        groups(),
+			Keys:          keys(),
+			Drains:        drains(),
+			Rollouts:      rollouts(),
+			Keepers:       keepers(),
+		}
 	}
 }
 
-// Sorted returns a table's rows in the order of their keys.
-func Sorted[R any](table map[string]R) []R {
-	keys := make([]string, 0, len(table))
-	for key := range table {
-		keys = append(keys, key)
+// freeze holds on to a table's rows and returns what puts them in the order of
+// their keys, which takes longer.
+func freeze[R any](table map[string]R) func() []R {
+	return freezeBy(table, func(row R) R { return row })
+}
+
+// freezeBy is freeze for rows that change; hold returns what does not.
+func freezeBy[R, Q any](table map[string]R, hold func(row R) Q) func() []Q {
+	type pair struct {
+		key string
+		row Q
 	}
-	sort.Strings(keys)
-	rows := make([]R, 0, len(keys))
-	for _, key := range keys {
-		rows = append(rows, table[key])
+	pairs := make([]pair, 0, len(table))
+	for key, row := range table {
+		pairs = append(pairs, pair{key: key, row: hold(row)})
+	}
+	return func() []Q {
+		sort.Slice(pairs, func(i, j int) bool { return pairs[i].key < pairs[j].key })
+		rows := make([]Q, 0, len(pairs))
+		for _, p := range pairs {
+			rows = append(rows, p.row)
+		}
+		return rows
 	}
-	return rows
 }
 
+// Sorted returns a table's rows in the order of their keys.
+func Sorted[R any](table map[string]R) []R { return freeze(table)() }
+
 // LoadConfiguration replaces all rows of the configuration.
 func (s *State) LoadConfiguration(c *statev1.Configuration) {
 	fresh := New()
@@ -194,23 +218,26 @@
 }
 
 // Encode returns the whole state.
-func (s *State) Encode() ([]byte, error) {
-	snapshot := &statev1.Snapshot{Version: Version, Configuration: s.Configuration()}
-	for _, b := range Sorted(s.Budgets) {
-		snapshot.Budgets = append(snapshot.Budgets, b.row())
-	}
-	for _, rows := range Sorted(s.Usages) {
-		snapshot.Usages = append(snapshot.Usages, rows...)
-	}
-	for _, results := range Sorted(s.Results) {
-		snapshot.Results = append(snapshot.Results, results...)
+func (s *State) Encode() ([]byte, error) { return s.Capture()() }
+
+// Capture freezes the whole state and returns what encodes it. Rows in the
+// tables are replaced and never changed, so the frozen ones can be encoded
+// while the state goes on.
+func (s *State) Capture() func() ([]byte, error) {
+	configuration := s.freezeConfiguration()
+	budgets := freezeBy(s.Budgets, (*Budget).row)
+	usages := freezeBy(s.Usages, slices.Clone[[]*statev1.GroupUsage])
+	results := freezeBy(s.Results, slices.Clone[[]*statev1.CommandResult])
+	snapshot := &statev1.Snapshot{Version: Version, LastToken: s.LastToken, Orders: Sorted(s.Orders), Untold: s.untoldRows()}
+	snapshot.Changes = slices.Clone(s.Changes[max(0, len(s.Changes)-MaxChanges):])
+	return func() ([]byte, error) {
+		snapshot.Configuration = configuration()
+		snapshot.Budgets = budgets()
+		snapshot.Usages = slices.Concat(usages()...)
+		snapshot.Results = slices.Concat(results()...)
+		data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+		return data, errors.WithStack(err)
 	}
-	from := max(0, len(s.Changes)-MaxChanges)
-	snapshot.Changes = s.Changes[from:]
-	snapshot.Untold = s.untoldRows()
-	snapshot.Orders, snapshot.LastToken = Sorted(s.Orders), s.LastToken
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
-	return data, errors.WithStack(err)
 }
 
 // Decode returns the state that Encode wrote.
--- a/modules/raft/node.go
+++ b/modules/raft/node.go
@@ -29,8 +29,9 @@
 type Machine interface {
 	// Apply takes one entry in and returns the answer for its proposer.
 	Apply(data []byte) any
-	// Snapshot returns the whole state.
-	Snapshot() ([]byte, error)
+	// Capture freezes the whole state at once; the function it returns encodes
+	// it later, while entries go on being applied.
+	Capture() func() ([]byte, error)
 	// Restore replaces the whole state.
 	Restore(data []byte) error
 }
@@ -60,14 +61,16 @@
 
 // Node drives a Core: it stores, sends and applies what the Core decides.
 type Node struct {
-	opts      NodeOptions
-	mu        sync.Mutex
-	core      *Core
-	log       *wal.Log
-	stored    Stored
-	waiters   map[uint64]waiter
-	applied   uint64
-	failed    error
+	opts    NodeOptions
+	mu      sync.Mutex
+	core    *Core
+	log     *wal.Log
+	stored  Stored
+	waiters map[uint64]waiter
+	applied uint64
+	failed  error
+	// capturing is set while a snapshot is encoded in the background.
+	capturing bool
 	proposals chan proposal
 	ctx       context.Context
 	sends     sync.WaitGroup
@@ -324,23 +327,43 @@
 	}
 }
 
+// compact takes a snapshot when the log has grown. Encoding a large state takes
+// longer than a lease, so it is done beside the lock; the caller holds it.
 func (n *Node) compact() {
-	if n.log.Size() < n.opts.CompactAfter {
+	if n.capturing || n.log.Size() < n.opts.CompactAfter {
 		return
 	}
-	data, err := n.opts.Machine.Snapshot()
+	n.capturing = true
+	index := n.applied
+	encode := n.opts.Machine.Capture()
+	n.sends.Add(1)
+	go func() {
+		defer n.sends.Done()
+		data, err := encode()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.capturing = false
+		n.compactTo(index, data, err)
+	}()
+}
+
+// compactTo stores a snapshot of what was applied up to an index, and the
+// entries after it. One that a snapshot from elsewhere has overtaken is dropped.
+func (n *Node) compactTo(index uint64, data []byte, err error) {
 	if err != nil {
 		n.opts.Log.Error("the control state could not be encoded", "error", err)
 		return
 	}
-	if err := n.compactTo(data); err != nil {
+	if n.usable() != nil || index <= n.core.log.index {
+		return
+	}
+	if err := n.storeSnapshot(index, data); err != nil {
 		n.stopLocked(err)
 	}
 }
 
-// compactTo stores a snapshot of what is applied and the entries after it.
-func (n *Node) compactTo(data []byte) error {
-	n.core.Compact(n.applied, data)
+func (n *Node) storeSnapshot(index uint64, data []byte) error {
+	n.core.Compact(index, data)
 	snapshot, err := snapshotOf(n.core, data)
 	if err != nil {
 		return err
@@ -451,17 +474,3 @@
 	}
 	return &betweenv1.IdentifyResponse{Box: n.opts.Self, Incarnation: n.stored.Incarnation, Members: listMembers(members)}
 }
-
-// CompactNow takes a snapshot at once, for tests and benchmarks.
-func (n *Node) CompactNow() error {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if err := n.usable(); err != nil {
-		return err
-	}
-	data, err := n.opts.Machine.Snapshot()
-	if err != nil {
-		return err
-	}
-	return n.compactTo(data)
-}
--- a/services/control/machine.go
+++ b/services/control/machine.go
@@ -48,11 +48,12 @@
 	m.changed = make(chan struct{})
 }
 
-// Snapshot implements raft.Machine.
-func (m *Machine) Snapshot() ([]byte, error) {
+// Capture implements raft.Machine. Rows are replaced and never changed, so
+// holding on to them is enough.
+func (m *Machine) Capture() func() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.state.Encode()
+	return m.state.Capture()
 }
 
 // Restore implements raft.Machine.
--- a/tests/measure/capacity/capacity_test.go
+++ b/tests/measure/capacity/capacity_test.go
@@ -174,6 +174,11 @@
 func BenchmarkSnapshot(b *testing.B) {
 	s := full(allBudgets)
 	var data []byte
+	b.Run("freeze, under the lock", func(b *testing.B) {
+		for b.Loop() {
+			s.Capture()
+		}
+	})
 	b.Run("encode", func(b *testing.B) {
 		for b.Loop() {
 			var err error
