--- a/tests/integration/main_test.go
+++ b/tests/integration/main_test.go
@@ -242,6 +242,15 @@
 // send sends a streamed request to a box. first is called after the first
 // event, if it is set.
 func (b *bench) send(box string, prompt string, tokens int, first func(), headers ...string) (reply, error) {
+	return b.sendFor(limit, box, prompt, tokens, first, headers)
+}
+
+// sendWithin sends a request and waits for its answer for a while only.
+func (b *bench) sendWithin(patience time.Duration, box, prompt string, tokens int, headers ...string) (reply, error) {
+	return b.sendFor(patience, box, prompt, tokens, nil, headers)
+}
+
+func (b *bench) sendFor(patience time.Duration, box, prompt string, tokens int, first func(), headers []string) (reply, error) {
 	body := fmt.Sprintf(`{"model":"m1","messages":[{"role":"user","content":%q}],"max_tokens":%d,"stream":true}`, prompt, tokens)
 	req, err := http.NewRequest("POST", "http://"+b.fleet.Boxes[box].Caller+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
@@ -252,7 +261,7 @@
 		name, value, _ := strings.Cut(h, ": ")
 		req.Header.Set(name, value)
 	}
-	client := &http.Client{Timeout: limit, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
 		return reply{}, err
