--- a/Makefile
+++ b/Makefile
@@ -52,15 +52,15 @@
 CHECKS ?= 20000
 fuzz: export HAVENWINCH_FUZZ = 1
 bench-policies:
-	$(GO) run ./tests/measure/allotment
-	$(GO) run ./tests/measure/routing
+	$(GO) run ./measure/allotment
+	$(GO) run ./measure/routing
 
 bench-capacity:
-	$(GO) test -run '^$$' -bench . -benchtime=0.5s -timeout 15m ./tests/measure/capacity
+	$(GO) test -run '^$$' -bench . -benchtime=0.5s -timeout 15m ./measure/capacity
 	$(GO) test -run '^$$' -bench 'Choose|Idle|ReserveStartSettle|Queue' ./models/...
 
 bench-fleet: build
-	$(GO) run ./tests/measure/fleet
+	$(GO) run ./measure/fleet
 
 fuzz:
 	$(GO) test -run TestRandom -rapid.checks=$(CHECKS) ./modules/raft ./models/ledger
--- a/cmd/havenwinchd/wire.go
+++ b/cmd/havenwinchd/wire.go
@@ -185,7 +185,7 @@
 	return &dispatch.RemoteKeepers{Self: s.Box, Config: store, Client: p.Keeper}
 }
 
-func newDispatcher(s *setting.Settings, id identity, keepers *dispatch.RemoteKeepers, store *configuration.Store, engines *engine.Client, c clock.Clock, r *timeline.Recorder, l *slog.Logger, g *graceful.Manager, m *metrics.Metrics) *dispatch.Dispatcher {
+func newDispatcher(s *setting.Settings, id identity, keepers *dispatch.RemoteKeepers, store *configuration.Store, engines *engine.Client, c clock.Clock, r *timeline.Recorder, l *slog.Logger, m *metrics.Metrics) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Options{
 		Box:        id.Box,
 		Name:       s.Box,
@@ -198,9 +198,7 @@
 		Clock:      c,
 		Recorder:   r,
 		Logger:     l,
-		NewID:      uuid.NewString,
 		Seed:       time.Now().UnixNano(),
-		Draining:   g.IsDraining,
 		Metrics:    m,
 	})
 }
--- a/models/queue/queue.go
+++ b/models/queue/queue.go
@@ -100,15 +100,6 @@
 	return names
 }
 
-// Waiting returns the number of requests that wait for a pool.
-func (q *Queue) Waiting(poolName string) int {
-	p := q.pools[poolName]
-	if p == nil {
-		return 0
-	}
-	return p.lanes[0].count + p.lanes[1].count
-}
-
 // Ahead returns how many requests a new one would find before it, counting
 // only interactive ones for an interactive request.
 func (q *Queue) Ahead(poolName string, interactive bool) int {
--- a/models/target/target.go
+++ b/models/target/target.go
@@ -108,16 +108,6 @@
 	}
 }
 
-// Serves tells whether a target has a model.
-func (t *Target) Serves(model string) bool {
-	for _, m := range t.Models {
-		if m == model {
-			return true
-		}
-	}
-	return false
-}
-
 // Load is the estimated number of requests at the target: what it reported,
 // without this box's own of that time, and this box's own of now.
 func (t *Target) Load() int { return max(0, t.Reported-t.OwnThen) + t.InFlight }
--- a/modules/graceful/graceful.go
+++ b/modules/graceful/graceful.go
@@ -22,7 +22,6 @@
 	hammer   context.Context
 	strike   context.CancelFunc
 	limit    time.Duration
-	running  sync.WaitGroup
 	once     sync.Once
 }
 
@@ -43,15 +42,6 @@
 // IsDraining tells whether a stop has begun.
 func (m *Manager) IsDraining() bool { return m.draining.Err() != nil }
 
-// Go runs something that a stop waits for.
-func (m *Manager) Go(run func()) {
-	m.running.Add(1)
-	go func() {
-		defer m.running.Done()
-		run()
-	}()
-}
-
 // Stop begins a stop; the limit counts from here.
 func (m *Manager) Stop() {
 	m.once.Do(func() {
@@ -63,9 +53,6 @@
 // Strike ends everything at once.
 func (m *Manager) Strike() { m.strike() }
 
-// Wait returns when all that runs has ended.
-func (m *Manager) Wait() { m.running.Wait() }
-
 // HandleSignals stops at the first SIGTERM or SIGINT and strikes at the second.
 func (m *Manager) HandleSignals() {
 	signals := make(chan os.Signal, 2)
--- a/routers/caller/caller.go
+++ b/routers/caller/caller.go
@@ -180,7 +180,7 @@
 		return fasthttp.StatusUnauthorized
 	case structs.KindModelNotAllowed, structs.KindServiceNotAllowed, structs.KindPriority:
 		return fasthttp.StatusForbidden
-	case structs.KindUnknownModel, structs.KindUnknownService, structs.KindNotFound:
+	case structs.KindUnknownModel, structs.KindNotFound:
 		return fasthttp.StatusNotFound
 	case structs.KindMalformed, structs.KindInvalidField, structs.KindDeadlinePast:
 		return fasthttp.StatusBadRequest
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -125,12 +125,9 @@
 	Clock      clock.Clock
 	Recorder   *timeline.Recorder
 	Logger     *slog.Logger
-	// NewID makes names for requests and keys.
-	NewID func() string
-	Seed  int64
-	// Draining tells whether a planned stop has begun.
-	Draining func() bool
-	Metrics  Metrics
+	// Seed is for the routing policies that draw at random.
+	Seed    int64
+	Metrics Metrics
 }
 
 // Metrics counts what callers get.
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -130,9 +130,6 @@
 	return []connect.HandlerOption{connect.WithInterceptors(p), connect.WithReadMaxBytes(maxMessage)}
 }
 
-// HTTPClient returns the client to other boxes.
-func (p *Peers) HTTPClient() *http.Client { return p.client }
-
 // Keeper returns the client of a keeper.
 func (p *Peers) Keeper(address string) betweenv1connect.KeeperServiceClient {
 	p.mu.Lock()
--- a/structs/structs.go
+++ b/structs/structs.go
@@ -26,7 +26,6 @@
 	KindInvalidField      Kind = "invalid_field"
 	KindUnknownModel      Kind = "unknown_model"
 	KindModelNotAllowed   Kind = "model_not_allowed"
-	KindUnknownService    Kind = "unknown_service"
 	KindServiceNotAllowed Kind = "service_not_allowed"
 	KindPriority          Kind = "priority_not_allowed"
 	KindTooLarge          Kind = "body_too_large"
