tests: takeover after the box timeout, a list read after it took back leaving

Cause: switching the takeover off, and letting an older list bring a target back, passed the tests: the retry came before the box counted as dead, and the list was not read again before the check. Change: the retry is also sent after the box timeout; the check waits until every box has read the list again. A caller that leaves is tested apart.

--- a/routers/caller/caller_test.go
+++ b/routers/caller/caller_test.go
@@ -223,13 +223,18 @@
 }
 
 // leave reads one event of a stream and goes.
-func leave(t *testing.T, s *single.Single, body string) {
+func leave(t *testing.T, s *single.Single, body string, headers ...string) {
 	req, err := http.NewRequest("POST", s.URL+chatPath, strings.NewReader(body))
 	if err != nil {
 		t.Error(err)
 		return
 	}
 	req.Header.Set("Authorization", "Bearer "+single.Key)
+	for _, h := range headers {
+		if name, value, ok := strings.Cut(h, ": "); ok {
+			req.Header.Set(name, value)
+		}
+	}
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		t.Error(err)
@@ -336,3 +341,34 @@
 		t.Errorf("got %s", got.body)
 	}
 }
+
+// TestCallerLeaves goes after the first event. Without a key the run is ended
+// and billed for what it used; with one it goes on, and the answer is kept.
+func TestCallerLeaves(t *testing.T) {
+	slow := single.DefaultEngine
+	slow.TokenTime = 5 * time.Millisecond
+	const words = 100
+	for name, key := range map[string]string{"without a key": "", "with a key": "Idempotency-Key: k1"} {
+		t.Run(name, func(t *testing.T) {
+			s := single.New(t, single.Options{Tokens: 1000, Engines: []standin.Options{slow}})
+			leave(t, s, chat("hi", words, `,"stream":true`), key)
+			s.Eventually("the bill is reported", func() bool {
+				return s.Cell("show groups where group = north/a", "requests") == "1" && s.Keeper.Stats().Open == 0
+			})
+			_, _, made := s.Engines[0].Counts()
+			billed := s.Cell("show groups where group = north/a", "billed")
+			if want := fmt.Sprint(made + uint64(len("user\nhi\n")/4+4)); billed != want {
+				t.Errorf("billed %s, the engine worked %s", billed, want)
+			}
+			if key == "" {
+				if made == words {
+					t.Error("the run went on to its end")
+				}
+				return
+			}
+			if rest := send(t, s, "GET", "/v1/requests/k1/answer", ""); len(strings.Fields(streamText(t, rest.body))) != words {
+				t.Errorf("the kept answer is %s", rest.body)
+			}
+		})
+	}
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -39,6 +39,7 @@
 
 	mu      sync.Mutex
 	version uint64
+	reads   int
 	targets map[string]Target
 }
 
@@ -94,6 +95,7 @@
 }
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	p.countRead()
 	list := p.List()
 	tag := fmt.Sprintf("\"%d\"", list.Version)
 	w.Header().Set("ETag", tag)
@@ -105,6 +107,19 @@
 	_ = json.NewEncoder(w).Encode(list)
 }
 
+// Reads returns how often the list was asked for.
+func (p *Platform) Reads() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads
+}
+
+func (p *Platform) countRead() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads++
+}
+
 // List returns the list in the order of names.
 func (p *Platform) List() List {
 	p.mu.Lock()
--- a/tests/integration/death_test.go
+++ b/tests/integration/death_test.go
@@ -11,22 +11,34 @@
 	"time"
 )
 
+// boxTimeout is a little longer than the silence after which quick fleets take
+// a box for dead.
+const boxTimeout = 1700 * time.Millisecond
+
 // TestEntryKilledWithOpenStream kills the box that carries a stream. The retry
-// at another box gets the whole answer of the same run, and one bill.
+// at another box gets the whole answer of the same run, and one bill: at once,
+// when it follows the run, and after the box timeout, when it takes it over.
 func TestEntryKilledWithOpenStream(t *testing.T) {
-	for name, headers := range map[string][]string{
-		"repeatable":     {"Idempotency-Key: deck-1"},
-		"not repeatable": {"Idempotency-Key: deck-1", "Havenwinch-Repeatable: no"},
-	} {
+	tests := map[string]struct {
+		wait    time.Duration
+		headers []string
+	}{
+		"repeatable":                 {0, []string{"Idempotency-Key: deck-1"}},
+		"not repeatable":             {0, []string{"Idempotency-Key: deck-1", "Havenwinch-Repeatable: no"}},
+		"repeatable, taken over":     {boxTimeout, []string{"Idempotency-Key: deck-1"}},
+		"not repeatable, taken over": {boxTimeout, []string{"Idempotency-Key: deck-1", "Havenwinch-Repeatable: no"}},
+	}
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			slow := quickEngine
-			slow.TokenTime = 20 * time.Millisecond
+			slow.TokenTime = 60 * time.Millisecond
 			b := newBench(t, withEntry(three()), slow, 10_000)
-			r, err := b.send("entry-a", "make a deck", 60, func() { b.ok(b.fleet.Kill("entry-a")) }, headers...)
+			r, err := b.send("entry-a", "make a deck", 60, func() { b.ok(b.fleet.Kill("entry-a")) }, test.headers...)
 			if err == nil && r.whole {
 				t.Fatal("the stream of a killed box ended as whole")
 			}
-			again := b.mustSend("box-b", "make a deck", 60, headers...)
+			time.Sleep(test.wait)
+			again := b.mustSend("box-b", "make a deck", 60, test.headers...)
 			if n := words(t, again.text); n != 60 {
 				t.Errorf("the retry got %d of 60 words", n)
 			}
--- a/tests/integration/stop_test.go
+++ b/tests/integration/stop_test.go
@@ -128,6 +128,7 @@
 			b.platform.SetState("engine-dc-a", "leaving")
 			b.eventually("the box knows", func() bool { return b.targetState("box-a", "engine-dc-a") == "leaving" })
 			b.platform.SetState("engine-dc-a", "live")
+			b.listRead()
 		},
 		"the list forgets it":   func(b *bench) { b.platform.Remove("engine-dc-a") },
 		"an operator drains it": func(b *bench) { b.command("drain target engine-dc-a") },
@@ -163,6 +164,13 @@
 	}
 }
 
+// listRead waits until every box has read the platform's list again; all read
+// it at the same pace.
+func (b *bench) listRead() {
+	before := b.platform.Reads()
+	b.eventually("the list is read again", func() bool { return b.platform.Reads() >= before+3*len(b.fleet.Names()) })
+}
+
 func (b *bench) targetState(box, name string) string {
 	s, err := b.status(box)
 	if err != nil || s.Entry == nil {
