tests: an engine that runs and then closes, a foreign event with foreign words

Cause: not comparing names of runs, and not asking after a failed run, passed the fault table: the crossed event held the right word, and no engine ran the request before it closed. Change: both faults are as bad as they can be.

--- a/routers/caller/faults_test.go
+++ b/routers/caller/faults_test.go
@@ -30,6 +30,8 @@
 		received int
 		served   int
 	}{
+		"runs and closes, whole":             {standin.FaultMute, false, false, 200, "", "", 1, 1},
+		"runs and closes, not repeatable":    {standin.FaultMute, true, true, 200, "", "", 1, 1},
 		"closes unread, whole":               {standin.FaultClose, false, false, 200, "", "", 2, 1},
 		"closes unread, streamed":            {standin.FaultClose, true, false, 200, "", "", 2, 1},
 		"closes unread, not repeatable":      {standin.FaultClose, false, true, 200, "", "", 2, 1},
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -45,6 +45,7 @@
 const (
 	FaultNone     Fault = ""
 	FaultClose    Fault = "close"    // reads the request and closes without a word
+	FaultMute     Fault = "mute"     // runs the request, and closes without a word
 	FaultError    Fault = "error"    // answers 500 without running
 	FaultTruncate Fault = "truncate" // ends the stream after some tokens, the run goes on
 	FaultForget   Fault = "forget"   // like truncate, and forgets the run
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -97,6 +97,9 @@
 		http.Error(w, "this run was cancelled", http.StatusConflict)
 		return
 	}
+	if fault == FaultMute {
+		panic(http.ErrAbortHandler)
+	}
 	e.stream(w, r, run, 0, fault)
 }
 
@@ -153,7 +156,7 @@
 func (e *Engine) sendWord(w http.ResponseWriter, run *Run, sequence int, word string, fault Fault) {
 	c := chunk{ID: run.ID, Object: "chat.completion.chunk", Model: run.Model, Choices: []choice{{Delta: delta{Content: word}}}}
 	if fault == FaultCross && sequence == 2 {
-		c.ID = "another-run"
+		c.ID, c.Choices[0].Delta.Content = "another-run", "foreign "
 	}
 	send(w, sequence, c)
 	if fault == FaultRepeat && sequence == 2 {
