daemon: a planned stop does not wait for a keeper that is dead

Cause: a box that owed a bill to a dead keeper waited until the stop limit and ended as cut short, code 1 (TestPlannedStopWhileAKeeperIsDead, failing first). Ruled out: open streams; they had ended. Change: bills have 30 s, at most half the limit; after that the keeper bills what the target reports, as for any box that has fallen silent. Run: the test passes, the bill equals what the engine worked.

--- a/cmd/havenwinchd/box.go
+++ b/cmd/havenwinchd/box.go
@@ -38,7 +38,10 @@
 	// balancerDelay is how long a stopping box still takes requests, until
 	// the balancer has seen that it is not ready.
 	balancerDelay = 2 * time.Second
-	closeTimeout  = 5 * time.Second
+	// billsTimeout is how long a stopping box tries to reach keepers that can't
+	// be reached.
+	billsTimeout = 30 * time.Second
+	closeTimeout = 5 * time.Second
 )
 
 // boxParams are the parts of a box.
@@ -245,7 +248,7 @@
 		wait(ctx, balancerDelay)
 		_ = s.caller.ShutdownWithContext(ctx)
 		b.waitForCallers(ctx)
-		_ = b.dispatcher.Settled(ctx)
+		b.settleBills(ctx)
 	}
 	if b.keeper != nil && ctx.Err() == nil {
 		b.keeper.Stop(ctx)
@@ -269,6 +272,16 @@
 	return nil
 }
 
+// settleBills waits for bills to reach their keepers. One that can't is left to
+// its keeper, which asks the target itself once this box has fallen silent.
+func (b *box) settleBills(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, min(billsTimeout, b.settings.StopLimit/2))
+	defer cancel()
+	if err := b.dispatcher.Settled(ctx); err != nil {
+		b.logger.Warn("bills are left to their keepers", "reason", err.Error())
+	}
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/tests/integration/stop_test.go
+++ b/tests/integration/stop_test.go
@@ -55,6 +55,29 @@
 	return fmt.Sprint(x + y)
 }
 
+// TestPlannedStopWhileAKeeperIsDead stops a box that still owes a bill to a
+// keeper that has died: it ends with code 0, and the keeper, when it is back,
+// bills what the engine reports.
+func TestPlannedStopWhileAKeeperIsDead(t *testing.T) {
+	specs := three()
+	specs[0].Flags = append(append([]string(nil), quick...), "--stop-limit", "8s")
+	slow := quickEngine
+	slow.TokenTime = 10 * time.Millisecond
+	b := newBench(t, specs, slow, 10_000)
+	r, err := b.send("box-a", "deck", 60, func() { b.ok(b.fleet.Kill("box-c")) }, "Idempotency-Key: dc-c:deck")
+	if err != nil || !r.whole {
+		t.Fatalf("the stream was cut: %+v %v", r, err)
+	}
+	if err := b.fleet.Stop("box-a"); err != nil {
+		t.Errorf("the box ended with %v\n%s", err, b.fleet.Boxes["box-a"].Log())
+	}
+	b.ok(b.fleet.Start("box-c"))
+	b.eventually("the keeper bills the orphan", func() bool {
+		row := b.query("show groups")[0]
+		return row["requests"] == "1" && row["billed"] == fmt.Sprint(b.paidWork()) && row["reserved"] == "0"
+	})
+}
+
 // TestSecondSignalEndsAtOnce shows that an operator can cut a stop short.
 func TestSecondSignalEndsAtOnce(t *testing.T) {
 	slow := quickEngine
