--- a/cmd/havenwinchd/wire.go
+++ b/cmd/havenwinchd/wire.go
@@ -240,16 +240,17 @@
 
 func newCaller(s *setting.Settings, d *dispatch.Dispatcher, store *configuration.Store, m *metrics.Metrics, r *timeline.Recorder, l *slog.Logger, g *graceful.Manager) *caller.Caller {
 	return caller.New(caller.Options{
-		Dispatcher: d,
-		Config:     store,
-		Counter:    m,
-		Recorder:   r,
-		Logger:     l,
-		Work:       g.Hammer(),
-		MaxBody:    s.MaxBody,
-		MaxWait:    s.MaxWait,
-		NewID:      uuid.NewString,
-		Now:        time.Now,
+		Dispatcher:  d,
+		Config:      store,
+		Counter:     m,
+		Recorder:    r,
+		Logger:      l,
+		Work:        g.Hammer(),
+		MaxBody:     s.MaxBody,
+		MaxWait:     s.MaxWait,
+		ReadTimeout: s.ReadTimeout,
+		NewID:       uuid.NewString,
+		Now:         time.Now,
 	})
 }
 
--- a/modules/setting/flags.go
+++ b/modules/setting/flags.go
@@ -68,6 +68,7 @@
 		duration("key-window", 6*time.Hour, "how long records of ended requests are kept", &s.KeyWindow),
 		duration("stop-limit", 10*time.Minute, "time for a planned stop", &s.StopLimit),
 		duration("max-wait", 24*time.Hour, "longest deadline of a request", &s.MaxWait),
+		duration("read-timeout", 30*time.Second, "time in which a request must have arrived", &s.ReadTimeout),
 		&cli.IntFlag{Name: "max-body", Value: 4 << 20, Usage: "largest request body in bytes", Destination: &s.MaxBody, Sources: source("max-body")},
 		text("log-level", "info", "debug, info, warn or error", &s.LogLevel),
 		text("routing-policy", "cache-load", "cache-load, two-choices, least-load, longest-prefix or round-robin", &s.Policy),
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -58,6 +58,7 @@
 	KeyWindow     time.Duration
 	StopLimit     time.Duration
 	MaxWait       time.Duration
+	ReadTimeout   time.Duration
 	MaxBody       int
 	LogLevel      string
 	Policy        string
@@ -187,6 +188,7 @@
 	c.require(s.KeyWindow >= time.Minute, "key-window", "must be at least 1m")
 	c.require(s.StopLimit > 0, "stop-limit", "must be above zero")
 	c.require(s.MaxWait > 0, "max-wait", "must be above zero")
+	c.require(s.ReadTimeout > 0, "read-timeout", "must be above zero")
 	c.require(s.MaxBody >= 1024, "max-body", "must be at least 1024 bytes")
 }
 
--- a/routers/caller/caller.go
+++ b/routers/caller/caller.go
@@ -38,7 +38,6 @@
 	contentStream = "text/event-stream"
 
 	maxHeader   = 16 << 10
-	readTimeout = 30 * time.Second
 	idleTimeout = 2 * time.Minute
 	// writeTimeout bounds one answer; streams may be long.
 	writeTimeout = 0
@@ -76,8 +75,10 @@
 	Work    context.Context
 	MaxBody int
 	MaxWait time.Duration
-	NewID   func() string
-	Now     func() time.Time
+	// ReadTimeout bounds the reading of a request.
+	ReadTimeout time.Duration
+	NewID       func() string
+	Now         func() time.Time
 }
 
 // Caller is the interface's server.
@@ -103,7 +104,7 @@
 	c.server = &fasthttp.Server{
 		Handler:                      r.Handler,
 		Name:                         "havenwinch",
-		ReadTimeout:                  readTimeout,
+		ReadTimeout:                  opts.ReadTimeout,
 		WriteTimeout:                 writeTimeout,
 		IdleTimeout:                  idleTimeout,
 		ReadBufferSize:               maxHeader,
--- a/routers/caller/caller_test.go
+++ b/routers/caller/caller_test.go
@@ -149,6 +149,37 @@
 	}
 }
 
+// TestSlowAndHalfSentRequests sends a part of a request and then nothing more.
+func TestSlowAndHalfSentRequests(t *testing.T) {
+	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + single.Key + "\r\nContent-Length: 500\r\n"
+	tests := map[string]string{
+		"half of the headers": head[:60],
+		"no body":             head + "\r\n",
+		"half of the body":    head + "\r\n" + chat("hello", 5, ""),
+	}
+	for name, part := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := single.New(t, single.Options{Tokens: 1000, ReadTimeout: 100 * time.Millisecond})
+			conn, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := io.WriteString(conn, part); err != nil {
+				t.Fatal(err)
+			}
+			// The box must end the connection on its own.
+			data, err := io.ReadAll(conn)
+			if err != nil || strings.Contains(string(data), " 200 ") {
+				t.Errorf("got %q %v", data, err)
+			}
+			if received, _, _ := s.Engines[0].Counts(); received != 0 || s.Keeper.Stats().Records != 0 {
+				t.Error("a part of a request was taken for one")
+			}
+		})
+	}
+}
+
 // TestOneKeyOneBill sends the same key in every way that callers do.
 func TestOneKeyOneBill(t *testing.T) {
 	s := single.New(t, single.Options{Tokens: 10_000})
--- /dev/null
+++ b/services/platform/platform_test.go
@@ -0,0 +1,87 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package platform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"havenwinch.dev/havenwinch/models/target"
+	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/services/engine"
+	"havenwinch.dev/havenwinch/services/platform"
+)
+
+// table keeps what it is told.
+type table struct{ lists [][]string }
+
+func (l *table) TakeList(list []*target.Target) {
+	names := []string{}
+	for _, t := range list {
+		names = append(names, t.Name+" "+string(t.Listed))
+	}
+	l.lists = append(l.lists, names)
+}
+func (l *table) Due(int) []platform.Question                               { return nil }
+func (l *table) TakeReport(string, engine.Load, engine.CacheEvents, error) {}
+
+// TestList reads a sound list, then what is described, and says which lists
+// were taken over. A list that can't be read leaves the last one in force.
+func TestList(t *testing.T) {
+	const sound = `{"version":1,"targets":[{"name":"e","address":"127.0.0.1:1","kind":"engine","state":"live"}]}`
+	tests := map[string]struct {
+		status int
+		body   string
+		want   []string
+	}{
+		"unchanged":           {304, "", nil},
+		"server error":        {500, "broken", nil},
+		"no JSON":             {200, "<html>", nil},
+		"cut short":           {200, sound[:40], nil},
+		"empty":               {200, `{"version":2,"targets":[]}`, []string{}},
+		"leaving":             {200, `{"targets":[{"name":"e","address":"127.0.0.1:1","kind":"engine","state":"leaving"}]}`, []string{"e leaving"}},
+		"a state not known":   {200, `{"targets":[{"name":"e","address":"127.0.0.1:1","kind":"engine","state":"odd"}]}`, []string{"e leaving"}},
+		"a kind not known":    {200, `{"targets":[{"name":"e","address":"127.0.0.1:1","kind":"printer","state":"live"},{"name":"f","address":"127.0.0.1:2","kind":"service","state":"live"}]}`, []string{"f live"}},
+		"no name, no address": {200, `{"targets":[{"address":"127.0.0.1:1","kind":"engine","state":"live"},{"name":"g","kind":"engine","state":"live"}]}`, []string{}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			reads := 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				reads++
+				if reads == 1 {
+					w.Header().Set("ETag", `"1"`)
+					_, _ = w.Write([]byte(sound))
+					return
+				}
+				w.WriteHeader(test.status)
+				_, _ = w.Write([]byte(test.body))
+			}))
+			defer server.Close()
+			l := &table{}
+			p := &platform.Poller{Lister: &platform.HTTPLister{URL: server.URL}, Targets: l, Logger: logging.Discard()}
+			p.PollList(context.Background())
+			p.PollList(context.Background())
+			want := [][]string{{"e live"}}
+			if test.want != nil {
+				want = append(want, test.want)
+			}
+			if diff := cmp.Diff(want, l.lists); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestEventsThatCannotBeReadAreLeftOut(t *testing.T) {
+	page := engine.CacheEvents{Events: []engine.CacheEvent{{Sequence: 1, Op: "insert", Block: "ff"}, {Sequence: 2, Op: "insert", Block: "none"}, {Sequence: 3, Op: "evict", Block: "ff"}}}
+	want := []target.CacheEvent{{Sequence: 1, Block: 255}, {Sequence: 3, Block: 255, Evicted: true}}
+	if diff := cmp.Diff(want, platform.Events(page)); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/tests/single/single.go
+++ b/tests/single/single.go
@@ -114,6 +114,8 @@
 	// Keepers wraps the access to the ledger, to make it fail.
 	Keepers func(dispatch.Keepers) dispatch.Keepers
 	MaxBody int
+	// ReadTimeout bounds the reading of a request.
+	ReadTimeout time.Duration
 }
 
 // DefaultEngine is a quick engine.
@@ -241,12 +243,15 @@
 }
 
 func (s *Single) listen(ctx context.Context, opts Options) {
+	if opts.ReadTimeout == 0 {
+		opts.ReadTimeout = time.Minute
+	}
 	if opts.MaxBody == 0 {
 		opts.MaxBody = 1 << 20
 	}
 	s.Caller = caller.New(caller.Options{
 		Dispatcher: s.Dispatcher, Config: s.Store, Counter: metrics.New(), Recorder: s.Recorder, Logger: s.Logger,
-		Work: ctx, MaxBody: opts.MaxBody, MaxWait: time.Hour, NewID: uuid.NewString, Now: time.Now,
+		Work: ctx, MaxBody: opts.MaxBody, MaxWait: time.Hour, ReadTimeout: opts.ReadTimeout, NewID: uuid.NewString, Now: time.Now,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
