--- a/Makefile
+++ b/Makefile
@@ -63,7 +63,7 @@
 	$(GO) run ./measure/fleet
 
 fuzz:
-	$(GO) test -run TestRandom -rapid.checks=$(CHECKS) ./modules/raft ./models/ledger
+	$(GO) test ./modules/raft ./models/ledger -run TestRandom -rapid.checks=$(CHECKS)
 
 clean:
 	rm -rf $(BIN) .generated
