--- /dev/null
+++ b/cmd/havenwinch/script_test.go
@@ -0,0 +1,18 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"havenwinch": main})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata/script"})
+}
--- a/cmd/havenwinchd/wire.go
+++ b/cmd/havenwinchd/wire.go
@@ -40,6 +40,9 @@
 	"havenwinch.dev/havenwinch/services/timeline"
 )
 
+// aliveInterval is the time between signs of life to a queued caller.
+const aliveInterval = 5 * time.Second
+
 // controlPart is what a box with the role control has; Node is nil elsewhere.
 type controlPart struct {
 	Node    *raft.Node
@@ -187,19 +190,20 @@
 
 func newDispatcher(s *setting.Settings, id identity, keepers *dispatch.RemoteKeepers, store *configuration.Store, engines *engine.Client, c clock.Clock, r *timeline.Recorder, l *slog.Logger, m *metrics.Metrics) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Options{
-		Box:        id.Box,
-		Name:       s.Box,
-		DataCentre: s.DataCentre,
-		KeyWindow:  s.KeyWindow,
-		Keepers:    keepers,
-		Config:     store,
-		Engines:    engines,
-		Policy:     target.PolicyByName(s.Policy),
-		Clock:      c,
-		Recorder:   r,
-		Logger:     l,
-		Seed:       time.Now().UnixNano(),
-		Metrics:    m,
+		Box:           id.Box,
+		Name:          s.Box,
+		DataCentre:    s.DataCentre,
+		KeyWindow:     s.KeyWindow,
+		Keepers:       keepers,
+		Config:        store,
+		Engines:       engines,
+		Policy:        target.PolicyByName(s.Policy),
+		Clock:         c,
+		Recorder:      r,
+		Logger:        l,
+		AliveInterval: aliveInterval,
+		Seed:          time.Now().UnixNano(),
+		Metrics:       m,
 	})
 }
 
--- a/routers/caller/caller_test.go
+++ b/routers/caller/caller_test.go
@@ -338,7 +338,38 @@
 	}
 }
 
-func TestSignsOfLifeHeadersAndModels(t *testing.T) {
+// TestQueuedStreamShowsSignsOfLife keeps a stream waiting for the only place.
+func TestQueuedStreamShowsSignsOfLife(t *testing.T) {
+	slow := single.DefaultEngine
+	slow.TokenTime = 5 * time.Millisecond
+	s := single.New(t, single.Options{Tokens: 10_000, Engines: []standin.Options{slow}})
+	s.Command("rollout target-slots = 1")
+	s.Command("rollout interactive-slots = 0")
+	var wg sync.WaitGroup
+	bodies := make([]string, 2)
+	for i := range bodies {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			bodies[i] = send(t, s, "POST", chatPath, chat("wait", 40, `,"stream":true`)).body
+		}()
+	}
+	wg.Wait()
+	waited := 0
+	for _, body := range bodies {
+		if strings.HasPrefix(body, ": waiting, ") {
+			waited++
+		}
+		if len(strings.Fields(streamText(t, body))) != 40 || !strings.HasSuffix(body, "data: [DONE]\n\n") {
+			t.Errorf("a stream is not whole: %s", body)
+		}
+	}
+	if waited != 1 {
+		t.Errorf("%d of two streams showed signs of life while they waited", waited)
+	}
+}
+
+func TestHeadersAndModels(t *testing.T) {
 	s := single.New(t, single.Options{Tokens: 1000})
 	got := send(t, s, "GET", "/v1/models", "")
 	if got.status != 200 || !strings.Contains(got.body, `"id":"m1"`) || strings.Contains(got.body, "m2") {
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -125,6 +125,8 @@
 	Clock      clock.Clock
 	Recorder   *timeline.Recorder
 	Logger     *slog.Logger
+	// AliveInterval is the time between signs of life to a queued caller.
+	AliveInterval time.Duration
 	// Seed is for the routing policies that draw at random.
 	Seed    int64
 	Metrics Metrics
--- a/services/dispatch/slots.go
+++ b/services/dispatch/slots.go
@@ -120,11 +120,8 @@
 	return d.awaitSlot(ctx, w, alive)
 }
 
-// aliveInterval is the time between signs of life to a queued caller.
-const aliveInterval = 5 * time.Second
-
 func (d *Dispatcher) awaitSlot(ctx context.Context, w *waiting, alive func(position int) error) (*slot, *Refusal) {
-	ticker := time.NewTicker(aliveInterval)
+	ticker := time.NewTicker(d.opts.AliveInterval)
 	defer ticker.Stop()
 	expired := time.NewTimer(w.item.Deadline - d.opts.Clock.Boot())
 	defer expired.Stop()
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -77,8 +77,9 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: opts.IP}
 	}
 	transport := &http.Transport{
-		Protocols:       &protocols,
-		TLSClientConfig: opts.TLS,
+		Protocols: &protocols,
+		// A copy for each side: the library writes into what it is given.
+		TLSClientConfig: opts.TLS.Clone(),
 		DialContext:     dialer.DialContext,
 		IdleConnTimeout: idleTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingAfter},
@@ -148,7 +149,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(p.opts.TLS != nil)
 	protocols.SetUnencryptedHTTP2(p.opts.TLS == nil)
-	return &http.Server{Handler: handler, Protocols: &protocols, TLSConfig: p.opts.TLS, ReadHeaderTimeout: dialTimeout}
+	return &http.Server{Handler: handler, Protocols: &protocols, TLSConfig: p.opts.TLS.Clone(), ReadHeaderTimeout: dialTimeout}
 }
 
 // sign returns "box time code", where the code covers the procedure.
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -5,16 +5,7 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -25,6 +16,7 @@
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/hlc"
 	"havenwinch.dev/havenwinch/services/peers"
+	"havenwinch.dev/havenwinch/tests/certs"
 )
 
 // keeper answers beats only.
@@ -36,45 +28,9 @@
 	return connect.NewResponse(&betweenv1.BeatResponse{}), nil
 }
 
-// files are a certificate and its authority.
-type files struct{ cert, key, ca string }
-
-func write(t *testing.T, path, kind string, data []byte) string {
-	t.Helper()
-	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return path
-}
-
-// authority makes a certificate authority and one certificate signed by it.
-func authority(t *testing.T) files {
-	t.Helper()
-	folder := t.TempDir()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	cert, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	der, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	path := write(t, filepath.Join(folder, "cert"), "CERTIFICATE", cert)
-	return files{cert: path, key: write(t, filepath.Join(folder, "key"), "EC PRIVATE KEY", der), ca: path}
-}
-
-func newPeers(t *testing.T, secret string, f files, c clock.Clock) *peers.Peers {
+func newPeers(t *testing.T, secret string, f certs.Files, c clock.Clock) *peers.Peers {
 	t.Helper()
-	tls, err := peers.LoadTLS(f.cert, f.key, f.ca)
+	tls, err := peers.LoadTLS(f.Cert, f.Key, f.Authority)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,23 +40,23 @@
 // TestWhoMaySpeak calls a box in the ways that must be let in and kept out.
 func TestWhoMaySpeak(t *testing.T) {
 	const secret = "a secret that is shared"
-	ours, theirs := authority(t), authority(t)
+	ours, theirs := certs.New(t), certs.New(t)
 	tests := map[string]struct {
-		server files
-		client files
+		server certs.Files
+		client certs.Files
 		secret string
 		skew   time.Duration
 		ok     bool
 	}{
-		"plain":                        {files{}, files{}, secret, 0, true},
-		"plain, another secret":        {files{}, files{}, "another secret", 0, false},
-		"plain, clocks a little apart": {files{}, files{}, secret, time.Minute, true},
-		"plain, clocks far apart":      {files{}, files{}, secret, time.Hour, false},
+		"plain":                        {certs.Files{}, certs.Files{}, secret, 0, true},
+		"plain, another secret":        {certs.Files{}, certs.Files{}, "another secret", 0, false},
+		"plain, clocks a little apart": {certs.Files{}, certs.Files{}, secret, time.Minute, true},
+		"plain, clocks far apart":      {certs.Files{}, certs.Files{}, secret, time.Hour, false},
 		"TLS":                          {ours, ours, secret, 0, true},
 		"TLS, another secret":          {ours, ours, "another secret", 0, false},
 		"TLS, another authority":       {ours, theirs, secret, 0, false},
-		"TLS, plain caller":            {ours, files{}, secret, 0, false},
-		"plain, TLS caller":            {files{}, ours, secret, 0, false},
+		"TLS, plain caller":            {ours, certs.Files{}, secret, 0, false},
+		"plain, TLS caller":            {certs.Files{}, ours, secret, 0, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/tests/fleet/fleet.go
+++ b/tests/fleet/fleet.go
@@ -85,7 +85,7 @@
 	}
 	fleetNumber := fleets.Add(1)
 	for i, spec := range specs {
-		ip := fmt.Sprintf("127.%d.%d.%d", firstNet+os.Getpid()%nets, fleetNumber%nets, firstIP+i)
+		ip := address(int(fleetNumber%nets), i)
 		if err := f.add(spec, ip); err != nil {
 			return nil, err
 		}
@@ -103,6 +103,22 @@
 
 var fleets atomic.Int64
 
+func address(fleetNumber, box int) string {
+	return fmt.Sprintf("127.%d.%d.%d", firstNet+os.Getpid()%nets, fleetNumber, firstIP+box)
+}
+
+// Addresses returns those that the first boxes of any fleet of this process
+// can have, for certificates.
+func Addresses(boxes int) []string {
+	var list []string
+	for n := range nets {
+		for i := range boxes {
+			list = append(list, address(n, i))
+		}
+	}
+	return list
+}
+
 func (f *Fleet) add(spec BoxSpec, ip string) error {
 	// The relay listens before free ports are looked for, since it would be
 	// given one of those that were found and closed again.
--- a/tests/single/single.go
+++ b/tests/single/single.go
@@ -200,7 +200,7 @@
 	s.Dispatcher = dispatch.New(dispatch.Options{
 		Box: Box + "@1", Name: Box, DataCentre: DataCentre, KeyWindow: opts.Window, Keepers: keepers, Config: store,
 		Engines: engine.New(), Policy: s.Policy, Clock: clock.System{}, Recorder: s.Recorder, Logger: s.Logger,
-		Seed: 1, Metrics: metrics.New(),
+		AliveInterval: 10 * time.Millisecond, Seed: 1, Metrics: metrics.New(),
 	})
 	s.Keeper, err = keeper.New(keeper.Options{
 		Box: Box, DataCentre: DataCentre, Address: "127.0.0.1:1", Disk: s.Disk, Clock: clock.System{},
