modules/periodic: one loop for background work in place of four

Cause: duplicates showed the same ticker loop in dispatch, keeper, orders and platform. Run: go test -race ./services/... ./routers/... passes.

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"havenwinch.dev/havenwinch/models/state"
 	"havenwinch.dev/havenwinch/models/target"
 	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/periodic"
 	"havenwinch.dev/havenwinch/services/engine"
 	"havenwinch.dev/havenwinch/services/timeline"
 	"havenwinch.dev/havenwinch/structs"
@@ -181,17 +182,10 @@
 
 // Run does what time makes due until the context ends.
 func (d *Dispatcher) Run(ctx context.Context) {
-	ticker := time.NewTicker(beatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			d.beat(ctx)
-			d.Refresh()
-		}
-	}
+	periodic.Run(ctx, beatInterval, func(ctx context.Context) {
+		d.beat(ctx)
+		d.Refresh()
+	})
 }
 
 // beatInterval is the time between signs of life to keepers that hold
--- a/services/keeper/sync.go
+++ b/services/keeper/sync.go
@@ -15,6 +15,7 @@
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/ledger"
+	"havenwinch.dev/havenwinch/modules/periodic"
 )
 
 const (
@@ -43,7 +44,7 @@
 // Run registers the ledger, reports, and does what is due until the context
 // ends.
 func (k *Keeper) Run(ctx context.Context) error {
-	go k.runTicks(ctx)
+	go periodic.Run(ctx, tickInterval, k.Tick)
 	if err := k.register(ctx); err != nil {
 		return err
 	}
@@ -57,19 +58,6 @@
 	return nil
 }
 
-func (k *Keeper) runTicks(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			k.Tick(ctx)
-		}
-	}
-}
-
 // pause waits for a kick or the next turn; kicks are gathered for a moment so
 // that many waiting requests share one report.
 func (k *Keeper) pause(ctx context.Context, d time.Duration) {
--- a/services/orders/orders.go
+++ b/services/orders/orders.go
@@ -22,6 +22,7 @@
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/state"
 	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/periodic"
 	"havenwinch.dev/havenwinch/services/timeline"
 )
 
@@ -87,18 +88,7 @@
 }
 
 // Run works until the context ends.
-func (s *Sender) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.Tick(ctx)
-		}
-	}
-}
+func (s *Sender) Run(ctx context.Context) { periodic.Run(ctx, tickInterval, s.Tick) }
 
 // Tick sends and verifies the orders that are due.
 func (s *Sender) Tick(ctx context.Context) {
--- a/services/platform/platform.go
+++ b/services/platform/platform.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"havenwinch.dev/havenwinch/models/target"
+	"havenwinch.dev/havenwinch/modules/periodic"
 	"havenwinch.dev/havenwinch/services/engine"
 )
 
@@ -125,28 +126,15 @@
 	wg.Add(2)
 	go func() {
 		defer wg.Done()
-		every(ctx, listInterval, p.PollList)
+		periodic.Run(ctx, listInterval, p.PollList)
 	}()
 	go func() {
 		defer wg.Done()
-		every(ctx, reportInterval, p.PollReports)
+		periodic.Run(ctx, reportInterval, p.PollReports)
 	}()
 	wg.Wait()
 }
 
-func every(ctx context.Context, interval time.Duration, do func(ctx context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		do(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // PollList reads the list once. Without an answer the last list stays valid:
 // serving what is known beats serving nothing.
 func (p *Poller) PollList(ctx context.Context) {
