caller: a caller that leaves while it waits for a whole answer ends the run

Cause: the HTTP library does not look at a connection while a handler works, so such a run went on to its end, at the organisation's cost. Ruled out: the library's own hooks; none tells of a closed peer. Change: the connection is peeked at with each event and sign of life. Plain services are shown to answer while engines are full.

--- a/routers/caller/caller_test.go
+++ b/routers/caller/caller_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -369,6 +370,33 @@
 	}
 }
 
+// TestServicesAnswerWhileEnginesAreFull fills the only engine and its queue, and
+// calls a plain service meanwhile.
+func TestServicesAnswerWhileEnginesAreFull(t *testing.T) {
+	slow := single.DefaultEngine
+	slow.TokenTime = 20 * time.Millisecond
+	s := single.New(t, single.Options{Tokens: 100_000, Engines: []standin.Options{slow}, Services: []http.Handler{service.New("one", 0)}})
+	s.Command("rollout target-slots = 1")
+	var wg sync.WaitGroup
+	var working atomic.Int64
+	const requests = 6
+	working.Store(requests)
+	for range requests {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			send(t, s, "POST", chatPath, chat("work", 20, ""))
+			working.Add(-1)
+		}()
+	}
+	s.Eventually("requests wait", func() bool { return s.Dispatcher.Status().Queued > 2 })
+	got := send(t, s, "GET", "/services/portal/search", "")
+	if got.status != 200 || working.Load() == 0 {
+		t.Errorf("got %d while %d requests were under way: %s", got.status, working.Load(), got.body)
+	}
+	wg.Wait()
+}
+
 func TestHeadersAndModels(t *testing.T) {
 	s := single.New(t, single.Options{Tokens: 1000})
 	got := send(t, s, "GET", "/v1/models", "")
@@ -404,16 +432,30 @@
 	}
 }
 
-// TestCallerLeaves goes after the first event. Without a key the run is ended
-// and billed for what it used; with one it goes on, and the answer is kept.
+// TestCallerLeaves goes while the answer is under way. Without a key the run is
+// ended and billed for what it used; with one it goes on, and the answer is
+// kept.
 func TestCallerLeaves(t *testing.T) {
 	slow := single.DefaultEngine
 	slow.TokenTime = 5 * time.Millisecond
 	const words = 100
-	for name, key := range map[string]string{"without a key": "", "with a key": "Idempotency-Key: k1"} {
+	tests := map[string]struct {
+		stream bool
+		key    string
+	}{
+		"streamed, without a key": {true, ""},
+		"streamed, with a key":    {true, "Idempotency-Key: k1"},
+		"whole, without a key":    {false, ""},
+		"whole, with a key":       {false, "Idempotency-Key: k1"},
+	}
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			s := single.New(t, single.Options{Tokens: 1000, Engines: []standin.Options{slow}})
-			leave(t, s, chat("hi", words, `,"stream":true`), key)
+			if test.stream {
+				leave(t, s, chat("hi", words, `,"stream":true`), test.key)
+			} else {
+				leaveWhole(t, s, chat("hi", words, ""), test.key)
+			}
 			s.Eventually("the bill is reported", func() bool {
 				return s.Cell("show groups where group = north/a", "requests") == "1" && s.Keeper.Stats().Open == 0
 			})
@@ -422,7 +464,7 @@
 			if want := fmt.Sprint(made + uint64(len("user\nhi\n")/4+4)); billed != want {
 				t.Errorf("billed %s, the engine worked %s", billed, want)
 			}
-			if key == "" {
+			if test.key == "" {
 				if made == words {
 					t.Error("the run went on to its end")
 				}
@@ -434,3 +476,22 @@
 		})
 	}
 }
+
+// leaveWhole sends a request for an answer in one piece and goes once the
+// engine works on it.
+func leaveWhole(t *testing.T, s *single.Single, body, header string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if header != "" {
+		header += "\r\n"
+	}
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n%s", chatPath, single.Key, header, len(body), body)
+	s.Eventually("the engine works", func() bool {
+		_, _, made := s.Engines[0].Counts()
+		return made > 0
+	})
+}
--- a/routers/caller/chat.go
+++ b/routers/caller/chat.go
@@ -161,7 +161,7 @@
 }
 
 func (c *Caller) whole(s *session, a *dispatch.Admission, r *dispatch.Request) {
-	sink := &dispatch.WholeSink{}
+	sink := &dispatch.WholeSink{Gone: goneCheck(s.ctx.Conn())}
 	result, refusal := c.opts.Dispatcher.Serve(c.opts.Work, a, sink)
 	if refusal != nil {
 		c.refuse(s, refusal)
--- a/services/dispatch/follow.go
+++ b/services/dispatch/follow.go
@@ -208,13 +208,22 @@
 // WholeSink gathers an answer for a caller that wants it in one piece.
 type WholeSink struct {
 	Events []engine.Event
+	// Gone tells whether the caller has left; nil stands for never.
+	Gone func() bool
 }
 
 // Alive implements Sink.
-func (w *WholeSink) Alive(string) error { return nil }
+func (w *WholeSink) Alive(string) error { return w.check() }
 
 // Event implements Sink.
 func (w *WholeSink) Event(e engine.Event) error {
 	w.Events = append(w.Events, e)
+	return w.check()
+}
+
+func (w *WholeSink) check() error {
+	if w.Gone != nil && w.Gone() {
+		return errCallerLeft
+	}
 	return nil
 }
