keeper: a reservation that waited is written once; repeated work in control

A request that waited for tokens had its reservation queued for the log when it was served and again when it was answered. The second copy could come after a release of the same request and bring the reservation back at a restart. Ruled out: a wrong count in memory; only the log had it twice. Change: what is queued is not queued again. A report sorts the keepers once, not for each of its budgets; one function tells which ledger counts, and a query works out what is lost once for each budget.

--- a/models/state/budget.go
+++ b/models/state/budget.go
@@ -131,7 +131,7 @@
 }
 
 func (s *State) applySync(m *statev1.Sync) SyncAnswer {
-	if !s.inForce(m.GetHolder()) {
+	if !s.InForce(m.GetHolder()) {
 		return SyncAnswer{Err: ErrHolderLost{Holder: m.GetHolder()}}
 	}
 	var names []string
@@ -158,7 +158,7 @@
 	if holder == "" {
 		holder = asker
 	}
-	if b == nil || !s.inForce(holder) {
+	if b == nil || !s.InForce(holder) {
 		return
 	}
 	b.grant(holder, g.GetTokens())
@@ -201,7 +201,8 @@
 	s.Usages[u.GetGroup()] = rows
 }
 
-func (s *State) inForce(holder string) bool {
+// InForce tells whether a ledger is the one of its box that counts.
+func (s *State) InForce(holder string) bool {
 	for _, k := range s.Keepers {
 		if k.GetHolder() == holder {
 			return true
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -184,12 +184,13 @@
 // plan asks the policy about each reported budget.
 func (s *Service) plan(holder string, reports []*statev1.BudgetReport) (grants []*statev1.Grant, missing []recall) {
 	s.opts.Machine.Read(func(st *state.State) {
+		keepers := state.Sorted(st.Keepers)
 		for _, r := range reports {
 			b := st.Budgets[r.GetBudget()]
 			if b == nil {
 				continue
 			}
-			holders, asker := viewOf(st, b, holder, r)
+			holders, asker := viewOf(keepers, b, holder, r)
 			if asker < 0 {
 				continue
 			}
@@ -212,10 +213,10 @@
 
 // viewOf returns what the policy sees: all ledgers in force, the asker's with
 // the numbers it has just reported.
-func viewOf(st *state.State, b *state.Budget, asker string, r *statev1.BudgetReport) ([]allot.Holder, int) {
+func viewOf(keepers []*statev1.KeeperMember, b *state.Budget, asker string, r *statev1.BudgetReport) ([]allot.Holder, int) {
 	at := -1
 	var holders []allot.Holder
-	for _, k := range state.Sorted(st.Keepers) {
+	for _, k := range keepers {
 		a := b.Of(k.GetHolder())
 		h := allot.Holder{Name: k.GetHolder(), Rate: a.GetRate(), Need: a.GetNeed()}
 		if a != nil {
@@ -281,13 +282,9 @@
 
 // gone is what can't come back: what is spent, and all that lost ledgers held.
 func gone(st *state.State, b *state.Budget) uint64 {
-	inForce := map[string]bool{}
-	for _, k := range st.Keepers {
-		inForce[k.GetHolder()] = true
-	}
 	sum := uint64(0)
 	for _, a := range b.Allotments {
-		if inForce[a.GetHolder()] {
+		if st.InForce(a.GetHolder()) {
 			sum += a.GetSpent()
 		} else {
 			sum += state.Held(a)
--- a/services/control/query.go
+++ b/services/control/query.go
@@ -134,7 +134,8 @@
 		for _, a := range b.Allotments {
 			reserved += a.GetReserved()
 		}
-		lost := gone(st, b) - min(gone(st, b), spent)
+		away := gone(st, b)
+		lost := away - min(away, spent)
 		remaining := b.Granted - spent
 		t.add(b.Name, number(b.Granted), number(spent), number(reserved), number(remaining-min(remaining, reserved+lost)), number(b.Unallotted()), number(lost))
 	}
--- a/services/keeper/keeper_test.go
+++ b/services/keeper/keeper_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/ledger"
@@ -19,6 +21,7 @@
 	"havenwinch.dev/havenwinch/modules/disk/disktest"
 	"havenwinch.dev/havenwinch/modules/hlc"
 	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/modules/wal"
 	"havenwinch.dev/havenwinch/services/keeper"
 	"havenwinch.dev/havenwinch/services/timeline"
 )
@@ -346,3 +349,36 @@
 		})
 	}
 }
+
+// TestServedWaiterIsWrittenOnce counts the records of a request that waited for
+// its tokens: a second, later one could bring back what was settled meanwhile.
+func TestServedWaiterIsWrittenOnce(t *testing.T) {
+	d := disktest.New()
+	f := newFixture(t, d, &control{granted: 100}).ready()
+	f.mustReserve("first", 60)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.mustReserve("second", 80)
+	}()
+	f.eventually("it waits", func() bool { return f.keeper.Waiting("north/main") == 1 })
+	f.settle("first", 10)
+	<-done
+	_, content, err := wal.Open(d.Crash(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	written := 0
+	for _, data := range content.Records {
+		var r statev1.LedgerRecord
+		if err := proto.Unmarshal(data, &r); err != nil {
+			t.Fatal(err)
+		}
+		if r.GetRequest().GetKey() == "second" {
+			written++
+		}
+	}
+	if written != 1 {
+		t.Errorf("the reservation was written %d times", written)
+	}
+}
--- a/services/keeper/orphans.go
+++ b/services/keeper/orphans.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
@@ -44,7 +45,7 @@
 
 func (k *Keeper) recover(ctx context.Context, r *statev1.RequestRecord) {
 	late := k.opts.Clock.Wall().UnixMilli() - r.GetDeadline()
-	abandon := late > 0 || anonymous(r.GetKey())
+	abandon := late > 0 || strings.HasPrefix(r.GetKey(), AnonymousPrefix)
 	ctx, cancel := context.WithTimeout(ctx, recoverTimeout)
 	defer cancel()
 	found, err := k.opts.Recoverer.Recover(ctx, r, abandon)
@@ -60,10 +61,6 @@
 	}
 }
 
-func anonymous(key string) bool {
-	return len(key) > len(AnonymousPrefix) && key[:len(AnonymousPrefix)] == AnonymousPrefix
-}
-
 // finish settles an orphan under the attempt that was looked at, so that a
 // retry that has taken over meanwhile is left alone.
 func (k *Keeper) finish(ctx context.Context, r *statev1.RequestRecord, bill ledger.Bill, reason string) {
--- a/services/keeper/reserve.go
+++ b/services/keeper/reserve.go
@@ -223,6 +223,8 @@
 	}
 	out := k.ledger.Reserve(w.request, w.box, k.times())
 	k.queue(out.Records)
+	// They are queued for the log; the waiter only waits until they last.
+	out.Records = nil
 	k.ledger.Waiting(w.request.GetGroup(), -1)
 	w.done <- out
 	return true
