--- a/models/allot/lease.go
+++ b/models/allot/lease.go
@@ -34,12 +34,12 @@
 const (
 	// leaseHorizon is how many seconds a holder should be able to go on for
 	// while control can't be reached.
-	leaseHorizon = 14.0
+	leaseHorizon = 7.0
 	// leasePool is the part of all free tokens that leases may bind.
-	leasePool = 0.7
+	leasePool = 0.5
 	// leaseFloor is the part of a prepaid amount that is spread evenly before
 	// demand is known.
-	leaseFloor = 0.16
+	leaseFloor = 0.08
 	// leaseLow is the part of its target below which a holder is granted more.
 	leaseLow = 0.8
 	// leaseHigh is the multiple of its target above which a holder returns.
