gateway: a stopping box closes a connection after a stream that began before

Ruled out: the idle close, which works; a linger, which takes such requests in. Change: no request is read any more once the server stops; resting connections and the stop are ordered by one lock. Before: TestStopClosesAfterAStreamThatBeganBefore fails. After: passes.

--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -160,29 +160,32 @@
 
 // await waits for the first byte of a request.
 func (ss *session) await(limits *statev1.CallerLimits) bool {
-	ss.s.rests(ss.conn, true)
-	defer ss.s.rests(ss.conn, false)
-	if ss.s.stopping.Load() {
-		// Only what has arrived already is still served.
-		_ = ss.conn.SetReadDeadline(time.Now().Add(stopLinger))
-	} else {
-		_ = ss.conn.SetReadDeadline(time.Now().Add(time.Duration(limits.GetIdleTimeout()) * time.Millisecond))
+	if !ss.s.rest(ss.conn, time.Duration(limits.GetIdleTimeout())*time.Millisecond) {
+		return false
 	}
+	defer ss.s.wake(ss.conn)
 	_, err := ss.reader.Peek(1)
 	return err == nil
 }
 
-// stopLinger is how long a connection of a stopping box waits for a request
-// that crosses its last answer.
-const stopLinger = 300 * time.Millisecond
-
-func (s *Server) rests(c net.Conn, rests bool) {
+// rest notes that no call is in progress on a connection, and for how long it
+// may stay so; false when the server stops. The head of the last answer may
+// have been sent before the stop began; a request that crosses the close is not
+// read and can be sent again.
+func (s *Server) rest(c net.Conn, limit time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if rests {
-		s.idle[c] = true
-		return
+	if s.stopping.Load() {
+		return false
 	}
+	s.idle[c] = true
+	_ = c.SetReadDeadline(time.Now().Add(limit))
+	return true
+}
+
+func (s *Server) wake(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.idle, c)
 }
 
--- /dev/null
+++ b/routers/gateway/server_test.go
@@ -0,0 +1,266 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/services/forward"
+	store "havenwinch.dev/havenwinch/services/gateway"
+)
+
+// plainTranslator reads calls with the names of these tests.
+type plainTranslator struct{}
+
+func (plainTranslator) RequestID(h *fasthttp.RequestHeader) (string, string) {
+	return "X-Id", string(h.Peek("X-Id"))
+}
+
+func (plainTranslator) Call(h *fasthttp.RequestHeader, body []byte) (*forward.Call, error) {
+	if string(h.Peek("X-Id")) == "" {
+		return nil, errors.New("X-Id is missing")
+	}
+	uri := string(h.RequestURI())
+	path, _, _ := strings.Cut(uri, "?")
+	return &forward.Call{
+		ID: string(h.Peek("X-Id")), Method: string(h.Method()), URI: uri, Path: path, Host: string(h.Host()), Body: body, LastEvent: -1,
+		Fields: []forward.Field{{Name: "X-Id", Value: string(h.Peek("X-Id"))}},
+	}, nil
+}
+
+var dialect = forward.Dialect{RequestID: "X-Id", Deadline: "X-Deadline", Organisation: "X-Org", ExpectTarget: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed", LastEvent: "X-Last", Priority: "X-Rank"}
+
+type noLeases struct{}
+
+func (noLeases) Reserve(context.Context, string, uint64, time.Duration) (store.Outcome, store.Status) {
+	return store.Reserved, store.Status{}
+}
+func (noLeases) Settle(string, uint64, uint64) {}
+func (noLeases) Holders() int                  { return 1 }
+
+type noCounter struct{}
+
+func (noCounter) Done(string, string)             {}
+func (noCounter) FirstByte(string, time.Duration) {}
+func (noCounter) Forwarded(string, string)        {}
+
+// fixture is a server before one target, whose handler a test writes.
+type fixture struct {
+	server  *Server
+	address string
+	cancel  context.CancelFunc
+}
+
+func newFixture(t *testing.T, target http.HandlerFunc) *fixture {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	backend := &http.Server{Handler: target}
+	go func() { _ = backend.Serve(l) }()
+	t.Cleanup(func() { _ = backend.Close() })
+
+	copyOf := store.NewStore(clock.System{})
+	copyOf.Take(&betweenv1.FollowResponse{
+		Routing: &statev1.RoutingTable{
+			Version: 1,
+			Routes: []*statev1.Route{
+				{Name: "plain", Host: "h", PathPrefix: "/plain/", Kind: statev1.Route_KIND_UNSAFE, Timeout: 30000, Objective: 1000, MaxAttempts: 1, Splits: []*statev1.Split{{Service: "s", Weight: 1}}},
+				{Name: "stream", Host: "h", PathPrefix: "/stream/", Kind: statev1.Route_KIND_STREAM, Timeout: 30000, Objective: 1000, MaxAttempts: 1, Splits: []*statev1.Split{{Service: "s", Weight: 1}}},
+			},
+			Services: []*statev1.Service{{Name: "s"}},
+			Limits:   &statev1.CallerLimits{MaxHeaderBytes: 1024, MaxBodyBytes: 2048},
+		},
+		Targets:        []*statev1.RegisteredTarget{{Id: "t1", Service: "s", Address: l.Addr().String(), State: statev1.RegisteredTarget_STATE_READY, Revision: 1}},
+		TargetRevision: 1,
+	})
+	f := forward.New(forward.Options{Dialect: dialect, Store: copyOf, Leases: noLeases{}, Clock: clock.System{}, Logger: logging.Discard(), Counter: noCounter{}, RetryStock: 10})
+	f.Refresh()
+	work, cancel := context.WithCancel(context.Background())
+	s := New(Options{Forwarder: f, Translator: plainTranslator{}, Limits: func() *statev1.CallerLimits { return copyOf.Index().Table.GetLimits() }, Clock: clock.System{}, Logger: logging.Discard(), Work: work})
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(front) }()
+	t.Cleanup(func() {
+		cancel()
+		_ = front.Close()
+	})
+	return &fixture{server: s, address: front.Addr().String(), cancel: cancel}
+}
+
+func signed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Signed", "yes")
+	w.Header().Set("X-Id", r.Header.Get("X-Id"))
+}
+
+// caller is a raw connection of a caller.
+type caller struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (f *fixture) dial(t *testing.T) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", f.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return &caller{Conn: c, r: bufio.NewReader(c)}
+}
+
+func (c *caller) send(t *testing.T, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c.Conn, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (c *caller) head(t *testing.T) *http.Response {
+	t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	return resp
+}
+
+func request(path, id string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", path, id)
+}
+
+// A stream's head may have gone out before a stop began, so the caller does
+// not know that the connection closes. A request that follows is not read.
+func TestStopClosesAfterAStreamThatBeganBefore(t *testing.T) {
+	release := make(chan struct{})
+	ran := make(chan string, 4)
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		ran <- r.Header.Get("X-Id")
+		signed(w, r)
+		_, _ = io.WriteString(w, "id: 0\ndata: a\n\n")
+		w.(http.Flusher).Flush()
+		<-release
+		_, _ = io.WriteString(w, "id: 1\ndata: b\n\n")
+	})
+	c := f.dial(t)
+	c.send(t, request("/stream/x", "first"))
+	resp := c.head(t)
+	if resp.Close {
+		t.Fatal("the head says that the connection closes before any stop")
+	}
+	f.server.Stop()
+	f.server.CloseIdle()
+	close(release)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || string(body) != "id: 0\ndata: a\n\nid: 1\ndata: b\n\n" {
+		t.Fatalf("the stream was not whole: %q, %v", body, err)
+	}
+	_, _ = io.WriteString(c.Conn, request("/plain/x", "second"))
+	if _, err := c.r.ReadByte(); err == nil {
+		t.Fatal("a request after the stop was answered on a connection that had to close")
+	}
+	f.server.Wait(context.Background())
+	if got := <-ran; got != "first" || len(ran) != 0 {
+		t.Fatalf("the target ran %q and %d more", got, len(ran))
+	}
+}
+
+// An answer that begins after the stop says that the connection closes.
+func TestStopTellsWithTheAnswer(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-release
+		signed(w, r)
+	})
+	c := f.dial(t)
+	c.send(t, request("/plain/x", "only"))
+	<-began
+	f.server.Stop()
+	close(release)
+	if resp := c.head(t); !resp.Close || resp.StatusCode != http.StatusOK {
+		t.Fatalf("got status %d, close %v", resp.StatusCode, resp.Close)
+	}
+	f.server.Wait(context.Background())
+}
+
+// A caller that leaves ends the call at the target.
+func TestCallerThatLeavesEndsTheCall(t *testing.T) {
+	began, ended := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		close(ended)
+	})
+	c := f.dial(t)
+	c.send(t, request("/plain/x", "left"))
+	<-began
+	_ = c.Close()
+	<-ended
+}
+
+// Bad requests get a plain answer and reach no target.
+func TestBadRequests(t *testing.T) {
+	f := newFixture(t, func(http.ResponseWriter, *http.Request) { t.Error("a bad request reached the target") })
+	cases := map[string]struct {
+		send   string
+		status int
+	}{
+		"no id":              {send: "POST /plain/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", status: http.StatusBadRequest},
+		"no request line":    {send: "nonsense\r\n\r\n", status: http.StatusBadRequest},
+		"head too long":      {send: "POST /plain/x HTTP/1.1\r\nHost: h\r\nX-Long: " + strings.Repeat("a", 4096) + "\r\n\r\n", status: http.StatusRequestHeaderFieldsTooLarge},
+		"body too long":      {send: "POST /plain/x HTTP/1.1\r\nHost: h\r\nX-Id: a\r\nContent-Length: 4096\r\n\r\n", status: http.StatusRequestEntityTooLarge},
+		"chunks too long":    {send: "POST /plain/x HTTP/1.1\r\nHost: h\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\nc00\r\n" + strings.Repeat("a", 0xc00) + "\r\n0\r\n\r\n", status: http.StatusRequestEntityTooLarge},
+		"chunks broken":      {send: "POST /plain/x HTTP/1.1\r\nHost: h\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", status: http.StatusBadRequest},
+		"two lengths":        {send: "POST /plain/x HTTP/1.1\r\nHost: h\r\nX-Id: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", status: http.StatusBadRequest},
+		"no route":           {send: request("/other/x", "a"), status: http.StatusNotFound},
+		"another host":       {send: "GET /plain/x HTTP/1.1\r\nHost: other\r\nX-Id: a\r\n\r\n", status: http.StatusNotFound},
+		"prefix without end": {send: request("/plain", "a"), status: http.StatusNotFound},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			conn := f.dial(t)
+			conn.send(t, c.send)
+			if resp := conn.head(t); resp.StatusCode != c.status {
+				t.Fatalf("status %d, want %d", resp.StatusCode, c.status)
+			}
+		})
+	}
+}
+
+// A chunked body reaches the target whole, and the connection serves on.
+func TestBodiesAndKeptConnections(t *testing.T) {
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		signed(w, r)
+		_, _ = w.Write(body)
+	})
+	c := f.dial(t)
+	c.send(t, "POST /plain/x HTTP/1.1\r\nHost: h\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"+request("/plain/x", "b"))
+	for _, want := range []string{"abcde", ""} {
+		resp := c.head(t)
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || string(body) != want || resp.StatusCode != http.StatusOK {
+			t.Fatalf("got %d %q (%v), want %q", resp.StatusCode, body, err, want)
+		}
+	}
+}
