lease: a bound on what a dead box can have used, reclaimed when its next process reports

Cause: what a box held when it ended counted as spent for good. Ruled out: smaller leases alone (they starve cuts); a clock of the time of day (it jumps); trusting a box's own word after its end (it has no disk). Change: holders use their lease at a limited rate beyond what control has acknowledged; a reservation over the limit is announced first; control reclaims the rest from the time between the last report and the box's next start, read on one control box's boot clock.

--- a/cmd/havenwinchd/forward_control.go
+++ b/cmd/havenwinchd/forward_control.go
@@ -12,6 +12,7 @@
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/state"
+	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/disk"
 	"havenwinch.dev/havenwinch/modules/raft"
 	"havenwinch.dev/havenwinch/platform"
@@ -61,8 +62,11 @@
 	})
 	r.source = &gateway.MachineSource{Machine: r.machine, OutOfStep: r.member.OutOfStep}
 	r.between = b.Peers.Server(between.NewGateway(between.GatewayOptions{
-		Nodes:    r.member,
-		Gateway:  &control.Gateway{Log: r.member, Machine: r.machine, Clock: b.Clock, Logger: b.Logger},
+		Nodes: r.member,
+		Gateway: &control.Gateway{
+			Log: r.member, Machine: r.machine, Clock: b.Clock, Logger: b.Logger,
+			Self: b.Settings.BetweenAddress(), Boot: clock.BootID(newIncarnation()), Clocks: b.Client.ReadClock,
+		},
 		Source:   r.followed,
 		Observer: r.member.Observer,
 		Members:  b.Client,
--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -41,7 +41,7 @@
 
 func newEntryRole(b *forwardBox) *entryRole {
 	e := &entryRole{forwardBox: b}
-	e.leases = gateway.NewLeases(b.Settings.Box+"@"+newIncarnation(), b.Store, b.Client, b.Clock, b.Logger)
+	e.leases = gateway.NewLeases(b.Settings.Box, newIncarnation(), b.Store, b.Client, b.Clock, b.Logger)
 	e.forwarder = forward.New(forward.Options{
 		DataCentre: b.Settings.DataCentre,
 		Dialect:    platform.Dialect(),
--- a/gen/havenwinch/between/v1/betweenv1connect/between.connect.go
+++ b/gen/havenwinch/between/v1/betweenv1connect/between.connect.go
@@ -87,6 +87,9 @@
 	// GatewayServiceReadRoutingProcedure is the fully-qualified name of the GatewayService's
 	// ReadRouting RPC.
 	GatewayServiceReadRoutingProcedure = "/havenwinch.between.v1.GatewayService/ReadRouting"
+	// GatewayServiceReadClockProcedure is the fully-qualified name of the GatewayService's ReadClock
+	// RPC.
+	GatewayServiceReadClockProcedure = "/havenwinch.between.v1.GatewayService/ReadClock"
 )
 
 // ConsensusServiceClient is a client for the havenwinch.between.v1.ConsensusService service.
@@ -694,6 +697,8 @@
 	Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitResponse], error)
 	// ReadRouting returns the newest table, or an error when it isn't certain.
 	ReadRouting(context.Context, *connect.Request[v1.ReadRoutingRequest]) (*connect.Response[v1.ReadRoutingResponse], error)
+	// ReadClock returns the box's boot clock.
+	ReadClock(context.Context, *connect.Request[v1.ReadClockRequest]) (*connect.Response[v1.ReadClockResponse], error)
 }
 
 // NewGatewayServiceClient constructs a client for the havenwinch.between.v1.GatewayService service.
@@ -731,6 +736,12 @@
 			connect.WithSchema(gatewayServiceMethods.ByName("ReadRouting")),
 			connect.WithClientOptions(opts...),
 		),
+		readClock: connect.NewClient[v1.ReadClockRequest, v1.ReadClockResponse](
+			httpClient,
+			baseURL+GatewayServiceReadClockProcedure,
+			connect.WithSchema(gatewayServiceMethods.ByName("ReadClock")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -740,6 +751,7 @@
 	lease       *connect.Client[v1.LeaseRequest, v1.LeaseResponse]
 	submit      *connect.Client[v1.SubmitRequest, v1.SubmitResponse]
 	readRouting *connect.Client[v1.ReadRoutingRequest, v1.ReadRoutingResponse]
+	readClock   *connect.Client[v1.ReadClockRequest, v1.ReadClockResponse]
 }
 
 // Follow calls havenwinch.between.v1.GatewayService.Follow.
@@ -762,6 +774,11 @@
 	return c.readRouting.CallUnary(ctx, req)
 }
 
+// ReadClock calls havenwinch.between.v1.GatewayService.ReadClock.
+func (c *gatewayServiceClient) ReadClock(ctx context.Context, req *connect.Request[v1.ReadClockRequest]) (*connect.Response[v1.ReadClockResponse], error) {
+	return c.readClock.CallUnary(ctx, req)
+}
+
 // GatewayServiceHandler is an implementation of the havenwinch.between.v1.GatewayService service.
 type GatewayServiceHandler interface {
 	// Follow streams the routing table and the targets from any control box.
@@ -772,6 +789,8 @@
 	Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitResponse], error)
 	// ReadRouting returns the newest table, or an error when it isn't certain.
 	ReadRouting(context.Context, *connect.Request[v1.ReadRoutingRequest]) (*connect.Response[v1.ReadRoutingResponse], error)
+	// ReadClock returns the box's boot clock.
+	ReadClock(context.Context, *connect.Request[v1.ReadClockRequest]) (*connect.Response[v1.ReadClockResponse], error)
 }
 
 // NewGatewayServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -805,6 +824,12 @@
 		connect.WithSchema(gatewayServiceMethods.ByName("ReadRouting")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatewayServiceReadClockHandler := connect.NewUnaryHandler(
+		GatewayServiceReadClockProcedure,
+		svc.ReadClock,
+		connect.WithSchema(gatewayServiceMethods.ByName("ReadClock")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/havenwinch.between.v1.GatewayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GatewayServiceFollowProcedure:
@@ -815,6 +840,8 @@
 			gatewayServiceSubmitHandler.ServeHTTP(w, r)
 		case GatewayServiceReadRoutingProcedure:
 			gatewayServiceReadRoutingHandler.ServeHTTP(w, r)
+		case GatewayServiceReadClockProcedure:
+			gatewayServiceReadClockHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -839,3 +866,7 @@
 func (UnimplementedGatewayServiceHandler) ReadRouting(context.Context, *connect.Request[v1.ReadRoutingRequest]) (*connect.Response[v1.ReadRoutingResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.GatewayService.ReadRouting is not implemented"))
 }
+
+func (UnimplementedGatewayServiceHandler) ReadClock(context.Context, *connect.Request[v1.ReadClockRequest]) (*connect.Response[v1.ReadClockResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.GatewayService.ReadClock is not implemented"))
+}
--- a/models/allot/lease.go
+++ b/models/allot/lease.go
@@ -34,9 +34,9 @@
 const (
 	// leaseHorizon is how many seconds a holder should be able to go on for
 	// while control can't be reached.
-	leaseHorizon = 7.0
+	leaseHorizon = 11.0
 	// leasePool is the part of all free tokens that leases may bind.
-	leasePool = 0.5
+	leasePool = 0.6
 	// leaseFloor is the part of a prepaid amount that is spread evenly before
 	// demand is known.
 	leaseFloor = 0.08
--- a/models/lease/lease.go
+++ b/models/lease/lease.go
@@ -33,6 +33,7 @@
 	rate    float64
 	counted uint64
 	updated time.Duration
+	limit   limiter
 }
 
 // rateWindow is the time over which demand is smoothed.
@@ -66,8 +67,21 @@
 	return l
 }
 
-// Reserve sets tokens aside; false when there are too few.
-func (t *Table) Reserve(organisation string, tokens uint64) bool {
+// Reserve sets tokens aside; false when there are too few, or when too many
+// would be used without a report.
+func (t *Table) Reserve(organisation string, tokens uint64, now time.Duration) bool {
+	l := t.Of(organisation)
+	if l.Free() < tokens || l.limit.at(now) < float64(tokens) {
+		return false
+	}
+	l.Reserved += tokens
+	l.limit.take(tokens)
+	return true
+}
+
+// Announce sets tokens aside that may be used only once control has a sample
+// with them; it returns false when there are too few.
+func (t *Table) Announce(organisation string, tokens uint64) bool {
 	l := t.Of(organisation)
 	if l.Free() < tokens {
 		return false
@@ -76,6 +90,25 @@
 	return true
 }
 
+// Withdraw ends an announcement of which nothing was used; what the limit
+// allows without a report becomes a reservation, and true is returned.
+func (t *Table) Withdraw(organisation string, tokens uint64, now time.Duration) bool {
+	l := t.Of(organisation)
+	if l.limit.at(now) >= float64(tokens) {
+		l.limit.take(tokens)
+		return true
+	}
+	l.Reserved -= min(tokens, l.Reserved)
+	return false
+}
+
+// Sample freezes the counters of all leases for a report.
+func (t *Table) Sample(now time.Duration) {
+	for _, l := range t.Leases {
+		l.limit.report(counters{returned: l.Returned, spent: l.Spent, reserved: l.Reserved}, now)
+	}
+}
+
 // Settle ends a reservation with what was spent of it.
 func (t *Table) Settle(organisation string, reserved, spent uint64) {
 	l := t.Of(organisation)
@@ -94,6 +127,7 @@
 func (t *Table) Granted(organisation string, allotted, keep, left uint64, now time.Duration) {
 	l := t.Of(organisation)
 	l.Allotted = max(l.Allotted, allotted)
+	l.limit.acknowledge(l.Allotted)
 	l.Left, l.Answered, l.Asked = left, now, true
 	available := l.Allotted - min(l.Allotted, l.Returned+l.Spent)
 	if l.need == 0 && available > keep {
@@ -108,26 +142,28 @@
 	}
 }
 
-// Report is what control is told of one lease.
+// Report is what control is told of one lease: the counters of the last sample,
+// and the demand.
 type Report struct {
-	Organisation         string
-	Returned, Spent      uint64
-	Reserved, Rate, Need uint64
-	Available            uint64
+	Organisation              string
+	Returned, Spent, Reserved uint64
+	Basis                     uint64
+	Rate, Need                uint64
 }
 
 // Report brings the demand up to date and returns a lease's report.
 func (t *Table) Report(organisation string, now time.Duration) Report {
 	l := t.Of(organisation)
 	l.measure(now)
+	sample := l.limit.sample
 	return Report{
 		Organisation: organisation,
-		Returned:     l.Returned,
-		Spent:        l.Spent,
-		Reserved:     l.Reserved,
+		Returned:     sample.returned,
+		Spent:        sample.spent,
+		Reserved:     sample.reserved,
+		Basis:        l.limit.basis,
 		Rate:         uint64(l.rate),
 		Need:         l.need,
-		Available:    l.Allotted - min(l.Allotted, l.Returned+l.Spent),
 	}
 }
 
--- a/models/state/routing.go
+++ b/models/state/routing.go
@@ -32,6 +32,8 @@
 	OldestRevision uint64
 	// Prepaid holds the budgets by organisation.
 	Prepaid map[string]*Budget
+	// Holders holds the processes that hold leases, by name.
+	Holders map[string]*statev1.LeaseHolder
 
 	byAddress map[string]string
 	gone      []string
@@ -41,6 +43,7 @@
 	return &Routing{
 		Targets:   map[string]*statev1.RegisteredTarget{},
 		Prepaid:   map[string]*Budget{},
+		Holders:   map[string]*statev1.LeaseHolder{},
 		byAddress: map[string]string{},
 	}
 }
@@ -137,41 +140,6 @@
 	return strings.Compare(a.GetId(), b.GetId())
 }
 
-// LeaseAnswer is the answer to a LeaseSync: the cumulative grants in the order
-// of the changes.
-type LeaseAnswer struct {
-	Allotted []uint64
-}
-
-// lease takes returns in and grants what is asked for as far as it is there.
-func (r *Routing) lease(m *statev1.LeaseSync) LeaseAnswer {
-	answer := LeaseAnswer{Allotted: make([]uint64, len(m.GetChanges()))}
-	for i, c := range m.GetChanges() {
-		b := r.Prepaid[c.GetOrganisation()]
-		if b == nil {
-			continue
-		}
-		b.giveBack(m.GetHolder(), c.GetReturned(), c.GetSpent())
-		b.grant(m.GetHolder(), c.GetGrant())
-		answer.Allotted[i] = b.Of(m.GetHolder()).GetAllotted()
-	}
-	return answer
-}
-
-// giveBack takes a holder's cumulative counters in; older ones change nothing.
-func (b *Budget) giveBack(holder string, returned, spent uint64) {
-	a := b.Of(holder)
-	if a == nil || returned <= a.GetReturned() && spent <= a.GetSpent() {
-		return
-	}
-	a = b.replace(holder)
-	if returned > a.GetReturned() && returned <= a.GetAllotted() {
-		b.held -= returned - a.GetReturned()
-		a.Returned = returned
-	}
-	a.Spent = max(a.GetSpent(), spent)
-}
-
 func (r *Routing) snapshot(s *statev1.Snapshot) {
 	s.Routing = r.Table
 	s.TargetRevision = r.TargetRevision
@@ -180,6 +148,7 @@
 		s.Registered = append(s.Registered, t)
 	}
 	slices.SortFunc(s.Registered, byRevision)
+	s.Holders = Sorted(r.Holders)
 	s.Prepaid = nil
 	for _, b := range Sorted(r.Prepaid) {
 		s.Prepaid = append(s.Prepaid, b.row())
@@ -199,6 +168,9 @@
 		}
 		r.byAddress[t.GetAddress()] = t.GetId()
 	}
+	for _, h := range s.GetHolders() {
+		r.Holders[h.GetHolder()] = h
+	}
 	for _, row := range s.GetPrepaid() {
 		r.Prepaid[row.GetName()] = budgetOf(row)
 	}
--- a/models/state/state.go
+++ b/models/state/state.go
@@ -91,6 +91,9 @@
 		return nil
 	case *statev1.Entry_LeaseSync:
 		return s.Routing.lease(kind.LeaseSync)
+	case *statev1.Entry_ReclaimLease:
+		s.Routing.reclaim(kind.ReclaimLease)
+		return nil
 	default:
 		return errors.Errorf("an entry of an unknown kind: the box runs an older version, upgrade it")
 	}
--- a/routers/between/gateway.go
+++ b/routers/between/gateway.go
@@ -74,6 +74,10 @@
 	return reply(answer, err, wireUnknown)
 }
 
+func (g *gatewayCalls) ReadClock(context.Context, *connect.Request[betweenv1.ReadClockRequest]) (*connect.Response[betweenv1.ReadClockResponse], error) {
+	return connect.NewResponse(g.opts.Gateway.ReadClock()), nil
+}
+
 // wireUnknown gives an outcome that is not known the code for asking again:
 // all calls of this service may be repeated.
 func wireUnknown(err error) error {
--- a/services/control/gateway.go
+++ b/services/control/gateway.go
@@ -29,6 +29,11 @@
 	Machine *Machine
 	Clock   clock.Clock
 	Logger  *slog.Logger
+	// Self is this box's address, Boot the name of its machine's boot.
+	Self string
+	Boot string
+	// Clocks asks another control box for its clock.
+	Clocks func(ctx context.Context, address string) (*betweenv1.ReadClockResponse, error)
 
 	mu      sync.Mutex
 	holders map[string]*holderRow
@@ -39,6 +44,11 @@
 type holderRow struct {
 	at      time.Duration
 	demands map[string]*betweenv1.LeaseReport
+	// sample is the number of the last sample, stamp the moment before which it
+	// was not yet taken, and answered when its first answer was sent.
+	sample   uint64
+	stamp    *statev1.LeaseStamp
+	answered time.Duration
 }
 
 // Submit puts a change of the routing table or of targets through the log.
@@ -65,15 +75,15 @@
 	return resp, nil
 }
 
-// Lease takes a holder's report in and decides what it may keep and gets. Only
-// what changes a lease goes through the log.
+// Lease takes a holder's report in and decides what it may keep and gets.
 func (g *Gateway) Lease(ctx context.Context, r *betweenv1.LeaseRequest) (*betweenv1.LeaseResponse, error) {
 	if err := g.Log.ReadBarrier(); err != nil {
 		return nil, err
 	}
-	holders := g.note(r)
+	g.reclaimBefore(ctx, r)
+	holders, stamp := g.note(r)
 	resp := &betweenv1.LeaseResponse{Holders: uint32(holders)}
-	sync := &statev1.LeaseSync{Holder: r.GetHolder()}
+	sync := &statev1.LeaseSync{Holder: r.GetHolder(), Box: r.GetBox(), Stamp: stamp}
 	at := make([]int, 0, len(r.GetReports()))
 	g.Machine.Read(func(s *state.State) {
 		for i, report := range r.GetReports() {
@@ -85,9 +95,6 @@
 			}
 		}
 	})
-	if len(sync.Changes) == 0 {
-		return resp, nil
-	}
 	answer, err := g.propose(ctx, sync)
 	if err != nil {
 		return nil, err
@@ -95,6 +102,7 @@
 	for i, allotted := range answer.Allotted {
 		resp.Grants[at[i]].Allotted = allotted
 	}
+	g.answer(r)
 	return resp, nil
 }
 
@@ -112,7 +120,9 @@
 		return state.LeaseAnswer{}, errors.Errorf("the state answered a lease with %T: all control boxes must run one version", answer)
 	}
 	for i, c := range m.GetChanges() {
-		g.Logger.Info("lease changed", "holder", m.GetHolder(), "organisation", c.GetOrganisation(), "granted", c.GetGrant(), "returned", c.GetReturned(), "spent", c.GetSpent(), "allotted", granted.Allotted[i])
+		if c.GetGrant() > 0 {
+			g.Logger.Info("lease granted", "holder", m.GetHolder(), "organisation", c.GetOrganisation(), "granted", c.GetGrant(), "returned", c.GetReturned(), "spent", c.GetSpent(), "allotted", granted.Allotted[i])
+		}
 	}
 	return granted, nil
 }
@@ -136,14 +146,19 @@
 		)
 	}
 	grant.Allotted, grant.Keep, grant.Left = row.GetAllotted(), decision.Keep, left
-	if decision.Grant == 0 && report.GetReturned() <= row.GetReturned() {
+	if decision.Grant == 0 && row == nil {
 		return grant, nil
 	}
-	return grant, &statev1.LeaseChange{Organisation: report.GetOrganisation(), Returned: report.GetReturned(), Spent: report.GetSpent(), Grant: decision.Grant}
+	return grant, &statev1.LeaseChange{
+		Organisation: report.GetOrganisation(), Returned: report.GetReturned(), Spent: report.GetSpent(), Reserved: report.GetReserved(),
+		Basis: report.GetBasis(), Grant: decision.Grant,
+	}
 }
 
-// note remembers a report and returns how many holders report at present.
-func (g *Gateway) note(r *betweenv1.LeaseRequest) int {
+// note remembers a report. It returns how many holders report at present, and
+// the moment before which the report's sample was not yet taken: when the
+// answer to the sample before it was first sent from here.
+func (g *Gateway) note(r *betweenv1.LeaseRequest) (holders int, stamp *statev1.LeaseStamp) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.holders == nil {
@@ -152,19 +167,44 @@
 	now := g.Clock.Boot()
 	if r.GetLeaving() {
 		delete(g.holders, r.GetHolder())
-		return max(1, len(g.holders))
+		return max(1, len(g.holders)), nil
+	}
+	row := g.holders[r.GetHolder()]
+	if row == nil {
+		row = &holderRow{}
+		g.holders[r.GetHolder()] = row
 	}
-	row := &holderRow{at: now, demands: map[string]*betweenv1.LeaseReport{}}
+	if r.GetSample() != row.sample {
+		row.stamp = g.stampAfter(row, r.GetSample())
+		row.sample, row.answered = r.GetSample(), 0
+	}
+	row.at, row.demands = now, map[string]*betweenv1.LeaseReport{}
 	for _, report := range r.GetReports() {
 		row.demands[report.GetOrganisation()] = report
 	}
-	g.holders[r.GetHolder()] = row
 	for name, other := range g.holders {
 		if now-other.at > holderTimeout {
 			delete(g.holders, name)
 		}
 	}
-	return len(g.holders)
+	return len(g.holders), row.stamp
+}
+
+func (g *Gateway) stampAfter(row *holderRow, sample uint64) *statev1.LeaseStamp {
+	if row.answered == 0 || sample != row.sample+1 {
+		return nil
+	}
+	return &statev1.LeaseStamp{Clock: g.Self, Boot: g.Boot, At: row.answered.Milliseconds()}
+}
+
+// answer notes when a sample's first answer is sent.
+func (g *Gateway) answer(r *betweenv1.LeaseRequest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	row := g.holders[r.GetHolder()]
+	if row != nil && row.sample == r.GetSample() && row.answered == 0 {
+		row.answered = g.Clock.Boot()
+	}
 }
 
 // demandOf sums over the holders that report what they have free of an
--- a/services/gateway/client.go
+++ b/services/gateway/client.go
@@ -95,6 +95,11 @@
 	return ask(ctx, c, &betweenv1.ReadRoutingRequest{}, betweenv1connect.GatewayServiceClient.ReadRouting)
 }
 
+// ReadClock returns the boot clock of the box at an address.
+func (c *Client) ReadClock(ctx context.Context, address string) (*betweenv1.ReadClockResponse, error) {
+	return askOne(ctx, c.at(address), &betweenv1.ReadClockRequest{}, betweenv1connect.GatewayServiceClient.ReadClock)
+}
+
 type method[Q, A any] func(betweenv1connect.GatewayServiceClient, context.Context, *connect.Request[Q]) (*connect.Response[A], error)
 
 // ask goes round after round over the boxes until one answers, refuses for
--- a/services/gateway/leases.go
+++ b/services/gateway/leases.go
@@ -20,13 +20,16 @@
 	// leaseTimeout bounds one report with all its tries.
 	leaseTimeout = 1500 * time.Millisecond
 	// urgentPause is the shortest time between two reports.
-	urgentPause = 40 * time.Millisecond
+	urgentPause = 15 * time.Millisecond
 )
 
 // Leases holds an entry box's parts of the prepaid budgets and keeps them in
 // step with control.
 type Leases struct {
 	Holder string
+	// Box is the holder's box; a new holder of a box says that the former has
+	// ended.
+	Box    string
 	Store  *Store
 	Client *Client
 	Clock  clock.Clock
@@ -38,12 +41,16 @@
 	urgent  chan struct{}
 	holders int
 	inTouch bool
+	started time.Duration
+	// sample is the number of the last sample, acked whether control has it.
+	sample uint64
+	acked  bool
 }
 
-// NewLeases returns leases of a holder, a name that ends with the process.
-func NewLeases(holder string, store *Store, client *Client, c clock.Clock, l *slog.Logger) *Leases {
-	return &Leases{Holder: holder, Store: store, Client: client, Clock: c, Logger: l,
-		table: lease.NewTable(), changed: make(chan struct{}), urgent: make(chan struct{}, 1), holders: 1}
+// NewLeases returns leases of a box's process; the holder's name ends with it.
+func NewLeases(box, process string, store *Store, client *Client, c clock.Clock, l *slog.Logger) *Leases {
+	return &Leases{Holder: box + "@" + process, Box: box, Store: store, Client: client, Clock: c, Logger: l,
+		table: lease.NewTable(), changed: make(chan struct{}), urgent: make(chan struct{}, 1), holders: 1, started: c.Boot(), acked: true}
 }
 
 // Outcome is the answer to a reservation.
@@ -66,41 +73,66 @@
 	Age int64
 }
 
-// Reserve sets tokens of an organisation aside, and waits for more at most as
-// long as told.
+// Reserve sets tokens of an organisation aside, and waits for more, or for
+// control to hear of them, at most as long as told.
 func (l *Leases) Reserve(ctx context.Context, organisation string, tokens uint64, wait time.Duration) (Outcome, Status) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.table.Reserve(organisation, tokens) {
+	if l.table.Reserve(organisation, tokens, l.Clock.Boot()) {
 		return Reserved, l.status(organisation)
 	}
-	l.table.Need(organisation, int64(tokens))
-	defer l.table.Need(organisation, -int64(tokens))
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	l.table.Need(organisation, int64(tokens))
+	outcome := l.obtain(ctx, organisation, tokens, timer.C)
+	l.table.Need(organisation, -int64(tokens))
+	if outcome == Reserved && !l.announce(ctx, organisation, tokens, timer.C) {
+		outcome = Short
+	}
+	return outcome, l.status(organisation)
+}
+
+// obtain waits until the lease holds enough tokens.
+func (l *Leases) obtain(ctx context.Context, organisation string, tokens uint64, late <-chan time.Time) Outcome {
 	for {
-		if l.table.Exhausted(organisation, tokens) {
-			return Exhausted, l.status(organisation)
+		if l.table.Announce(organisation, tokens) {
+			return Reserved
 		}
-		l.hurry()
-		changed := l.changed
-		l.mu.Unlock()
-		late := false
-		select {
-		case <-changed:
-		case <-timer.C:
-			late = true
-		case <-ctx.Done():
-			late = true
+		if l.table.Exhausted(organisation, tokens) {
+			return Exhausted
 		}
-		l.mu.Lock()
-		if l.table.Reserve(organisation, tokens) {
-			return Reserved, l.status(organisation)
+		if !l.await(ctx, late) {
+			return Short
 		}
-		if late {
-			return Short, l.status(organisation)
+	}
+}
+
+// announce waits until control has heard of a reservation, or the limit allows
+// it without.
+func (l *Leases) announce(ctx context.Context, organisation string, tokens uint64, late <-chan time.Time) bool {
+	wanted := l.sample + 1
+	for l.sample < wanted || !l.acked {
+		if !l.await(ctx, late) {
+			return l.table.Withdraw(organisation, tokens, l.Clock.Boot())
 		}
 	}
+	return true
+}
+
+// await waits for control's next answer; the caller holds the lock.
+func (l *Leases) await(ctx context.Context, late <-chan time.Time) bool {
+	l.hurry()
+	changed := l.changed
+	l.mu.Unlock()
+	defer l.mu.Lock()
+	select {
+	case <-changed:
+		return true
+	case <-late:
+		return false
+	case <-ctx.Done():
+		return false
+	}
 }
 
 func (l *Leases) status(organisation string) Status {
@@ -153,6 +185,8 @@
 func (l *Leases) Return(ctx context.Context) {
 	l.mu.Lock()
 	l.table.ReturnAll()
+	// The last sample may not have been answered; nothing is used any more.
+	l.acked = true
 	l.mu.Unlock()
 	l.report(ctx, true)
 }
@@ -168,23 +202,29 @@
 	l.take(resp, err)
 }
 
+// request takes a new sample, or repeats the last one until control has it.
 func (l *Leases) request(leaving bool) *betweenv1.LeaseRequest {
-	r := &betweenv1.LeaseRequest{Holder: l.Holder, Leaving: leaving}
 	index := l.Store.Index()
 	if index == nil {
-		return r
+		return &betweenv1.LeaseRequest{}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Boot()
+	if l.acked {
+		l.acked = false
+		l.sample++
+		l.table.Sample(now)
+	}
+	r := &betweenv1.LeaseRequest{Holder: l.Holder, Box: l.Box, Leaving: leaving, Age: (now - l.started).Milliseconds(), Sample: l.sample}
 	for _, p := range index.Table.GetPayers() {
 		if !p.GetLimited() {
 			continue
 		}
 		row := l.table.Report(p.GetOrganisation(), now)
 		r.Reports = append(r.Reports, &betweenv1.LeaseReport{
-			Organisation: row.Organisation, Returned: row.Returned, Spent: row.Spent,
-			Reserved: row.Reserved, Rate: row.Rate, Need: row.Need,
+			Organisation: row.Organisation, Returned: row.Returned, Spent: row.Spent, Reserved: row.Reserved,
+			Basis: row.Basis, Rate: row.Rate, Need: row.Need,
 		})
 	}
 	return r
@@ -193,17 +233,11 @@
 func (l *Leases) take(resp *betweenv1.LeaseResponse, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if touch := err == nil; touch != l.inTouch {
-		l.inTouch = touch
-		if touch {
-			l.Logger.Info("dependency regained", "dependency", "leases")
-		} else {
-			l.Logger.Warn("dependency lost", "dependency", "leases", "reason", err.Error())
-		}
-	}
+	l.touched(err)
 	if err != nil {
 		return
 	}
+	l.acked = true
 	now := l.Clock.Boot()
 	for _, g := range resp.GetGrants() {
 		l.table.Granted(g.GetOrganisation(), g.GetAllotted(), g.GetKeep(), g.GetLeft(), now)
@@ -212,3 +246,17 @@
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
+
+// touched logs when control is lost or regained.
+func (l *Leases) touched(err error) {
+	touch := err == nil
+	if touch == l.inTouch {
+		return
+	}
+	l.inTouch = touch
+	if touch {
+		l.Logger.Info("dependency regained", "dependency", "leases", "sample", l.sample)
+		return
+	}
+	l.Logger.Warn("dependency lost", "dependency", "leases", "sample", l.sample, "reason", err.Error())
+}
