lease: holders that leave are forgotten, a new leader keeps the older stamp

Cause: a box that stopped as planned stayed on the list of holders, and the first report to a new leader wiped the moment that bounds its use.

--- a/models/state/lease.go
+++ b/models/state/lease.go
@@ -11,9 +11,6 @@
 // of the changes.
 type LeaseAnswer struct {
 	Allotted []uint64
-	// Ended says that the holder's lease was reclaimed: its box has another
-	// process now.
-	Ended bool
 }
 
 // lease takes a holder's report in and grants what is asked for as far as it
@@ -33,7 +30,16 @@
 			b.replace(m.GetHolder()).Basis = max(c.GetBasis(), FreeAtReport(row))
 		}
 	}
-	r.Holders[m.GetHolder()] = &statev1.LeaseHolder{Holder: m.GetHolder(), Box: m.GetBox(), Stamp: m.GetStamp()}
+	if m.GetLeaving() {
+		delete(r.Holders, m.GetHolder())
+		return answer
+	}
+	stamp := m.GetStamp()
+	if stamp == nil {
+		// The moment before an earlier sample lies before this one, too.
+		stamp = r.Holders[m.GetHolder()].GetStamp()
+	}
+	r.Holders[m.GetHolder()] = &statev1.LeaseHolder{Holder: m.GetHolder(), Box: m.GetBox(), Stamp: stamp}
 	return answer
 }
 
--- a/services/control/gateway.go
+++ b/services/control/gateway.go
@@ -37,6 +37,8 @@
 
 	mu      sync.Mutex
 	holders map[string]*holderRow
+	// told names holders of which the log has said that nothing is reclaimed.
+	told map[string]bool
 }
 
 // holderRow is what a holder reported last. It is not replicated: a new leader
@@ -83,7 +85,7 @@
 	g.reclaimBefore(ctx, r)
 	holders, stamp := g.note(r)
 	resp := &betweenv1.LeaseResponse{Holders: uint32(holders)}
-	sync := &statev1.LeaseSync{Holder: r.GetHolder(), Box: r.GetBox(), Stamp: stamp}
+	sync := &statev1.LeaseSync{Holder: r.GetHolder(), Box: r.GetBox(), Stamp: stamp, Leaving: r.GetLeaving()}
 	at := make([]int, 0, len(r.GetReports()))
 	g.Machine.Read(func(s *state.State) {
 		for i, report := range r.GetReports() {
--- a/services/control/reclaim.go
+++ b/services/control/reclaim.go
@@ -29,13 +29,30 @@
 	for _, h := range former {
 		elapsed, known := g.elapsed(ctx, h.GetStamp(), time.Duration(r.GetAge())*time.Millisecond)
 		if !known {
-			g.Logger.Warn("lease not reclaimed", "holder", h.GetHolder(), "reason", "no clock saw its last report and its end", "clock", h.GetStamp().GetClock())
+			g.unbounded(h)
 			continue
 		}
 		g.reclaim(ctx, h.GetHolder(), elapsed)
 	}
 }
 
+// unbounded logs once that nothing bounds what a holder can have used.
+func (g *Gateway) unbounded(h *statev1.LeaseHolder) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.told[h.GetHolder()] {
+		return
+	}
+	if g.told == nil || len(g.told) > maxTold {
+		g.told = map[string]bool{}
+	}
+	g.told[h.GetHolder()] = true
+	g.Logger.Warn("lease not reclaimed", "holder", h.GetHolder(), "reason", "no clock saw its last report and its end", "clock", h.GetStamp().GetClock(), "clock_boot", h.GetStamp().GetBoot(), "at_ms", h.GetStamp().GetAt())
+}
+
+// maxTold bounds the holders that are remembered for the log.
+const maxTold = 1024
+
 // elapsed returns the longest time that a holder can have run after a stamp,
 // if its box's next process has run for a time now.
 func (g *Gateway) elapsed(ctx context.Context, stamp *statev1.LeaseStamp, age time.Duration) (time.Duration, bool) {
