--- a/cmd/havenwinchd/forward_control.go
+++ b/cmd/havenwinchd/forward_control.go
@@ -29,6 +29,7 @@
 	*forwardBox
 	machine *control.Machine
 	member  *control.Member
+	gateway *control.Gateway
 	source  *gateway.MachineSource
 	between *http.Server
 	api     *fasthttp.Server
@@ -61,12 +62,13 @@
 		},
 	})
 	r.source = &gateway.MachineSource{Machine: r.machine, OutOfStep: r.member.OutOfStep}
+	r.gateway = &control.Gateway{
+		Log: r.member, Machine: r.machine, Clock: b.Clock, Logger: b.Logger,
+		Self: b.Settings.BetweenAddress(), Boot: clock.BootID(newIncarnation()), Clocks: b.Client.ReadClock, Members: r.member.Members,
+	}
 	r.between = b.Peers.Server(between.NewGateway(between.GatewayOptions{
-		Nodes: r.member,
-		Gateway: &control.Gateway{
-			Log: r.member, Machine: r.machine, Clock: b.Clock, Logger: b.Logger,
-			Self: b.Settings.BetweenAddress(), Boot: clock.BootID(newIncarnation()), Clocks: b.Client.ReadClock,
-		},
+		Nodes:    r.member,
+		Gateway:  r.gateway,
 		Source:   r.followed,
 		Observer: r.member.Observer,
 		Members:  b.Client,
@@ -121,6 +123,7 @@
 		return err
 	}
 	r.spawn(r.member.Run)
+	r.spawn(r.gateway.WatchDays)
 	r.spawn(r.observe)
 	return nil
 }
--- a/models/lease/limit.go
+++ b/models/lease/limit.go
@@ -13,22 +13,24 @@
 const (
 	// capacityParts and rateParts are the parts of the basis that may be used
 	// at once, and in each second.
-	capacityParts = 10
-	rateParts     = 8
+	capacityParts = 16
+	rateParts     = 6
 	// leastCapacity and leastRate, in tokens and tokens a second, keep small
-	// leases usable: a single request may be as large as the whole lease.
-	leastCapacity = 14000
-	leastRate     = 2500
+	// leases usable, up to smallCapacityParts and smallRateParts of them.
+	leastCapacity      = 3000
+	leastRate          = 2500
+	smallCapacityParts = 4
+	smallRateParts     = 2
 )
 
 // Capacity is what may be used at once.
 func Capacity(basis uint64) uint64 {
-	return max(basis/capacityParts, min(basis, leastCapacity))
+	return max(basis/capacityParts, min(basis/smallCapacityParts, leastCapacity))
 }
 
 // Rate is what may be used in each second, in tokens a second.
 func Rate(basis uint64) float64 {
-	return max(float64(basis)/rateParts, leastRate)
+	return max(float64(basis)/rateParts, min(float64(basis)/smallRateParts, leastRate))
 }
 
 // driftMargin is added to elapsed times of another box's clock.
--- a/models/state/routing.go
+++ b/models/state/routing.go
@@ -17,7 +17,7 @@
 // uncountedShare is the part of a prepaid amount, as one in so many, that is
 // not leased out: targets may hand out tokens that nobody could count, when an
 // answer is lost on its way.
-const uncountedShare = 64
+const uncountedShare = 128
 
 // Routing is the part of the state that calls passed through need: the routing
 // table, the registered targets, and the prepaid budgets leased to entry boxes.
--- a/modules/raft/node.go
+++ b/modules/raft/node.go
@@ -233,6 +233,13 @@
 	return n.core.Status()
 }
 
+// Members returns the names of the group's members in order.
+func (n *Node) Members() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]string(nil), n.opts.Members...)
+}
+
 func (n *Node) usable() error {
 	if n.failed != nil {
 		return errors.WithStack(ErrStopped{Reason: n.failed})
--- a/services/control/gateway.go
+++ b/services/control/gateway.go
@@ -32,11 +32,14 @@
 	// Self is this box's address, Boot the name of its machine's boot.
 	Self string
 	Boot string
+	// Members returns the addresses of the control group's members.
+	Members func() []string
 	// Clocks asks another control box for its clock.
 	Clocks func(ctx context.Context, address string) (*betweenv1.ReadClockResponse, error)
 
 	mu      sync.Mutex
 	holders map[string]*holderRow
+	days    map[string]dayReading
 	// told names holders of which the log has said that nothing is reclaimed.
 	told map[string]bool
 }
@@ -51,6 +54,7 @@
 	sample   uint64
 	stamp    *statev1.LeaseStamp
 	answered time.Duration
+	days     []*statev1.DayTime
 }
 
 // Submit puts a change of the routing table or of targets through the log.
@@ -196,7 +200,7 @@
 	if row.answered == 0 || sample != row.sample+1 {
 		return nil
 	}
-	return &statev1.LeaseStamp{Clock: g.Self, Boot: g.Boot, At: row.answered.Milliseconds()}
+	return &statev1.LeaseStamp{Clock: g.Self, Boot: g.Boot, At: row.answered.Milliseconds(), Days: row.days}
 }
 
 // answer notes when a sample's first answer is sent.
@@ -206,6 +210,7 @@
 	row := g.holders[r.GetHolder()]
 	if row != nil && row.sample == r.GetSample() && row.answered == 0 {
 		row.answered = g.Clock.Boot()
+		row.days = g.daysAt(row.answered)
 	}
 }
 
--- a/services/control/member.go
+++ b/services/control/member.go
@@ -189,6 +189,15 @@
 	return m.node, nil
 }
 
+// Members returns the addresses of the group's members, none while unknown.
+func (m *Member) Members() []string {
+	node, err := m.Node()
+	if err != nil {
+		return nil
+	}
+	return node.Members()
+}
+
 // Propose implements Log.
 func (m *Member) Propose(ctx context.Context, data []byte) (any, error) {
 	node, err := m.Node()
--- a/services/control/reclaim.go
+++ b/services/control/reclaim.go
@@ -54,19 +54,58 @@
 const maxTold = 1024
 
 // elapsed returns the longest time that a holder can have run after a stamp,
-// if its box's next process has run for a time now.
+// if its box's next process has run for a time now. Either clock bounds it: the
+// boot clock that made the stamp, while its machine was not started anew, or
+// the times of day of most of the control group.
 func (g *Gateway) elapsed(ctx context.Context, stamp *statev1.LeaseStamp, age time.Duration) (time.Duration, bool) {
 	if stamp.GetClock() == "" {
 		return 0, false
 	}
-	now, known := g.clockOf(ctx, stamp)
+	now, booted := g.clockOf(ctx, stamp)
 	since := now - time.Duration(stamp.GetAt())*time.Millisecond
-	if !known || since < 0 {
+	booted = booted && since >= 0
+	days, dated := g.daysSince(ctx, stamp.GetDays())
+	switch {
+	case booted && dated:
+		since = min(since, days)
+	case dated:
+		since = days
+	case !booted:
 		return 0, false
 	}
 	return max(0, since-age), true
 }
 
+// dayMargin is added to times that were read on times of day.
+const dayMargin = 250 * time.Millisecond
+
+// daysSince returns the longest time since a moment by the times of day of the
+// boxes that read it then. A box's time of day can jump, so most of them must
+// answer, and the longest counts: it is too short only if all that answer have
+// jumped back since.
+func (g *Gateway) daysSince(ctx context.Context, days []*statev1.DayTime) (time.Duration, bool) {
+	longest, answers := time.Duration(0), 0
+	for _, day := range days {
+		now, known := g.dayOf(ctx, day.GetBox())
+		if !known {
+			continue
+		}
+		answers++
+		longest = max(longest, time.Duration(now-day.GetAt())*time.Millisecond)
+	}
+	return longest + dayMargin, answers > 0 && 2*answers > len(days) && longest > 0
+}
+
+func (g *Gateway) dayOf(ctx context.Context, box string) (int64, bool) {
+	if box == g.Self {
+		return g.Clock.Wall().UnixMilli(), true
+	}
+	ctx, cancel := context.WithTimeout(ctx, clockTimeout)
+	defer cancel()
+	resp, err := g.Clocks(ctx, box)
+	return resp.GetDay(), err == nil
+}
+
 // clockOf reads the clock that made a stamp, if it still counts the same boot.
 func (g *Gateway) clockOf(ctx context.Context, stamp *statev1.LeaseStamp) (time.Duration, bool) {
 	if stamp.GetClock() == g.Self {
@@ -84,10 +123,12 @@
 // reclaim puts what a holder can't have used back into the budgets.
 func (g *Gateway) reclaim(ctx context.Context, holder string, elapsed time.Duration) {
 	m := &statev1.ReclaimLease{Holder: holder}
+	held := uint64(0)
 	g.Machine.Read(func(s *state.State) {
 		for _, b := range s.Routing.Prepaid {
 			a := b.Of(holder)
 			free := state.FreeAtReport(a)
+			held += free
 			if most := lease.MostUsed(a.GetBasis(), elapsed); free > most {
 				m.Changes = append(m.Changes, &statev1.LeaseChange{Organisation: b.Name, Returned: free - most})
 			}
@@ -101,12 +142,14 @@
 		g.Logger.Warn("lease not reclaimed", "holder", holder, "reason", err.Error())
 		return
 	}
+	total := uint64(0)
 	for _, c := range m.GetChanges() {
-		g.Logger.Info("lease reclaimed", "holder", holder, "organisation", c.GetOrganisation(), "tokens", c.GetReturned(), "unreported_ms", elapsed.Milliseconds())
+		total += c.GetReturned()
 	}
+	g.Logger.Info("lease reclaimed", "holder", holder, "organisations", len(m.GetChanges()), "tokens", total, "kept_back", held-total, "unreported_ms", elapsed.Milliseconds())
 }
 
-// ReadClock returns this box's boot clock.
+// ReadClock returns this box's clocks.
 func (g *Gateway) ReadClock() *betweenv1.ReadClockResponse {
-	return &betweenv1.ReadClockResponse{Boot: g.Boot, At: g.Clock.Boot().Milliseconds()}
+	return &betweenv1.ReadClockResponse{Boot: g.Boot, At: g.Clock.Boot().Milliseconds(), Day: g.Clock.Wall().UnixMilli()}
 }
