--- /dev/null
+++ b/models/lease/lease_test.go
@@ -0,0 +1,172 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const org = "org"
+
+// granted gives a table a lease that control knows the use of.
+func granted(tokens uint64, now time.Duration) *Table {
+	t := NewTable()
+	t.Of(org)
+	t.Sample(now)
+	t.Granted(org, tokens, tokens, tokens, now)
+	return t
+}
+
+func TestReserveAndSettle(t *testing.T) {
+	tb := granted(160000, time.Second)
+	if !tb.Reserve(org, 9000, time.Second) {
+		t.Fatal("a reservation within the capacity was refused")
+	}
+	if got := tb.Of(org).Free(); got != 151000 {
+		t.Fatalf("free %d, want 151000", got)
+	}
+	tb.Settle(org, 9000, 4000)
+	if l := tb.Of(org); l.Free() != 156000 || l.Spent != 4000 || l.Reserved != 0 {
+		t.Fatalf("after settling: %+v", l)
+	}
+	tb.Settle(org, 10, 50)
+	if l := tb.Of(org); l.Spent != 4010 {
+		t.Fatalf("spent %d: a settlement must not exceed its reservation", l.Spent)
+	}
+}
+
+func TestLimitWithoutReports(t *testing.T) {
+	cases := map[string]struct {
+		after  time.Duration
+		tokens uint64
+		want   bool
+	}{
+		"at once within the capacity": {tokens: 10000, want: true},
+		"at once above the capacity":  {tokens: 10001, want: false},
+		"later what the rate allows":  {after: 3 * time.Second, tokens: 10000 + 3*26000, want: true},
+		"never more than is there":    {after: time.Hour, tokens: 160001, want: false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tb := granted(160000, time.Second)
+			if got := tb.Reserve(org, c.tokens, time.Second+c.after); got != c.want {
+				t.Fatalf("reserved: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestAnnouncedTokensNeedNoLimit(t *testing.T) {
+	now := time.Second
+	tb := granted(160000, now)
+	if !tb.Announce(org, 100000) {
+		t.Fatal("an announcement that the lease holds was refused")
+	}
+	tb.Sample(now)
+	tb.Granted(org, 160000, 160000, 160000, now)
+	if !tb.Reserve(org, Capacity(60000), now) {
+		t.Fatal("the capacity of what is left was refused")
+	}
+	if tb.Announce(org, 60000) {
+		t.Fatal("more was announced than the lease holds")
+	}
+	if tb.Withdraw(org, 100000, now) {
+		t.Fatal("a withdrawal kept more than the limit allows")
+	}
+	if got := tb.Of(org).Reserved; got != Capacity(60000) {
+		t.Fatalf("reserved %d after the withdrawal", got)
+	}
+}
+
+func TestReturns(t *testing.T) {
+	tb := granted(1000, 1)
+	tb.Sample(2)
+	tb.Granted(org, 1000, 400, 1000, 2)
+	if l := tb.Of(org); l.Returned != 600 || l.Free() != 400 {
+		t.Fatalf("after control asked for a return: %+v", l)
+	}
+	tb.Reserve(org, 50, 2)
+	tb.ReturnAll()
+	if l := tb.Of(org); l.Free() != 0 || l.Reserved != 50 || l.Returned != 950 {
+		t.Fatalf("after everything was returned: %+v", l)
+	}
+}
+
+func TestExhausted(t *testing.T) {
+	tb := NewTable()
+	if tb.Exhausted(org, 10) {
+		t.Fatal("exhausted before control has answered")
+	}
+	tb.Sample(0)
+	tb.Granted(org, 100, 100, 100, 0)
+	if tb.Exhausted(org, 100) || !tb.Exhausted(org, 101) {
+		t.Fatal("a budget is exhausted when neither the rest nor the lease holds the request")
+	}
+}
+
+// controlView is what the replicated state has of a holder.
+type controlView struct {
+	allotted uint64
+	counters counters
+	basis    uint64
+	// stamp is before the last sample that control has.
+	stamp time.Duration
+}
+
+func (v controlView) free() uint64 { return v.allotted - min(v.allotted, v.counters.used()) }
+
+// Whatever is lost on the way, a holder never uses more than control's bound
+// from the stamp of the last report that control has.
+func TestRandomUseStaysWithinControlsBound(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		now := time.Second
+		tb := NewTable()
+		l := tb.Of(org)
+		view := controlView{stamp: now}
+		acked, answered := true, now
+		var sample counters
+		stamp := now
+		for step := 0; step < 120; step++ {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(rt, "ms")) * time.Millisecond
+			switch rapid.SampledFrom([]string{"reserve", "reserve", "settle", "announce", "report", "lost request", "lost answer"}).Draw(rt, "step") {
+			case "reserve":
+				tb.Reserve(org, uint64(rapid.IntRange(1, 20000).Draw(rt, "tokens")), now)
+			case "settle":
+				part := uint64(rapid.IntRange(0, 20000).Draw(rt, "settled"))
+				part = min(part, l.Reserved)
+				tb.Settle(org, part, part)
+			case "announce":
+				tokens := uint64(rapid.IntRange(1, 30000).Draw(rt, "announced"))
+				if tb.Announce(org, tokens) && !tb.Withdraw(org, tokens, now) {
+					break
+				}
+			case "lost request":
+				if acked {
+					tb.Sample(now)
+					sample, stamp, acked = l.limit.sample, answered, false
+				}
+			default:
+				if acked {
+					tb.Sample(now)
+					sample, stamp, acked = l.limit.sample, answered, false
+				}
+				view.counters, view.stamp = sample, stamp
+				view.allotted += uint64(rapid.IntRange(0, 50000).Draw(rt, "grant"))
+				view.basis = max(l.limit.basis, view.free())
+				if rapid.Bool().Draw(rt, "answer arrives") {
+					tb.Granted(org, view.allotted, 1<<40, 1<<40, now)
+					acked, answered = true, now
+				}
+			}
+			used := l.Spent + l.Reserved + l.Returned
+			bound := view.counters.used() + min(view.free(), MostUsed(view.basis, now-view.stamp))
+			if used > bound {
+				rt.Fatalf("step %d: used %d, control's bound %d (basis %d, %s since the stamp)", step, used, bound, view.basis, now-view.stamp)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/modules/logging/bounded_test.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package logging
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Successes may use half of the rate; failures always have room for the rest.
+func TestAdmission(t *testing.T) {
+	b := NewBounded(10)
+	now := time.Unix(100, 0)
+	infos, warnings := 0, 0
+	for range 20 {
+		if b.admit(slog.LevelInfo, now) {
+			infos++
+		}
+	}
+	for range 20 {
+		if b.admit(slog.LevelWarn, now) {
+			warnings++
+		}
+	}
+	if infos != 5 || warnings != 5 || b.left.Load() != 30 {
+		t.Fatalf("%d infos, %d warnings, %d left out", infos, warnings, b.left.Load())
+	}
+	if !b.admit(slog.LevelInfo, now.Add(time.Second)) {
+		t.Fatal("a line of the next second was left out")
+	}
+}
+
+// Nothing waits for a reader: what finds the buffer full is counted.
+func TestWriteNeverBlocks(t *testing.T) {
+	b := NewBounded(1 << 20)
+	for range boundedBuffer + 7 {
+		_, _ = b.Write([]byte("x\n"))
+	}
+	if b.left.Load() != 7 {
+		t.Fatalf("%d left out", b.left.Load())
+	}
+}
+
+func TestLinesAreWrittenAtTheEnd(t *testing.T) {
+	b := NewBounded(100)
+	l := NewBoundedLogger(b, "info", "box-1", "dc-1")
+	l.With("k", "v").Info("hello", "n", 1)
+	l.Debug("not this one")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	var out bytes.Buffer
+	b.Run(ctx, &out, l)
+	line := out.String()
+	for _, part := range []string{`"msg":"hello"`, `"box":"box-1"`, `"data_centre":"dc-1"`, `"k":"v"`, `"n":1`} {
+		if !strings.Contains(line, part) {
+			t.Fatalf("%s is missing in %s", part, line)
+		}
+	}
+	if strings.Count(line, "\n") != 1 {
+		t.Fatalf("lines: %q", line)
+	}
+}
--- /dev/null
+++ b/services/control/gateway_test.go
@@ -0,0 +1,189 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/lease"
+	"havenwinch.dev/havenwinch/models/state"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/modules/raft"
+)
+
+// directLog applies at once; it leads unless told otherwise.
+type directLog struct {
+	machine *Machine
+	follows bool
+}
+
+func (d *directLog) Propose(_ context.Context, data []byte) (any, error) {
+	return d.machine.Apply(data), nil
+}
+
+func (d *directLog) ReadBarrier() error {
+	if d.follows {
+		return errors.WithStack(raft.ErrNotLeader{Leader: "elsewhere"})
+	}
+	return nil
+}
+
+// otherClocks are the clocks of the other control boxes.
+type otherClocks map[string]*betweenv1.ReadClockResponse
+
+func (o otherClocks) read(_ context.Context, address string) (*betweenv1.ReadClockResponse, error) {
+	resp := o[address]
+	if resp == nil {
+		return nil, errors.New("out of reach")
+	}
+	return resp, nil
+}
+
+type gatewayFixture struct {
+	*Gateway
+	clock  *clock.Fake
+	clocks otherClocks
+}
+
+func newGateway(t *testing.T) *gatewayFixture {
+	t.Helper()
+	machine := NewMachine()
+	c := clock.NewFake()
+	f := &gatewayFixture{clock: c, clocks: otherClocks{}}
+	f.Gateway = &Gateway{Log: &directLog{machine: machine}, Machine: machine, Clock: c, Logger: logging.Discard(), Self: "self", Boot: "boot-1",
+		Members: func() []string { return []string{"self", "b", "c"} }, Clocks: f.clocks.read}
+	f.put(t, &statev1.Entry{Kind: &statev1.Entry_PutRouting{PutRouting: &statev1.PutRouting{Table: &statev1.RoutingTable{
+		Version: 1, Source: []byte("doc"), Payers: []*statev1.Payer{{Organisation: "o", Prepaid: 1280000, Limited: true}},
+	}}}})
+	return f
+}
+
+func (f *gatewayFixture) put(t *testing.T, e *statev1.Entry) {
+	t.Helper()
+	if err := f.Submit(context.Background(), e); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *gatewayFixture) report(t *testing.T, holder string, sample uint64, age time.Duration, r *betweenv1.LeaseReport) *betweenv1.LeaseGrant {
+	t.Helper()
+	r.Organisation = "o"
+	resp, err := f.Lease(context.Background(), &betweenv1.LeaseRequest{Holder: holder, Box: "box", Sample: sample, Age: age.Milliseconds(), Reports: []*betweenv1.LeaseReport{r}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.GetGrants()[0]
+}
+
+func (f *gatewayFixture) unallotted() (tokens uint64) {
+	f.Machine.Read(func(s *state.State) { tokens = s.Routing.Prepaid["o"].Unallotted() })
+	return tokens
+}
+
+func (f *gatewayFixture) row(holder string) (row *statev1.Allotment) {
+	f.Machine.Read(func(s *state.State) { row = proto.CloneOf(s.Routing.Prepaid["o"].Of(holder)) })
+	return row
+}
+
+// A dead process's lease comes back but for what it can have used between its
+// last report and the start of its box's next process.
+func TestReclaimIsBoundedByTheTimeSinceTheLastReport(t *testing.T) {
+	cases := map[string]struct {
+		// change happens between the last report and the next process's.
+		change func(f *gatewayFixture)
+		// elapsed is the time that bounds the use; negative when nothing does.
+		elapsed time.Duration
+	}{
+		"the same leader": {change: func(f *gatewayFixture) {}, elapsed: 2 * time.Second},
+		"machines lost power, days agree": {change: func(f *gatewayFixture) {
+			f.Boot = "boot-2"
+			f.clocks["b"] = &betweenv1.ReadClockResponse{Boot: "x", Day: f.clock.Wall().UnixMilli()}
+			f.clocks["c"] = &betweenv1.ReadClockResponse{Boot: "x", Day: f.clock.Wall().UnixMilli() - 1500}
+		}, elapsed: 2*time.Second + dayMargin},
+		"machines lost power, one day jumped ahead": {change: func(f *gatewayFixture) {
+			f.Boot = "boot-2"
+			f.clocks["b"] = &betweenv1.ReadClockResponse{Boot: "x", Day: f.clock.Wall().UnixMilli() + 3000}
+		}, elapsed: 5*time.Second + dayMargin},
+		"machines lost power, too few days": {change: func(f *gatewayFixture) {
+			f.Boot = "boot-2"
+			delete(f.clocks, "b")
+			delete(f.clocks, "c")
+		}, elapsed: -1},
+		"another leader reads the clock of the first": {change: func(f *gatewayFixture) {
+			f.clocks["self"] = &betweenv1.ReadClockResponse{Boot: "boot-1", At: f.clock.Boot().Milliseconds(), Day: f.clock.Wall().UnixMilli()}
+			f.Self, f.Boot = "b", "boot-b"
+		}, elapsed: 2 * time.Second},
+		"another leader, the clock is gone": {change: func(f *gatewayFixture) {
+			f.Self, f.Boot = "b", "boot-b"
+			delete(f.clocks, "c")
+		}, elapsed: -1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newGateway(t)
+			f.clocks["b"] = &betweenv1.ReadClockResponse{Boot: "x", Day: f.clock.Wall().UnixMilli()}
+			f.clocks["c"] = &betweenv1.ReadClockResponse{Boot: "x", Day: f.clock.Wall().UnixMilli()}
+			for _, member := range []string{"self", "b", "c"} {
+				at, _ := f.dayOf(context.Background(), member)
+				f.putDay(member, dayReading{at: at, boot: f.clock.Boot()})
+			}
+			granted := f.report(t, "box@1", 1, 0, &betweenv1.LeaseReport{}).GetAllotted()
+			f.report(t, "box@1", 2, 0, &betweenv1.LeaseReport{Spent: 1000, Reserved: 500, Basis: granted})
+			f.clock.Advance(3 * time.Second)
+			c.change(f)
+			before := f.unallotted()
+			free, basis := state.FreeAtReport(f.row("box@1")), f.row("box@1").GetBasis()
+			f.report(t, "box@2", 1, time.Second, &betweenv1.LeaseReport{})
+			back := f.unallotted() + f.row("box@2").GetAllotted() - before
+			want := uint64(0)
+			if c.elapsed >= 0 {
+				want = free - min(free, lease.MostUsed(basis, c.elapsed))
+			}
+			if back != want {
+				t.Fatalf("%d tokens came back, want %d of %d", back, want, free)
+			}
+		})
+	}
+}
+
+// A repeated sample keeps the stamp of its first time: an answer that was lost
+// came after the sample was taken.
+func TestARepeatedSampleKeepsItsStamp(t *testing.T) {
+	f := newGateway(t)
+	f.report(t, "box@1", 1, 0, &betweenv1.LeaseReport{})
+	first := f.clock.Boot()
+	f.clock.Advance(time.Second)
+	f.report(t, "box@1", 2, 0, &betweenv1.LeaseReport{Spent: 1})
+	f.clock.Advance(time.Second)
+	f.report(t, "box@1", 2, 0, &betweenv1.LeaseReport{Spent: 1})
+	var stamp *statev1.LeaseStamp
+	f.Machine.Read(func(s *state.State) { stamp = s.Routing.Holders["box@1"].GetStamp() })
+	if stamp.GetAt() != first.Milliseconds() || stamp.GetClock() != "self" {
+		t.Fatalf("stamp %v, want the answer to the first sample at %d", stamp, first.Milliseconds())
+	}
+}
+
+func TestOnlyTheLeaderReadsAndLeases(t *testing.T) {
+	f := newGateway(t)
+	f.Log.(*directLog).follows = true
+	if _, err := f.Read(); !raft.IsErrNotLeader(err) {
+		t.Fatal(err)
+	}
+	if _, err := f.Lease(context.Background(), &betweenv1.LeaseRequest{Holder: "h"}); !raft.IsErrNotLeader(err) {
+		t.Fatal(err)
+	}
+	f.Log.(*directLog).follows = false
+	resp, err := f.Read()
+	if err != nil || resp.GetVersion() != 1 || string(resp.GetSource()) != "doc" {
+		t.Fatalf("%v, %v", resp, err)
+	}
+}
--- /dev/null
+++ b/services/forward/forward_test.go
@@ -0,0 +1,440 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/services/gateway"
+	"havenwinch.dev/havenwinch/structs"
+)
+
+var testDialect = Dialect{RequestID: "X-Id", Deadline: "X-Deadline", Organisation: "X-Org", ExpectTarget: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed", LastEvent: "X-Last", Priority: "X-Rank"}
+
+// received is one request that a scripted target has read.
+type received struct {
+	id, target, last, org, rank string
+	body                        string
+}
+
+// target answers each request with the next of its scripts.
+type target struct {
+	t       *testing.T
+	name    string
+	l       net.Listener
+	mu      sync.Mutex
+	scripts []script
+	got     []received
+}
+
+// script writes an answer; closing the connection is its own affair.
+type script func(c net.Conn, r received)
+
+func newTarget(t *testing.T, name string, scripts ...script) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tg := &target{t: t, name: name, l: l, scripts: scripts}
+	go tg.serve()
+	t.Cleanup(func() { _ = l.Close() })
+	return tg
+}
+
+func (tg *target) serve() {
+	for {
+		c, err := tg.l.Accept()
+		if err != nil {
+			return
+		}
+		go tg.handle(c)
+	}
+}
+
+func (tg *target) handle(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		h := req.Header
+		rec := received{id: h.Get("X-Id"), target: h.Get("X-Expect"), last: h.Get("X-Last"), org: h.Get("X-Org"), rank: h.Get("X-Rank"), body: string(body)}
+		tg.mu.Lock()
+		at := len(tg.got)
+		tg.got = append(tg.got, rec)
+		tg.mu.Unlock()
+		if at >= len(tg.scripts) {
+			return
+		}
+		tg.scripts[at](c, rec)
+	}
+}
+
+func (tg *target) requests() []received {
+	tg.mu.Lock()
+	defer tg.mu.Unlock()
+	return append([]received(nil), tg.got...)
+}
+
+func head(id, extra string) string {
+	return "HTTP/1.1 200 OK\r\nX-Signed: s\r\nX-Id: " + id + "\r\n" + extra
+}
+
+// whole answers with a body of a known length.
+func whole(status int, body string) script {
+	return func(c net.Conn, r received) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Signed: s\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", status, r.id, len(body), body)
+	}
+}
+
+// raw writes text with the request's id in place of ID, and closes.
+func raw(text string) script {
+	return func(c net.Conn, r received) {
+		_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", r.id))
+		_ = c.Close()
+	}
+}
+
+func shed() script {
+	return func(c net.Conn, _ received) {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
+func closed() script { return func(c net.Conn, _ received) { _ = c.Close() } }
+
+// chunks writes events as chunks; ended says whether the stream ends well.
+func chunks(ended bool, parts ...string) script {
+	return func(c net.Conn, r received) {
+		var b strings.Builder
+		b.WriteString(head(r.id, "Transfer-Encoding: chunked\r\n\r\n"))
+		for _, p := range parts {
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(p), p)
+		}
+		if ended {
+			b.WriteString("0\r\n\r\n")
+		}
+		_, _ = io.WriteString(c, b.String())
+		if !ended {
+			_ = c.Close()
+		}
+	}
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id) }
+
+// collector is a caller's end.
+type collector struct {
+	status int
+	body   strings.Builder
+	ended  bool
+	writes int
+}
+
+func (c *collector) Begin(status int, _ []Field, _ int) error { c.status = status; return nil }
+func (c *collector) Write(p []byte) error {
+	c.writes++
+	c.body.Write(p)
+	return nil
+}
+func (c *collector) End() error { c.ended = true; return nil }
+
+// book is the leases of a test.
+type book struct {
+	mu      sync.Mutex
+	outcome gateway.Outcome
+	settled []uint64
+}
+
+func (b *book) Reserve(context.Context, string, uint64, time.Duration) (gateway.Outcome, gateway.Status) {
+	return b.outcome, gateway.Status{Left: 5, Free: 3, Age: 10}
+}
+func (b *book) Settle(_ string, _, spent uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settled = append(b.settled, spent)
+}
+func (b *book) Holders() int { return 1 }
+
+type noCounter struct{}
+
+func (noCounter) Done(string, string)             {}
+func (noCounter) FirstByte(string, time.Duration) {}
+func (noCounter) Forwarded(string, string)        {}
+
+func newForwarder(t *testing.T, leases Leases, targets ...*target) *Forwarder {
+	t.Helper()
+	route := func(name string, kind statev1.Route_Kind, attempts uint32, resumable bool) *statev1.Route {
+		return &statev1.Route{Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: kind, Timeout: 20000, Objective: 4000, MaxAttempts: attempts, Resumable: resumable, Splits: []*statev1.Split{{Service: "s", Weight: 1}}}
+	}
+	message := &betweenv1.FollowResponse{
+		Routing: &statev1.RoutingTable{
+			Version: 1,
+			Routes: []*statev1.Route{
+				route("safe", statev1.Route_KIND_SAFE, 2, false), route("unsafe", statev1.Route_KIND_UNSAFE, 2, false),
+				route("stream", statev1.Route_KIND_STREAM, 2, false), route("resume", statev1.Route_KIND_STREAM, 2, true),
+			},
+			Services: []*statev1.Service{{Name: "s", Engine: &statev1.EngineLimits{EventTokens: 5}}},
+			Payers:   []*statev1.Payer{{Organisation: "o", Keys: []string{"key"}, Priority: 1, Prepaid: 1000, Limited: true}},
+		},
+		TargetRevision: uint64(len(targets)),
+	}
+	for i, tg := range targets {
+		message.Targets = append(message.Targets, &statev1.RegisteredTarget{Id: tg.name, Service: "s", Address: tg.l.Addr().String(), DataCentre: []string{"dc", "far"}[min(i, 1)], State: statev1.RegisteredTarget_STATE_READY, Revision: uint64(i + 1)})
+	}
+	store := gateway.NewStore(clock.System{})
+	store.Take(message)
+	f := New(Options{DataCentre: "dc", Dialect: testDialect, Store: store, Leases: leases, Clock: clock.System{}, Logger: logging.Discard(), Counter: noCounter{}, RetryStock: 100})
+	f.Refresh()
+	return f
+}
+
+func newCall(route string) *Call {
+	return &Call{ID: "id-1", Method: http.MethodPost, URI: "/" + route + "/x?q=1", Path: "/" + route + "/x", Host: "h", Key: "key", LastEvent: -1, Input: 100, Output: 50, Body: []byte("question"),
+		Fields: []Field{{Name: "X-Id", Value: "id-1"}}, Arrived: clock.System{}.Boot()}
+}
+
+// The fault table: what two targets do, and what the caller gets.
+func TestFaultsOfTargets(t *testing.T) {
+	cases := map[string]struct {
+		route  string
+		first  []script
+		second []script
+		// status and body are what the caller gets of a target; refused is the
+		// kind of the system's own answer in its place.
+		status  int
+		body    string
+		refused structs.Kind
+		run     structs.Run
+		broken  bool
+		// sends is how many requests reached targets.
+		sends int
+		spent uint64
+	}{
+		"answer":                          {route: "unsafe", first: []script{whole(200, "yes")}, status: 200, body: "yes", sends: 1, spent: 100},
+		"the target's own failure":        {route: "unsafe", first: []script{whole(500, "no")}, status: 500, body: "no", sends: 1, spent: 100},
+		"safe after a failure":            {route: "safe", first: []script{whole(500, "no")}, second: []script{whole(200, "yes")}, status: 200, body: "yes", sends: 2, spent: 100},
+		"safe after two failures":         {route: "safe", first: []script{whole(500, "no")}, second: []script{whole(500, "nope")}, status: 500, body: "nope", sends: 2, spent: 100},
+		"shed":                            {route: "unsafe", first: []script{shed()}, second: []script{whole(200, "yes")}, status: 200, body: "yes", sends: 2, spent: 100},
+		"shed by all":                     {route: "unsafe", first: []script{shed()}, second: []script{shed()}, refused: structs.KindNoTarget, run: structs.RunNo, sends: 2},
+		"another target at the address":   {route: "unsafe", first: []script{raw("HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")}, second: []script{whole(200, "yes")}, status: 200, body: "yes", sends: 2, spent: 100},
+		"unsafe without answer":           {route: "unsafe", first: []script{closed()}, second: []script{whole(200, "yes")}, refused: structs.KindTargetFailed, run: structs.RunUnknown, sends: 1, spent: 150},
+		"safe without answer":             {route: "safe", first: []script{closed()}, second: []script{whole(200, "yes")}, status: 200, body: "yes", sends: 2, spent: 100},
+		"cut answer":                      {route: "safe", first: []script{raw(head("ID", "Content-Length: 10\r\n\r\nabc"))}, second: []script{whole(200, "yes")}, status: 200, body: "yes", sends: 2, spent: 100},
+		"cut answer of an unsafe call":    {route: "unsafe", first: []script{raw(head("ID", "Content-Length: 10\r\n\r\nabc"))}, refused: structs.KindTargetFailed, run: structs.RunUnknown, sends: 1, spent: 100},
+		"no length, ends with connection": {route: "unsafe", first: []script{raw(head("ID", "\r\nyes"))}, status: 200, body: "yes", sends: 1, spent: 100},
+		"bytes that are no answer":        {route: "safe", first: []script{raw("nonsense\r\n\r\n")}, second: []script{whole(200, "yes")}, status: 200, body: "yes", sends: 2, spent: 100},
+		"an answer that is not signed":    {route: "safe", first: []script{raw("HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 2\r\n\r\nno")}, second: []script{whole(200, "yes")}, status: 200, body: "yes", sends: 2, spent: 100},
+		"an encoded answer":               {route: "unsafe", first: []script{raw(head("ID", "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno"))}, refused: structs.KindTargetFailed, run: structs.RunUnknown, sends: 1, spent: 100},
+		"an answer of another call first": {route: "unsafe", first: []script{raw(head("other", "Content-Length: 5\r\n\r\nwrong") + head("ID", "Content-Length: 3\r\n\r\nyes"))}, status: 200, body: "yes", sends: 1, spent: 100},
+		"only an answer of another call":  {route: "unsafe", first: []script{raw(head("other", "Content-Length: 5\r\n\r\nwrong"))}, refused: structs.KindTargetFailed, run: structs.RunUnknown, sends: 1, spent: 150},
+		"interim answers":                 {route: "unsafe", first: []script{raw("HTTP/1.1 100 Continue\r\n\r\n" + head("ID", "Content-Length: 3\r\n\r\nyes"))}, status: 200, body: "yes", sends: 1, spent: 100},
+		"chunked":                         {route: "unsafe", first: []script{chunks(true, "ye", "s")}, status: 200, body: "yes", sends: 1, spent: 100},
+		"chunked without end":             {route: "unsafe", first: []script{chunks(false, "ye", "s")}, refused: structs.KindTargetFailed, run: structs.RunUnknown, sends: 1, spent: 100},
+
+		"stream":                                {route: "stream", first: []script{chunks(true, event(0), event(1)+event(2))}, status: 200, body: event(0) + event(1) + event(2), sends: 1, spent: 115},
+		"stream in torn pieces":                 {route: "stream", first: []script{chunks(true, "id: 0\nda", "ta: e0\n", "\nid: 1\ndata: e1\n\n")}, status: 200, body: event(0) + event(1), sends: 1, spent: 110},
+		"stream that breaks off":                {route: "stream", first: []script{chunks(false, event(0), "id: 1\nda")}, second: []script{chunks(true, event(1))}, status: 200, body: event(0), broken: true, sends: 1, spent: 150},
+		"stream without answer":                 {route: "stream", first: []script{closed()}, second: []script{chunks(true, event(0))}, refused: structs.KindTargetFailed, run: structs.RunUnknown, sends: 1, spent: 150},
+		"stream that goes on elsewhere":         {route: "resume", first: []script{chunks(false, event(0), event(1), "id: 2\nda")}, second: []script{chunks(true, event(2), event(3))}, status: 200, body: event(0) + event(1) + event(2) + event(3), sends: 2, spent: 120},
+		"stream that goes on with a repeat":     {route: "resume", first: []script{chunks(false, event(0), event(1))}, second: []script{chunks(true, event(1), event(2))}, status: 200, body: event(0) + event(1) + event(2), sends: 2, spent: 115},
+		"stream with an event missing":          {route: "stream", first: []script{chunks(true, event(0), event(2))}, status: 200, body: event(0), broken: true, sends: 1, spent: 150},
+		"stream that ends in an event":          {route: "stream", first: []script{chunks(true, event(0), "id: 1\ndata:")}, status: 200, body: event(0), broken: true, sends: 1, spent: 150},
+		"resumable stream that breaks twice":    {route: "resume", first: []script{chunks(false, event(0))}, second: []script{chunks(false, event(1))}, status: 200, body: event(0) + event(1), broken: true, sends: 2, spent: 150},
+		"stream refused by the target":          {route: "stream", first: []script{whole(400, "bad")}, status: 400, body: "bad", sends: 1, spent: 100},
+		"stream without length, reset at start": {route: "resume", first: []script{raw(head("ID", "\r\n") + "id: 0\nda")}, second: []script{chunks(true, event(0))}, status: 200, body: event(0), sends: 2, spent: 105},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			// The first target is near and the second far.
+			one, two := newTarget(t, "one", c.first...), newTarget(t, "two", c.second...)
+			leases := &book{}
+			f := newForwarder(t, leases, one, two)
+			sink := &collector{}
+			err := f.Serve(context.Background(), newCall(c.route), sink)
+			sends := append(one.requests(), two.requests()...)
+			if len(sends) != c.sends {
+				t.Errorf("%d sends, want %d: %v", len(sends), c.sends, sends)
+			}
+			for _, s := range sends {
+				if s.id != "id-1" || s.body != "question" || s.org != "o" || s.rank != "3" || s.target == "" {
+					t.Errorf("a target got %+v", s)
+				}
+			}
+			var refusal *Refusal
+			switch {
+			case c.refused != "":
+				if !errors.As(err, &refusal) || refusal.Kind != c.refused || refusal.Run != c.run || sink.status != 0 {
+					t.Errorf("got %v and status %d, want %s with run %s", err, sink.status, c.refused, c.run)
+				}
+				if c.run == structs.RunNo && refusal.RetryAfter == 0 {
+					t.Error("a call that did not run was refused without a time to come back")
+				}
+			case c.broken:
+				if err == nil || errors.As(err, &refusal) || sink.ended || sink.body.String() != c.body {
+					t.Errorf("got %v, ended %v, body %q; want a broken answer with %q", err, sink.ended, sink.body.String(), c.body)
+				}
+			default:
+				if err != nil || !sink.ended || sink.status != c.status {
+					t.Errorf("got %v, status %d, ended %v", err, sink.status, sink.ended)
+				}
+				if diff := cmp.Diff(c.body, sink.body.String()); diff != "" {
+					t.Error(diff)
+				}
+			}
+			if len(leases.settled) != 1 || leases.settled[0] != c.spent {
+				t.Errorf("settled %v, want %d", leases.settled, c.spent)
+			}
+		})
+	}
+}
+
+// A stream goes on with the id of its last whole event.
+func TestResumeTellsTheLastEvent(t *testing.T) {
+	one, two := newTarget(t, "one", chunks(false, event(0), event(1))), newTarget(t, "two", chunks(true, event(2)))
+	f := newForwarder(t, &book{}, one, two)
+	if err := f.Serve(context.Background(), newCall("resume"), &collector{}); err != nil {
+		t.Fatal(err)
+	}
+	if got := two.requests()[0].last; got != "1" {
+		t.Fatalf("the second target was told event %q", got)
+	}
+}
+
+// An idle connection that the target has closed, or that holds bytes, is not
+// used for the next call.
+func TestIdleConnections(t *testing.T) {
+	cases := map[string]script{
+		"closed by the target": func(c net.Conn, r received) {
+			whole(200, "a")(c, r)
+			_ = c.Close()
+		},
+		"holds a late answer": func(c net.Conn, r received) {
+			whole(200, "a")(c, r)
+			whole(200, "late")(c, received{id: "older"})
+		},
+		"says that it closes": func(c net.Conn, r received) {
+			_, _ = io.WriteString(c, head(r.id, "Connection: close\r\nContent-Length: 1\r\n\r\na"))
+		},
+	}
+	for name, first := range cases {
+		t.Run(name, func(t *testing.T) {
+			one := newTarget(t, "one", first, whole(200, "b"))
+			f := newForwarder(t, &book{}, one)
+			for _, want := range []string{"a", "b"} {
+				sink := &collector{}
+				if err := f.Serve(context.Background(), newCall("unsafe"), sink); err != nil || sink.body.String() != want {
+					t.Fatalf("got %q, %v; want %q", sink.body.String(), err, want)
+				}
+			}
+		})
+	}
+}
+
+// A target may answer before a long body is in; its connection is not used again.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 413 X\r\nX-Signed: s\r\nX-Id: id-1\r\nContent-Length: 2\r\n\r\nno")
+		}
+	}()
+	f := newForwarder(t, &book{}, &target{name: "one", l: l})
+	for range 2 {
+		call := newCall("unsafe")
+		call.Body = make([]byte, 8<<20)
+		sink := &collector{}
+		if err := f.Serve(context.Background(), call, sink); err != nil || sink.status != 413 {
+			t.Fatalf("got %v, status %d", err, sink.status)
+		}
+		<-accepted
+	}
+}
+
+func TestRefusalsBeforeAnythingIsSent(t *testing.T) {
+	cases := map[string]struct {
+		spoil   func(c *Call)
+		outcome gateway.Outcome
+		kind    structs.Kind
+		later   bool
+	}{
+		"no route":         {spoil: func(c *Call) { c.Path = "/none/" }, kind: structs.KindNotFound},
+		"unknown key":      {spoil: func(c *Call) { c.Key = "none" }, kind: structs.KindWrongKey},
+		"deadline past":    {spoil: func(c *Call) { c.Patience = time.Nanosecond }, kind: structs.KindDeadlinePast, later: true},
+		"budget exhausted": {spoil: func(*Call) {}, outcome: gateway.Exhausted, kind: structs.KindBudgetExhausted},
+		"too few tokens":   {spoil: func(*Call) {}, outcome: gateway.Short, kind: structs.KindBudgetUnreachable, later: true},
+		"no target at all": {spoil: func(c *Call) {}, kind: structs.KindNoTarget, later: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var targets []*target
+			one := newTarget(t, "one")
+			if c.kind != structs.KindNoTarget {
+				targets = append(targets, one)
+			}
+			f := newForwarder(t, &book{outcome: c.outcome}, targets...)
+			call := newCall("unsafe")
+			c.spoil(call)
+			var refusal *Refusal
+			err := f.Serve(context.Background(), call, &collector{})
+			if !errors.As(err, &refusal) || refusal.Kind != c.kind || refusal.Run != structs.RunNo || (refusal.RetryAfter > 0) != c.later {
+				t.Fatalf("got %v", err)
+			}
+			if len(one.requests()) != 0 {
+				t.Fatal("the call was sent all the same")
+			}
+		})
+	}
+}
+
+func TestRetryBudgetIsBounded(t *testing.T) {
+	var b retryBudget
+	granted := 0
+	for range 1000 {
+		b.noted("s", 0.1, 5)
+		for b.take("s") {
+			granted++
+		}
+	}
+	if granted > 105 || granted < 95 {
+		t.Fatalf("%d further sends for 1000 calls, want about 5 and a tenth", granted)
+	}
+	if b.take("never noted") {
+		t.Fatal("a service without calls has further sends")
+	}
+}
--- /dev/null
+++ b/services/gateway/gateway_test.go
@@ -0,0 +1,282 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/services/control"
+)
+
+func row(id string, state statev1.RegisteredTarget_State, revision uint64) *statev1.RegisteredTarget {
+	return &statev1.RegisteredTarget{Id: id, Service: "s", Address: id + ":1", State: state, Revision: revision}
+}
+
+func ids(s *Store) map[string]bool {
+	rows, _ := s.Targets()
+	got := map[string]bool{}
+	for _, r := range rows {
+		got[r.GetId()] = true
+	}
+	return got
+}
+
+const ready, gone = statev1.RegisteredTarget_STATE_READY, statev1.RegisteredTarget_STATE_GONE
+
+// A box that follows another control box, which may lag, never goes back.
+func TestStoreMovesForwardOnly(t *testing.T) {
+	s := NewStore(clock.NewFake())
+	steps := []struct {
+		message *betweenv1.FollowResponse
+		version uint64
+		targets map[string]bool
+	}{
+		{message: &betweenv1.FollowResponse{Routing: &statev1.RoutingTable{Version: 5}, Targets: []*statev1.RegisteredTarget{row("a", ready, 1), row("b", ready, 2)}, TargetRevision: 2}, version: 5, targets: map[string]bool{"a": true, "b": true}},
+		{message: &betweenv1.FollowResponse{Routing: &statev1.RoutingTable{Version: 4}, Targets: []*statev1.RegisteredTarget{row("a", ready, 1)}, AllTargets: true, TargetRevision: 1}, version: 5, targets: map[string]bool{"a": true, "b": true}},
+		{message: &betweenv1.FollowResponse{Targets: []*statev1.RegisteredTarget{row("a", gone, 3)}, TargetRevision: 3}, version: 5, targets: map[string]bool{"b": true}},
+		{message: &betweenv1.FollowResponse{Routing: &statev1.RoutingTable{Version: 9}, Targets: []*statev1.RegisteredTarget{row("c", ready, 8)}, AllTargets: true, TargetRevision: 8}, version: 9, targets: map[string]bool{"c": true}},
+	}
+	for i, step := range steps {
+		s.Take(step.message)
+		version, _ := s.Versions()
+		if version != step.version {
+			t.Fatalf("step %d: version %d", i, version)
+		}
+		if diff := cmp.Diff(step.targets, ids(s)); diff != "" {
+			t.Fatalf("step %d: %s", i, diff)
+		}
+	}
+}
+
+// A relay serves what it has, without the documents.
+func TestSourcesAgree(t *testing.T) {
+	machine := control.NewMachine()
+	c := clock.NewFake()
+	source := &MachineSource{Machine: machine, OutOfStep: func() time.Duration { return 0 }}
+	g := &control.Gateway{Log: directLog{machine}, Machine: machine, Clock: c, Logger: logging.Discard()}
+	for _, e := range []*statev1.Entry{
+		{Kind: &statev1.Entry_PutRouting{PutRouting: &statev1.PutRouting{Table: &statev1.RoutingTable{Version: 2, Source: []byte("doc")}}}},
+		{Kind: &statev1.Entry_PutTargets{PutTargets: &statev1.PutTargets{Targets: []*statev1.RegisteredTarget{row("a", ready, 0), row("b", gone, 0)}}}},
+	} {
+		if err := g.Submit(context.Background(), e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	relay := NewStore(c)
+	relay.Take(source.After(0, 0))
+	again := NewStore(c)
+	again.Take(relay.After(0, 0))
+	if diff := cmp.Diff(map[string]bool{"a": true}, ids(again)); diff != "" {
+		t.Fatal(diff)
+	}
+	if again.Index().Table.GetVersion() != 2 || len(again.Index().Table.GetSource()) != 0 {
+		t.Fatalf("the relay served %v", again.Index().Table)
+	}
+	if resp := relay.After(2, 2); resp.GetRouting() != nil || len(resp.GetTargets()) != 0 {
+		t.Fatalf("news for a follower that has everything: %v", resp)
+	}
+}
+
+type directLog struct{ machine *control.Machine }
+
+func (d directLog) Propose(_ context.Context, data []byte) (any, error) {
+	return d.machine.Apply(data), nil
+}
+func (d directLog) ReadBarrier() error { return nil }
+
+// box is a control box that answers leases or names the leader.
+type box struct {
+	betweenv1connect.GatewayServiceClient
+	mu     sync.Mutex
+	leader string
+	answer func(r *betweenv1.LeaseRequest) (*betweenv1.LeaseResponse, error)
+	asked  int
+}
+
+func (b *box) Lease(_ context.Context, r *connect.Request[betweenv1.LeaseRequest]) (*connect.Response[betweenv1.LeaseResponse], error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.asked++
+	if b.answer == nil {
+		err := connect.NewError(connect.CodeUnavailable, errors.New("not leading"))
+		err.Meta().Set(control.HeaderLeader, b.leader)
+		return nil, err
+	}
+	resp, err := b.answer(r.Msg)
+	return connect.NewResponse(resp), err
+}
+
+func clientOver(boxes map[string]*box, seeds ...string) *Client {
+	return NewClient(seeds, func(address string) betweenv1connect.GatewayServiceClient { return boxes[address] })
+}
+
+func TestClientFollowsToTheLeader(t *testing.T) {
+	boxes := map[string]*box{
+		"a": {leader: "c"},
+		"b": {},
+		"c": {answer: func(*betweenv1.LeaseRequest) (*betweenv1.LeaseResponse, error) {
+			return &betweenv1.LeaseResponse{Holders: 3}, nil
+		}},
+	}
+	c := clientOver(boxes, "a", "b")
+	for range 2 {
+		resp, err := c.Lease(context.Background(), &betweenv1.LeaseRequest{})
+		if err != nil || resp.GetHolders() != 3 {
+			t.Fatalf("%v, %v", resp, err)
+		}
+	}
+	if boxes["a"].asked != 1 || boxes["b"].asked != 0 || boxes["c"].asked != 2 {
+		t.Fatalf("asked %d, %d, %d times", boxes["a"].asked, boxes["b"].asked, boxes["c"].asked)
+	}
+}
+
+func newLeases(b *box) *Leases {
+	store := NewStore(clock.System{})
+	store.Take(&betweenv1.FollowResponse{Routing: &statev1.RoutingTable{Version: 1, Payers: []*statev1.Payer{{Organisation: "o", Limited: true, Prepaid: 100}, {Organisation: "free"}}}})
+	return NewLeases("box", "p1", store, clientOver(map[string]*box{"a": b}, "a"), clock.System{}, logging.Discard())
+}
+
+// grants answers as a control with one budget that only this box draws on.
+func grants(allotted uint64) func(r *betweenv1.LeaseRequest) (*betweenv1.LeaseResponse, error) {
+	return func(r *betweenv1.LeaseRequest) (*betweenv1.LeaseResponse, error) {
+		resp := &betweenv1.LeaseResponse{Holders: 1}
+		for _, report := range r.GetReports() {
+			used := report.GetSpent() + report.GetReserved()
+			resp.Grants = append(resp.Grants, &betweenv1.LeaseGrant{Organisation: report.GetOrganisation(), Allotted: allotted, Keep: allotted, Left: allotted - used})
+		}
+		return resp, nil
+	}
+}
+
+func TestReserveWaitsForControl(t *testing.T) {
+	b := &box{answer: grants(1000)}
+	l := newLeases(b)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go l.Run(ctx)
+	if got, status := l.Reserve(ctx, "o", 800, time.Minute); got != Reserved || status.Free != 200 {
+		t.Fatalf("outcome %d, %+v", got, status)
+	}
+	if got, _ := l.Reserve(ctx, "o", 300, time.Minute); got != Exhausted {
+		t.Fatalf("outcome %d for more than is left", got)
+	}
+	l.Settle("o", 800, 100)
+	if got, _ := l.Reserve(ctx, "o", 800, time.Minute); got != Reserved {
+		t.Fatalf("outcome %d after the first was settled", got)
+	}
+}
+
+func TestReserveGivesUpWithoutControl(t *testing.T) {
+	l := newLeases(&box{})
+	if got, status := l.Reserve(context.Background(), "o", 10, 0); got != Short || status.Age != -1 {
+		t.Fatalf("outcome %d, %+v", got, status)
+	}
+}
+
+// A sample whose answer is lost is sent again with the same counters, whatever
+// was reserved since.
+func TestASampleIsRepeatedUntilItIsAnswered(t *testing.T) {
+	var seen []*betweenv1.LeaseRequest
+	lose := false
+	b := &box{}
+	b.answer = func(r *betweenv1.LeaseRequest) (*betweenv1.LeaseResponse, error) {
+		seen = append(seen, r)
+		if lose {
+			return nil, connect.NewError(connect.CodeUnavailable, errors.New("lost"))
+		}
+		return grants(100000)(r)
+	}
+	l := newLeases(b)
+	l.report(context.Background(), false)
+	lose = true
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	r := l.request(false)
+	_, err := l.Client.Lease(ctx, r)
+	l.take(nil, err)
+	if got, _ := l.Reserve(context.Background(), "o", 500, 0); got != Reserved {
+		t.Fatal("a small reservation waits for control")
+	}
+	lose = false
+	l.report(context.Background(), false)
+	l.report(context.Background(), false)
+	last := seen[len(seen)-2:]
+	if r.GetSample() != 2 || last[0].GetSample() != 2 || last[0].GetReports()[0].GetReserved() != 0 {
+		t.Fatalf("the repeated sample is %v", last[0])
+	}
+	if last[1].GetSample() != 3 || last[1].GetReports()[0].GetReserved() != 500 {
+		t.Fatalf("the next sample is %v", last[1])
+	}
+	if len(last[1].GetReports()) != 1 {
+		t.Fatalf("reports of %d organisations, one has a budget", len(last[1].GetReports()))
+	}
+}
+
+func TestReturnGivesEverythingBack(t *testing.T) {
+	var last *betweenv1.LeaseRequest
+	b := &box{}
+	b.answer = func(r *betweenv1.LeaseRequest) (*betweenv1.LeaseResponse, error) {
+		last = r
+		return grants(1000)(r)
+	}
+	l := newLeases(b)
+	l.report(context.Background(), false)
+	l.Return(context.Background())
+	if !last.GetLeaving() || last.GetReports()[0].GetReturned() != 1000 {
+		t.Fatalf("the last report is %v", last)
+	}
+}
+
+func TestRegistryPutsOnlyNews(t *testing.T) {
+	known := &statev1.RegisteredTarget{Id: "t", Service: "s", Address: "x", State: statev1.RegisteredTarget_STATE_DRAINING, Sequence: 3}
+	cases := map[string]struct {
+		call *statev1.RegisteredTarget
+		puts int
+	}{
+		"the same again":    {call: &statev1.RegisteredTarget{Id: "t", Service: "s", Address: "x", State: statev1.RegisteredTarget_STATE_DRAINING, Sequence: 4}},
+		"a late ready":      {call: &statev1.RegisteredTarget{Id: "t", Service: "s", Address: "x", State: ready, Sequence: 9}},
+		"it ends":           {call: &statev1.RegisteredTarget{Id: "t", State: gone}, puts: 1},
+		"another address":   {call: &statev1.RegisteredTarget{Id: "t", Service: "s", Address: "y", State: statev1.RegisteredTarget_STATE_DRAINING, Sequence: 4}, puts: 1},
+		"one not yet known": {call: &statev1.RegisteredTarget{Id: "u", Service: "s", Address: "z", State: ready, Sequence: 1}, puts: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			counter := &submits{}
+			g := &Registry{
+				Row: func(id string) *statev1.RegisteredTarget {
+					if id == "t" {
+						return known
+					}
+					return nil
+				},
+				Client: NewClient([]string{"a"}, func(string) betweenv1connect.GatewayServiceClient { return counter }),
+			}
+			if err := g.Put(context.Background(), c.call); err != nil || counter.n != c.puts {
+				t.Fatalf("%d puts, %v", counter.n, err)
+			}
+		})
+	}
+}
+
+type submits struct {
+	betweenv1connect.GatewayServiceClient
+	n int
+}
+
+func (s *submits) Submit(context.Context, *connect.Request[betweenv1.SubmitRequest]) (*connect.Response[betweenv1.SubmitResponse], error) {
+	s.n++
+	return connect.NewResponse(&betweenv1.SubmitResponse{}), nil
+}
