gateway: a stopping box asks for no new leases; a ban counts once

Calls that failed at the same moment each doubled a target's ban. Change: reports after Leave only give back; a ban counts once while it lasts; leases are bound to a 24th at once and an eighth a second.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -103,6 +103,7 @@
 	e.callers.Stop()
 	_ = e.listener.Close()
 	e.callers.CloseIdle()
+	e.leases.Leave()
 	limit := time.Duration(returnShare*float64(e.Settings.StopLimit)) - entryBalancerDelay
 	waiting, cancel := context.WithTimeout(ctx, limit)
 	e.callers.Wait(waiting)
--- a/models/lease/lease_test.go
+++ b/models/lease/lease_test.go
@@ -23,13 +23,13 @@
 
 func TestReserveAndSettle(t *testing.T) {
 	tb := granted(160000, time.Second)
-	if !tb.Reserve(org, 9000, time.Second) {
+	if !tb.Reserve(org, 6000, time.Second) {
 		t.Fatal("a reservation within the capacity was refused")
 	}
-	if got := tb.Of(org).Free(); got != 151000 {
-		t.Fatalf("free %d, want 151000", got)
+	if got := tb.Of(org).Free(); got != 154000 {
+		t.Fatalf("free %d, want 154000", got)
 	}
-	tb.Settle(org, 9000, 4000)
+	tb.Settle(org, 6000, 4000)
 	if l := tb.Of(org); l.Free() != 156000 || l.Spent != 4000 || l.Reserved != 0 {
 		t.Fatalf("after settling: %+v", l)
 	}
@@ -45,9 +45,10 @@
 		tokens uint64
 		want   bool
 	}{
-		"at once within the capacity": {tokens: 10000, want: true},
-		"at once above the capacity":  {tokens: 10001, want: false},
-		"later what the rate allows":  {after: 3 * time.Second, tokens: 10000 + 3*26000, want: true},
+		"at once within the capacity": {tokens: Capacity(160000), want: true},
+		"at once above the capacity":  {tokens: Capacity(160000) + 1, want: false},
+		"later what the rate allows":  {after: 3 * time.Second, tokens: Capacity(160000) + uint64(3*Rate(160000)), want: true},
+		"later above the rate":        {after: 3 * time.Second, tokens: Capacity(160000) + uint64(3*Rate(160000)) + 2, want: false},
 		"never more than is there":    {after: time.Hour, tokens: 160001, want: false},
 	}
 	for name, c := range cases {
--- a/models/lease/limit.go
+++ b/models/lease/limit.go
@@ -13,12 +13,12 @@
 const (
 	// capacityParts and rateParts are the parts of the basis that may be used
 	// at once, and in each second.
-	capacityParts = 16
-	rateParts     = 6
+	capacityParts = 24
+	rateParts     = 8
 	// leastCapacity and leastRate, in tokens and tokens a second, keep small
 	// leases usable, up to smallCapacityParts and smallRateParts of them.
-	leastCapacity      = 3000
-	leastRate          = 2500
+	leastCapacity      = 2500
+	leastRate          = 2000
 	smallCapacityParts = 4
 	smallRateParts     = 2
 )
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -205,8 +205,12 @@
 }
 
 // Unreached takes a target out that could not be reached, and returns for how
-// long.
+// long. Calls that fail while it is out already were sent before and count no
+// more.
 func (tb *Table) Unreached(t *Target, now time.Duration) time.Duration {
+	if t.failures > 0 && t.bannedTo > now {
+		return 0
+	}
 	ban := min(longestBan, firstBan<<min(t.failures, 6))
 	t.failures++
 	t.bannedTo = max(t.bannedTo, now+ban)
--- a/models/spread/spread_test.go
+++ b/models/spread/spread_test.go
@@ -81,8 +81,13 @@
 	tb := table(1)
 	target := tb.Choose(Need{Service: "s"}, 0)
 	last := time.Duration(0)
+	now := time.Duration(0)
 	for range 12 {
-		ban := tb.Unreached(target, 0)
+		ban := tb.Unreached(target, now)
+		if again := tb.Unreached(target, now); again != 0 {
+			t.Fatalf("a call that failed at the same time lengthened the ban by %s", again)
+		}
+		now += ban
 		if ban < last || ban > longestBan {
 			t.Fatalf("ban %s after %s", ban, last)
 		}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -354,6 +354,9 @@
 	switch v {
 	case unreachable:
 		ban := f.targets.Unreached(t, now)
+		if ban == 0 {
+			return
+		}
 		f.opts.Logger.Warn("target out", "target", t.ID, "address", t.Address, "reason", "unreachable", "ms", ban.Milliseconds(), "request", fl.call.ID)
 	case sound, turnedAway:
 		f.targets.Reached(t)
--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -200,19 +200,19 @@
 		return grants(100000)(r)
 	}
 	l := newLeases(b)
-	l.report(context.Background(), false)
+	l.report(context.Background())
 	lose = true
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	r := l.request(false)
+	r := l.request()
 	_, err := l.Client.Lease(ctx, r)
 	l.take(nil, err)
 	if got, _ := l.Reserve(context.Background(), "o", 500, 0); got != Reserved {
 		t.Fatal("a small reservation waits for control")
 	}
 	lose = false
-	l.report(context.Background(), false)
-	l.report(context.Background(), false)
+	l.report(context.Background())
+	l.report(context.Background())
 	last := seen[len(seen)-2:]
 	if r.GetSample() != 2 || last[0].GetSample() != 2 || last[0].GetReports()[0].GetReserved() != 0 {
 		t.Fatalf("the repeated sample is %v", last[0])
@@ -233,9 +233,19 @@
 		return grants(1000)(r)
 	}
 	l := newLeases(b)
-	l.report(context.Background(), false)
+	l.report(context.Background())
+	l.Reserve(context.Background(), "o", 40, 0)
+	l.Leave()
+	l.report(context.Background())
+	if !last.GetLeaving() || last.GetReports()[0].GetReturned() != 960 {
+		t.Fatalf("the report after Leave is %v", last)
+	}
+	l.Settle("o", 40, 10)
 	l.Return(context.Background())
-	if !last.GetLeaving() || last.GetReports()[0].GetReturned() != 1000 {
+	if r := last.GetReports()[0]; r.GetSpent() != 10 || r.GetReturned() != 990 {
+		t.Fatalf("the last report is %v", r)
+	}
+	if !last.GetLeaving() {
 		t.Fatalf("the last report is %v", last)
 	}
 }
--- a/services/gateway/leases.go
+++ b/services/gateway/leases.go
@@ -45,6 +45,11 @@
 	// sample is the number of the last sample, acked whether control has it.
 	sample uint64
 	acked  bool
+	// leaving is set once the box stops, left once a sample says so.
+	leaving bool
+	left    bool
+	// reporting is held by the one report that is under way.
+	reporting sync.Mutex
 }
 
 // NewLeases returns leases of a box's process; the holder's name ends with it.
@@ -176,23 +181,27 @@
 		case <-ticker.C:
 		case <-l.urgent:
 		}
-		l.report(ctx, false)
+		l.report(ctx)
 		sleep(ctx, urgentPause)
 	}
 }
 
-// Return gives everything back that no request has reserved.
-func (l *Leases) Return(ctx context.Context) {
+// Leave makes this and all further reports give back what no request has
+// reserved, and ask for nothing.
+func (l *Leases) Leave() {
 	l.mu.Lock()
-	l.table.ReturnAll()
-	// The last sample may not have been answered; nothing is used any more.
-	l.acked = true
-	l.mu.Unlock()
-	l.report(ctx, true)
+	defer l.mu.Unlock()
+	l.leaving = true
+	l.hurry()
 }
 
-func (l *Leases) report(ctx context.Context, leaving bool) {
-	r := l.request(leaving)
+// Return reports a last time, after Leave and the last request.
+func (l *Leases) Return(ctx context.Context) { l.report(ctx) }
+
+func (l *Leases) report(ctx context.Context) {
+	l.reporting.Lock()
+	defer l.reporting.Unlock()
+	r := l.request()
 	if len(r.GetReports()) == 0 {
 		return
 	}
@@ -203,7 +212,7 @@
 }
 
 // request takes a new sample, or repeats the last one until control has it.
-func (l *Leases) request(leaving bool) *betweenv1.LeaseRequest {
+func (l *Leases) request() *betweenv1.LeaseRequest {
 	index := l.Store.Index()
 	if index == nil {
 		return &betweenv1.LeaseRequest{}
@@ -211,12 +220,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Boot()
+	if l.leaving {
+		l.table.ReturnAll()
+	}
 	if l.acked {
 		l.acked = false
 		l.sample++
 		l.table.Sample(now)
+		l.left = l.leaving
 	}
-	r := &betweenv1.LeaseRequest{Holder: l.Holder, Box: l.Box, Leaving: leaving, Age: (now - l.started).Milliseconds(), Sample: l.sample}
+	r := &betweenv1.LeaseRequest{Holder: l.Holder, Box: l.Box, Leaving: l.left, Age: (now - l.started).Milliseconds(), Sample: l.sample}
 	for _, p := range index.Table.GetPayers() {
 		if !p.GetLimited() {
 			continue
