--- a/models/lease/lease.go
+++ b/models/lease/lease.go
@@ -24,6 +24,8 @@
 	// Left is what of the whole budget was neither spent nor reserved when
 	// control answered last.
 	Left uint64
+	// Unallotted is what no box had then.
+	Unallotted uint64
 	// Answered is when control answered last, Asked whether it ever did.
 	Answered time.Duration
 	Asked    bool
--- a/services/control/gateway.go
+++ b/services/control/gateway.go
@@ -151,7 +151,7 @@
 			allot.LeaseDemand{Available: available, Reserved: report.GetReserved(), Rate: report.GetRate(), Need: report.GetNeed()},
 		)
 	}
-	grant.Allotted, grant.Keep, grant.Left = row.GetAllotted(), decision.Keep, left
+	grant.Allotted, grant.Keep, grant.Left, grant.Unallotted = row.GetAllotted(), decision.Keep, left, b.Unallotted()-decision.Grant
 	if decision.Grant == 0 && row == nil {
 		return grant, nil
 	}
--- a/services/gateway/leases.go
+++ b/services/gateway/leases.go
@@ -73,7 +73,7 @@
 
 // Status is a reading of a lease for logs.
 type Status struct {
-	Free, Left uint64
+	Free, Left, Unallotted uint64
 	// Age is how long ago control answered, in milliseconds; -1 for never.
 	Age int64
 }
@@ -142,7 +142,7 @@
 
 func (l *Leases) status(organisation string) Status {
 	row := l.table.Of(organisation)
-	s := Status{Free: row.Free(), Left: row.Left, Age: -1}
+	s := Status{Free: row.Free(), Left: row.Left, Unallotted: row.Unallotted, Age: -1}
 	if row.Asked {
 		s.Age = (l.Clock.Boot() - row.Answered).Milliseconds()
 	}
@@ -254,6 +254,7 @@
 	now := l.Clock.Boot()
 	for _, g := range resp.GetGrants() {
 		l.table.Granted(g.GetOrganisation(), g.GetAllotted(), g.GetKeep(), g.GetLeft(), now)
+		l.table.Of(g.GetOrganisation()).Unallotted = g.GetUnallotted()
 	}
 	l.holders = max(1, int(resp.GetHolders()))
 	close(l.changed)
