--- /dev/null
+++ b/tests/soak/caller_test.go
@@ -0,0 +1,176 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// outcome is how a request ended for its caller.
+type outcome struct {
+	id     string
+	route  string
+	status int
+	body   string
+	// whole is false when the answer broke off or none came.
+	whole bool
+	retry string
+}
+
+// callers sends requests over connections that stay open as long as the box
+// lets them.
+type callers struct {
+	site    *site
+	entries []string
+	seed    int64
+
+	mu       sync.Mutex
+	outcomes []outcome
+}
+
+// caller is one user with one connection.
+type caller struct {
+	all   *callers
+	n     int
+	rng   *rand.Rand
+	conn  net.Conn
+	r     *bufio.Reader
+	count int
+}
+
+const (
+	answerLimit = 12 * time.Second
+	dialLimit   = time.Second
+)
+
+// run sends requests until the channel is closed.
+func (c *caller) run(stop <-chan struct{}) {
+	routes := []string{"plain/safe", "plain/unsafe", "stream/resume", "stream/once"}
+	for {
+		select {
+		case <-stop:
+			c.drop()
+			return
+		case <-time.After(time.Duration(c.rng.Intn(60)) * time.Millisecond):
+		}
+		route := routes[c.rng.Intn(len(routes))]
+		key := "key-large"
+		if c.rng.Intn(4) == 0 {
+			key = "key-small"
+		}
+		c.count++
+		o := c.ask(fmt.Sprintf("%d-%d-%d", c.all.seed, c.n, c.count), route, key)
+		c.all.take(o)
+	}
+}
+
+func (c *caller) drop() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+const outputLimit = 60
+
+// ask sends one request and reads its answer.
+func (c *caller) ask(id, route, key string) outcome {
+	o := outcome{id: id, route: route}
+	if c.conn == nil {
+		entry := c.all.entries[c.rng.Intn(len(c.all.entries))]
+		conn, err := net.DialTimeout("tcp", entry, dialLimit)
+		if err != nil {
+			return o
+		}
+		c.conn, c.r = conn, bufio.NewReader(conn)
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(answerLimit))
+	body := "body of " + id
+	tokens := ""
+	if strings.HasPrefix(route, "stream") {
+		tokens = fmt.Sprintf("Token-Count: %d,%d\r\nPrompt-Prefix: aa:10,bb%d:20,%x:5\r\n", 200+c.rng.Intn(400), outputLimit, c.rng.Intn(5), c.rng.Int31())
+	}
+	_, err := fmt.Fprintf(c.conn, "POST /%s/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 8000\r\nApi-Key: %s\r\nTenant: forged\r\n%sContent-Length: %d\r\n\r\n%s", route, id, key, tokens, len(body), body)
+	if err != nil {
+		c.drop()
+		return o
+	}
+	return c.answer(o)
+}
+
+func (c *caller) answer(o outcome) outcome {
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		c.drop()
+		return o
+	}
+	data, err := io.ReadAll(resp.Body)
+	o.status, o.body, o.whole, o.retry = resp.StatusCode, string(data), err == nil, resp.Header.Get("Retry-After")
+	if got := resp.Header.Get("Attempt-Id"); got != "" && got != o.id {
+		c.all.site.breaks("request %s got the answer to %s", o.id, got)
+	}
+	if err != nil || resp.Close {
+		c.drop()
+	}
+	return o
+}
+
+// take checks an outcome as far as it can be checked at once.
+func (cs *callers) take(o outcome) {
+	cs.mu.Lock()
+	cs.outcomes = append(cs.outcomes, o)
+	cs.mu.Unlock()
+	if o.status != http.StatusOK || !o.whole {
+		return
+	}
+	want := "answer to " + o.id
+	if strings.HasPrefix(o.route, "stream") {
+		var b strings.Builder
+		for n := range events(outputLimit) {
+			b.WriteString(event(o.id, n))
+		}
+		want = b.String()
+	}
+	if o.body != want {
+		cs.site.breaks("request %s (%s) was answered %q", o.id, o.route, o.body)
+	}
+}
+
+// check compares all outcomes with what servers saw.
+func (cs *callers) check() (served, refused, failed int) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	once := map[string]bool{"plain/unsafe": true, "stream/once": true}
+	for _, o := range cs.outcomes {
+		runs := cs.site.ran(o.id)
+		if once[o.route] && runs > 1 {
+			cs.site.breaks("request %s (%s) ran %d times", o.id, o.route, runs)
+		}
+		switch {
+		case o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests || o.status == http.StatusRequestTimeout:
+			refused++
+			if runs > 0 {
+				cs.site.breaks("request %s (%s) got %d and ran", o.id, o.route, o.status)
+			}
+			if o.retry == "" {
+				cs.site.breaks("request %s was refused with %d and no time to come back", o.id, o.status)
+			}
+		case o.status == http.StatusOK && o.whole:
+			served++
+		case o.status == http.StatusUnauthorized || o.status == http.StatusNotFound:
+			cs.site.breaks("request %s got %d", o.id, o.status)
+		default:
+			failed++
+		}
+	}
+	return served, refused, failed
+}
--- /dev/null
+++ b/tests/soak/fleet_test.go
@@ -0,0 +1,231 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// bin is the folder of the daemon, built with the race detector.
+var bin string
+
+func TestMain(m *testing.M) { os.Exit(build(m)) }
+
+func build(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "havenwinch-soak-")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(folder)
+	if out, err := exec.Command("go", "build", "-race", "-o", folder+"/", "havenwinch.dev/havenwinch/cmd/havenwinchd").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	bin = folder
+	return m.Run()
+}
+
+// box is one daemon as a process.
+type box struct {
+	name   string
+	role   string
+	ip     string
+	folder string
+	env    []string
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+	log  bytes.Buffer
+	// first is true until the box was started once.
+	started bool
+}
+
+// fleet is a set of boxes with addresses of its own on loopback.
+type fleet struct {
+	folder string
+	boxes  []*box
+	ports  ports
+}
+
+type ports struct{ between, caller, ready, registry, metrics int }
+
+var fleets atomic.Int64
+
+// newFleet lays boxes out; every fleet has a net of its own, told apart by the
+// process and a count.
+func newFleet(t *testing.T, controls, entries int) *fleet {
+	t.Helper()
+	f := &fleet{folder: t.TempDir(), ports: freePorts(t)}
+	net := fmt.Sprintf("127.%d.%d.", 60+os.Getpid()%150, 1+fleets.Add(1)%250)
+	var seeds []string
+	for i := range min(3, controls) {
+		seeds = append(seeds, net+strconv.Itoa(10+i))
+	}
+	secret := filepath.Join(f.folder, "secret")
+	if err := os.WriteFile(secret, []byte("a secret for fleets on loopback only"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for i := range controls + entries {
+		b := &box{name: fmt.Sprintf("control-%d", i+1), role: "control", ip: net + strconv.Itoa(10+i)}
+		if i >= controls {
+			b.name, b.role = fmt.Sprintf("entry-%d", i-controls+1), "entry"
+		}
+		b.folder = filepath.Join(f.folder, b.name)
+		b.env = []string{
+			"HAVENWINCH_BOX=" + b.name, "HAVENWINCH_DATA_CENTRE=zone-a", "HAVENWINCH_ROLE=" + b.role, "HAVENWINCH_IP=" + b.ip,
+			"HAVENWINCH_BETWEEN_PORT=" + strconv.Itoa(f.ports.between), "HAVENWINCH_SEEDS=" + strings.Join(seeds, ","),
+			"HAVENWINCH_CALLER_LISTEN=" + f.at(b, f.ports.caller), "HAVENWINCH_READY_LISTEN=" + f.at(b, f.ports.ready),
+			"HAVENWINCH_REGISTRY_LISTEN=" + f.at(b, f.ports.registry), "HAVENWINCH_METRICS_LISTEN=" + f.at(b, f.ports.metrics),
+			"HAVENWINCH_DATA_DIR=" + b.folder, "HAVENWINCH_SECRET_FILE=" + secret, "HAVENWINCH_STOP_LIMIT=10s", "HAVENWINCH_LOG_RATE=5000",
+			"HAVENWINCH_RETRY_STOCK=100000", "HAVENWINCH_ELECTION_TIMEOUT=1s", "HAVENWINCH_HEARTBEAT=200ms",
+		}
+		f.boxes = append(f.boxes, b)
+	}
+	t.Cleanup(f.kill)
+	return f
+}
+
+func freePorts(t *testing.T) ports {
+	t.Helper()
+	var p ports
+	for _, port := range []*int{&p.between, &p.caller, &p.ready, &p.registry, &p.metrics} {
+		l, err := net.Listen("tcp", "0.0.0.0:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		*port = l.Addr().(*net.TCPAddr).Port
+	}
+	return p
+}
+
+func (f *fleet) at(b *box, port int) string { return net.JoinHostPort(b.ip, strconv.Itoa(port)) }
+
+func (f *fleet) of(role string) []*box {
+	var list []*box
+	for _, b := range f.boxes {
+		if b.role == role {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
+func (f *fleet) addresses(role string, port int) []string {
+	var list []string
+	for _, b := range f.of(role) {
+		list = append(list, f.at(b, port))
+	}
+	return list
+}
+
+// start starts the box's process if none runs.
+func (b *box) start() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.cmd != nil {
+		return nil
+	}
+	cmd := exec.Command(filepath.Join(bin, "havenwinchd"), "forward")
+	cmd.Env = append(append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}, b.env...), "HAVENWINCH_FIRST_START="+strconv.FormatBool(!b.started))
+	cmd.Stdout, cmd.Stderr = &lockedWriter{b: b}, &lockedWriter{b: b}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	b.started = true
+	done := make(chan struct{})
+	b.cmd, b.done = cmd, done
+	go func() {
+		_ = cmd.Wait()
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.cmd = nil
+		close(done)
+	}()
+	return nil
+}
+
+type lockedWriter struct{ b *box }
+
+func (w *lockedWriter) Write(p []byte) (int, error) {
+	w.b.mu.Lock()
+	defer w.b.mu.Unlock()
+	return w.b.log.Write(p)
+}
+
+func (b *box) lines() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.log.String()
+}
+
+// signal signals the box's own process, and no other.
+func (b *box) signal(s syscall.Signal) <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.cmd == nil {
+		done := make(chan struct{})
+		close(done)
+		return done
+	}
+	_ = b.cmd.Process.Signal(s)
+	return b.done
+}
+
+func (f *fleet) startAll(t *testing.T) {
+	t.Helper()
+	for _, b := range f.boxes {
+		if err := b.start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func (f *fleet) kill() {
+	for _, b := range f.boxes {
+		b.signal(syscall.SIGCONT)
+		<-b.signal(syscall.SIGKILL)
+	}
+}
+
+// ready waits until every entry box says that it is ready.
+func (f *fleet) ready(t *testing.T) {
+	t.Helper()
+	for _, address := range f.addresses("entry", f.ports.ready) {
+		eventually(t, address+" is ready", func() bool {
+			resp, err := asker.Get("http://" + address + "/api/readyz")
+			if err != nil {
+				return false
+			}
+			_ = resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		})
+	}
+}
+
+const waitLimit = 60 * time.Second
+
+// eventually waits for something that must come to be.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within %s: %s", waitLimit, what)
+}
--- /dev/null
+++ b/tests/soak/soak_test.go
@@ -0,0 +1,218 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// regressions are seeds that failed once, with the cause.
+var regressions = map[int64]string{}
+
+const (
+	// defaultSeconds is how long a run of one seed is; SOAK_SECONDS sets it.
+	defaultSeconds = 6
+	soakCallers    = 12
+)
+
+// TestSoak plays random faults: the seeds of SOAK_SEEDS ("first,count"), or one
+// fixed seed and the regressions.
+func TestSoak(t *testing.T) {
+	seeds := []int64{11}
+	for seed := range regressions {
+		seeds = append(seeds, seed)
+	}
+	if text := os.Getenv("SOAK_SEEDS"); text != "" {
+		var first, count int64
+		if _, err := fmt.Sscanf(text, "%d,%d", &first, &count); err != nil {
+			t.Fatalf("SOAK_SEEDS=%q: name the first seed and their number, as 100,50", text)
+		}
+		seeds = nil
+		for i := range count {
+			seeds = append(seeds, first+i)
+		}
+	}
+	seconds := defaultSeconds
+	if text := os.Getenv("SOAK_SECONDS"); text != "" {
+		var err error
+		if seconds, err = strconv.Atoi(text); err != nil || seconds < 1 {
+			t.Fatalf("SOAK_SECONDS=%q: name a number of seconds", text)
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { soak(t, seed, time.Duration(seconds)*time.Second) })
+	}
+}
+
+// soak runs callers, an operator and faults at once, brings everything back,
+// and looks whether it is served again.
+func soak(t *testing.T, seed int64, length time.Duration) {
+	rng := rand.New(rand.NewSource(seed))
+	w := newWorld(t, seed, 3+rng.Intn(2), 2+rng.Intn(3), 3, 2)
+	stop := make(chan struct{})
+	var work sync.WaitGroup
+	for n := range soakCallers {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			w.caller(n).run(stop)
+		}()
+	}
+	work.Add(1)
+	go func() {
+		defer work.Done()
+		w.operate(stop, rand.New(rand.NewSource(seed+1)))
+	}()
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Duration(100+rng.Intn(500)) * time.Millisecond) {
+		w.fault(t, rng)
+	}
+	w.heal(t)
+	c := w.caller(5000)
+	for _, route := range []string{"plain/unsafe", "stream/resume"} {
+		eventually(t, "after the faults "+route+" is served", func() bool {
+			c.count++
+			o := c.ask(fmt.Sprintf("healed-%s-%d", route[:5], c.count), route, "key-large")
+			w.all.take(o)
+			return o.status == 200 && o.whole
+		})
+	}
+	close(stop)
+	work.Wait()
+	w.site.checkReads()
+	w.verdict(t)
+	if t.Failed() {
+		w.keepLogs(t, seed)
+	}
+}
+
+// operate changes the configuration and reads it back.
+func (w *world) operate(stop <-chan struct{}, rng *rand.Rand) {
+	for version := uint64(10); ; version += uint64(1 + rng.Intn(3)) {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(100+rng.Intn(600)) * time.Millisecond):
+		}
+		w.site.configure(version, 2*time.Second, fmt.Sprint("key-", version))
+		w.site.checkReads()
+	}
+}
+
+// fault brings one fault about; several may overlap.
+func (w *world) fault(t *testing.T, rng *rand.Rand) {
+	b := w.boxes[rng.Intn(len(w.boxes))]
+	w.site.mu.Lock()
+	sv := w.site.servers[rng.Intn(len(w.site.servers))]
+	w.site.mu.Unlock()
+	for_ := time.Duration(200+rng.Intn(1800)) * time.Millisecond
+	later := func(do func()) { time.AfterFunc(for_, do) }
+	kinds := []string{"kill", "term", "hup", "pause", "herd", "wipe", "delay", "silent", "one way", "reset", "grey"}
+	kind := kinds[rng.Intn(len(kinds))]
+	t.Logf("%s on %s and %s for %s", kind, b.name, sv.id, for_)
+	switch kind {
+	case "kill":
+		b.signal(syscall.SIGKILL)
+		later(func() { _ = b.start() })
+	case "term":
+		ended := b.signal(syscall.SIGTERM)
+		go func() {
+			<-ended
+			_ = b.start()
+		}()
+	case "hup":
+		b.signal(syscall.SIGHUP)
+	case "pause":
+		b.signal(syscall.SIGSTOP)
+		later(func() { b.signal(syscall.SIGCONT) })
+	case "herd":
+		for _, other := range w.boxes {
+			other.signal(syscall.SIGKILL)
+		}
+		later(func() {
+			for _, other := range w.boxes {
+				_ = other.start()
+			}
+		})
+	case "wipe":
+		w.wipe(rng)
+	case "delay":
+		sv.link.set(linkDelayed)
+		later(func() { sv.link.set(linkSound) })
+	case "silent":
+		sv.link.set(linkSilent)
+		later(func() { sv.link.set(linkSound) })
+	case "one way":
+		sv.link.set(linkOneWay)
+		later(func() { sv.link.set(linkSound) })
+	case "reset":
+		sv.link.reset()
+	case "grey":
+		sv.grey(0.5)
+		later(func() { sv.grey(0) })
+	}
+}
+
+func (sv *server) grey(share float64) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.failShare = share
+}
+
+// wipe takes the disk of the one control box that may lose it: always the
+// same, so that never more disks are lost at once than is allowed.
+func (w *world) wipe(rng *rand.Rand) {
+	b := w.of("control")[0]
+	<-b.signal(syscall.SIGKILL)
+	_ = os.RemoveAll(b.folder)
+	time.Sleep(time.Duration(rng.Intn(200)) * time.Millisecond)
+	_ = b.start()
+}
+
+// heal brings everything back.
+func (w *world) heal(t *testing.T) {
+	t.Helper()
+	for _, sv := range w.site.servers {
+		sv.link.set(linkSound)
+		sv.grey(0)
+	}
+	for _, b := range w.boxes {
+		b.signal(syscall.SIGCONT)
+	}
+	eventually(t, "all processes run", func() bool {
+		running := true
+		for _, b := range w.boxes {
+			if err := b.start(); err != nil {
+				t.Fatal(err)
+			}
+			b.signal(syscall.SIGCONT)
+			b.mu.Lock()
+			running = running && b.cmd != nil
+			b.mu.Unlock()
+		}
+		return running
+	})
+	w.ready(t)
+}
+
+// keepLogs keeps the logs of a run that failed.
+func (w *world) keepLogs(t *testing.T, seed int64) {
+	folder := os.Getenv("SOAK_LOGS")
+	if folder == "" {
+		return
+	}
+	for _, b := range w.boxes {
+		path := filepath.Join(folder, fmt.Sprintf("seed-%d-%s.log", seed, b.name))
+		if err := os.WriteFile(path, []byte(b.lines()), 0o600); err != nil {
+			t.Log(err)
+		}
+	}
+}
