raft: members change one at a time, learners follow and take silent members' places

Ruled out: replacing a member in one step (majorities of {a,b,x} and {a,b,y} need not meet); changes that count from their commit (a box that lags could be elected by an older set). Change: single-server changes after Ongaro 2014, in force from the log; boxes that are no members follow as learners and one of them replaces a member that was silent for 4 s; a box finds out that the group goes on without it.

--- a/cmd/havenwinchd/forward_control.go
+++ b/cmd/havenwinchd/forward_control.go
@@ -14,6 +14,7 @@
 	"havenwinch.dev/havenwinch/models/state"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/disk"
+	"havenwinch.dev/havenwinch/modules/periodic"
 	"havenwinch.dev/havenwinch/modules/raft"
 	"havenwinch.dev/havenwinch/platform"
 	"havenwinch.dev/havenwinch/routers/between"
@@ -55,13 +56,14 @@
 				Options: raft.Options{
 					Self: b.Settings.BetweenAddress(), Members: members,
 					Election: b.Settings.Election, Heartbeat: b.Settings.Heartbeat, Rand: newRand(),
+					Size: 2*b.Settings.Tolerated + 1, Replace: replaceAfter,
 				},
 				Disk: folder, Transport: transport, Machine: r.machine, Clock: b.Clock, Log: b.Logger,
 				Incarnation: newIncarnation, CompactAfter: compactAfter,
 			}
 		},
 	})
-	r.source = &gateway.MachineSource{Machine: r.machine, OutOfStep: r.member.OutOfStep}
+	r.source = &gateway.MachineSource{Machine: r.machine, OutOfStep: r.member.OutOfStep, Members: r.member.Members}
 	r.gateway = &control.Gateway{
 		Log: r.member, Machine: r.machine, Clock: b.Clock, Logger: b.Logger,
 		Self: b.Settings.BetweenAddress(), Boot: clock.BootID(newIncarnation()), Clocks: b.Client.ReadClock, Members: r.member.Members,
@@ -69,9 +71,7 @@
 	r.between = b.Peers.Server(between.NewGateway(between.GatewayOptions{
 		Nodes:    r.member,
 		Gateway:  r.gateway,
-		Source:   r.followed,
-		Observer: r.member.Observer,
-		Members:  b.Client,
+		Source:   r.source,
 		Stopping: b.stopping,
 		Handler:  b.Peers.HandlerOptions(),
 	}))
@@ -84,33 +84,21 @@
 	return r, nil
 }
 
+// replaceAfter is how long a member of the control group must be silent before
+// another box takes its place.
+const replaceAfter = 4 * time.Second
+
 // compactAfter is the size of the log file after which a snapshot is taken, in
 // bytes; disks are small.
 const compactAfter = 4 << 20
 
-// followed is where other boxes are served from: the replicated state, or an
-// observer's copy of it.
-func (r *controlRole) followed() gateway.Source {
-	if r.member.Observer() {
-		return r.Store
-	}
-	return r.source
-}
-
 // row returns a target's row, nil for one that is not known.
 func (r *controlRole) row(id string) (row *statev1.RegisteredTarget) {
-	if r.member.Observer() {
-		return r.Store.Target(id)
-	}
 	r.machine.Read(func(s *state.State) { row = s.Routing.Targets[id] })
 	return row
 }
 
 func (r *controlRole) version() (version uint64) {
-	if r.member.Observer() {
-		version, _ = r.Store.Versions()
-		return version
-	}
 	r.machine.Read(func(s *state.State) { version = s.Routing.Version() })
 	return version
 }
@@ -124,20 +112,13 @@
 	}
 	r.spawn(r.member.Run)
 	r.spawn(r.gateway.WatchDays)
-	r.spawn(r.observe)
+	r.spawn(r.followSelf)
 	return nil
 }
 
-// observe follows the members on a box that is none.
-func (r *controlRole) observe(ctx context.Context) {
-	for !r.member.Observer() {
-		wait(ctx, time.Second)
-		if ctx.Err() != nil {
-			return
-		}
-	}
-	follower := &gateway.Follower{Box: r.Settings.Box, Store: r.Store, Client: r.Client, Logger: r.Logger}
-	follower.Run(ctx)
+// followSelf tells the box's own client who is in the group.
+func (r *controlRole) followSelf(ctx context.Context) {
+	periodic.Run(ctx, time.Second, func(context.Context) { r.Client.SetMembers(r.member.Members()) })
 }
 
 func (r *controlRole) stop(context.Context) {
--- a/gen/havenwinch/between/v1/betweenv1connect/between.connect.go
+++ b/gen/havenwinch/between/v1/betweenv1connect/between.connect.go
@@ -53,6 +53,8 @@
 	// ConsensusServiceIdentifyProcedure is the fully-qualified name of the ConsensusService's Identify
 	// RPC.
 	ConsensusServiceIdentifyProcedure = "/havenwinch.between.v1.ConsensusService/Identify"
+	// ConsensusServiceJoinProcedure is the fully-qualified name of the ConsensusService's Join RPC.
+	ConsensusServiceJoinProcedure = "/havenwinch.between.v1.ConsensusService/Join"
 	// ControlServiceSyncProcedure is the fully-qualified name of the ControlService's Sync RPC.
 	ControlServiceSyncProcedure = "/havenwinch.between.v1.ControlService/Sync"
 	// ControlServiceRegisterProcedure is the fully-qualified name of the ControlService's Register RPC.
@@ -98,6 +100,8 @@
 	Append(context.Context, *connect.Request[v1.AppendRequest]) (*connect.Response[v1.AppendResponse], error)
 	Install(context.Context, *connect.Request[v1.InstallRequest]) (*connect.Response[v1.InstallResponse], error)
 	Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error)
+	// Join asks the leader to replicate to a box that is no member.
+	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 }
 
 // NewConsensusServiceClient constructs a client for the havenwinch.between.v1.ConsensusService
@@ -135,6 +139,12 @@
 			connect.WithSchema(consensusServiceMethods.ByName("Identify")),
 			connect.WithClientOptions(opts...),
 		),
+		join: connect.NewClient[v1.JoinRequest, v1.JoinResponse](
+			httpClient,
+			baseURL+ConsensusServiceJoinProcedure,
+			connect.WithSchema(consensusServiceMethods.ByName("Join")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -144,6 +154,7 @@
 	append   *connect.Client[v1.AppendRequest, v1.AppendResponse]
 	install  *connect.Client[v1.InstallRequest, v1.InstallResponse]
 	identify *connect.Client[v1.IdentifyRequest, v1.IdentifyResponse]
+	join     *connect.Client[v1.JoinRequest, v1.JoinResponse]
 }
 
 // Vote calls havenwinch.between.v1.ConsensusService.Vote.
@@ -166,6 +177,11 @@
 	return c.identify.CallUnary(ctx, req)
 }
 
+// Join calls havenwinch.between.v1.ConsensusService.Join.
+func (c *consensusServiceClient) Join(ctx context.Context, req *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
+	return c.join.CallUnary(ctx, req)
+}
+
 // ConsensusServiceHandler is an implementation of the havenwinch.between.v1.ConsensusService
 // service.
 type ConsensusServiceHandler interface {
@@ -173,6 +189,8 @@
 	Append(context.Context, *connect.Request[v1.AppendRequest]) (*connect.Response[v1.AppendResponse], error)
 	Install(context.Context, *connect.Request[v1.InstallRequest]) (*connect.Response[v1.InstallResponse], error)
 	Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error)
+	// Join asks the leader to replicate to a box that is no member.
+	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 }
 
 // NewConsensusServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -206,6 +224,12 @@
 		connect.WithSchema(consensusServiceMethods.ByName("Identify")),
 		connect.WithHandlerOptions(opts...),
 	)
+	consensusServiceJoinHandler := connect.NewUnaryHandler(
+		ConsensusServiceJoinProcedure,
+		svc.Join,
+		connect.WithSchema(consensusServiceMethods.ByName("Join")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/havenwinch.between.v1.ConsensusService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ConsensusServiceVoteProcedure:
@@ -216,6 +240,8 @@
 			consensusServiceInstallHandler.ServeHTTP(w, r)
 		case ConsensusServiceIdentifyProcedure:
 			consensusServiceIdentifyHandler.ServeHTTP(w, r)
+		case ConsensusServiceJoinProcedure:
+			consensusServiceJoinHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -241,6 +267,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.ConsensusService.Identify is not implemented"))
 }
 
+func (UnimplementedConsensusServiceHandler) Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.ConsensusService.Join is not implemented"))
+}
+
 // ControlServiceClient is a client for the havenwinch.between.v1.ControlService service.
 type ControlServiceClient interface {
 	Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error)
--- a/measure/capacity/capacity_test.go
+++ b/measure/capacity/capacity_test.go
@@ -232,6 +232,10 @@
 	return d.nodes[to].HandleIdentify(), nil
 }
 
+func (d *direct) Join(_ context.Context, to string, r *betweenv1.JoinRequest) (*betweenv1.JoinResponse, error) {
+	return d.nodes[to].HandleJoin(r)
+}
+
 // nodes starts a control group on real disks in one process.
 func nodes(b *testing.B, count int) []*raft.Node {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/modules/raft/core.go
+++ b/modules/raft/core.go
@@ -50,6 +50,10 @@
 	Election time.Duration
 	// Heartbeat is the time between signs of life of a leader.
 	Heartbeat time.Duration
+	// Size is how many members the group should have; zero never changes them.
+	Size int
+	// Replace is how long a member must be silent to be replaced.
+	Replace time.Duration
 	// Rand spreads election times.
 	Rand *rand.Rand
 }
@@ -113,6 +117,14 @@
 	peers    map[string]*progress
 	out      Output
 	snapshot []byte
+	// group are the members in force, changes those of them in the log that are
+	// not committed.
+	group   map[string]string
+	changes []*betweenv1.LogEntry
+	// learners holds when boxes that are no members last asked to join.
+	learners map[string]time.Duration
+	// left is set when the group goes on without this box.
+	left bool
 	// proposed holds the incarnations whose admission is already in the log.
 	proposed map[string]string
 }
@@ -132,7 +144,9 @@
 		heard:       now,
 		snapshot:    stored.Snapshot,
 		proposed:    map[string]string{},
+		learners:    map[string]time.Duration{},
 	}
+	c.recoverChanges()
 	c.resetDue(now)
 	return c
 }
@@ -165,9 +179,9 @@
 }
 
 // Member tells whether this box's disk may vote.
-func (c *Core) Member() bool { return c.members[c.opts.Self] == c.incarnation }
+func (c *Core) Member() bool { return !c.left && c.group[c.opts.Self] == c.incarnation }
 
-func (c *Core) quorum() int { return len(c.opts.Members)/2 + 1 }
+func (c *Core) quorum() int { return len(c.group)/2 + 1 }
 
 func (c *Core) resetDue(now time.Duration) {
 	spread := time.Duration(c.opts.Rand.Int63n(int64(c.opts.Election)))
@@ -213,6 +227,7 @@
 		c.follow(c.term, "", now)
 		return
 	}
+	c.tickMembers(now)
 	for _, name := range c.others() {
 		p := c.peers[name]
 		if now-p.sent >= c.interval(p) {
@@ -232,11 +247,17 @@
 
 func (c *Core) others() []string {
 	var names []string
-	for _, name := range c.opts.Members {
+	for name := range c.group {
 		if name != c.opts.Self {
 			names = append(names, name)
 		}
 	}
+	for name := range c.learners {
+		if _, member := c.group[name]; !member && name != c.opts.Self {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
 	return names
 }
 
@@ -258,7 +279,7 @@
 
 // counts tells whether a member's disk is the one that the log has admitted.
 func (c *Core) counts(name string, p *progress) bool {
-	return p.incarnation != "" && c.members[name] == p.incarnation
+	return p.incarnation != "" && c.group[name] == p.incarnation
 }
 
 // Lease returns the boot time until which no other box can be leader. It is
@@ -290,7 +311,7 @@
 func (c *Core) Status() Status {
 	s := Status{Role: c.role, Term: c.term, Leader: c.leader, Commit: c.commit, Last: c.log.last(), Member: c.Member()}
 	s.Admitted = map[string]string{}
-	for name, incarnation := range c.members {
+	for name, incarnation := range c.group {
 		s.Admitted[name] = incarnation
 	}
 	s.Following = map[string]uint64{}
@@ -317,5 +338,6 @@
 
 func (c *Core) append(e *betweenv1.LogEntry) {
 	c.log.put(e)
+	c.noteChange(e)
 	c.store(&betweenv1.LogRecord{Record: &betweenv1.LogRecord_Entry{Entry: e}})
 }
--- a/modules/raft/core_election.go
+++ b/modules/raft/core_election.go
@@ -54,6 +54,7 @@
 	c.role = Leader
 	c.leader = c.opts.Self
 	c.peers = map[string]*progress{}
+	c.learners = map[string]time.Duration{}
 	for _, name := range c.others() {
 		c.peers[name] = &progress{next: c.log.last() + 1}
 	}
@@ -66,7 +67,7 @@
 // HandleVote answers a candidate.
 func (c *Core) HandleVote(r *betweenv1.VoteRequest, now time.Duration) *betweenv1.VoteResponse {
 	refuse := &betweenv1.VoteResponse{Term: c.term, Incarnation: c.incarnation}
-	if !c.Member() || c.members[r.GetCandidate()] != r.GetIncarnation() {
+	if !c.Member() || c.group[r.GetCandidate()] != r.GetIncarnation() {
 		return refuse
 	}
 	// Silence towards candidates is what a leader's lease rests on.
@@ -112,7 +113,7 @@
 	}
 	wanted := c.role == PreCandidate && asked.GetPreVote() && asked.GetTerm() == c.term+1 ||
 		c.role == Candidate && !asked.GetPreVote() && asked.GetTerm() == c.term
-	if !wanted || !r.GetGranted() || c.members[from] != r.GetIncarnation() {
+	if !wanted || !r.GetGranted() || c.group[from] != r.GetIncarnation() {
 		return
 	}
 	c.votes[from] = true
--- a/modules/raft/core_replicate.go
+++ b/modules/raft/core_replicate.go
@@ -4,6 +4,7 @@
 package raft
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -52,8 +53,7 @@
 }
 
 func (c *Core) memberList() []*betweenv1.Member {
-	names := append([]string(nil), c.opts.Members...)
-	sort.Strings(names)
+	names := namesOf(c.members)
 	var list []*betweenv1.Member
 	for _, name := range names {
 		list = append(list, &betweenv1.Member{Box: name, Incarnation: c.members[name]})
@@ -111,6 +111,9 @@
 		return
 	}
 	p := c.peers[from]
+	if p == nil {
+		return
+	}
 	p.waiting = false
 	if !c.sameDisk(p, r.GetIncarnation()) {
 		c.replicate(from, now)
@@ -162,6 +165,9 @@
 // readmit proposes that a member's new disk counts, once it holds all that is
 // committed.
 func (c *Core) readmit(name string, p *progress, now time.Duration) {
+	if _, member := c.group[name]; !member {
+		return
+	}
 	if c.counts(name, p) || p.match < c.commit || c.log.termAt(c.commit) != c.term {
 		return
 	}
@@ -204,17 +210,33 @@
 }
 
 func (c *Core) admit(e *betweenv1.LogEntry) {
-	if e.GetKind() != betweenv1.LogEntry_KIND_MEMBER {
+	if e.GetKind() != betweenv1.LogEntry_KIND_MEMBER && !isChange(e) {
 		return
 	}
-	var m betweenv1.Member
-	if err := proto.Unmarshal(e.GetData(), &m); err != nil {
-		return
+	members := maps.Clone(c.members)
+	if _, known := members[memberOf(e).GetBox()]; known || e.GetKind() != betweenv1.LogEntry_KIND_MEMBER {
+		applyChange(members, e)
+	}
+	c.members = members
+	if len(c.changes) > 0 && c.changes[0].GetIndex() <= e.GetIndex() {
+		c.changes = c.changes[1:]
+	}
+	if isChange(e) && memberOf(e).GetBox() == c.opts.Self {
+		c.left = e.GetKind() == betweenv1.LogEntry_KIND_REMOVE
 	}
-	c.members[m.GetBox()] = m.GetIncarnation()
+	c.regroup()
 	c.store(&betweenv1.LogRecord{Record: &betweenv1.LogRecord_Identity{Identity: c.identity()}})
 }
 
+// memberOf reads the member that an entry is about.
+func memberOf(e *betweenv1.LogEntry) *betweenv1.Member {
+	m := &betweenv1.Member{}
+	if proto.Unmarshal(e.GetData(), m) != nil {
+		return &betweenv1.Member{}
+	}
+	return m
+}
+
 func (c *Core) identity() *betweenv1.Identity {
 	return &betweenv1.Identity{Incarnation: c.incarnation, Members: c.memberList()}
 }
@@ -234,9 +256,9 @@
 	c.log.reset(r.GetLastIndex(), r.GetLastTerm())
 	c.commit, c.released = r.GetLastIndex(), r.GetLastIndex()
 	c.snapshot = r.GetData()
-	for _, m := range r.GetMembers() {
-		c.members[m.GetBox()] = m.GetIncarnation()
-	}
+	c.members = mapMembers(r.GetMembers())
+	c.changes = nil
+	c.regroup()
 	c.out.Restore = r
 	c.out.Committed = nil
 	return resp
@@ -248,6 +270,9 @@
 		return
 	}
 	p := c.peers[from]
+	if p == nil {
+		return
+	}
 	p.waiting = false
 	c.sameDisk(p, r.GetIncarnation())
 	p.acked = max(p.acked, sentAt)
--- a/modules/raft/node.go
+++ b/modules/raft/node.go
@@ -23,6 +23,7 @@
 	Append(ctx context.Context, to string, r *betweenv1.AppendRequest) (*betweenv1.AppendResponse, error)
 	Install(ctx context.Context, to string, r *betweenv1.InstallRequest) (*betweenv1.InstallResponse, error)
 	Identify(ctx context.Context, to string, r *betweenv1.IdentifyRequest) (*betweenv1.IdentifyResponse, error)
+	Join(ctx context.Context, to string, r *betweenv1.JoinRequest) (*betweenv1.JoinResponse, error)
 }
 
 // Machine is the deterministic state that the log drives.
@@ -237,6 +238,9 @@
 func (n *Node) Members() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.core != nil {
+		return namesOf(n.core.group)
+	}
 	return append([]string(nil), n.opts.Members...)
 }
 
--- a/modules/raft/node_exchange.go
+++ b/modules/raft/node_exchange.go
@@ -7,6 +7,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 )
 
@@ -73,9 +75,28 @@
 func (n *Node) HandleIdentify() *betweenv1.IdentifyResponse {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	members := n.stored.Members
+	resp := &betweenv1.IdentifyResponse{Box: n.opts.Self, Incarnation: n.stored.Incarnation, Members: listMembers(n.stored.Members)}
 	if n.core != nil {
-		members = n.core.members
+		resp.Members, resp.Commit = listMembers(n.core.members), n.core.commit
 	}
-	return &betweenv1.IdentifyResponse{Box: n.opts.Self, Incarnation: n.stored.Incarnation, Members: listMembers(members)}
+	return resp
+}
+
+// HandleJoin takes a box in that asks to follow; only the leader does.
+func (n *Node) HandleJoin(r *betweenv1.JoinRequest) (*betweenv1.JoinResponse, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.usable(); err != nil {
+		return nil, err
+	}
+	if err := n.core.Join(r.GetBox(), n.opts.Clock.Boot()); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return &betweenv1.JoinResponse{}, nil
+}
+
+// Leave makes this box a learner when others have told that the group goes on
+// without it.
+func (n *Node) Leave(r *betweenv1.IdentifyResponse) {
+	n.step(func(now time.Duration) { n.core.Leave(mapMembers(r.GetMembers()), r.GetCommit(), now) })
 }
--- a/modules/raft/node_join.go
+++ b/modules/raft/node_join.go
@@ -39,7 +39,11 @@
 
 // findMembers returns the members to start from, nil when not yet certain.
 func (n *Node) findMembers(ctx context.Context) map[string]string {
-	fresh := map[string]string{n.opts.Self: n.stored.Incarnation}
+	fresh := map[string]string{}
+	founder := slices.Contains(n.opts.Members, n.opts.Self)
+	if founder {
+		fresh[n.opts.Self] = n.stored.Incarnation
+	}
 	for _, name := range n.opts.Members {
 		if name == n.opts.Self {
 			continue
@@ -53,7 +57,7 @@
 		}
 		fresh[name] = resp.GetIncarnation()
 	}
-	if len(fresh) < len(n.opts.Members) {
+	if !founder || len(fresh) < len(n.opts.Members) {
 		return nil
 	}
 	return fresh
--- a/modules/raft/node_test.go
+++ b/modules/raft/node_test.go
@@ -99,6 +99,14 @@
 	return n.HandleIdentify(), nil
 }
 
+func (s *switchboard) Join(_ context.Context, to string, r *betweenv1.JoinRequest) (*betweenv1.JoinResponse, error) {
+	n, err := s.node(to)
+	if err != nil {
+		return nil, err
+	}
+	return n.HandleJoin(r)
+}
+
 // running is a node with what it runs on.
 type running struct {
 	node    *Node
--- a/modules/setting/forward.go
+++ b/modules/setting/forward.go
@@ -33,14 +33,16 @@
 	DataDir        string
 	SecretFile     string
 	FirstStart     bool
-	MemoryMB       int
-	RetryRatio     float64
-	RetryStock     float64
-	StopLimit      time.Duration
-	Election       time.Duration
-	Heartbeat      time.Duration
-	LogLevel       string
-	LogRate        int
+	// Tolerated is how many control boxes may be lost at once.
+	Tolerated  int
+	MemoryMB   int
+	RetryRatio float64
+	RetryStock float64
+	StopLimit  time.Duration
+	Election   time.Duration
+	Heartbeat  time.Duration
+	LogLevel   string
+	LogRate    int
 
 	Secret []byte
 }
@@ -74,6 +76,7 @@
 		text("data-dir", "", "folder on a disk, on a control box", &f.DataDir),
 		text("secret-file", "", "file with the secret shared by all boxes", &f.SecretFile),
 		&cli.BoolFlag{Name: "first-start", Usage: "the whole fleet starts for the first time, with empty disks", Destination: &f.FirstStart, Sources: source("first-start")},
+		&cli.IntFlag{Name: "tolerated", Value: 1, Usage: "control boxes that may be lost at once; the control group has twice as many and one", Destination: &f.Tolerated, Sources: source("tolerated")},
 		&cli.IntFlag{Name: "memory-mb", Value: 256, Usage: "memory of this process in MB", Destination: &f.MemoryMB, Sources: source("memory-mb")},
 		&cli.FloatFlag{Name: "retry-ratio", Value: 0.1, Usage: "share of the calls of a service that may be sent to a further target, over the whole fleet", Destination: &f.RetryRatio, Sources: source("retry-ratio")},
 		&cli.FloatFlag{Name: "retry-stock", Value: 20, Usage: "further sends beside the share, over the whole fleet", Destination: &f.RetryStock, Sources: source("retry-stock")},
@@ -149,6 +152,7 @@
 
 func (f *Forward) checkBounds(c *checker) {
 	c.require(f.MemoryMB >= memoryLeast, "memory-mb", "must be at least %d", memoryLeast)
+	c.require(f.Tolerated >= 0 && f.Tolerated <= 3, "tolerated", "must lie between 0 and 3")
 	c.require(f.RetryRatio >= 0 && f.RetryRatio <= 1, "retry-ratio", "must lie between 0 and 1")
 	c.require(f.RetryStock >= 0, "retry-stock", "must not be negative")
 	c.require(f.StopLimit > 0, "stop-limit", "must be above zero")
--- a/routers/between/between.go
+++ b/routers/between/between.go
@@ -96,6 +96,15 @@
 	return connect.NewResponse(node.HandleIdentify()), nil
 }
 
+func (c *consensus) Join(_ context.Context, r *connect.Request[betweenv1.JoinRequest]) (*connect.Response[betweenv1.JoinResponse], error) {
+	node, err := c.nodes.Node()
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	answer, err := node.HandleJoin(r.Msg)
+	return reply(answer, err, control.WireError)
+}
+
 type controller struct{ service *control.Service }
 
 func (c *controller) Sync(ctx context.Context, r *connect.Request[betweenv1.SyncRequest]) (*connect.Response[betweenv1.SyncResponse], error) {
--- a/routers/between/gateway.go
+++ b/routers/between/gateway.go
@@ -21,12 +21,8 @@
 type GatewayOptions struct {
 	Nodes   Nodes
 	Gateway *control.Gateway
-	// Source returns where followers are served from.
-	Source func() gateway.Source
-	// Observer tells whether the box is no member of the control group; it asks
-	// the members then.
-	Observer func() bool
-	Members  *gateway.Client
+	// Source is where followers are served from.
+	Source   gateway.Source
 	Stopping context.Context
 	Handler  []connect.HandlerOption
 }
@@ -46,30 +42,19 @@
 	defer cancel()
 	stop := context.AfterFunc(g.opts.Stopping, cancel)
 	defer stop()
-	return gateway.Serve(ctx, g.opts.Source(), r.Msg, stream.Send)
+	return gateway.Serve(ctx, g.opts.Source, r.Msg, stream.Send)
 }
 
 func (g *gatewayCalls) Lease(ctx context.Context, r *connect.Request[betweenv1.LeaseRequest]) (*connect.Response[betweenv1.LeaseResponse], error) {
-	if g.opts.Observer() {
-		answer, err := g.opts.Members.Lease(ctx, r.Msg)
-		return reply(answer, err, control.WireError)
-	}
 	answer, err := g.opts.Gateway.Lease(ctx, r.Msg)
 	return reply(answer, err, wireUnknown)
 }
 
 func (g *gatewayCalls) Submit(ctx context.Context, r *connect.Request[betweenv1.SubmitRequest]) (*connect.Response[betweenv1.SubmitResponse], error) {
-	if g.opts.Observer() {
-		return reply(&betweenv1.SubmitResponse{}, g.opts.Members.Submit(ctx, r.Msg.GetEntry()), control.WireError)
-	}
 	return reply(&betweenv1.SubmitResponse{}, g.opts.Gateway.Submit(ctx, r.Msg.GetEntry()), wireUnknown)
 }
 
 func (g *gatewayCalls) ReadRouting(ctx context.Context, _ *connect.Request[betweenv1.ReadRoutingRequest]) (*connect.Response[betweenv1.ReadRoutingResponse], error) {
-	if g.opts.Observer() {
-		answer, err := g.opts.Members.ReadRouting(ctx)
-		return reply(answer, err, control.WireError)
-	}
 	answer, err := g.opts.Gateway.Read()
 	return reply(answer, err, wireUnknown)
 }
--- a/services/control/member.go
+++ b/services/control/member.go
@@ -41,14 +41,14 @@
 }
 
 // Member is a control box's part in the control group. It finds out from the
-// seeds who belongs to the group; a box that does not is an observer. After a
-// failure of the disk it opens the disk anew and takes part again.
+// seeds who belongs to the group; a box that does not follows as a learner and
+// may take a silent member's place. After a failure of the disk it opens the
+// disk anew and takes part again.
 type Member struct {
 	opts MemberOptions
 
-	mu       sync.Mutex
-	node     *raft.Node
-	observer bool
+	mu   sync.Mutex
+	node *raft.Node
 }
 
 // NewMember returns a member; Run brings it into the group.
@@ -61,12 +61,6 @@
 		if err != nil {
 			return
 		}
-		if !slices.Contains(members, m.opts.Self) {
-			m.opts.Logger.Info("observer of the control group", "members", members)
-			m.setObserver()
-			<-ctx.Done()
-			return
-		}
 		if err := m.take(ctx, members); err != nil && ctx.Err() == nil {
 			m.opts.Logger.Error("dependency lost", "dependency", "disk", "reason", err.Error())
 		}
@@ -81,19 +75,6 @@
 	}
 }
 
-func (m *Member) setObserver() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.observer = true
-}
-
-// Observer tells whether the box is no member of the group.
-func (m *Member) Observer() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.observer
-}
-
 // take runs a node until it fails or the context ends.
 func (m *Member) take(ctx context.Context, members []string) error {
 	m.opts.Machine.Reset()
@@ -108,6 +89,7 @@
 	defer m.set(nil)
 	m.opts.Logger.Info("dependency regained", "dependency", "disk", "members", members)
 	go m.checkHealth(ctx, node, cancel)
+	go m.keepPlace(ctx, node)
 	if err := node.Run(ctx); err != nil {
 		return err
 	}
@@ -121,6 +103,54 @@
 	failed()
 }
 
+// keepPlace asks to follow while the box is no member, and finds out when the
+// group goes on without it.
+func (m *Member) keepPlace(ctx context.Context, node *raft.Node) {
+	for ctx.Err() == nil {
+		wait(ctx, joinInterval)
+		switch {
+		case !node.Status().Member:
+			m.askToJoin(ctx, node)
+		case node.OutOfTouch() > leftAfter:
+			if resp := m.identify(ctx, m.others(node)); resp != nil {
+				node.Leave(resp)
+			}
+		}
+	}
+}
+
+const (
+	// joinInterval is the time between looks at the box's place in the group.
+	joinInterval = 500 * time.Millisecond
+	// leftAfter is how long a member hears nothing before it asks whether it
+	// still is one.
+	leftAfter = 2 * time.Second
+)
+
+// others returns all boxes that may know the group.
+func (m *Member) others(node *raft.Node) []string {
+	list := append(node.Members(), m.opts.Seeds()...)
+	slices.Sort(list)
+	list = slices.Compact(list)
+	return slices.DeleteFunc(list, func(name string) bool { return name == m.opts.Self })
+}
+
+// askToJoin asks the leader, or whoever may know it.
+func (m *Member) askToJoin(ctx context.Context, node *raft.Node) {
+	order := m.others(node)
+	if leader := node.Status().Leader; leader != "" {
+		order = append([]string{leader}, order...)
+	}
+	for _, name := range order {
+		ask, cancel := context.WithTimeout(ctx, joinInterval)
+		_, err := m.opts.Transport.Join(ask, name, &betweenv1.JoinRequest{Box: m.opts.Self})
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 func (m *Member) set(node *raft.Node) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -140,7 +170,7 @@
 	for ctx.Err() == nil {
 		seeds := m.opts.Seeds()
 		seed := slices.Contains(seeds, m.opts.Self)
-		if m.opts.FirstStart {
+		if m.opts.FirstStart && seed {
 			return seeds, nil
 		}
 		members, empty := m.askSeeds(ctx, seeds)
@@ -161,24 +191,34 @@
 		if seed == m.opts.Self {
 			continue
 		}
-		ask, cancel := context.WithTimeout(ctx, 2*discoverPause)
-		resp, err := m.opts.Transport.Identify(ask, seed, &betweenv1.IdentifyRequest{})
-		cancel()
-		if err != nil {
-			continue
-		}
-		if len(resp.GetMembers()) == 0 {
+		resp := m.identify(ctx, []string{seed})
+		switch {
+		case resp == nil:
+		case len(resp.GetMembers()) == 0:
 			empty++
-			continue
+		default:
+			for _, member := range resp.GetMembers() {
+				members = append(members, member.GetBox())
+			}
+			return members, empty
 		}
-		for _, member := range resp.GetMembers() {
-			members = append(members, member.GetBox())
-		}
-		return members, empty
 	}
 	return nil, empty
 }
 
+// identify returns the first answer of some boxes, nil when none answers.
+func (m *Member) identify(ctx context.Context, names []string) *betweenv1.IdentifyResponse {
+	for _, name := range names {
+		ask, cancel := context.WithTimeout(ctx, 2*discoverPause)
+		resp, err := m.opts.Transport.Identify(ask, name, &betweenv1.IdentifyRequest{})
+		cancel()
+		if err == nil {
+			return resp
+		}
+	}
+	return nil
+}
+
 // Node returns the node that takes part at present, or an error.
 func (m *Member) Node() (*raft.Node, error) {
 	m.mu.Lock()
--- a/services/gateway/client.go
+++ b/services/gateway/client.go
@@ -32,6 +32,7 @@
 
 	mu      sync.Mutex
 	seeds   []string
+	members []string
 	leader  string
 	clients map[string]betweenv1connect.GatewayServiceClient
 }
@@ -52,7 +53,17 @@
 func (c *Client) Addresses() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return unique(c.seeds)
+	return unique(append(append([]string(nil), c.seeds...), c.members...))
+}
+
+// SetMembers takes in who is in the control group, beside the seeds.
+func (c *Client) SetMembers(members []string) {
+	if len(members) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members = members
 }
 
 func (c *Client) at(address string) betweenv1connect.GatewayServiceClient {
--- a/services/gateway/follow.go
+++ b/services/gateway/follow.go
@@ -128,6 +128,7 @@
 
 func (f *Follower) take(r *betweenv1.FollowResponse) {
 	newTable, newTargets := f.Store.Take(r)
+	f.Client.SetMembers(r.GetMembers())
 	if newTable {
 		f.Logger.Info("routing table in force", "version", r.GetRouting().GetVersion(), "routes", len(r.GetRouting().GetRoutes()), "organisations", len(r.GetRouting().GetPayers()))
 	}
--- a/services/gateway/store.go
+++ b/services/gateway/store.go
@@ -35,6 +35,8 @@
 type MachineSource struct {
 	Machine   *control.Machine
 	OutOfStep func() time.Duration
+	// Members returns the addresses of the control group's members.
+	Members func() []string
 
 	mu    sync.Mutex
 	table *statev1.RoutingTable
@@ -42,7 +44,7 @@
 
 // After implements Source.
 func (m *MachineSource) After(version, revision uint64) *betweenv1.FollowResponse {
-	resp := &betweenv1.FollowResponse{}
+	resp := &betweenv1.FollowResponse{Members: m.Members()}
 	m.Machine.Read(func(s *state.State) {
 		resp.TargetRevision = s.Routing.TargetRevision
 		if s.Routing.TargetRevision > revision {
--- a/services/peers/consensus.go
+++ b/services/peers/consensus.go
@@ -87,6 +87,11 @@
 	return unary(ctx, r, c.client(to).Identify)
 }
 
+// Join implements raft.Transport.
+func (c *Consensus) Join(ctx context.Context, to string, r *betweenv1.JoinRequest) (*betweenv1.JoinResponse, error) {
+	return unary(ctx, r, c.client(to).Join)
+}
+
 func unary[Q, A any](ctx context.Context, r *Q, call func(context.Context, *connect.Request[Q]) (*connect.Response[A], error)) (*A, error) {
 	resp, err := call(ctx, connect.NewRequest(r))
 	if err != nil {
