--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"log/slog"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -60,7 +59,10 @@
 		fl.f.opts.Counter.FirstByte(fl.route.GetKind().String(), first)
 	}
 	if err != nil {
-		attrs = append(attrs, slog.String("reason", err.Error()), slog.Int64("left_ms", fl.left().Round(time.Millisecond).Milliseconds()))
+		attrs = append(attrs, slog.String("reason", err.Error()))
+		if fl.deadline > 0 {
+			attrs = append(attrs, slog.Int64("left_ms", fl.left().Milliseconds()))
+		}
 	}
 	fl.f.opts.Logger.LogAttrs(context.Background(), level, message, attrs...)
 }
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -51,7 +51,6 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
-	open map[string]int
 }
 
 func newPool(now func() time.Duration) *pool {
@@ -62,7 +61,6 @@
 		},
 		now:  now,
 		idle: map[string][]*conn{},
-		open: map[string]int{},
 	}
 }
 
@@ -121,9 +119,6 @@
 	if tcp, ok := c.(*net.TCPConn); ok {
 		limitUnacked(tcp)
 	}
-	p.mu.Lock()
-	p.open[t.ID]++
-	p.mu.Unlock()
 	return &conn{net: c, reader: bufio.NewReaderSize(c, readBuffer), target: t.ID}, nil
 }
 
@@ -154,22 +149,7 @@
 	p.idle[c.target] = append(p.idle[c.target], c)
 }
 
-func (p *pool) drop(c *conn) {
-	c.close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.open[c.target]--
-	if p.open[c.target] <= 0 {
-		delete(p.open, c.target)
-	}
-}
-
-// connections returns how many are open to a target.
-func (p *pool) connections(target string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open[target]
-}
+func (p *pool) drop(c *conn) { c.close() }
 
 // sweep closes idle connections whose time is over, and all of targets that
 // are not kept.
