--- a/cmd/havenwinchd/box.go
+++ b/cmd/havenwinchd/box.go
@@ -29,7 +29,7 @@
 	"havenwinch.dev/havenwinch/services/metrics"
 	"havenwinch.dev/havenwinch/services/orders"
 	"havenwinch.dev/havenwinch/services/peers"
-	"havenwinch.dev/havenwinch/services/platform"
+	"havenwinch.dev/havenwinch/services/targetlist"
 	"havenwinch.dev/havenwinch/services/timeline"
 	"havenwinch.dev/havenwinch/structs"
 )
@@ -58,7 +58,7 @@
 	Follower   *configuration.Follower
 	Dispatcher *dispatch.Dispatcher
 	Keeper     *keeper.Keeper
-	Poller     *platform.Poller
+	Poller     *targetlist.Poller
 	Caller     *caller.Caller
 	Recorder   *timeline.Recorder
 	Metrics    *metrics.Metrics
@@ -78,7 +78,7 @@
 	follower   *configuration.Follower
 	dispatcher *dispatch.Dispatcher
 	keeper     *keeper.Keeper
-	poller     *platform.Poller
+	poller     *targetlist.Poller
 	caller     *caller.Caller
 	recorder   *timeline.Recorder
 	metrics    *metrics.Metrics
--- a/cmd/havenwinchd/wire.go
+++ b/cmd/havenwinchd/wire.go
@@ -36,7 +36,7 @@
 	"havenwinch.dev/havenwinch/services/metrics"
 	"havenwinch.dev/havenwinch/services/orders"
 	"havenwinch.dev/havenwinch/services/peers"
-	"havenwinch.dev/havenwinch/services/platform"
+	"havenwinch.dev/havenwinch/services/targetlist"
 	"havenwinch.dev/havenwinch/services/timeline"
 )
 
@@ -238,8 +238,8 @@
 	return k, nil
 }
 
-func newPoller(s *setting.Settings, d *dispatch.Dispatcher, engines *engine.Client, l *slog.Logger) *platform.Poller {
-	return &platform.Poller{Lister: &platform.HTTPLister{URL: s.PlatformURL}, Reporter: engines, Targets: d, Logger: l}
+func newPoller(s *setting.Settings, d *dispatch.Dispatcher, engines *engine.Client, l *slog.Logger) *targetlist.Poller {
+	return &targetlist.Poller{Lister: &targetlist.HTTPLister{URL: s.PlatformURL}, Reporter: engines, Targets: d, Logger: l}
 }
 
 func newCaller(s *setting.Settings, d *dispatch.Dispatcher, store *configuration.Store, m *metrics.Metrics, r *timeline.Recorder, l *slog.Logger, g *graceful.Manager) *caller.Caller {
--- a/services/dispatch/slots.go
+++ b/services/dispatch/slots.go
@@ -14,7 +14,7 @@
 	"havenwinch.dev/havenwinch/models/state"
 	"havenwinch.dev/havenwinch/models/target"
 	"havenwinch.dev/havenwinch/services/engine"
-	"havenwinch.dev/havenwinch/services/platform"
+	"havenwinch.dev/havenwinch/services/targetlist"
 	"havenwinch.dev/havenwinch/structs"
 )
 
@@ -261,7 +261,7 @@
 	}
 }
 
-// TakeList implements platform.Targets.
+// TakeList implements targetlist.Targets.
 func (d *Dispatcher) TakeList(list []*target.Target) {
 	d.mu.Lock()
 	now := d.opts.Clock.Boot()
@@ -279,8 +279,8 @@
 	d.Refresh()
 }
 
-// Due implements platform.Targets: the engines of this data centre in turn.
-func (d *Dispatcher) Due(n int) []platform.Question {
+// Due implements targetlist.Targets: the engines of this data centre in turn.
+func (d *Dispatcher) Due(n int) []targetlist.Question {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.due) == 0 {
@@ -290,7 +290,7 @@
 			}
 		}
 	}
-	var questions []platform.Question
+	var questions []targetlist.Question
 	for len(d.due) > 0 && len(questions) < n {
 		t := d.targets.Targets[d.due[0]]
 		d.due = d.due[1:]
@@ -298,12 +298,12 @@
 			continue
 		}
 		epoch, sequence := t.Cache.Next()
-		questions = append(questions, platform.Question{Name: t.Name, Address: t.Address, Epoch: epoch, Sequence: sequence})
+		questions = append(questions, targetlist.Question{Name: t.Name, Address: t.Address, Epoch: epoch, Sequence: sequence})
 	}
 	return questions
 }
 
-// TakeReport implements platform.Targets.
+// TakeReport implements targetlist.Targets.
 func (d *Dispatcher) TakeReport(name string, load engine.Load, cache engine.CacheEvents, err error) {
 	if err != nil {
 		return
@@ -316,7 +316,7 @@
 	}
 	now := d.opts.Clock.Boot()
 	t.Report(load.Running+load.Queued, load.PromptQueued, now)
-	t.Cache.Take(cache.Epoch, platform.Events(cache), now)
+	t.Cache.Take(cache.Epoch, targetlist.Events(cache), now)
 }
 
 // Explain returns the scores that a request would get now, for operators.
--- a/services/platform/platform.go
+++ b/services/targetlist/targetlist.go
@@ -1,9 +1,9 @@
 // Copyright 2026 The Havenwinch Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-// Package platform follows what the platform publishes: the lagging list of
+// Package targetlist follows what the platform publishes: the lagging list of
 // targets, their load and their cache events.
-package platform
+package targetlist
 
 import (
 	"context"
--- a/services/platform/platform_test.go
+++ b/services/targetlist/targetlist_test.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The Havenwinch Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-package platform_test
+package targetlist_test
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	"havenwinch.dev/havenwinch/models/target"
 	"havenwinch.dev/havenwinch/modules/logging"
 	"havenwinch.dev/havenwinch/services/engine"
-	"havenwinch.dev/havenwinch/services/platform"
+	"havenwinch.dev/havenwinch/services/targetlist"
 )
 
 // table keeps what it is told.
@@ -27,7 +27,7 @@
 	}
 	l.lists = append(l.lists, names)
 }
-func (l *table) Due(int) []platform.Question                               { return nil }
+func (l *table) Due(int) []targetlist.Question                             { return nil }
 func (l *table) TakeReport(string, engine.Load, engine.CacheEvents, error) {}
 
 // TestList reads a sound list, then what is described, and says which lists
@@ -64,7 +64,7 @@
 			}))
 			defer server.Close()
 			l := &table{}
-			p := &platform.Poller{Lister: &platform.HTTPLister{URL: server.URL}, Targets: l, Logger: logging.Discard()}
+			p := &targetlist.Poller{Lister: &targetlist.HTTPLister{URL: server.URL}, Targets: l, Logger: logging.Discard()}
 			p.PollList(context.Background())
 			p.PollList(context.Background())
 			want := [][]string{{"e live"}}
@@ -81,7 +81,7 @@
 func TestEventsThatCannotBeReadAreLeftOut(t *testing.T) {
 	page := engine.CacheEvents{Events: []engine.CacheEvent{{Sequence: 1, Op: "insert", Block: "ff"}, {Sequence: 2, Op: "insert", Block: "none"}, {Sequence: 3, Op: "evict", Block: "ff"}}}
 	want := []target.CacheEvent{{Sequence: 1, Block: 255}, {Sequence: 3, Block: 255, Evicted: true}}
-	if diff := cmp.Diff(want, platform.Events(page)); diff != "" {
+	if diff := cmp.Diff(want, targetlist.Events(page)); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/tests/single/single.go
+++ b/tests/single/single.go
@@ -37,7 +37,7 @@
 	"havenwinch.dev/havenwinch/services/engine"
 	"havenwinch.dev/havenwinch/services/keeper"
 	"havenwinch.dev/havenwinch/services/metrics"
-	"havenwinch.dev/havenwinch/services/platform"
+	"havenwinch.dev/havenwinch/services/targetlist"
 	"havenwinch.dev/havenwinch/services/timeline"
 	standin "havenwinch.dev/havenwinch/standin/engine"
 	list "havenwinch.dev/havenwinch/standin/platform"
@@ -270,16 +270,16 @@
 		s.T.Fatal(err)
 	}
 	s.Dispatcher.TakeList(rows)
-	p := &platform.Poller{Reporter: engine.New(), Targets: s.Dispatcher, Logger: s.Logger}
+	p := &targetlist.Poller{Reporter: engine.New(), Targets: s.Dispatcher, Logger: s.Logger}
 	p.PollReports(context.Background())
 }
 
 func (s *Single) rows() ([]*target.Target, error) {
 	server := httptest.NewServer(s.Platform.Handler())
 	defer server.Close()
-	lister := &platform.HTTPLister{URL: server.URL}
+	lister := &targetlist.HTTPLister{URL: server.URL}
 	l, _, err := lister.List(context.Background())
-	return platform.Rows(l), err
+	return targetlist.Rows(l), err
 }
 
 // await returns once the keeper is in force and the targets are known.
