spread: prompts that wait at a target send further ones to the next of their part

Change: a target with its share of 30,000 waiting prompt tokens, divided by the boxes, gives way to the next target of the part, the same on all boxes.

--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -24,6 +24,9 @@
 	loadBound = 1.5
 	// loadSlack is added to the bound, in calls.
 	loadSlack = 3.0
+	// waitingTokens is how many prompt tokens may wait at one target for calls
+	// with a common part, over the whole fleet; about half a second of reading.
+	waitingTokens = 30000
 	// farCost is what another data centre adds to a target's load, in calls.
 	farCost = 0.6
 	// firstBan and longestBan bound the time that an unreachable target is out.
@@ -52,6 +55,8 @@
 	Draining   bool
 	// Running is how many calls of this box it has.
 	Running int
+	// Waiting counts the prompt tokens of its calls without a first event.
+	Waiting int
 
 	hash     uint64
 	failures int
@@ -124,6 +129,8 @@
 	Service string
 	// Affinity is the hash of the common part of the prompt, zero without one.
 	Affinity uint64
+	// Boxes is how many boxes send calls; each sees its own only.
+	Boxes int
 	// Exclude names targets that have had the call.
 	Exclude map[string]bool
 }
@@ -143,19 +150,31 @@
 		total += t.Running
 	}
 	bound := loadBound*float64(total)/float64(len(candidates)) + loadSlack
+	open := func(t *Target) bool { return float64(t.Running) <= bound && !need.Exclude[t.ID] }
+	share := waitingTokens / max(1, need.Boxes)
+	quiet := func(t *Target) bool { return open(t) && t.Waiting < share }
+	if best := highest(candidates, need.Affinity, quiet); best != nil {
+		return best
+	}
+	if best := highest(candidates, need.Affinity, open); best != nil {
+		return best
+	}
+	return tb.leastLoaded(candidates, need.Exclude)
+}
+
+// highest returns the target that a common part belongs to among those that
+// may have it.
+func highest(candidates []*Target, affinity uint64, may func(*Target) bool) *Target {
 	var best *Target
 	bestScore := uint64(0)
 	for _, t := range candidates {
-		if float64(t.Running) > bound || need.Exclude[t.ID] {
+		if !may(t) {
 			continue
 		}
-		if score := mix(t.hash ^ need.Affinity); best == nil || score > bestScore {
+		if score := mix(t.hash ^ affinity); best == nil || score > bestScore {
 			best, bestScore = t, score
 		}
 	}
-	if best == nil {
-		return tb.leastLoaded(candidates, need.Exclude)
-	}
 	return best
 }
 
--- a/models/spread/spread_test.go
+++ b/models/spread/spread_test.go
@@ -47,6 +47,29 @@
 	}
 }
 
+// Prompts that wait at a target send further ones to the next target of their
+// part, the same on all boxes; when prompts wait everywhere the first has it.
+func TestAffinityGivesWayToWaitingPrompts(t *testing.T) {
+	tb := table(4)
+	need := Need{Service: "s", Affinity: 7, Boxes: 6}
+	first := tb.Choose(need, 0)
+	first.Waiting = waitingTokens / 6
+	second := tb.Choose(need, 0)
+	if second == first || tb.Choose(need, 0) != second {
+		t.Fatalf("first %s, then %s", first.ID, second.ID)
+	}
+	first.Waiting--
+	if got := tb.Choose(need, 0); got != first {
+		t.Fatalf("%s was chosen below the bound", got.ID)
+	}
+	for _, other := range tb.byID {
+		other.Waiting = waitingTokens
+	}
+	if got := tb.Choose(need, 0); got != first {
+		t.Fatalf("%s was chosen while prompts wait everywhere", got.ID)
+	}
+}
+
 func TestLeastLoadedPrefersItsDataCentre(t *testing.T) {
 	tb := table(4)
 	for i, want := range []string{"dc-a", "dc-a", "dc-b", "dc-b"} {
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -178,9 +178,11 @@
 	sends   []string
 	exclude map[string]bool
 	// ran counts the targets that may have worked on the call.
-	ran    int
-	events events
-	began  bool
+	ran int
+	// waiting counts the prompt tokens that the present target has not read.
+	waiting int
+	events  events
+	began   bool
 	// lostOutput is set when a target may have made tokens that were not seen.
 	lostOutput bool
 }
@@ -337,19 +339,37 @@
 	f := fl.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := f.targets.Choose(spread.Need{Service: fl.service.GetName(), Affinity: fl.call.Affinity, Exclude: fl.exclude}, f.opts.Clock.Boot())
+	t := f.targets.Choose(spread.Need{Service: fl.service.GetName(), Affinity: fl.call.Affinity, Boxes: f.opts.Leases.Holders(), Exclude: fl.exclude}, f.opts.Clock.Boot())
 	if t != nil {
 		t.Running++
+		fl.waiting = int(fl.call.Input)
+		t.Waiting += fl.waiting
 	}
 	return t
 }
 
+// answered notes that the target has read the prompt.
+func (fl *flight) answered(t *spread.Target) {
+	if fl.waiting == 0 {
+		return
+	}
+	fl.f.mu.Lock()
+	defer fl.f.mu.Unlock()
+	fl.endWait(t)
+}
+
+func (fl *flight) endWait(t *spread.Target) {
+	t.Waiting -= fl.waiting
+	fl.waiting = 0
+}
+
 // leave gives a place back and notes the outcome.
 func (fl *flight) leave(t *spread.Target, v verdict) {
 	f := fl.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t.Running--
+	fl.endWait(t)
 	now := f.opts.Clock.Boot()
 	switch v {
 	case unreachable:
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -263,6 +263,7 @@
 		n, err := x.body.Read(buffer)
 		if n > 0 {
 			s.restart(stallLimit)
+			fl.answered(t)
 			if sinkErr := fl.hand(x, fl.events.take(buffer[:n])); sinkErr != nil {
 				x.abandon()
 				fl.note(t, "caller left")
