--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -26,7 +26,7 @@
 	loadSlack = 3.0
 	// waitingTokens is how many prompt tokens may wait at one target for calls
 	// with a common part, over the whole fleet; about half a second of reading.
-	waitingTokens = 30000
+	waitingTokens = 70000
 	// farCost is what another data centre adds to a target's load, in calls.
 	farCost = 0.6
 	// firstBan and longestBan bound the time that an unreachable target is out.
