forward: a broken or left stream is billed what its target can have made

Ruled out: leases (unallotted 0, lease_free under 1,000 at all boxes). Change: when the caller left or the target closed, 14 events beyond those seen are billed; a silent target is billed in full as before. A stream that went on elsewhere is billed the first target's unseen events too, which it was not: three expectations of TestFaultsOfTargets rise to their cap.

--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -35,6 +35,9 @@
 	leaseStale = 1500
 	// lastMoment is how long before the caller's deadline a call is given up.
 	lastMoment = 15 * time.Millisecond
+	// unseenEvents is how many events more a target may have made when its
+	// connection was closed: it notices within half a second.
+	unseenEvents = 14
 	// maxSends bounds the targets that one call is offered to, those included
 	// that turned it away.
 	maxSends = 4
@@ -183,8 +186,10 @@
 	waiting int
 	events  events
 	began   bool
-	// lostOutput is set when a target may have made tokens that were not seen.
+	// lostOutput is set when a target may have made any number of tokens that
+	// were not seen, unseen when it can have made a few events more.
 	lostOutput bool
+	unseen     bool
 }
 
 // countingSink notes when the caller got its first byte.
@@ -297,7 +302,11 @@
 	}
 	spent := uint64(0)
 	if fl.ran > 0 {
-		spent = fl.call.Input + fl.events.count*uint64(max(1, fl.service.GetEngine().GetEventTokens()))
+		events := fl.events.count
+		if fl.unseen {
+			events += unseenEvents
+		}
+		spent = fl.call.Input + events*uint64(max(1, fl.service.GetEngine().GetEventTokens()))
 	}
 	if fl.lostOutput && err != nil {
 		// Nobody saw what the target made.
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -124,7 +125,7 @@
 	}
 	if err := x.read(fl.call.ID); err != nil {
 		x.abandon()
-		fl.lostOutput = true
+		fl.lose(ctx, silence)
 		fl.note(t, "no answer")
 		return attempt{verdict: fl.blame(ctx, silence), err: err}
 	}
@@ -140,6 +141,27 @@
 	return failing
 }
 
+// lose notes what a target may have made that gave no answer. One whose caller
+// left was closed at once; of any other nothing is known.
+func (fl *flight) lose(ctx context.Context, s *silence) {
+	if errors.Is(ctx.Err(), context.Canceled) && !s.fired() {
+		fl.unseen = true
+		return
+	}
+	fl.lostOutput = true
+}
+
+// loseRest notes what a target may have made of a stream that broke off. One
+// that has closed its connection makes no more than was on its way.
+func (fl *flight) loseRest(ctx context.Context, s *silence, err error) {
+	closed := errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+	if closed && ctx.Err() == nil {
+		fl.unseen = true
+		return
+	}
+	fl.lose(ctx, s)
+}
+
 func (fl *flight) note(t *spread.Target, outcome string) {
 	fl.sends = append(fl.sends, t.ID+" "+outcome)
 	fl.f.opts.Counter.Forwarded(t.Service, outcome)
@@ -266,6 +288,7 @@
 			fl.answered(t)
 			if sinkErr := fl.hand(x, fl.events.take(buffer[:n])); sinkErr != nil {
 				x.abandon()
+				fl.unseen = true
 				fl.note(t, "caller left")
 				return attempt{verdict: unjudged, done: true, err: errBegun{sinkErr}}
 			}
@@ -275,7 +298,7 @@
 		}
 		if err != nil || fl.events.fault {
 			x.abandon()
-			fl.lostOutput = true
+			fl.loseRest(ctx, s, err)
 			fl.note(t, fmt.Sprintf("broke off after event %d", fl.events.last))
 			fault := fl.events.fault
 			fl.events.fault = false
