all: one wait for three, checks that stood twice, comments that named other things

Reading the change once more: services/control, services/gateway and the daemon each had a wait that ends with its context; modules/periodic has it now. The excluded targets were looked up again after the list of candidates had left them out, and rows of targets were copied that nobody else holds. Behaviour as before. Left: forwardBox repeats its parameters as box does (dig wants a struct of its own), the gateway's client has a round like the control client's with another way to the leader.

--- a/cmd/havenwinchd/box.go
+++ b/cmd/havenwinchd/box.go
@@ -18,6 +18,7 @@
 	"havenwinch.dev/havenwinch/models/target"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/graceful"
+	"havenwinch.dev/havenwinch/modules/periodic"
 	"havenwinch.dev/havenwinch/modules/setting"
 	"havenwinch.dev/havenwinch/routers/between"
 	"havenwinch.dev/havenwinch/routers/caller"
@@ -245,7 +246,7 @@
 	defer cancel()
 	defer context.AfterFunc(b.graceful.Hammer(), cancel)()
 	if s.caller != nil {
-		wait(ctx, balancerDelay)
+		periodic.Sleep(ctx, balancerDelay)
 		_ = s.caller.ShutdownWithContext(ctx)
 		b.waitForCallers(ctx)
 		b.settleBills(ctx)
@@ -282,13 +283,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (b *box) waitForCallers(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
--- a/cmd/havenwinchd/forward_box.go
+++ b/cmd/havenwinchd/forward_box.go
@@ -245,7 +245,7 @@
 
 // quietServer is a small HTTP server for the platform's questions.
 func quietServer(handler fasthttp.RequestHandler) *fasthttp.Server {
-	return &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, ReadTimeout: time.Minute, DisableKeepalive: false}
+	return &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, ReadTimeout: time.Minute}
 }
 
 // newRand returns random numbers for election times.
--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/modules/periodic"
 	"havenwinch.dev/havenwinch/platform"
 	callers "havenwinch.dev/havenwinch/routers/gateway"
 	"havenwinch.dev/havenwinch/services/forward"
@@ -99,7 +100,7 @@
 }
 
 func (e *entryRole) stop(ctx context.Context) {
-	wait(ctx, entryBalancerDelay)
+	periodic.Sleep(ctx, entryBalancerDelay)
 	e.callers.Stop()
 	_ = e.listener.Close()
 	e.callers.CloseIdle()
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -81,7 +81,7 @@
 	return &Table{dataCentre: dataCentre, byID: map[string]*Target{}, services: map[string][]*Target{}}
 }
 
-// Put takes the row of a target in; the id of a target that left is returned.
+// Put takes the row of a target in.
 func (tb *Table) Put(row *statev1.RegisteredTarget) {
 	t := tb.byID[row.GetId()]
 	if row.GetState() == statev1.RegisteredTarget_STATE_GONE {
@@ -143,14 +143,14 @@
 		return nil
 	}
 	if need.Affinity == 0 {
-		return tb.leastLoaded(candidates, need.Exclude)
+		return tb.leastLoaded(candidates)
 	}
 	total := 0
 	for _, t := range candidates {
 		total += t.Running
 	}
 	bound := loadBound*float64(total)/float64(len(candidates)) + loadSlack
-	open := func(t *Target) bool { return float64(t.Running) <= bound && !need.Exclude[t.ID] }
+	open := func(t *Target) bool { return float64(t.Running) <= bound }
 	share := waitingTokens / max(1, need.Boxes)
 	quiet := func(t *Target) bool { return open(t) && t.Waiting < share }
 	if best := highest(candidates, need.Affinity, quiet); best != nil {
@@ -159,7 +159,7 @@
 	if best := highest(candidates, need.Affinity, open); best != nil {
 		return best
 	}
-	return tb.leastLoaded(candidates, need.Exclude)
+	return tb.leastLoaded(candidates)
 }
 
 // highest returns the target that a common part belongs to among those that
@@ -195,13 +195,10 @@
 	return out
 }
 
-func (tb *Table) leastLoaded(candidates []*Target, exclude map[string]bool) *Target {
+func (tb *Table) leastLoaded(candidates []*Target) *Target {
 	var best *Target
 	bestCost := math.Inf(1)
 	for _, t := range candidates {
-		if exclude[t.ID] {
-			continue
-		}
 		cost := float64(t.Running) + 4*t.failRate
 		if t.DataCentre != tb.dataCentre {
 			cost += farCost
--- a/modules/periodic/periodic.go
+++ b/modules/periodic/periodic.go
@@ -23,3 +23,13 @@
 		}
 	}
 }
+
+// Sleep waits for a time, or until the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/modules/raft/core_members.go
+++ b/modules/raft/core_members.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// recover reads the changes in a log that was loaded.
+// recoverChanges reads the changes in a log that was loaded.
 func (c *Core) recoverChanges() {
 	c.changes = nil
 	for _, e := range c.log.list {
--- a/services/control/member.go
+++ b/services/control/member.go
@@ -14,6 +14,7 @@
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	"havenwinch.dev/havenwinch/modules/disk"
+	"havenwinch.dev/havenwinch/modules/periodic"
 	"havenwinch.dev/havenwinch/modules/raft"
 )
 
@@ -64,14 +65,7 @@
 		if err := m.take(ctx, members); err != nil && ctx.Err() == nil {
 			m.opts.Logger.Error("dependency lost", "dependency", "disk", "reason", err.Error())
 		}
-		wait(ctx, reopenPause)
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		periodic.Sleep(ctx, reopenPause)
 	}
 }
 
@@ -98,7 +92,7 @@
 
 func (m *Member) checkHealth(ctx context.Context, node *raft.Node, failed context.CancelFunc) {
 	for ctx.Err() == nil && node.Failed() == nil {
-		wait(ctx, failureCheck)
+		periodic.Sleep(ctx, failureCheck)
 	}
 	failed()
 }
@@ -107,7 +101,7 @@
 // group goes on without it.
 func (m *Member) keepPlace(ctx context.Context, node *raft.Node) {
 	for ctx.Err() == nil {
-		wait(ctx, joinInterval)
+		periodic.Sleep(ctx, joinInterval)
 		switch {
 		case !node.Status().Member:
 			m.askToJoin(ctx, node)
@@ -180,7 +174,7 @@
 		if seed && empty == len(seeds)-1 {
 			return seeds, nil
 		}
-		wait(ctx, discoverPause)
+		periodic.Sleep(ctx, discoverPause)
 	}
 	return nil, ctx.Err()
 }
--- a/services/gateway/client.go
+++ b/services/gateway/client.go
@@ -14,6 +14,7 @@
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/modules/periodic"
 	"havenwinch.dev/havenwinch/services/control"
 )
 
@@ -121,7 +122,7 @@
 		if err == nil {
 			return resp, nil
 		}
-		sleep(ctx, roundPause)
+		periodic.Sleep(ctx, roundPause)
 		if ctx.Err() != nil {
 			return nil, err
 		}
--- a/services/gateway/follow.go
+++ b/services/gateway/follow.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	"havenwinch.dev/havenwinch/modules/periodic"
 )
 
 const (
@@ -48,20 +49,11 @@
 			return nil
 		case <-alive.C:
 		case <-changed:
-			sleep(ctx, gatherTime)
+			periodic.Sleep(ctx, gatherTime)
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Follower keeps a store up to date from whichever control box is in step.
 type Follower struct {
 	Box    string
@@ -79,7 +71,7 @@
 	for next := 0; ctx.Err() == nil; next++ {
 		addresses := f.Client.Addresses()
 		if len(addresses) == 0 {
-			sleep(ctx, followPause)
+			periodic.Sleep(ctx, followPause)
 			continue
 		}
 		address := addresses[next%len(addresses)]
@@ -91,7 +83,7 @@
 			f.Logger.Warn("dependency lost", "dependency", "control", "address", address, "reason", err.Error(), "in_step_ms_ago", f.Store.Confirmed().Milliseconds())
 			f.connected = ""
 		}
-		sleep(ctx, followPause)
+		periodic.Sleep(ctx, followPause)
 	}
 }
 
--- a/services/gateway/leases.go
+++ b/services/gateway/leases.go
@@ -12,6 +12,7 @@
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	"havenwinch.dev/havenwinch/models/lease"
 	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/periodic"
 )
 
 const (
@@ -182,7 +183,7 @@
 		case <-l.urgent:
 		}
 		l.report(ctx)
-		sleep(ctx, urgentPause)
+		periodic.Sleep(ctx, urgentPause)
 	}
 }
 
--- a/services/gateway/store.go
+++ b/services/gateway/store.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/routing"
@@ -196,12 +194,12 @@
 			delete(s.targets, t.GetId())
 			continue
 		}
-		s.targets[t.GetId()] = proto.CloneOf(t)
+		s.targets[t.GetId()] = t
 	}
 	s.revision = r.GetTargetRevision()
 }
 
-// sorted returns addresses without repeats in their first order.
+// unique returns addresses without repeats in their first order.
 func unique(addresses []string) []string {
 	var list []string
 	for _, a := range addresses {
