lease: few entry boxes of a data centre hold an organisation's lease, others draw there

Ruled out: engines and control as the limit (0.005 and 0.05 of a core); larger leases alone (86 parts of a budget stay smaller than its larger requests). Change: control lists the entry boxes; four of a data centre hold leases, two of them each organisation's, by rendezvous hashing. Other boxes draw at them: a draw is a reservation that the holder counts until it is settled, and as spent when nobody settles it in time. Holders that give no answer rest; what this data centre lacks is drawn in others. Boxes without leases report once a second and put nothing through the log. The soak harness notes processes that end by themselves and starts them again.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,7 @@
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/modules/periodic"
 	"havenwinch.dev/havenwinch/platform"
+	"havenwinch.dev/havenwinch/routers/between"
 	callers "havenwinch.dev/havenwinch/routers/gateway"
 	"havenwinch.dev/havenwinch/services/forward"
 	"havenwinch.dev/havenwinch/services/gateway"
@@ -34,6 +36,8 @@
 type entryRole struct {
 	*forwardBox
 	leases    *gateway.Leases
+	shared    *gateway.Shared
+	between   *http.Server
 	forwarder *forward.Forwarder
 	callers   *callers.Server
 	ready     *fasthttp.Server
@@ -42,12 +46,17 @@
 
 func newEntryRole(b *forwardBox) *entryRole {
 	e := &entryRole{forwardBox: b}
-	e.leases = gateway.NewLeases(b.Settings.Box, newIncarnation(), b.Store, b.Client, b.Clock, b.Logger)
+	e.leases = gateway.NewLeases(gateway.LeasesOptions{
+		Box: b.Settings.Box, Process: newIncarnation(), Address: b.Settings.BetweenAddress(), DataCentre: b.Settings.DataCentre,
+		Store: b.Store, Client: b.Client, Clock: b.Clock, Logger: b.Logger,
+	})
+	e.shared = &gateway.Shared{Box: b.Settings.Box, DataCentre: b.Settings.DataCentre, Leases: e.leases, Dial: b.Peers.Draws, Logger: b.Logger}
+	e.between = b.Peers.Server(between.NewDraws(e.leases, b.Peers.HandlerOptions()))
 	e.forwarder = forward.New(forward.Options{
 		DataCentre: b.Settings.DataCentre,
 		Dialect:    platform.Dialect(),
 		Store:      b.Store,
-		Leases:     e.leases,
+		Leases:     e.shared,
 		Clock:      b.Clock,
 		Logger:     b.Logger,
 		Counter:    b.Metrics,
@@ -88,6 +97,9 @@
 				e.forwarder.Refresh()
 			}
 		}}
+	if _, err := e.serve("between-port", e.Settings.BetweenAddress(), e.between.Serve); err != nil {
+		return err
+	}
 	e.spawn(follower.Run)
 	e.spawn(e.leases.Run)
 	e.spawn(e.forwarder.Run)
@@ -110,7 +122,9 @@
 	e.callers.Wait(waiting)
 	cancel()
 	returning, done := context.WithTimeout(context.Background(), returnTimeout)
+	e.shared.Flush(returning)
 	e.leases.Return(returning)
 	done()
 	e.callers.Wait(ctx)
+	_ = e.between.Close()
 }
--- a/gen/havenwinch/between/v1/betweenv1connect/between.connect.go
+++ b/gen/havenwinch/between/v1/betweenv1connect/between.connect.go
@@ -33,6 +33,8 @@
 	KeeperServiceName = "havenwinch.between.v1.KeeperService"
 	// GatewayServiceName is the fully-qualified name of the GatewayService service.
 	GatewayServiceName = "havenwinch.between.v1.GatewayService"
+	// DrawServiceName is the fully-qualified name of the DrawService service.
+	DrawServiceName = "havenwinch.between.v1.DrawService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -92,6 +94,10 @@
 	// GatewayServiceReadClockProcedure is the fully-qualified name of the GatewayService's ReadClock
 	// RPC.
 	GatewayServiceReadClockProcedure = "/havenwinch.between.v1.GatewayService/ReadClock"
+	// DrawServiceDrawProcedure is the fully-qualified name of the DrawService's Draw RPC.
+	DrawServiceDrawProcedure = "/havenwinch.between.v1.DrawService/Draw"
+	// DrawServiceSettleProcedure is the fully-qualified name of the DrawService's Settle RPC.
+	DrawServiceSettleProcedure = "/havenwinch.between.v1.DrawService/Settle"
 )
 
 // ConsensusServiceClient is a client for the havenwinch.between.v1.ConsensusService service.
@@ -900,3 +906,103 @@
 func (UnimplementedGatewayServiceHandler) ReadClock(context.Context, *connect.Request[v1.ReadClockRequest]) (*connect.Response[v1.ReadClockResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.GatewayService.ReadClock is not implemented"))
 }
+
+// DrawServiceClient is a client for the havenwinch.between.v1.DrawService service.
+type DrawServiceClient interface {
+	// Draw sets tokens of the holder's lease aside for another box's request.
+	Draw(context.Context, *connect.Request[v1.DrawRequest]) (*connect.Response[v1.DrawResponse], error)
+	// Settle ends draws with what was spent of them.
+	Settle(context.Context, *connect.Request[v1.SettleDrawsRequest]) (*connect.Response[v1.SettleDrawsResponse], error)
+}
+
+// NewDrawServiceClient constructs a client for the havenwinch.between.v1.DrawService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewDrawServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) DrawServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	drawServiceMethods := v1.File_havenwinch_between_v1_between_proto.Services().ByName("DrawService").Methods()
+	return &drawServiceClient{
+		draw: connect.NewClient[v1.DrawRequest, v1.DrawResponse](
+			httpClient,
+			baseURL+DrawServiceDrawProcedure,
+			connect.WithSchema(drawServiceMethods.ByName("Draw")),
+			connect.WithClientOptions(opts...),
+		),
+		settle: connect.NewClient[v1.SettleDrawsRequest, v1.SettleDrawsResponse](
+			httpClient,
+			baseURL+DrawServiceSettleProcedure,
+			connect.WithSchema(drawServiceMethods.ByName("Settle")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// drawServiceClient implements DrawServiceClient.
+type drawServiceClient struct {
+	draw   *connect.Client[v1.DrawRequest, v1.DrawResponse]
+	settle *connect.Client[v1.SettleDrawsRequest, v1.SettleDrawsResponse]
+}
+
+// Draw calls havenwinch.between.v1.DrawService.Draw.
+func (c *drawServiceClient) Draw(ctx context.Context, req *connect.Request[v1.DrawRequest]) (*connect.Response[v1.DrawResponse], error) {
+	return c.draw.CallUnary(ctx, req)
+}
+
+// Settle calls havenwinch.between.v1.DrawService.Settle.
+func (c *drawServiceClient) Settle(ctx context.Context, req *connect.Request[v1.SettleDrawsRequest]) (*connect.Response[v1.SettleDrawsResponse], error) {
+	return c.settle.CallUnary(ctx, req)
+}
+
+// DrawServiceHandler is an implementation of the havenwinch.between.v1.DrawService service.
+type DrawServiceHandler interface {
+	// Draw sets tokens of the holder's lease aside for another box's request.
+	Draw(context.Context, *connect.Request[v1.DrawRequest]) (*connect.Response[v1.DrawResponse], error)
+	// Settle ends draws with what was spent of them.
+	Settle(context.Context, *connect.Request[v1.SettleDrawsRequest]) (*connect.Response[v1.SettleDrawsResponse], error)
+}
+
+// NewDrawServiceHandler builds an HTTP handler from the service implementation. It returns the path
+// on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewDrawServiceHandler(svc DrawServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	drawServiceMethods := v1.File_havenwinch_between_v1_between_proto.Services().ByName("DrawService").Methods()
+	drawServiceDrawHandler := connect.NewUnaryHandler(
+		DrawServiceDrawProcedure,
+		svc.Draw,
+		connect.WithSchema(drawServiceMethods.ByName("Draw")),
+		connect.WithHandlerOptions(opts...),
+	)
+	drawServiceSettleHandler := connect.NewUnaryHandler(
+		DrawServiceSettleProcedure,
+		svc.Settle,
+		connect.WithSchema(drawServiceMethods.ByName("Settle")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/havenwinch.between.v1.DrawService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case DrawServiceDrawProcedure:
+			drawServiceDrawHandler.ServeHTTP(w, r)
+		case DrawServiceSettleProcedure:
+			drawServiceSettleHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedDrawServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedDrawServiceHandler struct{}
+
+func (UnimplementedDrawServiceHandler) Draw(context.Context, *connect.Request[v1.DrawRequest]) (*connect.Response[v1.DrawResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.DrawService.Draw is not implemented"))
+}
+
+func (UnimplementedDrawServiceHandler) Settle(context.Context, *connect.Request[v1.SettleDrawsRequest]) (*connect.Response[v1.SettleDrawsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.DrawService.Settle is not implemented"))
+}
--- a/models/allot/lease.go
+++ b/models/allot/lease.go
@@ -16,9 +16,22 @@
 	Rate uint64
 }
 
+// LeasePart says whether a box should hold an organisation's lease.
+type LeasePart int
+
+const (
+	// LeaseHolder holds one for itself and for others.
+	LeaseHolder LeasePart = iota
+	// LeaseGuest draws at others, and gets only what its requests lack.
+	LeaseGuest
+	// LeaseUndecided keeps what it has until it is known.
+	LeaseUndecided
+)
+
 // LeaseDemand is what one holder reports. Available is what it was allotted
 // and has neither returned nor spent; reserved tokens are part of it.
 type LeaseDemand struct {
+	Part      LeasePart
 	Available uint64
 	Reserved  uint64
 	Rate      uint64
@@ -54,6 +67,7 @@
 	wanted := float64(target)
 	available := float64(d.Available)
 	switch {
+	case d.Part == LeaseUndecided && d.Need == 0:
 	case d.Need > 0 || available < leaseLow*wanted:
 		if target > d.Available {
 			decision.Grant = min(target-d.Available, s.Unallotted)
@@ -66,6 +80,9 @@
 }
 
 func leaseTarget(s LeaseState, d LeaseDemand) uint64 {
+	if d.Part != LeaseHolder {
+		return d.Reserved + d.Need
+	}
 	pool := leasePool * float64(s.Unallotted+s.Free)
 	horizon := leaseHorizon
 	if s.Rate > 0 {
--- a/models/lease/lease.go
+++ b/models/lease/lease.go
@@ -69,6 +69,13 @@
 	return l
 }
 
+// InUse tells whether an organisation's lease has anything that control should
+// hear of.
+func (t *Table) InUse(organisation string) bool {
+	l := t.Leases[organisation]
+	return l != nil && (l.Allotted > 0 || l.need > 0)
+}
+
 // Reserve sets tokens aside; false when there are too few, or when too many
 // would be used without a report.
 func (t *Table) Reserve(organisation string, tokens uint64, now time.Duration) bool {
--- a/routers/gateway/server_test.go
+++ b/routers/gateway/server_test.go
@@ -48,11 +48,11 @@
 
 type noLeases struct{}
 
-func (noLeases) Reserve(context.Context, string, uint64, time.Duration) (store.Outcome, store.Status) {
-	return store.Reserved, store.Status{}
+func (noLeases) Reserve(context.Context, string, uint64, time.Duration) (store.Reservation, store.Outcome, store.Status) {
+	return store.Reservation{}, store.Reserved, store.Status{}
 }
-func (noLeases) Settle(string, uint64, uint64) {}
-func (noLeases) Holders() int                  { return 1 }
+func (noLeases) Settle(store.Reservation, uint64) {}
+func (noLeases) Boxes() int                       { return 1 }
 
 type noCounter struct{}
 
--- a/services/control/gateway.go
+++ b/services/control/gateway.go
@@ -15,6 +15,7 @@
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/allot"
+	"havenwinch.dev/havenwinch/models/lease"
 	"havenwinch.dev/havenwinch/models/state"
 	"havenwinch.dev/havenwinch/modules/clock"
 )
@@ -39,7 +40,10 @@
 
 	mu      sync.Mutex
 	holders map[string]*holderRow
-	days    map[string]dayReading
+	// boxes lists the entry boxes.
+	boxes directory
+	days  map[string]dayReading
+	swept time.Duration
 	// told names holders of which the log has said that nothing is reclaimed.
 	told map[string]bool
 }
@@ -87,13 +91,13 @@
 		return nil, err
 	}
 	g.reclaimBefore(ctx, r)
-	holders, stamp := g.note(r)
-	resp := &betweenv1.LeaseResponse{Holders: uint32(holders)}
+	holders, directory, stamp := g.note(r)
+	resp := &betweenv1.LeaseResponse{Holders: uint32(holders), Directory: wireDirectory(directory, r.GetDirectory())}
 	sync := &statev1.LeaseSync{Holder: r.GetHolder(), Box: r.GetBox(), Stamp: stamp, Leaving: r.GetLeaving()}
 	at := make([]int, 0, len(r.GetReports()))
 	g.Machine.Read(func(s *state.State) {
 		for i, report := range r.GetReports() {
-			grant, change := g.decide(s, r, report, holders)
+			grant, change := g.decide(s, r, report, directory)
 			resp.Grants = append(resp.Grants, grant)
 			if change != nil {
 				sync.Changes = append(sync.Changes, change)
@@ -101,12 +105,14 @@
 			}
 		}
 	})
-	answer, err := g.propose(ctx, sync)
-	if err != nil {
-		return nil, err
-	}
-	for i, allotted := range answer.Allotted {
-		resp.Grants[at[i]].Allotted = allotted
+	if len(sync.GetChanges()) > 0 || sync.GetLeaving() {
+		answer, err := g.propose(ctx, sync)
+		if err != nil {
+			return nil, err
+		}
+		for i, allotted := range answer.Allotted {
+			resp.Grants[at[i]].Allotted = allotted
+		}
 	}
 	g.answer(r)
 	return resp, nil
@@ -134,7 +140,7 @@
 }
 
 // decide returns the answer to one report, and the change it needs, if any.
-func (g *Gateway) decide(s *state.State, r *betweenv1.LeaseRequest, report *betweenv1.LeaseReport, holders int) (*betweenv1.LeaseGrant, *statev1.LeaseChange) {
+func (g *Gateway) decide(s *state.State, r *betweenv1.LeaseRequest, report *betweenv1.LeaseReport, d *lease.Directory) (*betweenv1.LeaseGrant, *statev1.LeaseChange) {
 	grant := &betweenv1.LeaseGrant{Organisation: report.GetOrganisation()}
 	b := s.Routing.Prepaid[report.GetOrganisation()]
 	if b == nil {
@@ -147,8 +153,8 @@
 	decision := allot.LeaseDecision{}
 	if !r.GetLeaving() {
 		decision = allot.Lease(
-			allot.LeaseState{Prepaid: b.Granted, Unallotted: b.Unallotted(), Holders: holders, Free: free, Rate: rate},
-			allot.LeaseDemand{Available: available, Reserved: report.GetReserved(), Rate: report.GetRate(), Need: report.GetNeed()},
+			allot.LeaseState{Prepaid: b.Granted, Unallotted: b.Unallotted(), Holders: d.Count(b.Name), Free: free, Rate: rate},
+			allot.LeaseDemand{Part: partOf(r, d, b.Name), Available: available, Reserved: report.GetReserved(), Rate: report.GetRate(), Need: report.GetNeed()},
 		)
 	}
 	grant.Allotted, grant.Keep, grant.Left, grant.Unallotted = row.GetAllotted(), decision.Keep, left, b.Unallotted()-decision.Grant
@@ -161,19 +167,35 @@
 	}
 }
 
-// note remembers a report. It returns how many holders report at present, and
-// the moment before which the report's sample was not yet taken: when the
+// partOf tells whether a box should hold an organisation's lease. One that
+// others can't draw at holds its own.
+func partOf(r *betweenv1.LeaseRequest, d *lease.Directory, organisation string) allot.LeasePart {
+	switch {
+	case r.GetAddress() == "":
+		return allot.LeaseHolder
+	case d == nil:
+		return allot.LeaseUndecided
+	case d.Holds(r.GetBox(), r.GetDataCentre(), organisation):
+		return allot.LeaseHolder
+	default:
+		return allot.LeaseGuest
+	}
+}
+
+// note remembers a report. It returns how many boxes report at present, the
+// directory of them once it is sure, and the moment before which the report's sample was not yet taken: when the
 // answer to the sample before it was first sent from here.
-func (g *Gateway) note(r *betweenv1.LeaseRequest) (holders int, stamp *statev1.LeaseStamp) {
+func (g *Gateway) note(r *betweenv1.LeaseRequest) (holders int, d *lease.Directory, stamp *statev1.LeaseStamp) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.holders == nil {
 		g.holders = map[string]*holderRow{}
 	}
 	now := g.Clock.Boot()
+	g.boxes.note(r, now)
 	if r.GetLeaving() {
 		delete(g.holders, r.GetHolder())
-		return max(1, len(g.holders)), nil
+		return max(1, len(g.holders)), g.boxes.current(now), nil
 	}
 	row := g.holders[r.GetHolder()]
 	if row == nil {
@@ -188,12 +210,22 @@
 	for _, report := range r.GetReports() {
 		row.demands[report.GetOrganisation()] = report
 	}
+	g.sweepHolders(now)
+	return len(g.holders), g.boxes.current(now), row.stamp
+}
+
+// sweepHolders forgets holders that have fallen silent; the caller holds the
+// lock.
+func (g *Gateway) sweepHolders(now time.Duration) {
+	if now-g.swept < sweepEvery {
+		return
+	}
+	g.swept = now
 	for name, other := range g.holders {
 		if now-other.at > holderTimeout {
 			delete(g.holders, name)
 		}
 	}
-	return len(g.holders), row.stamp
 }
 
 func (g *Gateway) stampAfter(row *holderRow, sample uint64) *statev1.LeaseStamp {
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -50,9 +50,10 @@
 
 // Leases sets tokens of prepaid budgets aside.
 type Leases interface {
-	Reserve(ctx context.Context, organisation string, tokens uint64, wait time.Duration) (gateway.Outcome, gateway.Status)
-	Settle(organisation string, reserved, spent uint64)
-	Holders() int
+	Reserve(ctx context.Context, organisation string, tokens uint64, wait time.Duration) (gateway.Reservation, gateway.Outcome, gateway.Status)
+	Settle(r gateway.Reservation, spent uint64)
+	// Boxes is how many entry boxes there are.
+	Boxes() int
 }
 
 // Counter counts what callers get.
@@ -174,7 +175,7 @@
 	service  *statev1.Service
 	sink     *countingSink
 	deadline time.Duration
-	reserved uint64
+	reserved gateway.Reservation
 	lease    gateway.Status
 	version  uint64
 	// sends names the targets that the call was sent to and what came of it.
@@ -271,11 +272,11 @@
 	}
 	bound := fl.call.Input + fl.call.Output
 	wait := time.Duration(leaseWaitShare * float64(fl.route.GetObjective()) * float64(time.Millisecond))
-	outcome, status := fl.f.opts.Leases.Reserve(ctx, fl.payer.GetOrganisation(), bound, wait)
+	reservation, outcome, status := fl.f.opts.Leases.Reserve(ctx, fl.payer.GetOrganisation(), bound, wait)
 	fl.lease = status
 	switch outcome {
 	case gateway.Reserved:
-		fl.reserved = bound
+		fl.reserved = reservation
 		return nil
 	case gateway.Exhausted:
 		return &Refusal{Kind: structs.KindBudgetExhausted, Run: structs.RunNo,
@@ -297,7 +298,7 @@
 // settle ends the reservation: the prompt once when any target may have run
 // the call, and the tokens of the events that were handed out.
 func (fl *flight) settle(err error) {
-	if fl.reserved == 0 {
+	if fl.reserved.Tokens == 0 {
 		return
 	}
 	spent := uint64(0)
@@ -310,9 +311,9 @@
 	}
 	if fl.lostOutput && err != nil {
 		// Nobody saw what the target made.
-		spent = fl.reserved
+		spent = fl.reserved.Tokens
 	}
-	fl.f.opts.Leases.Settle(fl.payer.GetOrganisation(), fl.reserved, min(spent, fl.reserved))
+	fl.f.opts.Leases.Settle(fl.reserved, min(spent, fl.reserved.Tokens))
 }
 
 // own are the fields that this system sets on the call.
@@ -348,7 +349,7 @@
 	f := fl.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := f.targets.Choose(spread.Need{Service: fl.service.GetName(), Affinity: fl.call.Affinity, Boxes: f.opts.Leases.Holders(), Exclude: fl.exclude}, f.opts.Clock.Boot())
+	t := f.targets.Choose(spread.Need{Service: fl.service.GetName(), Affinity: fl.call.Affinity, Boxes: f.opts.Leases.Boxes(), Exclude: fl.exclude}, f.opts.Clock.Boot())
 	if t != nil {
 		t.Running++
 		fl.waiting = int(fl.call.Input)
@@ -421,7 +422,7 @@
 }
 
 func (fl *flight) noteCall() {
-	stock := retryStockUsed * fl.f.opts.RetryStock / float64(max(1, fl.f.opts.Leases.Holders()))
+	stock := retryStockUsed * fl.f.opts.RetryStock / float64(max(1, fl.f.opts.Leases.Boxes()))
 	fl.f.retries.noted(fl.service.GetName(), retryShareUsed*fl.f.opts.RetryRatio, stock)
 }
 
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -170,15 +170,15 @@
 	settled []uint64
 }
 
-func (b *book) Reserve(context.Context, string, uint64, time.Duration) (gateway.Outcome, gateway.Status) {
-	return b.outcome, gateway.Status{Left: 5, Free: 3, Age: 10}
+func (b *book) Reserve(_ context.Context, organisation string, tokens uint64, _ time.Duration) (gateway.Reservation, gateway.Outcome, gateway.Status) {
+	return gateway.Reservation{Organisation: organisation, Tokens: tokens}, b.outcome, gateway.Status{Left: 5, Free: 3, Age: 10}
 }
-func (b *book) Settle(_ string, _, spent uint64) {
+func (b *book) Settle(_ gateway.Reservation, spent uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.settled = append(b.settled, spent)
 }
-func (b *book) Holders() int { return 1 }
+func (b *book) Boxes() int { return 1 }
 
 type noCounter struct{}
 
--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -146,7 +146,7 @@
 func newLeases(b *box) *Leases {
 	store := NewStore(clock.System{})
 	store.Take(&betweenv1.FollowResponse{Routing: &statev1.RoutingTable{Version: 1, Payers: []*statev1.Payer{{Organisation: "o", Limited: true, Prepaid: 100}, {Organisation: "free"}}}})
-	return NewLeases("box", "p1", store, clientOver(map[string]*box{"a": b}, "a"), clock.System{}, logging.Discard())
+	return NewLeases(LeasesOptions{Box: "box", Process: "p1", Store: store, Client: clientOver(map[string]*box{"a": b}, "a"), Clock: clock.System{}, Logger: logging.Discard()})
 }
 
 // grants answers as a control with one budget that only this box draws on.
--- a/services/gateway/leases.go
+++ b/services/gateway/leases.go
@@ -11,6 +11,7 @@
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	"havenwinch.dev/havenwinch/models/lease"
+	"havenwinch.dev/havenwinch/models/routing"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/periodic"
 )
@@ -18,6 +19,8 @@
 const (
 	// leaseInterval is the time between reports.
 	leaseInterval = 300 * time.Millisecond
+	// presenceInterval is the time between reports of a box that has no leases.
+	presenceInterval = time.Second
 	// leaseTimeout bounds one report with all its tries.
 	leaseTimeout = 1500 * time.Millisecond
 	// urgentPause is the shortest time between two reports.
@@ -30,19 +33,28 @@
 	Holder string
 	// Box is the holder's box; a new holder of a box says that the former has
 	// ended.
-	Box    string
-	Store  *Store
-	Client *Client
-	Clock  clock.Clock
-	Logger *slog.Logger
-
-	mu      sync.Mutex
-	table   *lease.Table
-	changed chan struct{}
-	urgent  chan struct{}
-	holders int
-	inTouch bool
-	started time.Duration
+	Box string
+	// Address is where other entry boxes draw at this one, empty when they
+	// can't.
+	Address    string
+	DataCentre string
+	Store      *Store
+	Client     *Client
+	Clock      clock.Clock
+	Logger     *slog.Logger
+
+	mu        sync.Mutex
+	table     *lease.Table
+	draws     *lease.Draws
+	directory *lease.Directory
+	// reported is when the last report was sent, answered when control last
+	// answered one.
+	reported, answered time.Duration
+	changed            chan struct{}
+	urgent             chan struct{}
+	holders            int
+	inTouch            bool
+	started            time.Duration
 	// sample is the number of the last sample, acked whether control has it.
 	sample uint64
 	acked  bool
@@ -53,10 +65,37 @@
 	reporting sync.Mutex
 }
 
-// NewLeases returns leases of a box's process; the holder's name ends with it.
-func NewLeases(box, process string, store *Store, client *Client, c clock.Clock, l *slog.Logger) *Leases {
-	return &Leases{Holder: box + "@" + process, Box: box, Store: store, Client: client, Clock: c, Logger: l,
-		table: lease.NewTable(), changed: make(chan struct{}), urgent: make(chan struct{}, 1), holders: 1, started: c.Boot(), acked: true}
+// LeasesOptions configure Leases.
+type LeasesOptions struct {
+	// Box and Process name the holder.
+	Box, Process string
+	// Address is where other entry boxes draw at this one, empty when they
+	// can't.
+	Address    string
+	DataCentre string
+	Store      *Store
+	Client     *Client
+	Clock      clock.Clock
+	Logger     *slog.Logger
+}
+
+// NewLeases returns the leases of a box's process; the holder's name ends with
+// it.
+func NewLeases(opts LeasesOptions) *Leases {
+	return &Leases{
+		Holder: opts.Box + "@" + opts.Process, Box: opts.Box, Address: opts.Address, DataCentre: opts.DataCentre,
+		Store: opts.Store, Client: opts.Client, Clock: opts.Clock, Logger: opts.Logger,
+		table: lease.NewTable(), draws: lease.NewDraws(), changed: make(chan struct{}), urgent: make(chan struct{}, 1),
+		holders: 1, started: opts.Clock.Boot(), acked: true,
+	}
+}
+
+// Directory returns the entry boxes that hold leases, nil before control has
+// named them.
+func (l *Leases) Directory() *lease.Directory {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.directory
 }
 
 // Outcome is the answer to a reservation.
@@ -72,6 +111,9 @@
 	Short
 )
 
+// String names an outcome for logs.
+func (o Outcome) String() string { return [...]string{"reserved", "exhausted", "short"}[o] }
+
 // Status is a reading of a lease for logs.
 type Status struct {
 	Free, Left, Unallotted uint64
@@ -107,12 +149,18 @@
 		if l.table.Exhausted(organisation, tokens) {
 			return Exhausted
 		}
-		if !l.await(ctx, late) {
+		if l.cutOff() || !l.await(ctx, late) {
 			return Short
 		}
 	}
 }
 
+// cutOff tells whether control has not answered for so long that waiting for
+// it is of no use; the caller holds the lock.
+func (l *Leases) cutOff() bool {
+	return l.answered > 0 && l.Clock.Boot()-l.answered > freshAge*time.Millisecond
+}
+
 // announce waits until control has heard of a reservation, or the limit allows
 // it without.
 func (l *Leases) announce(ctx context.Context, organisation string, tokens uint64, late <-chan time.Time) bool {
@@ -157,7 +205,7 @@
 	l.table.Settle(organisation, reserved, spent)
 }
 
-// Holders returns how many entry boxes report at present.
+// Holders returns how many entry boxes there are at present.
 func (l *Leases) Holders() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -203,7 +251,7 @@
 	l.reporting.Lock()
 	defer l.reporting.Unlock()
 	r := l.request()
-	if len(r.GetReports()) == 0 {
+	if r == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
@@ -212,15 +260,22 @@
 	l.take(resp, err)
 }
 
-// request takes a new sample, or repeats the last one until control has it.
+// request takes a new sample, or repeats the last one until control has it. It
+// returns nil when there is nothing to say yet.
 func (l *Leases) request() *betweenv1.LeaseRequest {
 	index := l.Store.Index()
 	if index == nil {
-		return &betweenv1.LeaseRequest{}
+		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Boot()
+	l.expireDraws(now)
+	organisations := l.reports(index)
+	if len(organisations) == 0 && !l.leaving && l.reported > 0 && now-l.reported < presenceInterval {
+		return nil
+	}
+	l.reported = now
 	if l.leaving {
 		l.table.ReturnAll()
 	}
@@ -230,12 +285,15 @@
 		l.table.Sample(now)
 		l.left = l.leaving
 	}
-	r := &betweenv1.LeaseRequest{Holder: l.Holder, Box: l.Box, Leaving: l.left, Age: (now - l.started).Milliseconds(), Sample: l.sample}
-	for _, p := range index.Table.GetPayers() {
-		if !p.GetLimited() {
-			continue
-		}
-		row := l.table.Report(p.GetOrganisation(), now)
+	r := &betweenv1.LeaseRequest{
+		Holder: l.Holder, Box: l.Box, Leaving: l.left, Age: (now - l.started).Milliseconds(), Sample: l.sample,
+		Address: l.Address, DataCentre: l.DataCentre,
+	}
+	if l.directory != nil {
+		r.Directory = l.directory.Version
+	}
+	for _, organisation := range organisations {
+		row := l.table.Report(organisation, now)
 		r.Reports = append(r.Reports, &betweenv1.LeaseReport{
 			Organisation: row.Organisation, Returned: row.Returned, Spent: row.Spent, Reserved: row.Reserved,
 			Basis: row.Basis, Rate: row.Rate, Need: row.Need,
@@ -244,6 +302,22 @@
 	return r
 }
 
+// reports returns the organisations that control has to hear of: those of which
+// this box has a lease or should have one. The caller holds the lock.
+func (l *Leases) reports(index *routing.Index) []string {
+	var list []string
+	for _, p := range index.Table.GetPayers() {
+		if p.GetLimited() && (l.table.InUse(p.GetOrganisation()) || l.holds(p.GetOrganisation())) {
+			list = append(list, p.GetOrganisation())
+		}
+	}
+	return list
+}
+
+func (l *Leases) holds(organisation string) bool {
+	return l.Address == "" || l.directory.Holds(l.Box, l.DataCentre, organisation)
+}
+
 func (l *Leases) take(resp *betweenv1.LeaseResponse, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -253,15 +327,30 @@
 	}
 	l.acked = true
 	now := l.Clock.Boot()
+	l.answered = now
 	for _, g := range resp.GetGrants() {
 		l.table.Granted(g.GetOrganisation(), g.GetAllotted(), g.GetKeep(), g.GetLeft(), now)
 		l.table.Of(g.GetOrganisation()).Unallotted = g.GetUnallotted()
 	}
 	l.holders = max(1, int(resp.GetHolders()))
+	l.learn(resp.GetDirectory())
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
 
+// learn takes a new directory in; the caller holds the lock.
+func (l *Leases) learn(d *betweenv1.Directory) {
+	if d == nil {
+		return
+	}
+	boxes := make([]lease.Box, 0, len(d.GetBoxes()))
+	for _, b := range d.GetBoxes() {
+		boxes = append(boxes, lease.Box{Name: b.GetName(), Address: b.GetAddress(), DataCentre: b.GetDataCentre()})
+	}
+	l.directory = lease.NewDirectory(boxes)
+	l.Logger.Info("directory of entry boxes in force", "version", l.directory.Version, "boxes", len(boxes))
+}
+
 // touched logs when control is lost or regained.
 func (l *Leases) touched(err error) {
 	touch := err == nil
--- /dev/null
+++ b/services/gateway/shared_test.go
@@ -0,0 +1,224 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/lease"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/logging"
+)
+
+// wire carries draws to a holder, or loses them.
+type wire struct {
+	leases *Leases
+	// loses says what is lost on the way: "asks", "answers", "settlements".
+	loses   map[string]bool
+	settled chan string
+}
+
+func (w *wire) Draw(ctx context.Context, r *connect.Request[betweenv1.DrawRequest]) (*connect.Response[betweenv1.DrawResponse], error) {
+	lost := connect.NewError(connect.CodeUnavailable, errors.New("lost"))
+	if w.loses["asks"] {
+		return nil, lost
+	}
+	resp := w.leases.Draw(ctx, r.Msg)
+	if w.loses["answers"] {
+		return nil, lost
+	}
+	return connect.NewResponse(resp), nil
+}
+
+func (w *wire) Settle(_ context.Context, r *connect.Request[betweenv1.SettleDrawsRequest]) (*connect.Response[betweenv1.SettleDrawsResponse], error) {
+	if w.loses["settlements"] {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("lost"))
+	}
+	w.leases.SettleDraws(r.Msg)
+	for _, s := range r.Msg.GetSettlements() {
+		w.settled <- s.GetId()
+	}
+	return connect.NewResponse(&betweenv1.SettleDrawsResponse{}), nil
+}
+
+// holderWith returns the leases of a box that has tokens and control's answer.
+func holderWith(name, centre string, tokens uint64, c clock.Clock) *Leases {
+	store := NewStore(c)
+	store.Take(&betweenv1.FollowResponse{Routing: &statev1.RoutingTable{Version: 1, Payers: []*statev1.Payer{{Organisation: "o", Limited: true, Prepaid: 1 << 20}}}})
+	l := NewLeases(LeasesOptions{Box: name, Process: "p", Address: name, DataCentre: centre, Store: store, Client: clientOver(nil), Clock: c, Logger: logging.Discard()})
+	l.table.Sample(c.Boot())
+	l.table.Granted("o", tokens, tokens, 1<<20, c.Boot())
+	return l
+}
+
+type sharedFixture struct {
+	*Shared
+	clock *clock.Fake
+	wires map[string]*wire
+	order []lease.Box
+}
+
+// newShared makes a box in a data centre with others: four in its own, of which
+// two hold the organisation, and two in another one.
+func newShared(tokens func(holder int, far bool) uint64) *sharedFixture {
+	c := clock.NewFake()
+	f := &sharedFixture{clock: c, wires: map[string]*wire{}}
+	var boxes []lease.Box
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		boxes = append(boxes, lease.Box{Name: name, Address: name, DataCentre: "near"})
+	}
+	boxes = append(boxes, lease.Box{Name: "x", Address: "x", DataCentre: "far"}, lease.Box{Name: "y", Address: "y", DataCentre: "far"})
+	d := lease.NewDirectory(boxes)
+	guest := "guest"
+	f.Shared = &Shared{Box: guest, DataCentre: "near", Logger: logging.Discard(),
+		Leases: holderWith(guest, "near", 0, c),
+		Dial:   func(address string) betweenv1connect.DrawServiceClient { return f.wires[address] }}
+	f.Leases.directory = d
+	f.order = f.rotate(d.Holders("o", "near"))
+	for i, b := range f.order {
+		f.wires[b.Name] = &wire{leases: holderWith(b.Name, "near", tokens(i, false), c), loses: map[string]bool{}, settled: make(chan string, 9)}
+	}
+	for i, b := range f.rotate(d.Elsewhere("o", "near")) {
+		f.wires[b.Name] = &wire{leases: holderWith(b.Name, "far", tokens(i, true), c), loses: map[string]bool{}, settled: make(chan string, 9)}
+		f.order = append(f.order, b)
+	}
+	return f
+}
+
+func (f *sharedFixture) wire(n int) *wire { return f.wires[f.order[n].Name] }
+
+func TestWhoIsDrawnAt(t *testing.T) {
+	all := func(int, bool) uint64 { return 100000 }
+	cases := map[string]struct {
+		tokens  func(holder int, far bool) uint64
+		prepare func(f *sharedFixture)
+		// holder is the place of the box that gives, -1 for none.
+		holder int
+	}{
+		"the first holder":             {tokens: all, holder: 0},
+		"the first is out of reach":    {tokens: all, prepare: func(f *sharedFixture) { f.wire(0).loses["asks"] = true }, holder: 1},
+		"the first stops":              {tokens: all, prepare: func(f *sharedFixture) { f.wire(0).leases.Leave() }, holder: 1},
+		"the first has too few":        {tokens: func(n int, _ bool) uint64 { return uint64(n) * 100000 }, holder: 1},
+		"only another data centre has": {tokens: func(_ int, far bool) uint64 { return map[bool]uint64{true: 100000}[far] }, holder: 2},
+		"nobody has":                   {tokens: func(int, bool) uint64 { return 10 }, holder: -1},
+		"nobody can be reached": {tokens: all, prepare: func(f *sharedFixture) {
+			for _, w := range f.wires {
+				w.loses["asks"] = true
+			}
+		}, holder: -1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newShared(c.tokens)
+			if c.prepare != nil {
+				c.prepare(f)
+			}
+			r, outcome, _ := f.Reserve(context.Background(), "o", 1000, 0)
+			switch {
+			case c.holder < 0 && outcome != Short:
+				t.Fatalf("%s at %q, want short", outcome, r.Holder)
+			case c.holder >= 0 && (outcome != Reserved || r.Holder != f.order[c.holder].Name):
+				t.Fatalf("%s at %q, want %q", outcome, r.Holder, f.order[c.holder].Name)
+			}
+		})
+	}
+}
+
+func (f *sharedFixture) counts(n int) (reserved, spent uint64) {
+	l := f.wire(n).leases
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	row := l.table.Of("o")
+	return row.Reserved, row.Spent
+}
+
+func TestDrawsAreSettled(t *testing.T) {
+	f := newShared(func(int, bool) uint64 { return 100000 })
+	r, _, _ := f.Reserve(context.Background(), "o", 1000, 0)
+	if reserved, _ := f.counts(0); reserved != 1000 {
+		t.Fatalf("reserved %d at the holder", reserved)
+	}
+	f.Settle(r, 300)
+	<-f.wire(0).settled
+	if reserved, spent := f.counts(0); reserved != 0 || spent != 300 {
+		t.Fatalf("reserved %d, spent %d after the settlement", reserved, spent)
+	}
+}
+
+// A draw whose answer is lost is given back, and a second holder serves.
+func TestDrawWithoutAnswerIsReleased(t *testing.T) {
+	f := newShared(func(int, bool) uint64 { return 100000 })
+	f.wire(0).loses["answers"] = true
+	r, outcome, _ := f.Reserve(context.Background(), "o", 1000, 0)
+	if outcome != Reserved || r.Holder != f.order[1].Name {
+		t.Fatalf("%s at %s", outcome, r.Holder)
+	}
+	<-f.wire(0).settled
+	if reserved, spent := f.counts(0); reserved != 0 || spent != 0 {
+		t.Fatalf("reserved %d, spent %d at the first holder", reserved, spent)
+	}
+}
+
+// A holder counts a draw as spent that nobody settles.
+func TestDrawExpiresAsSpent(t *testing.T) {
+	f := newShared(func(int, bool) uint64 { return 100000 })
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	f.Reserve(ctx, "o", 1000, 0)
+	f.clock.Advance(2 * time.Minute)
+	f.wire(0).leases.request()
+	if reserved, spent := f.counts(0); reserved != 0 || spent != 1000 {
+		t.Fatalf("reserved %d, spent %d after the draw's time", reserved, spent)
+	}
+}
+
+// A release that overtakes its draw ends it.
+func TestReleaseBeforeTheDraw(t *testing.T) {
+	l := holderWith("a", "near", 1000, clock.NewFake())
+	l.SettleDraws(&betweenv1.SettleDrawsRequest{Settlements: []*betweenv1.DrawSettlement{{Id: "d"}}})
+	if resp := l.Draw(context.Background(), &betweenv1.DrawRequest{Id: "d", Organisation: "o", Tokens: 10, Lifetime: 1000}); resp.GetOutcome() != betweenv1.DrawOutcome_DRAW_OUTCOME_SHORT {
+		t.Fatalf("a draw that was given up got %s", resp.GetOutcome())
+	}
+}
+
+// A box that gives no answer is not asked again until its rest is over.
+func TestPeerRests(t *testing.T) {
+	f := newShared(func(int, bool) uint64 { return 100000 })
+	f.wire(0).loses["asks"] = true
+	f.Reserve(context.Background(), "o", 10, 0)
+	f.wire(0).loses["asks"] = false
+	if r, _, _ := f.Reserve(context.Background(), "o", 10, 0); r.Holder != f.order[1].Name {
+		t.Fatalf("asked %s at once after it gave no answer", r.Holder)
+	}
+	f.clock.Advance(firstRest)
+	if r, _, _ := f.Reserve(context.Background(), "o", 10, 0); r.Holder != f.order[0].Name {
+		t.Fatalf("drew at %s after the rest", r.Holder)
+	}
+}
+
+// A box without leases reports once in a while, so that it stays listed.
+func TestGuestReportsRarely(t *testing.T) {
+	c := clock.NewFake()
+	l := holderWith("guest", "near", 0, c)
+	l.directory = lease.NewDirectory([]lease.Box{{Name: "a", DataCentre: "near"}, {Name: "b", DataCentre: "near"}})
+	if r := l.request(); r == nil || len(r.GetReports()) != 0 || r.GetAddress() != "guest" {
+		t.Fatalf("the first report is %v", r)
+	}
+	c.Advance(leaseInterval)
+	if r := l.request(); r != nil {
+		t.Fatalf("it reports again after %s", leaseInterval)
+	}
+	c.Advance(presenceInterval)
+	if l.request() == nil {
+		t.Fatal("it does not report any more")
+	}
+}
--- a/services/peers/consensus.go
+++ b/services/peers/consensus.go
@@ -48,6 +48,11 @@
 	return betweenv1connect.NewGatewayServiceClient(p.client, p.BaseURL(address), p.ClientOptions()...)
 }
 
+// Draws returns the client of the draw service of the entry box at an address.
+func (p *Peers) Draws(address string) betweenv1connect.DrawServiceClient {
+	return betweenv1connect.NewDrawServiceClient(p.client, p.BaseURL(address), p.ClientOptions()...)
+}
+
 // Control returns clients of the control service by name.
 func (p *Peers) Control(addresses map[string]string) map[string]betweenv1connect.ControlServiceClient {
 	clients := map[string]betweenv1connect.ControlServiceClient{}
--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -50,8 +50,12 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 	log  bytes.Buffer
-	// first is true until the box was started once.
+	// started is set once the box was started.
 	started bool
+	// closed is set at the end of the test: nothing is started any more.
+	closed bool
+	// ended lists ends of the process that no signal of the test explains.
+	ended []string
 }
 
 // fleet is a set of boxes with addresses of its own on loopback.
@@ -137,7 +141,7 @@
 func (b *box) start() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.cmd != nil {
+	if b.cmd != nil || b.closed {
 		return nil
 	}
 	cmd := exec.Command(filepath.Join(bin, "havenwinchd"), "forward")
@@ -149,16 +153,47 @@
 	b.started = true
 	done := make(chan struct{})
 	b.cmd, b.done = cmd, done
-	go func() {
-		_ = cmd.Wait()
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.cmd = nil
-		close(done)
-	}()
+	go b.await(cmd, done)
 	return nil
 }
 
+// restartPause is how long after its own end a process is started again, as the
+// platform does it.
+const restartPause = 100 * time.Millisecond
+
+// await notes the end of a process. One that ended by itself is a finding, and
+// is started again.
+func (b *box) await(cmd *exec.Cmd, done chan struct{}) {
+	err := cmd.Wait()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cmd = nil
+	close(done)
+	status := cmd.ProcessState.Sys().(syscall.WaitStatus)
+	if err == nil || status.Signaled() {
+		return
+	}
+	b.ended = append(b.ended, fmt.Sprintf("%s (process %d) ended by itself: %v; its last lines: %s", b.name, cmd.Process.Pid, err, lastLines(b.log.String())))
+	time.AfterFunc(restartPause, func() { _ = b.start() })
+}
+
+// lastLines returns the end of a log.
+func lastLines(text string) string {
+	const most = 2000
+	return text[max(0, len(text)-most):]
+}
+
+// endedByThemselves returns the ends of processes that no signal explains.
+func (f *fleet) endedByThemselves() []string {
+	var list []string
+	for _, b := range f.boxes {
+		b.mu.Lock()
+		list = append(list, b.ended...)
+		b.mu.Unlock()
+	}
+	return list
+}
+
 type lockedWriter struct{ b *box }
 
 func (w *lockedWriter) Write(p []byte) (int, error) {
@@ -197,6 +232,9 @@
 
 func (f *fleet) kill() {
 	for _, b := range f.boxes {
+		b.mu.Lock()
+		b.closed = true
+		b.mu.Unlock()
 		b.signal(syscall.SIGCONT)
 		<-b.signal(syscall.SIGKILL)
 	}
--- a/tests/soak/path_test.go
+++ b/tests/soak/path_test.go
@@ -72,7 +72,7 @@
 		}
 	}
 	t.Logf("served %d, refused %d, failed %d; given %v", served, refused, failed, w.site.given)
-	for _, b := range w.site.broken {
+	for _, b := range append(w.site.broken, w.endedByThemselves()...) {
 		t.Error(b)
 	}
 }
