--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -18,6 +18,7 @@
 	"havenwinch.dev/havenwinch/models/spread"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/services/gateway"
+	"havenwinch.dev/havenwinch/services/timeline"
 	"havenwinch.dev/havenwinch/structs"
 )
 
@@ -211,7 +212,7 @@
 func (f *Forwarder) Serve(ctx context.Context, call *Call, sink Sink) error {
 	fl := &flight{f: f, call: call, sink: &countingSink{Sink: sink, now: f.opts.Clock.Boot}, exclude: map[string]bool{}}
 	fl.events.last = call.LastEvent
-	err := fl.serve(ctx)
+	err := fl.serve(timeline.WithRequest(ctx, call.ID))
 	fl.log(ctx, err)
 	return err
 }
--- a/services/gateway/draws.go
+++ b/services/gateway/draws.go
@@ -9,6 +9,7 @@
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	"havenwinch.dev/havenwinch/models/lease"
+	"havenwinch.dev/havenwinch/services/timeline"
 )
 
 const (
@@ -28,7 +29,7 @@
 	if outcome == Reserved {
 		l.hold(r)
 	} else {
-		l.Logger.Info("draw refused", "draw", r.GetId(), "organisation", r.GetOrganisation(), "tokens", r.GetTokens(), "outcome", outcome.String(),
+		l.Logger.Info("draw refused", "request", timeline.RequestOf(ctx), "draw", r.GetId(), "organisation", r.GetOrganisation(), "tokens", r.GetTokens(), "outcome", outcome.String(),
 			"lease_free", status.Free, "budget_left", status.Left, "budget_unallotted", status.Unallotted, "lease_age_ms", status.Age)
 	}
 	return &betweenv1.DrawResponse{Outcome: drawOutcomes[outcome], Free: status.Free, Left: status.Left, Unallotted: status.Unallotted, Age: status.Age}
