--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -388,9 +388,15 @@
 	}
 	for name, first := range cases {
 		t.Run(name, func(t *testing.T) {
-			one := newTarget(t, "one", first, whole(200, "b"))
+			// The second call comes once the first script is over: what it did to
+			// the connection has then arrived.
+			over := make(chan struct{})
+			one := newTarget(t, "one", func(c net.Conn, r received) { defer close(over); first(c, r) }, whole(200, "b"))
 			f := newForwarder(t, &book{}, one)
 			for _, want := range []string{"a", "b"} {
+				if want == "b" {
+					<-over
+				}
 				sink := &collector{}
 				if err := f.Serve(context.Background(), newCall("unsafe"), sink); err != nil || sink.body.String() != want {
 					t.Fatalf("got %q, %v; want %q", sink.body.String(), err, want)
