feed: routing tables go out as changes, packed once, not compressed for each box

Change: control boxes hold the last 24 tables with shared rows and send what changed of the follower's version, computed once; a whole table is packed once. Entries of the log are packed by the box that took the change. Answers between boxes are not compressed by the library any more.

--- /dev/null
+++ b/models/routing/delta.go
@@ -0,0 +1,100 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package routing
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+)
+
+// place is what tells the routes of a table apart.
+func place(r *statev1.Route) string { return strings.ToLower(r.GetHost()) + r.GetPathPrefix() }
+
+func serviceName(s *statev1.Service) string { return s.GetName() }
+
+func payerName(p *statev1.Payer) string { return p.GetOrganisation() }
+
+// Diff returns what makes a later table out of an earlier one, without its
+// source.
+func Diff(from, to *statev1.RoutingTable) *statev1.RoutingDelta {
+	d := &statev1.RoutingDelta{Base: from.GetVersion(), Changed: &statev1.RoutingTable{Version: to.GetVersion(), Limits: to.GetLimits()}}
+	d.Changed.Routes, d.GoneRoutes = diffRows(from.GetRoutes(), to.GetRoutes(), place)
+	d.Changed.Services, d.GoneServices = diffRows(from.GetServices(), to.GetServices(), serviceName)
+	d.Changed.Payers, d.GonePayers = diffRows(from.GetPayers(), to.GetPayers(), payerName)
+	return d
+}
+
+// row is a row of a table; rows are replaced and never changed, so the same
+// pointer is the same row.
+type row interface {
+	comparable
+	proto.Message
+}
+
+func diffRows[R row](from, to []R, key func(R) string) (changed []R, gone []string) {
+	old := make(map[string]R, len(from))
+	for _, r := range from {
+		old[key(r)] = r
+	}
+	for _, r := range to {
+		former, known := old[key(r)]
+		if !known || former != r && !proto.Equal(former, r) {
+			changed = append(changed, r)
+		}
+		delete(old, key(r))
+	}
+	for name := range old {
+		gone = append(gone, name)
+	}
+	return changed, gone
+}
+
+// Patch returns the later table. Rows that have not changed are shared with the
+// earlier one; the order of rows is of no meaning.
+func Patch(from *statev1.RoutingTable, d *statev1.RoutingDelta) (*statev1.RoutingTable, error) {
+	if from.GetVersion() != d.GetBase() {
+		return nil, errors.WithStack(ErrOutOfStep{Has: from.GetVersion(), Base: d.GetBase()})
+	}
+	return &statev1.RoutingTable{
+		Version:  d.GetChanged().GetVersion(),
+		Limits:   d.GetChanged().GetLimits(),
+		Routes:   patchRows(from.GetRoutes(), d.GetChanged().GetRoutes(), d.GetGoneRoutes(), place),
+		Services: patchRows(from.GetServices(), d.GetChanged().GetServices(), d.GetGoneServices(), serviceName),
+		Payers:   patchRows(from.GetPayers(), d.GetChanged().GetPayers(), d.GetGonePayers(), payerName),
+	}, nil
+}
+
+func patchRows[R row](from, changed []R, gone []string, key func(R) string) []R {
+	replaced := make(map[string]bool, len(changed)+len(gone))
+	for _, r := range changed {
+		replaced[key(r)] = true
+	}
+	for _, name := range gone {
+		replaced[name] = true
+	}
+	rows := make([]R, 0, len(from)+len(changed))
+	for _, r := range from {
+		if !replaced[key(r)] {
+			rows = append(rows, r)
+		}
+	}
+	return append(rows, changed...)
+}
+
+// ErrOutOfStep says that changes belong to another table than the one held.
+type ErrOutOfStep struct{ Has, Base uint64 }
+
+func (e ErrOutOfStep) Error() string {
+	return "the changes belong to another version of the routing table: ask for the whole table"
+}
+
+// IsErrOutOfStep tells whether an error is an ErrOutOfStep.
+func IsErrOutOfStep(err error) bool {
+	_, ok := errors.Cause(err).(ErrOutOfStep)
+	return ok
+}
--- a/models/state/routing.go
+++ b/models/state/routing.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/modules/pack"
 )
 
 // maxGoneTargets is how many rows of targets that have ended are kept, for
@@ -51,6 +52,20 @@
 // Version returns the version of the table in force, zero before the first.
 func (r *Routing) Version() uint64 { return r.Table.GetVersion() }
 
+// put puts a table in force that may be packed. It returns why it could not be
+// read, nil when it was.
+func (r *Routing) put(m *statev1.PutRouting) any {
+	t := m.GetTable()
+	if len(m.GetPacked()) > 0 {
+		t = &statev1.RoutingTable{}
+		if err := pack.Unpack(m.GetPacked(), t); err != nil {
+			return err
+		}
+	}
+	r.putTable(t)
+	return nil
+}
+
 // putTable puts a table in force when its version is higher.
 func (r *Routing) putTable(t *statev1.RoutingTable) {
 	if t.GetVersion() <= r.Version() {
--- a/models/state/state.go
+++ b/models/state/state.go
@@ -72,7 +72,8 @@
 }
 
 // Apply takes one entry in and returns the answer to it: a
-// *statev1.CommandResult, a SyncAnswer or a RegisterAnswer.
+// *statev1.CommandResult, a SyncAnswer, a RegisterAnswer, a LeaseAnswer, or an
+// error when the entry could not be read.
 func (s *State) Apply(e *statev1.Entry) any {
 	switch kind := e.GetKind().(type) {
 	case *statev1.Entry_Command:
@@ -82,8 +83,7 @@
 	case *statev1.Entry_RegisterKeeper:
 		return s.applyRegister(kind.RegisterKeeper)
 	case *statev1.Entry_PutRouting:
-		s.Routing.putTable(kind.PutRouting.GetTable())
-		return nil
+		return s.Routing.put(kind.PutRouting)
 	case *statev1.Entry_PutTargets:
 		for _, t := range kind.PutTargets.GetTargets() {
 			s.Routing.putTarget(t)
--- /dev/null
+++ b/modules/pack/pack_test.go
@@ -0,0 +1,31 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package pack
+
+import (
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+)
+
+func TestPackAndUnpack(t *testing.T) {
+	m := &statev1.RoutingTable{Version: 7, Source: []byte(strings.Repeat("a document ", 1000))}
+	packed, err := Pack(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(packed) > proto.Size(m)/10 {
+		t.Fatalf("%d bytes of %d", len(packed), proto.Size(m))
+	}
+	got := &statev1.RoutingTable{}
+	if err := Unpack(packed, got); err != nil || !proto.Equal(m, got) {
+		t.Fatalf("%v, %v", got, err)
+	}
+	if Unpack(packed[:len(packed)/2], got) == nil {
+		t.Fatal("a message that is cut off was read")
+	}
+}
--- a/services/control/gateway.go
+++ b/services/control/gateway.go
@@ -67,8 +67,12 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	_, err = g.Log.Propose(ctx, data)
-	return err
+	answer, err := g.Log.Propose(ctx, data)
+	if err != nil {
+		return err
+	}
+	refused, _ := answer.(error)
+	return refused
 }
 
 // Read returns the newest table that was put in force anywhere before the call.
--- a/services/gateway/client.go
+++ b/services/gateway/client.go
@@ -14,6 +14,7 @@
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/modules/pack"
 	"havenwinch.dev/havenwinch/modules/periodic"
 	"havenwinch.dev/havenwinch/services/control"
 )
@@ -97,6 +98,16 @@
 	return err
 }
 
+// PutRouting puts a routing table through the log, packed: it goes to every
+// member of the control group.
+func (c *Client) PutRouting(ctx context.Context, t *statev1.RoutingTable) error {
+	packed, err := pack.Pack(t)
+	if err != nil {
+		return err
+	}
+	return c.Submit(ctx, &statev1.Entry{Kind: &statev1.Entry_PutRouting{PutRouting: &statev1.PutRouting{Packed: packed}}})
+}
+
 // Lease reports and asks for tokens.
 func (c *Client) Lease(ctx context.Context, r *betweenv1.LeaseRequest) (*betweenv1.LeaseResponse, error) {
 	return ask(ctx, c, r, betweenv1connect.GatewayServiceClient.Lease)
--- a/services/gateway/follow.go
+++ b/services/gateway/follow.go
@@ -42,7 +42,7 @@
 		if err := send(resp); err != nil {
 			return err
 		}
-		version = max(version, resp.GetRouting().GetVersion())
+		version = max(version, sentVersion(resp))
 		revision = max(revision, resp.GetTargetRevision())
 		select {
 		case <-ctx.Done():
@@ -54,6 +54,15 @@
 	}
 }
 
+// sentVersion is the version of the table that a follower has after a message;
+// zero when it brings none. One in short is of the version that the source had.
+func sentVersion(r *betweenv1.FollowResponse) uint64 {
+	if r.GetDelta() != nil {
+		return r.GetDelta().GetChanged().GetVersion()
+	}
+	return max(r.GetRouting().GetVersion(), r.GetPackedVersion())
+}
+
 // Follower keeps a store up to date from whichever control box is in step.
 type Follower struct {
 	Box    string
@@ -110,7 +119,9 @@
 			f.connected = address
 			f.Logger.Info("dependency regained", "dependency", "control", "address", address)
 		}
-		f.take(message)
+		if err := f.take(message); err != nil {
+			return err
+		}
 	}
 	if stream.Err() == nil {
 		return errors.New("it ended the stream")
@@ -118,11 +129,15 @@
 	return errors.WithStack(stream.Err())
 }
 
-func (f *Follower) take(r *betweenv1.FollowResponse) {
-	newTable, newTargets := f.Store.Take(r)
+func (f *Follower) take(r *betweenv1.FollowResponse) error {
+	newTable, newTargets, err := f.Store.Take(r)
+	if err != nil {
+		return err
+	}
 	f.Client.SetMembers(r.GetMembers())
 	if newTable {
-		f.Logger.Info("routing table in force", "version", r.GetRouting().GetVersion(), "routes", len(r.GetRouting().GetRoutes()), "organisations", len(r.GetRouting().GetPayers()))
+		t := f.Store.Index().Table
+		f.Logger.Info("routing table in force", "version", t.GetVersion(), "routes", len(t.GetRoutes()), "organisations", len(t.GetPayers()), "changes_of", r.GetDelta().GetBase())
 	}
 	if newTargets {
 		for _, t := range r.GetTargets() {
@@ -132,4 +147,5 @@
 	if f.Taken != nil {
 		f.Taken(newTable, newTargets)
 	}
+	return nil
 }
--- a/services/gateway/store.go
+++ b/services/gateway/store.go
@@ -11,11 +11,14 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/routing"
 	"havenwinch.dev/havenwinch/models/state"
 	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/pack"
 	"havenwinch.dev/havenwinch/services/control"
 )
 
@@ -36,33 +39,26 @@
 	// Members returns the addresses of the control group's members.
 	Members func() []string
 
-	mu    sync.Mutex
-	table *statev1.RoutingTable
+	history history
 }
 
 // After implements Source.
 func (m *MachineSource) After(version, revision uint64) *betweenv1.FollowResponse {
 	resp := &betweenv1.FollowResponse{Members: m.Members()}
+	var table *statev1.RoutingTable
 	m.Machine.Read(func(s *state.State) {
 		resp.TargetRevision = s.Routing.TargetRevision
 		if s.Routing.TargetRevision > revision {
 			resp.Targets, resp.AllTargets = s.Routing.TargetsAfter(revision)
 		}
-		if s.Routing.Version() > version {
-			resp.Routing = m.withoutSource(s.Routing.Table)
-		}
+		table = s.Routing.Table
 	})
-	return resp
-}
-
-// withoutSource returns a table without the document that it was made from.
-func (m *MachineSource) withoutSource(t *statev1.RoutingTable) *statev1.RoutingTable {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.table.GetVersion() != t.GetVersion() {
-		m.table = &statev1.RoutingTable{Version: t.GetVersion(), Routes: t.GetRoutes(), Services: t.GetServices(), Limits: t.GetLimits(), Payers: t.GetPayers()}
+	if table.GetVersion() > version {
+		m.history.fill(resp, table, version)
+		return resp
 	}
-	return m.table
+	m.history.note(table)
+	return resp
 }
 
 // Changed implements Source.
@@ -164,13 +160,19 @@
 	return resp
 }
 
-// Take takes a message of a control box in and tells what is new.
-func (s *Store) Take(r *betweenv1.FollowResponse) (newTable, newTargets bool) {
+// Take takes a message of a control box in and tells what is new. A message
+// that can't be read, or that changes another table than the one held, changes
+// nothing.
+func (s *Store) Take(r *betweenv1.FollowResponse) (newTable, newTargets bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	t, err := s.tableOf(r)
+	if err != nil {
+		return false, false, err
+	}
 	s.confirmed = s.clock.Boot() - time.Duration(r.GetConfirmed())*time.Millisecond
 	s.known = true
-	if t := r.GetRouting(); t != nil && t.GetVersion() > s.versionLocked() {
+	if t != nil && t.GetVersion() > s.versionLocked() {
 		s.index = routing.NewIndex(t)
 		newTable = true
 	}
@@ -182,7 +184,23 @@
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
-	return newTable, newTargets
+	return newTable, newTargets, nil
+}
+
+// tableOf returns the table that a message brings, nil for none.
+func (s *Store) tableOf(r *betweenv1.FollowResponse) (*statev1.RoutingTable, error) {
+	switch {
+	case r.GetDelta() != nil && r.GetDelta().GetChanged().GetVersion() > s.versionLocked():
+		if s.index == nil {
+			return nil, errors.WithStack(routing.ErrOutOfStep{Base: r.GetDelta().GetBase()})
+		}
+		return routing.Patch(s.index.Table, r.GetDelta())
+	case len(r.GetPackedRouting()) > 0:
+		t := &statev1.RoutingTable{}
+		return t, pack.Unpack(r.GetPackedRouting(), t)
+	default:
+		return r.GetRouting(), nil
+	}
 }
 
 func (s *Store) takeTargets(r *betweenv1.FollowResponse) {
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -121,9 +121,11 @@
 	return "http://" + address
 }
 
-// ClientOptions returns the options for connect clients.
+// ClientOptions returns the options for connect clients. The library would have
+// every answer compressed anew, however short; what is large is packed once by
+// its sender (modules/pack).
 func (p *Peers) ClientOptions() []connect.ClientOption {
-	return []connect.ClientOption{connect.WithInterceptors(p), connect.WithReadMaxBytes(maxMessage)}
+	return []connect.ClientOption{connect.WithInterceptors(p), connect.WithReadMaxBytes(maxMessage), connect.WithAcceptCompression("gzip", nil, nil)}
 }
 
 // HandlerOptions returns the options for connect handlers.
