overload: a box whose link is busy asks for no new connections and closes kept ones

Change: the box counts the bytes of its callers' and targets' connections; above half of its link (setting link-mbps) it says that it is not ready and, once the balancer has seen that, closes connections after their answers. Ready again below 0.3, or after 8 s for 8 s.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -13,12 +13,14 @@
 	"github.com/valyala/fasthttp"
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/modules/meter"
 	"havenwinch.dev/havenwinch/modules/periodic"
 	"havenwinch.dev/havenwinch/platform"
 	"havenwinch.dev/havenwinch/routers/between"
 	callers "havenwinch.dev/havenwinch/routers/gateway"
 	"havenwinch.dev/havenwinch/services/forward"
 	"havenwinch.dev/havenwinch/services/gateway"
+	"havenwinch.dev/havenwinch/services/overload"
 )
 
 const (
@@ -38,6 +40,8 @@
 	leases    *gateway.Leases
 	shared    *gateway.Shared
 	between   *http.Server
+	meter     *meter.Meter
+	overload  *overload.Watcher
 	forwarder *forward.Forwarder
 	callers   *callers.Server
 	ready     *fasthttp.Server
@@ -45,7 +49,8 @@
 }
 
 func newEntryRole(b *forwardBox) *entryRole {
-	e := &entryRole{forwardBox: b}
+	e := &entryRole{forwardBox: b, meter: &meter.Meter{}}
+	e.overload = &overload.Watcher{Link: b.Settings.LinkMbps, Meter: e.meter, Clock: b.Clock, Logger: b.Logger}
 	e.leases = gateway.NewLeases(gateway.LeasesOptions{
 		Box: b.Settings.Box, Process: newIncarnation(), Address: b.Settings.BetweenAddress(), DataCentre: b.Settings.DataCentre,
 		Store: b.Store, Client: b.Client, Clock: b.Clock, Logger: b.Logger,
@@ -60,6 +65,7 @@
 		Clock:      b.Clock,
 		Logger:     b.Logger,
 		Counter:    b.Metrics,
+		Meter:      e.meter,
 		RetryRatio: b.Settings.RetryRatio,
 		RetryStock: b.Settings.RetryStock,
 	})
@@ -74,6 +80,7 @@
 		},
 		Clock:  b.Clock,
 		Logger: b.Logger,
+		Sheds:  e.overload.Sheds,
 		Work:   b.Graceful.Hammer(),
 	})
 	e.ready = quietServer(platform.ReadyHandler(e.isReady))
@@ -84,6 +91,9 @@
 	if e.Graceful.IsDraining() {
 		return errors.New("a planned stop has begun")
 	}
+	if e.overload.Busy() {
+		return errors.New("the link of this box is busy")
+	}
 	if !e.forwarder.Ready() {
 		return errors.New("no routing table or no target is known yet")
 	}
@@ -102,12 +112,13 @@
 	}
 	e.spawn(follower.Run)
 	e.spawn(e.leases.Run)
+	e.spawn(e.overload.Run)
 	e.spawn(e.forwarder.Run)
 	if _, err := e.serve("ready-listen", e.Settings.ReadyListen, e.ready.Serve); err != nil {
 		return err
 	}
 	var err error
-	e.listener, err = e.serve("caller-listen", e.Settings.CallerListen, e.callers.Serve)
+	e.listener, err = e.serve("caller-listen", e.Settings.CallerListen, func(l net.Listener) error { return e.callers.Serve(e.meter.Listener(l)) })
 	return err
 }
 
--- /dev/null
+++ b/modules/meter/meter.go
@@ -0,0 +1,81 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package meter counts the bytes that a box sends and receives.
+package meter
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+)
+
+// Meter counts bytes since its start. A nil meter counts nothing.
+type Meter struct {
+	received atomic.Int64
+	sent     atomic.Int64
+}
+
+// Received adds bytes that came in.
+func (m *Meter) Received(n int) {
+	if m != nil {
+		m.received.Add(int64(n))
+	}
+}
+
+// Sent adds bytes that went out.
+func (m *Meter) Sent(n int) {
+	if m != nil {
+		m.sent.Add(int64(n))
+	}
+}
+
+// Totals returns the bytes received and sent.
+func (m *Meter) Totals() (received, sent int64) { return m.received.Load(), m.sent.Load() }
+
+// Reader counts what is read through it.
+func (m *Meter) Reader(r io.Reader) io.Reader { return &reader{r, m} }
+
+type reader struct {
+	io.Reader
+	m *Meter
+}
+
+func (r *reader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.m.Received(n)
+	return n, err
+}
+
+// Listener counts the bytes of all connections that it accepts.
+func (m *Meter) Listener(l net.Listener) net.Listener { return &listener{l, m} }
+
+type listener struct {
+	net.Listener
+	m *Meter
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{c, l.m}, nil
+}
+
+type conn struct {
+	net.Conn
+	m *Meter
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.m.Received(n)
+	return n, err
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.m.Sent(n)
+	return n, err
+}
--- a/modules/setting/forward.go
+++ b/modules/setting/forward.go
@@ -34,8 +34,11 @@
 	SecretFile     string
 	FirstStart     bool
 	// Tolerated is how many control boxes may be lost at once.
-	Tolerated  int
-	MemoryMB   int
+	Tolerated int
+	MemoryMB  int
+	// LinkMbps is what the box's link carries in each direction; zero when it is
+	// not known.
+	LinkMbps   float64
 	RetryRatio float64
 	RetryStock float64
 	StopLimit  time.Duration
@@ -78,6 +81,7 @@
 		&cli.BoolFlag{Name: "first-start", Usage: "the whole fleet starts for the first time, with empty disks", Destination: &f.FirstStart, Sources: source("first-start")},
 		&cli.IntFlag{Name: "tolerated", Value: 1, Usage: "control boxes that may be lost at once; the control group has twice as many and one", Destination: &f.Tolerated, Sources: source("tolerated")},
 		&cli.IntFlag{Name: "memory-mb", Value: 256, Usage: "memory of this process in MB", Destination: &f.MemoryMB, Sources: source("memory-mb")},
+		&cli.FloatFlag{Name: "link-mbps", Usage: "megabits a second that the link of this box carries; 0 when not known", Destination: &f.LinkMbps, Sources: source("link-mbps")},
 		&cli.FloatFlag{Name: "retry-ratio", Value: 0.1, Usage: "share of the calls of a service that may be sent to a further target, over the whole fleet", Destination: &f.RetryRatio, Sources: source("retry-ratio")},
 		&cli.FloatFlag{Name: "retry-stock", Value: 20, Usage: "further sends beside the share, over the whole fleet", Destination: &f.RetryStock, Sources: source("retry-stock")},
 		duration("stop-limit", 10*time.Second, "time for a planned stop", &f.StopLimit),
@@ -153,6 +157,7 @@
 func (f *Forward) checkBounds(c *checker) {
 	c.require(f.MemoryMB >= memoryLeast, "memory-mb", "must be at least %d", memoryLeast)
 	c.require(f.Tolerated >= 0 && f.Tolerated <= 3, "tolerated", "must lie between 0 and 3")
+	c.require(f.LinkMbps >= 0, "link-mbps", "must not be negative")
 	c.require(f.RetryRatio >= 0 && f.RetryRatio <= 1, "retry-ratio", "must lie between 0 and 1")
 	c.require(f.RetryStock >= 0, "retry-stock", "must not be negative")
 	c.require(f.StopLimit > 0, "stop-limit", "must be above zero")
--- a/routers/gateway/answer.go
+++ b/routers/gateway/answer.go
@@ -49,7 +49,7 @@
 
 // closing tells the caller when the connection closes after this answer.
 func (ss *session) closing() {
-	if ss.s.stopping.Load() {
+	if ss.s.stopping.Load() || ss.s.opts.Sheds != nil && ss.s.opts.Sheds() {
 		ss.last = true
 	}
 	if ss.last {
--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -52,6 +52,9 @@
 	Limits func() *statev1.CallerLimits
 	Clock  clock.Clock
 	Logger *slog.Logger
+	// Sheds tells whether connections should close after their answers; nil for
+	// never.
+	Sheds func() bool
 	// Work ends when calls in progress must end.
 	Work context.Context
 }
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -53,20 +53,20 @@
 	x.stop = context.AfterFunc(ctx, c.close)
 	head := writeHead(call, own)
 	if len(call.Body) <= inlineBody {
-		if _, err := c.net.Write(append(head, call.Body...)); err != nil {
+		if _, err := c.Write(append(head, call.Body...)); err != nil {
 			x.abandon()
 			return nil, errors.Wrap(errNoAnswer, err.Error())
 		}
 		return x, nil
 	}
-	if _, err := c.net.Write(head); err != nil {
+	if _, err := c.Write(head); err != nil {
 		x.abandon()
 		return nil, errors.Wrap(errNoAnswer, err.Error())
 	}
 	// A target may answer before it has read a long body.
 	x.upload = make(chan struct{})
 	go func() {
-		if _, err := c.net.Write(call.Body); err == nil {
+		if _, err := c.Write(call.Body); err == nil {
 			close(x.upload)
 		}
 	}()
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -17,6 +17,7 @@
 	"havenwinch.dev/havenwinch/models/routing"
 	"havenwinch.dev/havenwinch/models/spread"
 	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/meter"
 	"havenwinch.dev/havenwinch/services/gateway"
 	"havenwinch.dev/havenwinch/services/timeline"
 	"havenwinch.dev/havenwinch/structs"
@@ -25,7 +26,7 @@
 const (
 	// leaseWaitShare is the part of a route's objective that a call waits for
 	// tokens; one that is refused sooner can still be answered in time elsewhere.
-	leaseWaitShare = 0.18
+	leaseWaitShare = 0.15
 	// retrySoon and retryLater are when to ask again.
 	retrySoon  = 300 * time.Millisecond
 	retryLater = time.Second
@@ -73,6 +74,8 @@
 	Clock      clock.Clock
 	Logger     *slog.Logger
 	Counter    Counter
+	// Meter counts the bytes of targets' connections; nil for none.
+	Meter *meter.Meter
 	// RetryRatio and RetryStock bound further sends over the whole fleet: a
 	// share of the calls in a window, and a number beside it.
 	RetryRatio float64
@@ -92,7 +95,7 @@
 
 // New returns a forwarder.
 func New(opts Options) *Forwarder {
-	return &Forwarder{opts: opts, pool: newPool(opts.Clock.Boot), targets: spread.NewTable(opts.DataCentre)}
+	return &Forwarder{opts: opts, pool: newPool(opts.Clock.Boot, opts.Meter), targets: spread.NewTable(opts.DataCentre)}
 }
 
 // Refresh takes the targets of the store in.
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"havenwinch.dev/havenwinch/models/spread"
+	"havenwinch.dev/havenwinch/modules/meter"
 )
 
 const (
@@ -36,6 +37,7 @@
 type conn struct {
 	net    net.Conn
 	reader *bufio.Reader
+	meter  *meter.Meter
 	target string
 	// restsTo is when an idle connection must not be used any more.
 	restsTo time.Duration
@@ -44,23 +46,32 @@
 
 func (c *conn) close() { _ = c.net.Close() }
 
+// Write implements io.Writer.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.net.Write(p)
+	c.meter.Sent(n)
+	return n, err
+}
+
 // pool holds idle connections by target.
 type pool struct {
 	dialer net.Dialer
 	now    func() time.Duration
+	meter  *meter.Meter
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
-func newPool(now func() time.Duration) *pool {
+func newPool(now func() time.Duration, m *meter.Meter) *pool {
 	return &pool{
 		dialer: net.Dialer{
 			Timeout:         dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 		},
-		now:  now,
-		idle: map[string][]*conn{},
+		now:   now,
+		meter: m,
+		idle:  map[string][]*conn{},
 	}
 }
 
@@ -119,7 +130,7 @@
 	if tcp, ok := c.(*net.TCPConn); ok {
 		limitUnacked(tcp)
 	}
-	return &conn{net: c, reader: bufio.NewReaderSize(c, readBuffer), target: t.ID}, nil
+	return &conn{net: c, reader: bufio.NewReaderSize(p.meter.Reader(c), readBuffer), meter: p.meter, target: t.ID}, nil
 }
 
 func limitUnacked(tcp *net.TCPConn) {
