--- a/models/lease/lease.go
+++ b/models/lease/lease.go
@@ -31,6 +31,8 @@
 	Asked    bool
 	// need is what waiting requests lack.
 	need uint64
+	// missed is what requests asked for in vain, cumulative: it is demand, too.
+	missed uint64
 	// rate is the smoothed demand in tokens a second.
 	rate    float64
 	counted uint64
@@ -125,6 +127,9 @@
 	l.Spent += min(spent, reserved)
 }
 
+// Missed notes that a request asked in vain.
+func (t *Table) Missed(organisation string, tokens uint64) { t.Of(organisation).missed += tokens }
+
 // Need adds to what waiting requests lack; a negative amount takes it back.
 func (t *Table) Need(organisation string, tokens int64) {
 	l := t.Of(organisation)
@@ -176,9 +181,10 @@
 	}
 }
 
-// measure smooths the demand: what is spent and what requests lack.
+// measure smooths the demand: what is spent, and what requests asked for in
+// vain.
 func (l *Lease) measure(now time.Duration) {
-	total := l.Spent + l.Reserved
+	total := l.Spent + l.Reserved + l.missed
 	elapsed := (now - l.updated).Seconds()
 	if l.updated == 0 || elapsed <= 0 {
 		l.updated, l.counted = now, total
--- a/services/gateway/draws.go
+++ b/services/gateway/draws.go
@@ -28,7 +28,7 @@
 	outcome, status := l.Reserve(ctx, r.GetOrganisation(), r.GetTokens(), time.Duration(r.GetWait())*time.Millisecond)
 	if outcome == Reserved {
 		l.hold(r)
-	} else {
+	} else if r.GetWait() > 0 {
 		l.Logger.Info("draw refused", "request", timeline.RequestOf(ctx), "draw", r.GetId(), "organisation", r.GetOrganisation(), "tokens", r.GetTokens(), "outcome", outcome.String(),
 			"lease_free", status.Free, "budget_left", status.Left, "budget_unallotted", status.Unallotted, "lease_age_ms", status.Age)
 	}
--- a/services/gateway/leases.go
+++ b/services/gateway/leases.go
@@ -129,15 +129,31 @@
 	if l.table.Reserve(organisation, tokens, l.Clock.Boot()) {
 		return Reserved, l.status(organisation)
 	}
+	outcome := l.wait(ctx, organisation, tokens, wait)
+	if outcome == Short {
+		l.table.Missed(organisation, tokens)
+	}
+	return outcome, l.status(organisation)
+}
+
+// wait waits until the lease holds enough tokens and control has heard of the
+// reservation; the caller holds the lock.
+func (l *Leases) wait(ctx context.Context, organisation string, tokens uint64, wait time.Duration) Outcome {
+	if l.table.Exhausted(organisation, tokens) {
+		return Exhausted
+	}
+	if wait == 0 {
+		return Short
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	l.table.Need(organisation, int64(tokens))
 	outcome := l.obtain(ctx, organisation, tokens, timer.C)
 	l.table.Need(organisation, -int64(tokens))
 	if outcome == Reserved && !l.announce(ctx, organisation, tokens, timer.C) {
-		outcome = Short
+		return Short
 	}
-	return outcome, l.status(organisation)
+	return outcome
 }
 
 // obtain waits until the lease holds enough tokens.
--- a/services/gateway/shared.go
+++ b/services/gateway/shared.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cespare/xxhash/v2"
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
@@ -24,10 +23,10 @@
 
 const (
 	// drawTimeout bounds a draw at another box, beside what that box may wait.
-	drawTimeout = 120 * time.Millisecond
-	// drawPatience bounds the time for all boxes that are asked, beside what one
-	// of them may wait.
-	drawPatience = 350 * time.Millisecond
+	drawTimeout = 80 * time.Millisecond
+	// drawPatience is how much longer than one may wait all boxes together may
+	// take.
+	drawPatience = 1.5
 	// drawMargin is added to a draw's lifetime for its settlement to arrive.
 	drawMargin = 4 * time.Second
 	// freshAge is the age of control's answer up to which a holder is in touch,
@@ -56,7 +55,8 @@
 	Dial   func(address string) betweenv1connect.DrawServiceClient
 	Logger *slog.Logger
 
-	draws atomic.Uint64
+	draws, turn atomic.Uint64
+
 	mu    sync.Mutex
 	peers map[string]*peer
 }
@@ -78,7 +78,7 @@
 	if deadline, limited := ctx.Deadline(); limited {
 		q.lifetime = time.Until(deadline) + drawMargin
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+drawPatience)
+	ctx, cancel := context.WithTimeout(ctx, max(drawTimeout, time.Duration(drawPatience*float64(wait))))
 	defer cancel()
 	o := s.reserve(ctx, q, wait)
 	return o.reservation, o.outcome, o.status
@@ -149,13 +149,13 @@
 
 func (s *Shared) self() lease.Box { return lease.Box{Name: s.Box, DataCentre: s.DataCentre} }
 
-// rotate puts this box first, and else spreads the boxes that ask over those
-// that are asked.
+// rotate puts this box first, and else spreads the draws over the boxes that
+// are asked.
 func (s *Shared) rotate(boxes []lease.Box) []lease.Box {
 	if len(boxes) == 0 {
 		return nil
 	}
-	first := int(xxhash.Sum64String(s.Box) % uint64(len(boxes)))
+	first := int(s.turn.Add(1) % uint64(len(boxes)))
 	for i, b := range boxes {
 		if b.Name == s.Box {
 			first = i
