raft: a control box is in step once it has applied what its leader committed in its term

Change: a follower is in step when it has all that the message's leader had committed, with an entry of that leader's term among it, and all of it is applied. The log is compacted from 1 MB, tables are small in it now.

--- a/cmd/havenwinchd/forward_control.go
+++ b/cmd/havenwinchd/forward_control.go
@@ -89,8 +89,8 @@
 const replaceAfter = 4 * time.Second
 
 // compactAfter is the size of the log file after which a snapshot is taken, in
-// bytes; disks are small.
-const compactAfter = 4 << 20
+// bytes; what is left of it is applied anew after a restart.
+const compactAfter = 1 << 20
 
 // row returns a target's row, nil for one that is not known.
 func (r *controlRole) row(id string) (row *statev1.RegisteredTarget) {
--- a/modules/raft/core.go
+++ b/modules/raft/core.go
@@ -110,7 +110,9 @@
 	released    uint64
 	// heard is when a leader was last heard of, due when to start an election.
 	heard time.Duration
-	due   time.Duration
+	// stepped is when this box last had all that its leader had committed.
+	stepped time.Duration
+	due     time.Duration
 	// since is when this box became leader.
 	since    time.Duration
 	votes    map[string]bool
--- a/modules/raft/core_replicate.go
+++ b/modules/raft/core_replicate.go
@@ -80,11 +80,24 @@
 	}
 	last := r.GetPrevIndex() + uint64(len(r.GetEntries()))
 	c.setCommit(min(r.GetCommit(), last))
+	if c.commit >= r.GetCommit() && c.log.termAt(c.commit) == c.term {
+		c.stepped = now
+	}
 	resp.Success = true
 	resp.Index = last
 	return resp
 }
 
+// InStep returns when this box was last known to have all that was committed: a
+// leader while a quorum follows it, once it has committed in its own term, and
+// a follower with such a leader.
+func (c *Core) InStep(now time.Duration) time.Duration {
+	if c.role == Leader && c.log.termAt(c.commit) == c.term {
+		c.stepped = max(c.stepped, c.quorumAcked(now))
+	}
+	return c.stepped
+}
+
 func (c *Core) matches(r *betweenv1.AppendRequest) bool {
 	if r.GetPrevIndex() < c.log.index {
 		// All up to the snapshot is committed and so equal everywhere.
--- a/modules/raft/node.go
+++ b/modules/raft/node.go
@@ -69,7 +69,9 @@
 	stored  Stored
 	waiters map[uint64]waiter
 	applied uint64
-	failed  error
+	// inStep is when all that was committed had been applied here.
+	inStep time.Duration
+	failed error
 	// capturing is set while a snapshot is encoded in the background.
 	capturing bool
 	proposals chan proposal
@@ -209,19 +211,18 @@
 }
 
 // OutOfTouch returns how long ago this box was last known to be in step with
-// the group: as a leader with a quorum, as a follower with its leader.
+// the group, with all that was committed applied.
 func (n *Node) OutOfTouch() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.opts.Clock.Boot()
-	switch {
-	case n.usable() != nil:
+	if n.usable() != nil {
 		return now
-	case n.core.role == Leader:
-		return now - n.core.quorumAcked(now)
-	default:
-		return now - n.core.heard
 	}
+	if n.applied >= n.core.commit {
+		n.inStep = max(n.inStep, n.core.InStep(now))
+	}
+	return now - n.inStep
 }
 
 // Status returns a reading for operators.
--- a/services/gateway/follow.go
+++ b/services/gateway/follow.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/modules/periodic"
 )
 
@@ -54,6 +55,18 @@
 	}
 }
 
+// mostNews is how many targets of one message are logged one by one.
+const mostNews = 12
+
+// news returns the targets of a message that are logged one by one: none of a
+// whole table, and few of many.
+func news(r *betweenv1.FollowResponse) []*statev1.RegisteredTarget {
+	if r.GetAllTargets() {
+		return nil
+	}
+	return r.GetTargets()[:min(mostNews, len(r.GetTargets()))]
+}
+
 // sentVersion is the version of the table that a follower has after a message;
 // zero when it brings none. One in short is of the version that the source had.
 func sentVersion(r *betweenv1.FollowResponse) uint64 {
@@ -140,7 +153,8 @@
 		f.Logger.Info("routing table in force", "version", t.GetVersion(), "routes", len(t.GetRoutes()), "organisations", len(t.GetPayers()), "changes_of", r.GetDelta().GetBase())
 	}
 	if newTargets {
-		for _, t := range r.GetTargets() {
+		f.Logger.Info("targets known", "revision", r.GetTargetRevision(), "whole", r.GetAllTargets(), "rows", len(r.GetTargets()))
+		for _, t := range news(r) {
 			f.Logger.Info("target seen", "target", t.GetId(), "service", t.GetService(), "address", t.GetAddress(), "state", t.GetState().String(), "revision", t.GetRevision())
 		}
 	}
