--- a/services/control/directory.go
+++ b/services/control/directory.go
@@ -28,7 +28,7 @@
 	made *lease.Directory
 	// since is when this box began to gather, last when it heard a report.
 	since, last time.Duration
-	swept       time.Duration
+	sweeps      sweeps
 }
 
 type directoryRow struct {
@@ -58,10 +58,9 @@
 
 // sweep removes boxes that have not reported for long.
 func (d *directory) sweep(now time.Duration) {
-	if now-d.swept < sweepEvery {
+	if !d.sweeps.due(now) {
 		return
 	}
-	d.swept = now
 	for name, row := range d.rows {
 		if now-row.at > listedFor {
 			delete(d.rows, name)
@@ -85,6 +84,18 @@
 	return d.made
 }
 
+// sweeps spaces the looks at rows that are over.
+type sweeps struct{ last time.Duration }
+
+// due tells whether it is time for the next look, and notes it.
+func (s *sweeps) due(now time.Duration) bool {
+	if now-s.last < sweepEvery {
+		return false
+	}
+	s.last = now
+	return true
+}
+
 // wireDirectory returns a directory as it is sent, nil for a box that has it.
 func wireDirectory(d *lease.Directory, has uint64) *betweenv1.Directory {
 	if d == nil || d.Version == has {
--- a/services/control/gateway.go
+++ b/services/control/gateway.go
@@ -41,9 +41,9 @@
 	mu      sync.Mutex
 	holders map[string]*holderRow
 	// boxes lists the entry boxes.
-	boxes directory
-	days  map[string]dayReading
-	swept time.Duration
+	boxes  directory
+	days   map[string]dayReading
+	sweeps sweeps
 	// told names holders of which the log has said that nothing is reclaimed.
 	told map[string]bool
 }
@@ -221,10 +221,9 @@
 // sweepHolders forgets holders that have fallen silent; the caller holds the
 // lock.
 func (g *Gateway) sweepHolders(now time.Duration) {
-	if now-g.swept < sweepEvery {
+	if !g.sweeps.due(now) {
 		return
 	}
-	g.swept = now
 	for name, other := range g.holders {
 		if now-other.at > holderTimeout {
 			delete(g.holders, name)
--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -69,6 +69,9 @@
 
 var fleets atomic.Int64
 
+// centres is how many data centres a fleet has.
+const centres = 2
+
 // newFleet lays boxes out; every fleet has a net of its own, told apart by the
 // process and a count.
 func newFleet(t *testing.T, controls, entries int) *fleet {
@@ -89,8 +92,9 @@
 			b.name, b.role = fmt.Sprintf("entry-%d", i-controls+1), "entry"
 		}
 		b.folder = filepath.Join(f.folder, b.name)
+		centre := "zone-" + string(rune('a'+i%centres))
 		b.env = []string{
-			"HAVENWINCH_BOX=" + b.name, "HAVENWINCH_DATA_CENTRE=zone-a", "HAVENWINCH_ROLE=" + b.role, "HAVENWINCH_IP=" + b.ip,
+			"HAVENWINCH_BOX=" + b.name, "HAVENWINCH_DATA_CENTRE=" + centre, "HAVENWINCH_ROLE=" + b.role, "HAVENWINCH_IP=" + b.ip,
 			"HAVENWINCH_BETWEEN_PORT=" + strconv.Itoa(f.ports.between), "HAVENWINCH_SEEDS=" + strings.Join(seeds, ","),
 			"HAVENWINCH_CALLER_LISTEN=" + f.at(b, f.ports.caller), "HAVENWINCH_READY_LISTEN=" + f.at(b, f.ports.ready),
 			"HAVENWINCH_REGISTRY_LISTEN=" + f.at(b, f.ports.registry), "HAVENWINCH_METRICS_LISTEN=" + f.at(b, f.ports.metrics),
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -24,6 +24,10 @@
 	// defaultSeconds is how long a run of one seed is; SOAK_SECONDS sets it.
 	defaultSeconds = 6
 	soakCallers    = 12
+	// One seed of largeEvery has many entry boxes, so that most of them draw on
+	// leases that others hold.
+	largeEvery   = 8
+	largeEntries = 20
 )
 
 // TestSoak plays random faults: the seeds of SOAK_SEEDS ("first,count"), or one
@@ -59,7 +63,11 @@
 // and looks whether it is served again.
 func soak(t *testing.T, seed int64, length time.Duration) {
 	rng := rand.New(rand.NewSource(seed))
-	w := newWorld(t, seed, 3+rng.Intn(2), 2+rng.Intn(3), 3, 2)
+	controls, entries := 3+rng.Intn(2), 2+rng.Intn(3)
+	if seed%largeEvery == largeEvery-1 {
+		entries = largeEntries
+	}
+	w := newWorld(t, seed, controls, entries, 3, 2)
 	t.Cleanup(func() {
 		if t.Failed() {
 			w.keepLogs(t, seed)
