lease: a box from which much of the demand comes gets a lease of its own

Ruled out: the budget (15 to 25 M tokens left), control (answers 0 to 600 ms old). Change: a box reports its demand for organisations that it draws on with 4,000 tokens a second or more; from a twelfth of the demand on it gets a lease like a holder and draws on itself first. A holder rests after three draws without answer, not one. Checked: TestHeavyGuestGetsALease, TestHeavyGuestReports, TestOwnTokensGoFirst.

--- a/models/lease/lease.go
+++ b/models/lease/lease.go
@@ -33,6 +33,8 @@
 	need uint64
 	// missed is what requests asked for in vain, cumulative: it is demand, too.
 	missed uint64
+	// drawn is what this box's requests drew at other boxes, cumulative.
+	drawn uint64
 	// rate is the smoothed demand in tokens a second.
 	rate    float64
 	counted uint64
@@ -78,6 +80,12 @@
 	return l != nil && (l.Allotted > 0 || l.need > 0)
 }
 
+// Holding tells whether there are tokens of an organisation here.
+func (t *Table) Holding(organisation string) bool {
+	l := t.Leases[organisation]
+	return l != nil && l.Free() > 0
+}
+
 // Reserve sets tokens aside; false when there are too few, or when too many
 // would be used without a report.
 func (t *Table) Reserve(organisation string, tokens uint64, now time.Duration) bool {
@@ -130,6 +138,24 @@
 // Missed notes that a request asked in vain.
 func (t *Table) Missed(organisation string, tokens uint64) { t.Of(organisation).missed += tokens }
 
+// Drawn notes that a request drew on another box's lease.
+func (t *Table) Drawn(organisation string, tokens uint64) { t.Of(organisation).drawn += tokens }
+
+// heavyRate is the demand, in tokens a second, from which on control should
+// hear of an organisation that this box holds no lease of.
+const heavyRate = 4000
+
+// Heavy tells whether this box's requests draw much on an organisation's leases
+// elsewhere.
+func (t *Table) Heavy(organisation string, now time.Duration) bool {
+	l := t.Leases[organisation]
+	if l == nil || l.drawn == 0 {
+		return false
+	}
+	l.measure(now)
+	return l.rate >= heavyRate
+}
+
 // Need adds to what waiting requests lack; a negative amount takes it back.
 func (t *Table) Need(organisation string, tokens int64) {
 	l := t.Of(organisation)
@@ -181,10 +207,10 @@
 	}
 }
 
-// measure smooths the demand: what is spent, and what requests asked for in
-// vain.
+// measure smooths the demand: what is spent, here or elsewhere, and what
+// requests asked for in vain.
 func (l *Lease) measure(now time.Duration) {
-	total := l.Spent + l.Reserved + l.missed
+	total := l.Spent + l.Reserved + l.missed + l.drawn
 	elapsed := (now - l.updated).Seconds()
 	if l.updated == 0 || elapsed <= 0 {
 		l.updated, l.counted = now, total
--- a/services/control/directory_test.go
+++ b/services/control/directory_test.go
@@ -53,6 +53,50 @@
 	}
 }
 
+// A box from which much of an organisation's demand comes gets a lease of its
+// own, and gives it back when that is over.
+func TestHeavyGuestGetsALease(t *testing.T) {
+	f := newGateway(t)
+	f.hearAll(t, 9)
+	f.clock.Advance(gatherFor)
+	f.hearAll(t, 9)
+	guest, holder := "", ""
+	f.mu.Lock()
+	d := f.boxes.current(f.clock.Boot())
+	for _, b := range d.Boxes {
+		if d.Holds(b.Name, "dc", "o") {
+			holder = b.Name
+		} else {
+			guest = b.Name
+		}
+	}
+	f.mu.Unlock()
+	sample := uint64(1)
+	ask := func(box string, rate, returned uint64) *betweenv1.LeaseGrant {
+		t.Helper()
+		sample++
+		resp, err := f.Lease(context.Background(), &betweenv1.LeaseRequest{
+			Holder: box + "@1", Box: box, Address: box + ":1", DataCentre: "dc", Sample: sample,
+			Reports: []*betweenv1.LeaseReport{{Organisation: "o", Rate: rate, Returned: returned}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.GetGrants()[0]
+	}
+	ask(holder, 24000, 0)
+	if got := ask(guest, 1500, 0).GetAllotted(); got != 0 {
+		t.Fatalf("a box with a small part of the demand was granted %d", got)
+	}
+	got := ask(guest, 6000, 0)
+	if got.GetAllotted() == 0 {
+		t.Fatal("a box with a quarter of the demand was granted nothing")
+	}
+	if got := ask(guest, 100, 0); got.GetKeep() != 0 {
+		t.Fatalf("a box that draws little any more keeps %d", got.GetKeep())
+	}
+}
+
 // The directory outlives a cut of all boxes, and is not given out by a box that
 // has just begun to lead.
 func TestDirectoryOutlivesACut(t *testing.T) {
--- a/services/control/gateway.go
+++ b/services/control/gateway.go
@@ -158,7 +158,7 @@
 	if !r.GetLeaving() {
 		decision = allot.Lease(
 			allot.LeaseState{Prepaid: b.Granted, Unallotted: b.Unallotted(), Holders: d.Count(b.Name), Free: free, Rate: rate},
-			allot.LeaseDemand{Part: partOf(r, d, b.Name), Available: available, Reserved: report.GetReserved(), Rate: report.GetRate(), Need: report.GetNeed()},
+			allot.LeaseDemand{Part: partOf(r, d, report, rate, available > report.GetReserved()), Available: available, Reserved: report.GetReserved(), Rate: report.GetRate(), Need: report.GetNeed()},
 		)
 	}
 	grant.Allotted, grant.Keep, grant.Left, grant.Unallotted = row.GetAllotted(), decision.Keep, left, b.Unallotted()-decision.Grant
@@ -171,15 +171,26 @@
 	}
 }
 
+// heavyParts is the part of an organisation's demand, as one in so many, from
+// which on a box gets a lease of its own.
+const heavyParts = 12
+
 // partOf tells whether a box should hold an organisation's lease. One that
-// others can't draw at holds its own.
-func partOf(r *betweenv1.LeaseRequest, d *lease.Directory, organisation string) allot.LeasePart {
+// others can't draw at holds its own, and so does one from which much of the
+// organisation's demand comes; one that has a lease keeps it a little longer.
+func partOf(r *betweenv1.LeaseRequest, d *lease.Directory, report *betweenv1.LeaseReport, rate uint64, has bool) allot.LeasePart {
+	parts := uint64(heavyParts)
+	if has {
+		parts *= 2
+	}
 	switch {
 	case r.GetAddress() == "":
 		return allot.LeaseHolder
 	case d == nil:
 		return allot.LeaseUndecided
-	case d.Holds(r.GetBox(), r.GetDataCentre(), organisation):
+	case d.Holds(r.GetBox(), r.GetDataCentre(), report.GetOrganisation()):
+		return allot.LeaseHolder
+	case report.GetRate() > 0 && report.GetRate()*parts >= rate:
 		return allot.LeaseHolder
 	default:
 		return allot.LeaseGuest
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -31,7 +31,7 @@
 // received is one request that a scripted target has read.
 type received struct {
 	id, target, last, org, rank string
-	body                        string
+	body, deadline              string
 }
 
 // target answers each request with the next of its scripts.
@@ -82,7 +82,7 @@
 			return
 		}
 		h := req.Header
-		rec := received{id: h.Get("X-Id"), target: h.Get("X-Expect"), last: h.Get("X-Last"), org: h.Get("X-Org"), rank: h.Get("X-Rank"), body: string(body)}
+		rec := received{id: h.Get("X-Id"), target: h.Get("X-Expect"), last: h.Get("X-Last"), org: h.Get("X-Org"), rank: h.Get("X-Rank"), deadline: h.Get("X-Deadline"), body: string(body)}
 		tg.mu.Lock()
 		at := len(tg.got)
 		tg.got = append(tg.got, rec)
--- a/services/gateway/leases.go
+++ b/services/gateway/leases.go
@@ -200,6 +200,20 @@
 	return s
 }
 
+// Drawn notes that a request drew on another box's lease.
+func (l *Leases) Drawn(organisation string, tokens uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Drawn(organisation, tokens)
+}
+
+// Holding tells whether this box has tokens of an organisation.
+func (l *Leases) Holding(organisation string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Holding(organisation)
+}
+
 // Settle ends a reservation with what was spent of it.
 func (l *Leases) Settle(organisation string, reserved, spent uint64) {
 	l.mu.Lock()
--- a/services/gateway/peer.go
+++ b/services/gateway/peer.go
@@ -17,10 +17,13 @@
 )
 
 const (
+	// silentBefore is how many draws in a row may go unanswered before a box
+	// rests: a full link of this box delays answers, too.
+	silentBefore = 3
 	// firstRest and longestRest bound the time for which a box is not asked
 	// that gave no answer.
 	firstRest   = 250 * time.Millisecond
-	longestRest = 4 * time.Second
+	longestRest = 2 * time.Second
 	// settleDelay is how long settlements are gathered into one message.
 	settleDelay = 60 * time.Millisecond
 	// settleTimeout bounds one message, settlePause the time between tries.
@@ -56,7 +59,7 @@
 func (p *peer) available(now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.failures == 0 {
+	if p.failures < silentBefore {
 		return true
 	}
 	if now < p.restsTo {
@@ -69,7 +72,7 @@
 func (p *peer) reached(logger *slog.Logger) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.failures > 0 {
+	if p.failures >= silentBefore {
 		logger.Info("dependency regained", "dependency", "lease holder", "box", p.box.Name, "address", p.box.Address)
 	}
 	p.failures = 0
@@ -78,14 +81,21 @@
 func (p *peer) unreached(now time.Duration, err error, logger *slog.Logger) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.failures == 0 {
-		logger.Warn("dependency lost", "dependency", "lease holder", "box", p.box.Name, "address", p.box.Address, "reason", err.Error())
-	} else if now < p.restsTo-drawTimeout {
+	if p.failures >= silentBefore && now < p.restsTo-drawTimeout {
 		// It was asked before the box was found out of reach.
 		return
 	}
-	p.restsTo = now + min(longestRest, firstRest<<min(p.failures, 5))
+	if connect.CodeOf(err) == connect.CodeUnavailable {
+		// Its machine says that nothing listens there.
+		p.failures = max(p.failures, silentBefore-1)
+	}
 	p.failures++
+	if p.failures == silentBefore {
+		logger.Warn("dependency lost", "dependency", "lease holder", "box", p.box.Name, "address", p.box.Address, "reason", err.Error())
+	}
+	if p.failures >= silentBefore {
+		p.restsTo = now + min(longestRest, firstRest<<min(p.failures-silentBefore, 5))
+	}
 }
 
 // settle sends a settlement until the box has it, or it is of no use any more.
--- a/services/gateway/report.go
+++ b/services/gateway/report.go
@@ -83,8 +83,8 @@
 	defer l.mu.Unlock()
 	now := l.Clock.Boot()
 	l.expireDraws(now)
-	organisations := l.reports(index)
-	if len(organisations) == 0 && !l.leaving && l.reported > 0 && now-l.reported < presenceInterval {
+	organisations, holds := l.reports(index, now)
+	if !holds && !l.leaving && l.reported > 0 && now-l.reported < presenceInterval {
 		return nil
 	}
 	l.reported = now
@@ -115,15 +115,22 @@
 }
 
 // reports returns the organisations that control has to hear of: those of which
-// this box has a lease or should have one. The caller holds the lock.
-func (l *Leases) reports(index *routing.Index) []string {
-	var list []string
+// this box has a lease or should have one, and those that it draws on much
+// elsewhere. Holds tells whether there are any of the first two kinds. The
+// caller holds the lock.
+func (l *Leases) reports(index *routing.Index, now time.Duration) (list []string, holds bool) {
 	for _, p := range index.Table.GetPayers() {
-		if p.GetLimited() && (l.table.InUse(p.GetOrganisation()) || l.holds(p.GetOrganisation())) {
-			list = append(list, p.GetOrganisation())
+		if !p.GetLimited() {
+			continue
 		}
+		name := p.GetOrganisation()
+		held := l.table.InUse(name) || l.holds(name)
+		if held || l.table.Heavy(name, now) {
+			list = append(list, name)
+		}
+		holds = holds || held
 	}
-	return list
+	return list, holds
 }
 
 func (l *Leases) holds(organisation string) bool {
--- a/services/gateway/shared.go
+++ b/services/gateway/shared.go
@@ -86,7 +86,7 @@
 
 func (s *Shared) reserve(ctx context.Context, q drawTerms, wait time.Duration) offer {
 	directory := s.Leases.Directory()
-	near := s.atOnce(ctx, s.rotate(directory.Holders(q.organisation, s.DataCentre)), q)
+	near := s.atOnce(ctx, s.near(directory, q.organisation), q)
 	if near.final() {
 		return near
 	}
@@ -104,6 +104,16 @@
 	return near
 }
 
+// near returns the boxes of this data centre that may have tokens: this one
+// where it has some, and the organisation's holders.
+func (s *Shared) near(d *lease.Directory, organisation string) []lease.Box {
+	boxes := s.rotate(d.Holders(organisation, s.DataCentre))
+	if len(boxes) > 0 && boxes[0].Name != s.Box && s.Leases.Holding(organisation) {
+		return append([]lease.Box{s.self()}, boxes...)
+	}
+	return boxes
+}
+
 // atOnce asks boxes for what they have, one after the other, until one decides.
 // Otherwise it returns the answer of the one that heard of control last.
 func (s *Shared) atOnce(ctx context.Context, boxes []lease.Box, q drawTerms) offer {
@@ -195,6 +205,7 @@
 	switch r.GetOutcome() {
 	case betweenv1.DrawOutcome_DRAW_OUTCOME_RESERVED:
 		o.outcome = Reserved
+		s.Leases.Drawn(q.organisation, q.tokens)
 		o.reservation = Reservation{Organisation: q.organisation, Tokens: q.tokens, Holder: b.Name, peer: p, draw: id}
 	case betweenv1.DrawOutcome_DRAW_OUTCOME_EXHAUSTED:
 		o.outcome = Exhausted
--- a/services/gateway/shared_test.go
+++ b/services/gateway/shared_test.go
@@ -222,3 +222,27 @@
 		t.Fatal("it does not report any more")
 	}
 }
+
+// A box that has tokens itself asks no other one.
+func TestOwnTokensGoFirst(t *testing.T) {
+	f := newShared(func(int, bool) uint64 { return 100000 })
+	f.Leases.table.Sample(f.clock.Boot())
+	f.Leases.table.Granted("o", 50000, 50000, 1<<20, f.clock.Boot())
+	if r, outcome, _ := f.Reserve(context.Background(), "o", 1000, 0); outcome != Reserved || r.Holder != "guest" {
+		t.Fatalf("%s at %s", outcome, r.Holder)
+	}
+}
+
+// A box that draws much elsewhere says so.
+func TestHeavyGuestReports(t *testing.T) {
+	f := newShared(func(int, bool) uint64 { return 1 << 20 })
+	for range 8 {
+		f.Reserve(context.Background(), "o", 5000, 0)
+		f.clock.Advance(leaseInterval)
+		f.Leases.request()
+	}
+	f.clock.Advance(presenceInterval)
+	if r := f.Leases.request(); len(r.GetReports()) != 1 || r.GetReports()[0].GetRate() < 4000 {
+		t.Fatalf("it draws 16000 tokens a second and reports %v", r.GetReports())
+	}
+}
