gateway: what leases know is not copied beside them; holders' scores once

Read again: Leases copied the eight fields of its options, Shared had the box, data centre and logger of its Leases a second time, and the order of holders hashed every box anew in each comparison. Leases embeds its options, Shared asks Leases, each box is hashed once a look-up. No change of behaviour: the same order (a tie of hashes apart), tests as they were.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -55,7 +55,7 @@
 		Box: b.Settings.Box, Process: newIncarnation(), Address: b.Settings.BetweenAddress(), DataCentre: b.Settings.DataCentre,
 		Store: b.Store, Client: b.Client, Clock: b.Clock, Logger: b.Logger,
 	})
-	e.shared = &gateway.Shared{Box: b.Settings.Box, DataCentre: b.Settings.DataCentre, Leases: e.leases, Dial: b.Peers.Draws, Logger: b.Logger}
+	e.shared = &gateway.Shared{Leases: e.leases, Dial: b.Peers.Draws}
 	e.between = b.Peers.Server(between.NewDraws(e.leases, b.Peers.HandlerOptions()))
 	e.forwarder = forward.New(forward.Options{
 		DataCentre: b.Settings.DataCentre,
--- a/models/lease/directory.go
+++ b/models/lease/directory.go
@@ -4,6 +4,7 @@
 package lease
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -55,14 +56,12 @@
 
 // firstOf returns the boxes that come first for a key.
 func firstOf(boxes []Box, key string, most int) []Box {
+	scores := make(map[string]uint64, len(boxes))
+	for _, b := range boxes {
+		scores[b.Name] = xxhash.Sum64String(key + "\n" + b.Name)
+	}
 	list := slices.Clone(boxes)
-	score := func(b Box) uint64 { return xxhash.Sum64String(key + "\n" + b.Name) }
-	slices.SortFunc(list, func(a, b Box) int {
-		if score(a) > score(b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b Box) int { return cmp.Compare(scores[b.Name], scores[a.Name]) })
 	return list[:min(most, len(list))]
 }
 
--- a/services/control/gateway.go
+++ b/services/control/gateway.go
@@ -198,8 +198,9 @@
 }
 
 // note remembers a report. It returns how many boxes report at present, the
-// directory of them once it is sure, and the moment before which the report's sample was not yet taken: when the
-// answer to the sample before it was first sent from here.
+// directory of them once it is sure, and the moment before which the report's
+// sample was not yet taken: when the answer to the sample before it was first
+// sent from here.
 func (g *Gateway) note(r *betweenv1.LeaseRequest) (holders int, d *lease.Directory, stamp *statev1.LeaseStamp) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/services/gateway/history.go
+++ b/services/gateway/history.go
@@ -61,7 +61,7 @@
 
 func (h *history) noteLocked(t *statev1.RoutingTable) {
 	newest := h.newest()
-	if t == nil || newest.GetVersion() >= t.GetVersion() && newest != nil {
+	if t == nil || newest != nil && newest.GetVersion() >= t.GetVersion() {
 		return
 	}
 	shared := withoutSource(t)
--- a/services/gateway/leases.go
+++ b/services/gateway/leases.go
@@ -16,18 +16,9 @@
 // Leases holds an entry box's parts of the prepaid budgets and keeps them in
 // step with control.
 type Leases struct {
+	LeasesOptions
+	// Holder is the name under which control knows this process.
 	Holder string
-	// Box is the holder's box; a new holder of a box says that the former has
-	// ended.
-	Box string
-	// Address is where other entry boxes draw at this one, empty when they
-	// can't.
-	Address    string
-	DataCentre string
-	Store      *Store
-	Client     *Client
-	Clock      clock.Clock
-	Logger     *slog.Logger
 
 	mu        sync.Mutex
 	table     *lease.Table
@@ -53,7 +44,8 @@
 
 // LeasesOptions configure Leases.
 type LeasesOptions struct {
-	// Box and Process name the holder.
+	// Box and Process name the holder; a new process of a box says that the
+	// former has ended.
 	Box, Process string
 	// Address is where other entry boxes draw at this one, empty when they
 	// can't.
@@ -69,8 +61,7 @@
 // it.
 func NewLeases(opts LeasesOptions) *Leases {
 	return &Leases{
-		Holder: opts.Box + "@" + opts.Process, Box: opts.Box, Address: opts.Address, DataCentre: opts.DataCentre,
-		Store: opts.Store, Client: opts.Client, Clock: opts.Clock, Logger: opts.Logger,
+		LeasesOptions: opts, Holder: opts.Box + "@" + opts.Process,
 		table: lease.NewTable(), draws: lease.NewDraws(), changed: make(chan struct{}), urgent: make(chan struct{}, 1),
 		holders: 1, started: opts.Clock.Boot(), acked: true,
 	}
--- a/services/gateway/shared.go
+++ b/services/gateway/shared.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"maps"
 	"slices"
 	"strconv"
@@ -48,12 +47,9 @@
 // Shared reserves on the leases of a few entry boxes: of this one where it
 // holds the organisation's, else of those that do, near ones first.
 type Shared struct {
-	Box        string
-	DataCentre string
-	Leases     *Leases
+	Leases *Leases
 	// Dial returns a client of the box at an address.
-	Dial   func(address string) betweenv1connect.DrawServiceClient
-	Logger *slog.Logger
+	Dial func(address string) betweenv1connect.DrawServiceClient
 
 	draws, turn atomic.Uint64
 
@@ -98,7 +94,7 @@
 			return o
 		}
 	}
-	if far := s.atOnce(ctx, s.rotate(directory.Elsewhere(q.organisation, s.DataCentre)), q); far.final() {
+	if far := s.atOnce(ctx, s.rotate(directory.Elsewhere(q.organisation, s.Leases.DataCentre)), q); far.final() {
 		return far
 	}
 	return near
@@ -107,8 +103,8 @@
 // near returns the boxes of this data centre that may have tokens: this one
 // where it has some, and the organisation's holders.
 func (s *Shared) near(d *lease.Directory, organisation string) []lease.Box {
-	boxes := s.rotate(d.Holders(organisation, s.DataCentre))
-	if len(boxes) > 0 && boxes[0].Name != s.Box && s.Leases.Holding(organisation) {
+	boxes := s.rotate(d.Holders(organisation, s.Leases.DataCentre))
+	if len(boxes) > 0 && boxes[0].Name != s.Leases.Box && s.Leases.Holding(organisation) {
 		return append([]lease.Box{s.self()}, boxes...)
 	}
 	return boxes
@@ -157,7 +153,9 @@
 	}
 }
 
-func (s *Shared) self() lease.Box { return lease.Box{Name: s.Box, DataCentre: s.DataCentre} }
+func (s *Shared) self() lease.Box {
+	return lease.Box{Name: s.Leases.Box, DataCentre: s.Leases.DataCentre}
+}
 
 // rotate puts this box first, and else spreads the draws over the boxes that
 // are asked.
@@ -167,7 +165,7 @@
 	}
 	first := int(s.turn.Add(1) % uint64(len(boxes)))
 	for i, b := range boxes {
-		if b.Name == s.Box {
+		if b.Name == s.Leases.Box {
 			first = i
 		}
 	}
@@ -176,7 +174,7 @@
 
 // try asks one box.
 func (s *Shared) try(ctx context.Context, b lease.Box, q drawTerms, wait time.Duration) offer {
-	if b.Name == s.Box {
+	if b.Name == s.Leases.Box {
 		outcome, status := s.Leases.Reserve(ctx, q.organisation, q.tokens, wait)
 		return offer{box: b, asked: true, outcome: outcome, status: status,
 			reservation: Reservation{Organisation: q.organisation, Tokens: q.tokens, Holder: b.Name}}
@@ -196,7 +194,7 @@
 		s.lost(ctx, p, id, err)
 		return offer{outcome: Short}
 	}
-	p.reached(s.Logger)
+	p.reached(s.Leases.Logger)
 	return s.offered(p, b, id, q, resp.Msg)
 }
 
@@ -218,7 +216,7 @@
 func (s *Shared) lost(ctx context.Context, p *peer, id string, err error) {
 	p.settle(settlement{id: id, until: s.Leases.Clock.Boot() + lateDraw})
 	if ctx.Err() == nil {
-		p.unreached(s.Leases.Clock.Boot(), err, s.Logger)
+		p.unreached(s.Leases.Clock.Boot(), err, s.Leases.Logger)
 	}
 }
 
--- a/services/gateway/shared_test.go
+++ b/services/gateway/shared_test.go
@@ -79,7 +79,7 @@
 	boxes = append(boxes, lease.Box{Name: "x", Address: "x", DataCentre: "far"}, lease.Box{Name: "y", Address: "y", DataCentre: "far"})
 	d := lease.NewDirectory(boxes)
 	guest := "guest"
-	f.Shared = &Shared{Box: guest, DataCentre: "near", Logger: logging.Discard(),
+	f.Shared = &Shared{
 		Leases: holderWith(guest, "near", 0, c),
 		Dial:   func(address string) betweenv1connect.DrawServiceClient { return f.wires[address] }}
 	f.Leases.directory = d
