raft: a box votes before it has heard of its own admission

A leader put the admission of box 4 into its log and was paused before anybody had the entry. From then on its set is of four and wants three votes; the fourth box refused, since it did not know that it is a member, another box had a new disk, and the last one lacked the entry that only the paused leader had. Nobody could be elected. Change: a candidate names the disk under which its log counts the voter, and a voter that is named so votes (Ongaro 2014, section 4.1). A disk that replaced a lost one is named by nobody before its admission is committed. Before: TestABoxVotesThatDoesNotKnowOfItsAdmission ended without a leader.

--- a/modules/raft/core_election.go
+++ b/modules/raft/core_election.go
@@ -36,6 +36,7 @@
 			LastTerm:    c.log.lastTerm(),
 			PreVote:     pre,
 			Incarnation: c.incarnation,
+			Voter:       c.group[name],
 		}})
 	}
 }
@@ -67,7 +68,7 @@
 // HandleVote answers a candidate.
 func (c *Core) HandleVote(r *betweenv1.VoteRequest, now time.Duration) *betweenv1.VoteResponse {
 	refuse := &betweenv1.VoteResponse{Term: c.term, Incarnation: c.incarnation}
-	if !c.Member() || c.group[r.GetCandidate()] != r.GetIncarnation() {
+	if !c.mayVote(r) || c.group[r.GetCandidate()] != r.GetIncarnation() {
 		return refuse
 	}
 	// Silence towards candidates is what a leader's lease rests on.
@@ -83,6 +84,15 @@
 	return c.castVote(r, now)
 }
 
+// mayVote tells whether this box's disk counts for a candidate. A box may be
+// the last to hear of its own admission, and the candidate can need its vote
+// before (Ongaro 2014, section 4.1: servers vote for candidates whose set of
+// members they don't know). A disk that replaced a lost one is named by nobody
+// until its admission is committed, so it stays silent.
+func (c *Core) mayVote(r *betweenv1.VoteRequest) bool {
+	return c.Member() || r.GetVoter() == c.incarnation
+}
+
 func (c *Core) castVote(r *betweenv1.VoteRequest, now time.Duration) *betweenv1.VoteResponse {
 	if r.GetTerm() > c.term {
 		c.follow(r.GetTerm(), "", now)
