spread: long prompts are read at few targets apart

While a target reads a prompt of 20,000 tokens and more, each step of its batch carries a chunk of it, and an event takes six steps: one long prompt makes all streams at that target late. Change: a prompt whose own part is expected to be read for more than 0.6 of the longest pause goes to one of the first targets of the service by hash, which get no other calls; how many follows from the load of such prompts, the time from what first events show. The part of the prompt that others share is copied from the target that keeps it (Kv-Fetch), where engines copy.

--- /dev/null
+++ b/models/spread/reads_test.go
@@ -0,0 +1,97 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package spread
+
+import (
+	"testing"
+	"time"
+)
+
+const testPause = 500 * time.Millisecond
+
+// learned returns a table of 12 targets that read 40 tokens in a millisecond.
+func learned() *Table {
+	tb := table(12)
+	for range 20 {
+		tb.Read(tb.byID["t0"], 4000, 100*time.Millisecond)
+	}
+	return tb
+}
+
+func longNeed(affinity uint64) Need {
+	return Need{Service: "s", Affinity: affinity, Tokens: 20000, Pause: testPause, Boxes: 7}
+}
+
+func TestLongPromptsAreReadApart(t *testing.T) {
+	tb := learned()
+	readers := map[string]bool{}
+	for key := uint64(1); key < 30; key++ {
+		c := tb.Choose(longNeed(key), 0)
+		if !c.Apart || c.Home == nil || c.Home == c.Target {
+			t.Fatalf("a long prompt was placed as %+v", c)
+		}
+		readers[c.Target.ID] = true
+	}
+	if len(readers) == 0 || len(readers) > 12/apartParts {
+		t.Fatalf("long prompts use the targets %v", readers)
+	}
+	for key := uint64(1); key < 100; key++ {
+		short := Need{Service: "s", Affinity: key, Tokens: 600, Pause: testPause, Boxes: 7}
+		if c := tb.Choose(short, 0); c.Apart || readers[c.Target.ID] {
+			t.Fatalf("a short prompt went to %s, where long ones are read", c.Target.ID)
+		}
+	}
+}
+
+func TestReadersReturnWhenNoLongPromptComes(t *testing.T) {
+	tb := learned()
+	tb.Choose(longNeed(1), 0)
+	used := map[string]bool{}
+	for key := uint64(1); key < 300; key++ {
+		used[tb.Choose(Need{Service: "s", Affinity: key, Tokens: 600, Pause: testPause}, 100*readWindow).Target.ID] = true
+	}
+	if len(used) != 12 {
+		t.Fatalf("%d of 12 targets are used long after the last long prompt", len(used))
+	}
+}
+
+func TestWhenNothingIsReadApart(t *testing.T) {
+	tests := map[string]struct {
+		table *Table
+		need  Need
+	}{
+		"no speed is known":       {table: table(12), need: longNeed(1)},
+		"the prompt is short":     {table: learned(), need: Need{Service: "s", Tokens: 4000, Pause: testPause}},
+		"no pause is bounded":     {table: learned(), need: Need{Service: "s", Tokens: 40000}},
+		"too few targets to part": {table: table(apartParts - 1), need: longNeed(1)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if c := test.table.Choose(test.need, 0); c.Target == nil || c.Apart {
+				t.Fatalf("%+v", c)
+			}
+		})
+	}
+}
+
+func TestReadingSpeedIsThatWithoutAQueue(t *testing.T) {
+	tb := learned()
+	// Every other prompt waits ten times as long as it is read.
+	for i := range 200 {
+		first := 100 * time.Millisecond
+		if i%2 == 0 {
+			first *= 10
+		}
+		tb.Read(tb.byID["t0"], 4000, first)
+	}
+	if got := tb.readsOf("s").time(4000); got < 60*time.Millisecond || got > 200*time.Millisecond {
+		t.Fatalf("4,000 tokens are expected to take %s", got)
+	}
+	before := tb.readsOf("s").time(4000)
+	tb.Read(tb.byID["t0"], learnTokens-1, time.Hour)
+	tb.Read(tb.byID["t0"], 4000, -time.Second)
+	if tb.readsOf("s").time(4000) != before {
+		t.Fatal("a prompt that shows no speed has changed it")
+	}
+}
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -10,7 +10,9 @@
 package spread
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -75,12 +77,14 @@
 type Table struct {
 	dataCentre string
 	byID       map[string]*Target
-	services   map[string][]*Target
+	// services holds the targets of each service in the order of their hashes.
+	services map[string][]*Target
+	reads    map[string]*reads
 }
 
 // NewTable returns an empty table for a box in a data centre.
 func NewTable(dataCentre string) *Table {
-	return &Table{dataCentre: dataCentre, byID: map[string]*Target{}, services: map[string][]*Target{}}
+	return &Table{dataCentre: dataCentre, byID: map[string]*Target{}, services: map[string][]*Target{}, reads: map[string]*reads{}}
 }
 
 // Put takes the row of a target in.
@@ -97,11 +101,18 @@
 	if t == nil {
 		t = &Target{ID: row.GetId(), Service: row.GetService(), Address: row.GetAddress(), DataCentre: row.GetDataCentre(), hash: xxhash.Sum64String(row.GetId())}
 		tb.byID[t.ID] = t
-		tb.services[t.Service] = append(tb.services[t.Service], t)
+		tb.insert(t)
 	}
 	t.Draining = row.GetState() == statev1.RegisteredTarget_STATE_DRAINING
 }
 
+// insert puts a target into its place in the order of its service.
+func (tb *Table) insert(t *Target) {
+	list := tb.services[t.Service]
+	at, _ := slices.BinarySearchFunc(list, t, func(a, b *Target) int { return cmp.Compare(a.hash, b.hash) })
+	tb.services[t.Service] = slices.Insert(list, at, t)
+}
+
 func (tb *Table) remove(t *Target) {
 	if t == nil {
 		return
@@ -134,19 +145,90 @@
 	Service string
 	// Affinity is the hash of the common part of the prompt, zero without one.
 	Affinity uint64
+	// Tokens are those of the prompt that no other call shares.
+	Tokens int
+	// Pause is the longest pause of a stream of its kind, zero for no bound.
+	Pause time.Duration
 	// Boxes is how many boxes send calls; each sees its own only.
 	Boxes int
 	// Exclude names targets that have had the call.
 	Exclude map[string]bool
 }
 
-// Choose returns the target for a call, nil when there is none. Draining ones
-// are never chosen; those that are out only when all others are too.
-func (tb *Table) Choose(need Need, now time.Duration) *Target {
+// Choice is a target and why it was chosen.
+type Choice struct {
+	Target *Target
+	// Apart is set when the call's prompt is long and read apart.
+	Apart bool
+	// Home is the target that keeps the common part of a prompt that is read
+	// apart, nil when none does.
+	Home *Target
+	// Reading is how long the prompt is expected to be read, zero when unknown.
+	Reading time.Duration
+}
+
+// Choose returns the target for a call, a nil one when there is none. Draining
+// ones are never chosen; those that are out only when all others are too.
+func (tb *Table) Choose(need Need, now time.Duration) Choice {
+	c := Choice{}
 	candidates := tb.candidates(need, now)
 	if len(candidates) == 0 {
-		return nil
+		return c
+	}
+	r := tb.readsOf(need.Service)
+	c.Reading = r.time(need.Tokens)
+	long := need.Pause > 0 && float64(c.Reading) > longShare*float64(need.Pause)
+	if long {
+		r.add(c.Reading, now)
+	}
+	readers, others := tb.part(need, candidates, now)
+	switch {
+	case len(others) == 0:
+		c.Target = tb.pick(need, candidates)
+	case long && len(readers) > 0:
+		c.Apart = true
+		c.Target = leastWaiting(readers, need.Affinity)
+		c.Home = highest(others, need.Affinity, func(*Target) bool { return need.Affinity != 0 })
+	default:
+		c.Target = tb.pick(need, others)
+	}
+	return c
+}
+
+// readsOf returns what is known of the reading at a service.
+func (tb *Table) readsOf(service string) *reads {
+	r := tb.reads[service]
+	if r == nil {
+		r = &reads{}
+		tb.reads[service] = r
 	}
+	return r
+}
+
+// part divides candidates into those that read long prompts and all others.
+func (tb *Table) part(need Need, candidates []*Target, now time.Duration) (readers, others []*Target) {
+	n := tb.readsOf(need.Service).apart(len(candidates), need.Boxes, now)
+	return candidates[:n], candidates[n:]
+}
+
+// leastWaiting returns the target with the fewest prompt tokens that wait.
+func leastWaiting(candidates []*Target, affinity uint64) *Target {
+	least := math.MaxInt
+	for _, t := range candidates {
+		least = min(least, t.Waiting)
+	}
+	return highest(candidates, affinity, func(t *Target) bool { return t.Waiting == least })
+}
+
+// Read notes how long a target took to the first event of a call, for the
+// tokens of its prompt that no other call shares.
+func (tb *Table) Read(t *Target, tokens int, first time.Duration) {
+	tb.readsOf(t.Service).learn(tokens, first)
+}
+
+// pick chooses among targets that may have the call: by its common part as far
+// as their loads allow, else the least loaded.
+func (tb *Table) pick(need Need, candidates []*Target) *Target {
 	if need.Affinity == 0 {
 		return tb.leastLoaded(candidates)
 	}
--- a/models/spread/spread_test.go
+++ b/models/spread/spread_test.go
@@ -26,7 +26,7 @@
 	}
 	used := map[string]int{}
 	for key := uint64(1); key < 200; key++ {
-		x, y := a.Choose(Need{Service: "s", Affinity: key}, 0), b.Choose(Need{Service: "s", Affinity: key}, 0)
+		x, y := a.Choose(Need{Service: "s", Affinity: key}, 0).Target, b.Choose(Need{Service: "s", Affinity: key}, 0).Target
 		if x.ID != y.ID {
 			t.Fatalf("key %d goes to %s and %s", key, x.ID, y.ID)
 		}
@@ -40,9 +40,9 @@
 func TestAffinityGivesWayToLoad(t *testing.T) {
 	tb := table(4)
 	need := Need{Service: "s", Affinity: 7}
-	first := tb.Choose(need, 0)
+	first := tb.Choose(need, 0).Target
 	first.Running = 50
-	if second := tb.Choose(need, 0); second == first {
+	if second := tb.Choose(need, 0).Target; second == first {
 		t.Fatal("a target far above the mean got one more call")
 	}
 }
@@ -52,20 +52,20 @@
 func TestAffinityGivesWayToWaitingPrompts(t *testing.T) {
 	tb := table(4)
 	need := Need{Service: "s", Affinity: 7, Boxes: 6}
-	first := tb.Choose(need, 0)
+	first := tb.Choose(need, 0).Target
 	first.Waiting = waitingTokens / 6
-	second := tb.Choose(need, 0)
-	if second == first || tb.Choose(need, 0) != second {
+	second := tb.Choose(need, 0).Target
+	if second == first || tb.Choose(need, 0).Target != second {
 		t.Fatalf("first %s, then %s", first.ID, second.ID)
 	}
 	first.Waiting--
-	if got := tb.Choose(need, 0); got != first {
+	if got := tb.Choose(need, 0).Target; got != first {
 		t.Fatalf("%s was chosen below the bound", got.ID)
 	}
 	for _, other := range tb.byID {
 		other.Waiting = waitingTokens
 	}
-	if got := tb.Choose(need, 0); got != first {
+	if got := tb.Choose(need, 0).Target; got != first {
 		t.Fatalf("%s was chosen while prompts wait everywhere", got.ID)
 	}
 }
@@ -73,7 +73,7 @@
 func TestLeastLoadedPrefersItsDataCentre(t *testing.T) {
 	tb := table(4)
 	for i, want := range []string{"dc-a", "dc-a", "dc-b", "dc-b"} {
-		got := tb.Choose(Need{Service: "s"}, 0)
+		got := tb.Choose(Need{Service: "s"}, 0).Target
 		if got.DataCentre != want {
 			t.Fatalf("call %d went to %s, want %s", i, got.DataCentre, want)
 		}
@@ -83,12 +83,12 @@
 
 func TestTargetsThatAreOut(t *testing.T) {
 	tb := table(2)
-	bad := tb.Choose(Need{Service: "s"}, 0)
+	bad := tb.Choose(Need{Service: "s"}, 0).Target
 	tb.Unreached(bad, 0)
-	if tb.Choose(Need{Service: "s"}, time.Millisecond) == bad {
+	if tb.Choose(Need{Service: "s"}, time.Millisecond).Target == bad {
 		t.Fatal("an unreachable target was chosen while another one is sound")
 	}
-	if got := tb.Choose(Need{Service: "s", Exclude: map[string]bool{"t0": bad.ID != "t0", "t1": bad.ID != "t1"}}, time.Millisecond); got != bad {
+	if got := tb.Choose(Need{Service: "s", Exclude: map[string]bool{"t0": bad.ID != "t0", "t1": bad.ID != "t1"}}, time.Millisecond).Target; got != bad {
 		t.Fatal("the only target left was not chosen")
 	}
 	if due := tb.Banned(time.Hour); len(due) != 1 || due[0] != bad {
@@ -102,7 +102,7 @@
 
 func TestBansGrowAndAreBounded(t *testing.T) {
 	tb := table(1)
-	target := tb.Choose(Need{Service: "s"}, 0)
+	target := tb.Choose(Need{Service: "s"}, 0).Target
 	last := time.Duration(0)
 	now := time.Duration(0)
 	for range 12 {
@@ -158,7 +158,7 @@
 	tb := table(2)
 	tb.Put(&statev1.RegisteredTarget{Id: "t0", Service: "s", State: statev1.RegisteredTarget_STATE_DRAINING})
 	tb.Put(&statev1.RegisteredTarget{Id: "t1", Service: "s", State: statev1.RegisteredTarget_STATE_GONE})
-	if got := tb.Choose(Need{Service: "s"}, 0); got != nil {
+	if got := tb.Choose(Need{Service: "s"}, 0).Target; got != nil {
 		t.Fatalf("%s was chosen", got.ID)
 	}
 	if tb.Len() != 1 {
--- a/services/forward/call.go
+++ b/services/forward/call.go
@@ -39,6 +39,9 @@
 	LastEvent string
 	// Priority is the call's rank at an engine, zero first.
 	Priority string
+	// Fetch holds the address of an engine that keeps a part of the prompt; the
+	// target copies it from there in place of reading it.
+	Fetch string
 }
 
 // Call is a caller's call, checked, with its own copies of all bytes.
@@ -61,6 +64,9 @@
 	// Input and Output are the tokens of the prompt and the most generated.
 	Input  uint64
 	Output uint64
+	// Own are the tokens of the prompt's last part, which no other call shares
+	// but those of its session.
+	Own uint64
 	// Affinity is the hash of the part of the prompt that others share.
 	Affinity uint64
 	// Arrived is the boot time at which the call was read.
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -197,11 +197,23 @@
 	unseen     bool
 }
 
-// countingSink notes when the caller got its first byte.
+// countingSink notes when the caller got its first byte, and the longest pause
+// between the events of a stream.
 type countingSink struct {
 	Sink
 	first time.Duration
 	now   func() time.Duration
+	last  time.Duration
+	pause time.Duration
+}
+
+// handed notes that events are about to be passed on.
+func (s *countingSink) handed() {
+	now := s.now()
+	if s.last > 0 {
+		s.pause = max(s.pause, now-s.last)
+	}
+	s.last = now
 }
 
 func (s *countingSink) Begin(status int, fields []Field, length int) error {
@@ -321,7 +333,8 @@
 }
 
 // own are the fields that this system sets on the call.
-func (fl *flight) own(t *spread.Target) []Field {
+func (fl *flight) own(c spread.Choice) []Field {
+	t := c.Target
 	d := fl.f.opts.Dialect
 	fields := []Field{
 		{Name: d.Deadline, Value: fmt.Sprint(max(1, fl.left().Milliseconds()))},
@@ -336,6 +349,9 @@
 	if fl.service.GetEngine() != nil {
 		fields = append(fields, Field{Name: d.Priority, Value: fmt.Sprint(fl.rank())})
 	}
+	if c.Home != nil && fl.service.GetEngine().GetMoves() {
+		fields = append(fields, Field{Name: d.Fetch, Value: c.Home.Address})
+	}
 	return fields
 }
 
@@ -349,27 +365,32 @@
 }
 
 // choose takes a place at a target.
-func (fl *flight) choose() *spread.Target {
+func (fl *flight) choose() spread.Choice {
 	f := fl.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := f.targets.Choose(spread.Need{Service: fl.service.GetName(), Affinity: fl.call.Affinity, Boxes: f.opts.Leases.Boxes(), Exclude: fl.exclude}, f.opts.Clock.Boot())
-	if t != nil {
-		t.Running++
+	c := f.targets.Choose(spread.Need{
+		Service: fl.service.GetName(), Affinity: fl.call.Affinity, Tokens: int(fl.call.Own), Boxes: f.opts.Leases.Boxes(), Exclude: fl.exclude,
+		Pause: time.Duration(fl.route.GetPause()) * time.Millisecond,
+	}, f.opts.Clock.Boot())
+	if c.Target != nil {
+		c.Target.Running++
 		fl.waiting = int(fl.call.Input)
-		t.Waiting += fl.waiting
+		c.Target.Waiting += fl.waiting
 	}
-	return t
+	return c
 }
 
-// answered notes that the target has read the prompt.
-func (fl *flight) answered(t *spread.Target) {
+// answered notes that the target has read the prompt of a call that was sent at
+// a time.
+func (fl *flight) answered(t *spread.Target, sent time.Duration) {
 	if fl.waiting == 0 {
 		return
 	}
 	fl.f.mu.Lock()
 	defer fl.f.mu.Unlock()
 	fl.endWait(t)
+	fl.f.targets.Read(t, int(fl.call.Own), fl.f.opts.Clock.Boot()-sent)
 }
 
 func (fl *flight) endWait(t *spread.Target) {
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -55,7 +55,7 @@
 	}
 	if fl.sink.first > 0 {
 		first := fl.sink.first - fl.call.Arrived
-		attrs = append(attrs, slog.Int64("first_ms", first.Milliseconds()))
+		attrs = append(attrs, slog.Int64("first_ms", first.Milliseconds()), slog.Int64("longest_pause_ms", fl.sink.pause.Milliseconds()))
 		fl.f.opts.Counter.FirstByte(fl.route.GetKind().String(), first)
 	}
 	if err != nil {
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -59,11 +59,12 @@
 	var last attempt
 	unreached := 0
 	for {
-		t := fl.choose()
+		c := fl.choose()
+		t := c.Target
 		if t == nil {
 			return fl.end(ctx, last)
 		}
-		last = fl.attempt(ctx, t)
+		last = fl.attempt(ctx, c)
 		fl.leave(t, last.verdict)
 		fl.exclude[t.ID] = true
 		if last.done {
@@ -107,7 +108,8 @@
 }
 
 // attempt sends the call to one target.
-func (fl *flight) attempt(ctx context.Context, t *spread.Target) attempt {
+func (fl *flight) attempt(ctx context.Context, choice spread.Choice) attempt {
+	t := choice.Target
 	c, err := fl.f.pool.get(ctx, t)
 	if err != nil {
 		fl.note(t, "unreachable")
@@ -117,7 +119,8 @@
 	defer cancel()
 	silence := fl.watch(cancel)
 	defer silence.stop()
-	x, err := fl.f.send(ctx, c, fl.call, fl.own(t))
+	sent := fl.f.opts.Clock.Boot()
+	x, err := fl.f.send(ctx, c, fl.call, fl.own(choice))
 	fl.ran++
 	if err != nil {
 		fl.note(t, "broken")
@@ -129,7 +132,7 @@
 		fl.note(t, "no answer")
 		return attempt{verdict: fl.blame(ctx, silence), err: err}
 	}
-	return fl.judge(ctx, t, x, silence)
+	return fl.judge(ctx, t, x, silence, sent)
 }
 
 // blame tells whose fault a silence is: a call that ran out of its own time
@@ -168,7 +171,7 @@
 }
 
 // judge looks at the head of an answer.
-func (fl *flight) judge(ctx context.Context, t *spread.Target, x *exchange, s *silence) attempt {
+func (fl *flight) judge(ctx context.Context, t *spread.Target, x *exchange, s *silence, sent time.Duration) attempt {
 	d := fl.f.opts.Dialect
 	status := x.head.StatusCode()
 	notRun := len(x.head.Peek(d.NotRun)) > 0 || status == http.StatusMisdirectedRequest
@@ -181,7 +184,7 @@
 		fl.note(t, "foreign")
 		return attempt{verdict: failing, err: errForeign}
 	case status < http.StatusMultipleChoices && fl.route.GetKind() == statev1.Route_KIND_STREAM:
-		return fl.stream(ctx, t, x, s)
+		return fl.stream(ctx, t, x, s, sent)
 	default:
 		return fl.whole(t, x, status)
 	}
@@ -276,7 +279,7 @@
 }
 
 // stream passes events on as they come.
-func (fl *flight) stream(ctx context.Context, t *spread.Target, x *exchange, s *silence) attempt {
+func (fl *flight) stream(ctx context.Context, t *spread.Target, x *exchange, s *silence, sent time.Duration) attempt {
 	s.restart(stallLimit)
 	// What is left of an event that broke off belongs to the former target.
 	fl.events.rest = nil
@@ -285,7 +288,7 @@
 		n, err := x.body.Read(buffer)
 		if n > 0 {
 			s.restart(stallLimit)
-			fl.answered(t)
+			fl.answered(t, sent)
 			if sinkErr := fl.hand(x, fl.events.take(buffer[:n])); sinkErr != nil {
 				x.abandon()
 				fl.unseen = true
@@ -313,6 +316,7 @@
 	if len(p) == 0 {
 		return nil
 	}
+	fl.sink.handed()
 	if !fl.began {
 		fl.began = true
 		if err := fl.sink.Begin(x.head.StatusCode(), x.fields(), -1); err != nil {
