refusals: a time to come back at which a starting box serves; what is bound for good isn't left

Cause: after everything had lost power boxes refused 280 to 670 calls in 1.3 s with a time to come back of 0.3 s; callers have one retry, so nearly all of these were refused twice and lost. Callers of organisations whose last tokens are kept back for ended processes were told to come back for tokens that never come. Change: until 1.5 s after its start a box without a routing table names what is left of that time, spread over 0.3 s. Tokens that an ended holder has neither returned nor spent no longer count as left, so the refusal says that the budget is used up.

--- a/services/control/gateway.go
+++ b/services/control/gateway.go
@@ -153,7 +153,7 @@
 	row := b.Of(r.GetHolder())
 	returned := max(report.GetReturned(), row.GetReturned())
 	available := row.GetAllotted() - min(row.GetAllotted(), returned+report.GetSpent())
-	free, rate, left := g.demandOf(report.GetOrganisation(), b)
+	free, rate, left := g.demandOf(s, b)
 	decision := allot.LeaseDecision{}
 	if !r.GetLeaving() {
 		decision = allot.Lease(
@@ -262,20 +262,23 @@
 }
 
 // demandOf sums over the holders that report what they have free of an
-// organisation's budget and what they spend. Left is what no report counts as
-// spent or reserved; what a dead holder spent without a report is part of it.
-func (g *Gateway) demandOf(organisation string, b *state.Budget) (free, rate, left uint64) {
+// organisation's budget and what they spend. Left is what a request may still
+// get: neither spent nor reserved, and not kept back for a holder that has
+// ended, which is never given back.
+func (g *Gateway) demandOf(s *state.State, b *state.Budget) (free, rate, left uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	used := uint64(0)
 	for _, a := range b.Allotments {
 		spent := a.GetSpent()
-		if d := g.holders[a.GetHolder()].demandFor(organisation); d != nil {
+		if d := g.holders[a.GetHolder()].demandFor(b.Name); d != nil {
 			rate += d.GetRate()
 			spent = max(spent, d.GetSpent()) + d.GetReserved()
 			if bound := max(a.GetReturned(), d.GetReturned()) + spent; a.GetAllotted() > bound {
 				free += a.GetAllotted() - bound
 			}
+		} else if s.Routing.Holders[a.GetHolder()] == nil {
+			spent = a.GetAllotted() - min(a.GetAllotted(), a.GetReturned())
 		}
 		used += spent
 	}
--- a/services/control/gateway_test.go
+++ b/services/control/gateway_test.go
@@ -187,3 +187,20 @@
 		t.Fatalf("%v, %v", resp, err)
 	}
 }
+
+// What is kept back for a process that has ended is never given back, so it is
+// not left for anybody.
+func TestKeptBackTokensAreNotLeft(t *testing.T) {
+	f := newGateway(t)
+	granted := f.report(t, "box@1", 1, 0, &betweenv1.LeaseReport{}).GetAllotted()
+	f.report(t, "box@1", 2, 0, &betweenv1.LeaseReport{Spent: 1000, Reserved: 500, Basis: granted})
+	f.clock.Advance(holderTimeout + time.Second)
+	left := f.report(t, "box@2", 1, 0, &betweenv1.LeaseReport{}).GetLeft()
+	row := f.row("box@1")
+	if row.GetReturned() == 0 {
+		t.Fatal("nothing was reclaimed")
+	}
+	if kept := row.GetAllotted() - row.GetReturned(); left != 1270000-kept {
+		t.Fatalf("%d tokens are left, want 1270000 less the %d kept back", left, kept)
+	}
+}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -32,6 +32,12 @@
 	retryLater = time.Second
 	// retryCut is when to ask again while control can't be reached.
 	retryCut = 4 * time.Second
+	// warmUpTime is how long after its start a box gets its first routing table
+	// when control starts with it: 1.2 to 1.4 s were measured on 10 boxes.
+	warmUpTime = 1500 * time.Millisecond
+	// warmUpSpread is the time over which callers come back that were refused
+	// by a box that had just started.
+	warmUpSpread = 300 * time.Millisecond
 	// leaseStale is the age of control's answer above which it counts as out of
 	// reach, in milliseconds.
 	leaseStale = 1500
@@ -85,6 +91,7 @@
 // Forwarder passes the calls of one box through.
 type Forwarder struct {
 	opts    Options
+	started time.Duration
 	pool    *pool
 	retries retryBudget
 
@@ -95,7 +102,13 @@
 
 // New returns a forwarder.
 func New(opts Options) *Forwarder {
-	return &Forwarder{opts: opts, pool: newPool(opts.Clock.Boot, opts.Meter), targets: spread.NewTable(opts.DataCentre)}
+	return &Forwarder{opts: opts, started: opts.Clock.Boot(), pool: newPool(opts.Clock.Boot, opts.Meter), targets: spread.NewTable(opts.DataCentre)}
+}
+
+// warmUp returns when a box without a routing table will likely have one.
+func (f *Forwarder) warmUp() time.Duration {
+	left := f.started + warmUpTime - f.opts.Clock.Boot()
+	return max(retrySoon, left) + time.Duration(rand.Int63n(int64(warmUpSpread)))
 }
 
 // Refresh takes the targets of the store in.
@@ -250,7 +263,7 @@
 func (fl *flight) find() *Refusal {
 	index := fl.f.opts.Store.Index()
 	if index == nil {
-		return &Refusal{Kind: structs.KindNotReady, Run: structs.RunNo, RetryAfter: retrySoon, Message: "no routing table has arrived yet: ask again after the stated time"}
+		return &Refusal{Kind: structs.KindNotReady, Run: structs.RunNo, RetryAfter: fl.f.warmUp(), Message: "no routing table has arrived yet: ask again after the stated time"}
 	}
 	fl.version = index.Table.GetVersion()
 	fl.route = index.Route(fl.call.Host, fl.call.Path)
