forward: the run of a prompt that was read apart moves on after its first event

A target that has no room leaves the run to go on where it was stopped; a stopped run is never run anew.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -65,6 +65,7 @@
 		Clock:      b.Clock,
 		Logger:     b.Logger,
 		Counter:    b.Metrics,
+		Orders:     platform.EngineOrders{},
 		Meter:      e.meter,
 		RetryRatio: b.Settings.RetryRatio,
 		RetryStock: b.Settings.RetryStock,
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -160,8 +160,8 @@
 	Target *Target
 	// Apart is set when the call's prompt is long and read apart.
 	Apart bool
-	// Home is the target that keeps the common part of a prompt that is read
-	// apart, nil when none does.
+	// Home is the target that would have had a prompt that is read apart, and
+	// keeps its common part.
 	Home *Target
 	// Reading is how long the prompt is expected to be read, zero when unknown.
 	Reading time.Duration
@@ -188,7 +188,7 @@
 	case long && len(readers) > 0:
 		c.Apart = true
 		c.Target = leastWaiting(readers, need.Affinity)
-		c.Home = highest(others, need.Affinity, func(*Target) bool { return need.Affinity != 0 })
+		c.Home = tb.pick(need, others)
 	default:
 		c.Target = tb.pick(need, others)
 	}
--- a/modules/raft/core.go
+++ b/modules/raft/core.go
@@ -127,6 +127,12 @@
 	learners map[string]time.Duration
 	// left is set when the group goes on without this box.
 	left bool
+	// fresh is set until this box, since it started, has led or followed.
+	fresh bool
+	// freshAnswers are the members that have answered the present pre-vote that
+	// they are fresh, allFresh that all have.
+	freshAnswers map[string]bool
+	allFresh     bool
 	// proposed holds the incarnations whose admission is already in the log.
 	proposed map[string]string
 }
@@ -147,6 +153,7 @@
 		snapshot:    stored.Snapshot,
 		proposed:    map[string]string{},
 		learners:    map[string]time.Duration{},
+		fresh:       true,
 	}
 	c.recoverChanges()
 	c.resetDue(now)
@@ -186,6 +193,11 @@
 func (c *Core) quorum() int { return len(c.group)/2 + 1 }
 
 func (c *Core) resetDue(now time.Duration) {
+	if c.fresh {
+		spread := time.Duration(c.opts.Rand.Int63n(int64(c.opts.Election) / freshSpreadParts))
+		c.due = now + c.opts.Election/freshWaitParts + spread
+		return
+	}
 	spread := time.Duration(c.opts.Rand.Int63n(int64(c.opts.Election)))
 	c.due = now + c.opts.Election + spread
 }
--- a/modules/raft/core_election.go
+++ b/modules/raft/core_election.go
@@ -9,10 +9,33 @@
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 )
 
+// A box that starts keeps silent towards candidates for one election time, since
+// it may have promised that to a leader before. When every member has started
+// anew no such leader is left, and waiting is of no use: a box that has neither
+// led nor followed since its start is fresh, fresh boxes ask for votes soon, and
+// a candidate to which all members have answered that they are fresh says so to
+// voters that still are. The answers count for one term only, to which voters
+// catch up with their answer, so a leader that is elected meanwhile has a later
+// term at a quorum.
+const (
+	// freshWaitParts and freshSpreadParts are the parts of the election time
+	// after which a fresh box asks for votes, at least and at random.
+	freshWaitParts   = 10
+	freshSpreadParts = 4
+)
+
 // campaign asks all members for their votes. The pre-vote before it changes
 // nothing anywhere, so that a box that was cut off does not disturb a leader
 // when it returns.
 func (c *Core) campaign(now time.Duration, pre bool) {
+	if pre {
+		c.allFresh, c.freshAnswers = false, map[string]bool{}
+	}
+	c.ask(now, pre)
+}
+
+// ask sends the requests of a campaign.
+func (c *Core) ask(now time.Duration, pre bool) {
 	c.leader = ""
 	c.votes = map[string]bool{c.opts.Self: true}
 	c.resetDue(now)
@@ -37,10 +60,27 @@
 			PreVote:     pre,
 			Incarnation: c.incarnation,
 			Voter:       c.group[name],
+			AllFresh:    c.allFresh,
 		}})
 	}
 }
 
+// noteFresh counts an answer to a pre-vote, and asks once more when all members
+// have answered that they are fresh.
+func (c *Core) noteFresh(from string, now time.Duration) {
+	if _, member := c.group[from]; !member || !c.fresh || c.allFresh {
+		return
+	}
+	c.freshAnswers[from] = true
+	for name := range c.group {
+		if name != c.opts.Self && !c.freshAnswers[name] {
+			return
+		}
+	}
+	c.allFresh = true
+	c.ask(now, true)
+}
+
 func (c *Core) won() bool { return len(c.votes) >= c.quorum() }
 
 func (c *Core) advance(now time.Duration) {
@@ -53,6 +93,7 @@
 
 func (c *Core) lead(now time.Duration) {
 	c.role = Leader
+	c.fresh = false
 	c.leader = c.opts.Self
 	c.peers = map[string]*progress{}
 	c.learners = map[string]time.Duration{}
@@ -67,19 +108,23 @@
 
 // HandleVote answers a candidate.
 func (c *Core) HandleVote(r *betweenv1.VoteRequest, now time.Duration) *betweenv1.VoteResponse {
-	refuse := &betweenv1.VoteResponse{Term: c.term, Incarnation: c.incarnation}
+	if r.GetPreVote() && c.fresh && r.GetTerm() > c.term+1 {
+		c.follow(r.GetTerm()-1, "", now)
+	}
+	refuse := &betweenv1.VoteResponse{Term: c.term, Incarnation: c.incarnation, Fresh: c.fresh}
 	if !c.mayVote(r) || c.group[r.GetCandidate()] != r.GetIncarnation() {
 		return refuse
 	}
 	// Silence towards candidates is what a leader's lease rests on.
-	if c.role == Leader || now-c.heard < c.opts.Election {
+	silent := now-c.heard < c.opts.Election && !(c.fresh && r.GetAllFresh())
+	if c.role == Leader || silent {
 		return refuse
 	}
 	if !c.upToDate(r) {
 		return refuse
 	}
 	if r.GetPreVote() {
-		return &betweenv1.VoteResponse{Term: c.term, Granted: r.GetTerm() > c.term, Incarnation: c.incarnation}
+		return &betweenv1.VoteResponse{Term: c.term, Granted: r.GetTerm() > c.term, Incarnation: c.incarnation, Fresh: c.fresh}
 	}
 	return c.castVote(r, now)
 }
@@ -121,6 +166,10 @@
 		c.follow(r.GetTerm(), "", now)
 		return
 	}
+	pre := c.role == PreCandidate && asked.GetPreVote() && asked.GetTerm() == c.term+1
+	if pre && r.GetFresh() && r.GetTerm() == c.term {
+		c.noteFresh(from, now)
+	}
 	wanted := c.role == PreCandidate && asked.GetPreVote() && asked.GetTerm() == c.term+1 ||
 		c.role == Candidate && !asked.GetPreVote() && asked.GetTerm() == c.term
 	if !wanted || !r.GetGranted() || c.group[from] != r.GetIncarnation() {
--- a/modules/raft/core_replicate.go
+++ b/modules/raft/core_replicate.go
@@ -66,8 +66,7 @@
 	if r.GetTerm() < c.term {
 		return &betweenv1.AppendResponse{Term: c.term, Incarnation: c.incarnation}
 	}
-	c.follow(r.GetTerm(), r.GetLeader(), now)
-	c.heard = now
+	c.hear(r.GetTerm(), r.GetLeader(), now)
 	resp := &betweenv1.AppendResponse{Term: c.term, Incarnation: c.incarnation}
 	if !c.matches(r) {
 		resp.Index = c.backTo(r.GetPrevIndex())
@@ -88,6 +87,13 @@
 	return resp
 }
 
+// hear follows a leader from which a message came.
+func (c *Core) hear(term uint64, leader string, now time.Duration) {
+	c.fresh = false
+	c.follow(term, leader, now)
+	c.heard = now
+}
+
 // InStep returns when this box was last known to have all that was committed: a
 // leader while a quorum follows it, once it has committed in its own term, and
 // a follower with such a leader.
@@ -260,8 +266,7 @@
 	if r.GetTerm() < c.term {
 		return resp
 	}
-	c.follow(r.GetTerm(), r.GetLeader(), now)
-	c.heard = now
+	c.hear(r.GetTerm(), r.GetLeader(), now)
 	resp.Term = c.term
 	if r.GetLastIndex() <= c.commit {
 		return resp
--- a/modules/raft/core_test.go
+++ b/modules/raft/core_test.go
@@ -681,3 +681,80 @@
 		t.Fatal("the leader commits nothing")
 	}
 }
+
+// restart starts members anew, as after a loss of power of all of them.
+func (g *group) restart(names ...string) {
+	g.network = nil
+	for _, name := range names {
+		g.boot(g.members[name])
+	}
+}
+
+// leads tells whether some member that is up leads and has committed in its term.
+func (g *group) leads() bool {
+	for _, name := range g.names {
+		c := g.members[name].core
+		if !g.members[name].down && c.role == Leader && c.log.termAt(c.commit) == c.term {
+			return true
+		}
+	}
+	return false
+}
+
+// When all members have started anew nobody can hold a lease, so a leader need
+// not wait for one election time; when one of them has not, it must.
+func TestElectionAfterARestart(t *testing.T) {
+	tests := map[string]struct {
+		change func(g *group)
+		early  bool
+	}{
+		"all have started anew": {change: func(g *group) { g.restart("a", "b", "c") }, early: true},
+		"one is down": {change: func(g *group) {
+			g.restart("a", "b", "c")
+			g.members["b"].down = true
+		}},
+		"one, which led, is frozen": {change: func(g *group) {
+			old := g.leader()
+			old.asleep = true
+			for _, name := range g.names {
+				if name != old.name {
+					g.restart(name)
+				}
+			}
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := quietGroup(t)
+			test.change(g)
+			before := g.now
+			for !g.leads() || g.leader().core.since < before {
+				if g.now > before+20*testElection {
+					t.Fatal("nobody leads")
+				}
+				g.rest(1)
+				g.check()
+			}
+			if waited := g.now - before; (waited < testElection) != test.early {
+				t.Fatalf("a leader after %s, election time %s", waited, testElection)
+			}
+		})
+	}
+}
+
+// A box that has heard of a leader since it started is no help to a candidate
+// that has taken all members for fresh.
+func TestFreshnessEndsWithTheFirstLeader(t *testing.T) {
+	g := quietGroup(t)
+	leader := g.leader()
+	for _, name := range g.names {
+		voter := g.members[name]
+		if voter == leader {
+			continue
+		}
+		r := &betweenv1.VoteRequest{Term: 50, Candidate: leader.name, LastIndex: 99, LastTerm: 49, Incarnation: leader.core.incarnation, AllFresh: true, PreVote: true}
+		if resp := voter.core.HandleVote(r, g.now); resp.GetGranted() || resp.GetFresh() {
+			t.Errorf("%s answered %v", name, resp)
+		}
+	}
+}
--- a/services/forward/call.go
+++ b/services/forward/call.go
@@ -42,6 +42,9 @@
 	// Fetch holds the address of an engine that keeps a part of the prompt; the
 	// target copies it from there in place of reading it.
 	Fetch string
+	// Resume names the copy of a stopped run's memory from which the target goes
+	// on with it.
+	Resume string
 }
 
 // Call is a caller's call, checked, with its own copies of all bytes.
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -33,8 +33,8 @@
 	// retryCut is when to ask again while control can't be reached.
 	retryCut = 4 * time.Second
 	// warmUpTime is how long after its start a box gets its first routing table
-	// when control starts with it: 1.2 to 1.4 s were measured on 10 boxes.
-	warmUpTime = 1500 * time.Millisecond
+	// when control starts with it: 0.5 to 0.8 s were measured on 10 boxes.
+	warmUpTime = time.Second
 	// warmUpSpread is the time over which callers come back that were refused
 	// by a box that had just started.
 	warmUpSpread = 300 * time.Millisecond
@@ -80,6 +80,8 @@
 	Clock      clock.Clock
 	Logger     *slog.Logger
 	Counter    Counter
+	// Orders says how engines copy running calls; nil where they can't.
+	Orders EngineOrders
 	// Meter counts the bytes of targets' connections; nil for none.
 	Meter *meter.Meter
 	// RetryRatio and RetryStock bound further sends over the whole fleet: a
@@ -208,6 +210,9 @@
 	// were not seen, unseen when it can have made a few events more.
 	lostOutput bool
 	unseen     bool
+	// resumption is where a stopped run goes on, resumed that one ever did.
+	resumption *resumption
+	resumed    bool
 }
 
 // countingSink notes when the caller got its first byte, and the longest pause
@@ -362,6 +367,9 @@
 	if fl.service.GetEngine() != nil {
 		fields = append(fields, Field{Name: d.Priority, Value: fmt.Sprint(fl.rank())})
 	}
+	if fl.resumption != nil {
+		return append(fields, Field{Name: d.Resume, Value: fl.resumption.source})
+	}
 	if c.Home != nil && fl.service.GetEngine().GetMoves() {
 		fields = append(fields, Field{Name: d.Fetch, Value: c.Home.Address})
 	}
@@ -453,6 +461,8 @@
 	if len(fl.sends) >= maxSends || fl.left() <= 0 {
 		return false
 	}
+	// A target that did not take a stopped run says nothing of the run itself.
+	notRun = notRun && !fl.resumed
 	if !notRun && (!routing.Repeatable(fl.route) || fl.ran >= int(fl.route.GetMaxAttempts())) {
 		return false
 	}
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -26,12 +26,13 @@
 	"havenwinch.dev/havenwinch/structs"
 )
 
-var testDialect = Dialect{RequestID: "X-Id", Deadline: "X-Deadline", Organisation: "X-Org", ExpectTarget: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed", LastEvent: "X-Last", Priority: "X-Rank"}
+var testDialect = Dialect{RequestID: "X-Id", Deadline: "X-Deadline", Organisation: "X-Org", ExpectTarget: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed", LastEvent: "X-Last", Priority: "X-Rank", Fetch: "X-Fetch", Resume: "X-Resume"}
 
 // received is one request that a scripted target has read.
 type received struct {
 	id, target, last, org, rank string
 	body, deadline              string
+	path, fetch, resume         string
 }
 
 // target answers each request with the next of its scripts.
@@ -82,7 +83,7 @@
 			return
 		}
 		h := req.Header
-		rec := received{id: h.Get("X-Id"), target: h.Get("X-Expect"), last: h.Get("X-Last"), org: h.Get("X-Org"), rank: h.Get("X-Rank"), deadline: h.Get("X-Deadline"), body: string(body)}
+		rec := received{id: h.Get("X-Id"), target: h.Get("X-Expect"), last: h.Get("X-Last"), org: h.Get("X-Org"), rank: h.Get("X-Rank"), deadline: h.Get("X-Deadline"), body: string(body), path: req.URL.Path, fetch: h.Get("X-Fetch"), resume: h.Get("X-Resume")}
 		tg.mu.Lock()
 		at := len(tg.got)
 		tg.got = append(tg.got, rec)
--- /dev/null
+++ b/services/forward/move_test.go
@@ -0,0 +1,168 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/spread"
+	"havenwinch.dev/havenwinch/modules/clock"
+)
+
+// testOrders is a dialect of orders to engines.
+type testOrders struct{}
+
+func (testOrders) Copy(call, address string, stop bool) (string, []byte) {
+	return "/copy", fmt.Appendf(nil, "%s %s %v", call, address, stop)
+}
+func (testOrders) Release(handle string) string         { return "/release/" + handle }
+func (testOrders) Handle(answer []byte) (string, error) { return string(answer), nil }
+func (testOrders) Source(address, handle string) string { return address + "/" + handle }
+
+// engineScript is how the engines of a test answer; each of them may read the
+// prompt or go on with a run.
+type engineScript struct {
+	// copies and stops are the answers to the orders to copy, full is set when the
+	// other engine does not take the run.
+	copies, stops int
+	full          bool
+	stopped       chan struct{}
+	released      chan string
+}
+
+// answer acts on one request as an engine.
+func (e *engineScript) answer(c net.Conn, r received) {
+	say := func(status int, body string) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+	}
+	switch {
+	case strings.HasPrefix(r.path, "/release/"):
+		say(200, "")
+		e.released <- r.path
+	case r.path == "/copy" && strings.HasSuffix(r.body, "true"):
+		say(e.stops, "h1")
+		if e.stops == 200 || e.stops == 503 {
+			close(e.stopped)
+		}
+	case r.path == "/copy":
+		say(e.copies, "h1")
+	case r.resume != "" && e.full && !strings.HasPrefix(r.resume, c.LocalAddr().String()):
+		shed()(c, r)
+	case r.resume != "":
+		chunks(true, event(2), event(3))(c, r)
+	default:
+		e.read(c, r)
+	}
+}
+
+// read answers with the first events and, if nobody stops it, the others.
+func (e *engineScript) read(c net.Conn, r received) {
+	_, _ = io.WriteString(c, head(r.id, "Transfer-Encoding: chunked\r\n\r\n"))
+	chunk := func(text string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+	chunk(event(0) + event(1))
+	if e.copies == 200 && (e.stops == 200 || e.stops == 503) {
+		<-e.stopped
+		_ = c.Close()
+		return
+	}
+	chunk(event(2) + event(3))
+	_, _ = io.WriteString(c, "0\r\n\r\n")
+}
+
+func TestRunsOfLongPromptsMoveOn(t *testing.T) {
+	tests := map[string]struct {
+		script engineScript
+		// sends is how many targets get the call.
+		sends int
+		// atSource is set when the run goes on where it was stopped.
+		atSource bool
+	}{
+		"it moves":                           {script: engineScript{copies: 200, stops: 200}, sends: 2},
+		"the other engine has no room then":  {script: engineScript{copies: 200, stops: 200, full: true}, sends: 3, atSource: true},
+		"the last copy has no room":          {script: engineScript{copies: 200, stops: 503}, sends: 2, atSource: true},
+		"the engine refuses the order":       {script: engineScript{copies: 409}, sends: 1},
+		"the run has ended before the order": {script: engineScript{copies: 200, stops: 404}, sends: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := &test.script
+			e.stopped, e.released = make(chan struct{}), make(chan string, 1)
+			var targets []*target
+			for _, name := range []string{"one", "two", "three", "four"} {
+				scripts := make([]script, 8)
+				for i := range scripts {
+					scripts[i] = e.answer
+				}
+				targets = append(targets, newTarget(t, name, scripts...))
+			}
+			b := &book{}
+			f := newForwarder(t, b, targets...)
+			f.opts.Orders = testOrders{}
+			index := f.opts.Store.Index()
+			index.Service("s").Engine.Moves = true
+			index.Route("h", "/stream/x").Pause = 100
+			f.targets.Read(f.targets.Choose(spread.Need{Service: "s"}, 0).Target, 4000, 100*time.Millisecond)
+			c := &collector{}
+			call := newCall("stream")
+			call.Input, call.Own, call.Affinity = 20000, 20000, 7
+			if err := f.Serve(context.Background(), call, c); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(event(0)+event(1)+event(2)+event(3), c.body.String()); diff != "" || !c.ended {
+				t.Fatalf("ended %v, %s", c.ended, diff)
+			}
+			if want := []uint64{20000 + 4*5}; !cmp.Equal(b.settled, want) {
+				t.Fatalf("billed %v, want %v", b.settled, want)
+			}
+			sends, reader, last := 0, "", ""
+			for _, tg := range targets {
+				for _, r := range tg.requests() {
+					if r.id == "" {
+						continue
+					}
+					sends++
+					if r.resume == "" {
+						reader = tg.name
+						if r.fetch == "" {
+							t.Error("the reader was not told where the common part is")
+						}
+						continue
+					}
+					if r.last != "1" {
+						t.Errorf("the run goes on after event %q, want 1", r.last)
+					}
+					if !test.script.full || strings.HasPrefix(r.resume, tg.l.Addr().String()) {
+						last = tg.name
+					}
+				}
+			}
+			if sends != test.sends || test.sends > 1 && (last == reader) != test.atSource {
+				t.Fatalf("%d sends, read at %s, went on at %s", sends, reader, last)
+			}
+			if test.script.stops == 404 {
+				<-e.released
+			}
+		})
+	}
+}
+
+// A run that was stopped and is taken by no engine may not run anew where its
+// route doesn't allow that.
+func TestAStoppedRunIsNotRunAnew(t *testing.T) {
+	fl := &flight{f: &Forwarder{}, route: &statev1.Route{Kind: statev1.Route_KIND_STREAM, MaxAttempts: 2}, service: &statev1.Service{Name: "s"}, resumed: true, deadline: 2 * time.Hour}
+	fl.f.opts.Clock = clock.NewFake()
+	fl.f.retries.noted("s", 1, 100)
+	if fl.mayRepeat(true) {
+		t.Fatal("a stopped run may be sent to one more target")
+	}
+}
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -51,6 +51,8 @@
 	// does better.
 	failure *answer
 	err     error
+	// resumption is set when the run was stopped to go on elsewhere.
+	resumption *resumption
 }
 
 // run sends the call to one target after the other, as far as is allowed.
@@ -59,7 +61,7 @@
 	var last attempt
 	unreached := 0
 	for {
-		c := fl.choose()
+		c := fl.place()
 		t := c.Target
 		if t == nil {
 			return fl.end(ctx, last)
@@ -70,6 +72,9 @@
 		if last.done {
 			return last.err
 		}
+		if fl.goesOn(ctx, last) {
+			continue
+		}
 		if last.verdict == unreachable && ctx.Err() == nil {
 			unreached++
 			if unreached < maxReach {
@@ -85,6 +90,31 @@
 	}
 }
 
+// place takes a place at the target that gets the call next.
+func (fl *flight) place() spread.Choice {
+	if fl.resumption != nil {
+		return fl.follow()
+	}
+	return fl.choose()
+}
+
+// goesOn tells whether a stopped run goes on from a copy of its memory. One that
+// may be repeated leaves the copy when no target takes it.
+func (fl *flight) goesOn(ctx context.Context, last attempt) bool {
+	if last.resumption != nil {
+		fl.resumption, fl.resumed = last.resumption, true
+		return ctx.Err() == nil
+	}
+	if fl.resumption == nil {
+		return false
+	}
+	if last.notRun && len(fl.resumption.targets) > 0 && ctx.Err() == nil {
+		return true
+	}
+	fl.resumption = nil
+	return false
+}
+
 // end gives the final answer when no target has given a good one.
 func (fl *flight) end(ctx context.Context, last attempt) error {
 	if fl.began {
@@ -132,7 +162,7 @@
 		fl.note(t, "no answer")
 		return attempt{verdict: fl.blame(ctx, silence), err: err}
 	}
-	return fl.judge(ctx, t, x, silence, sent)
+	return fl.judge(ctx, choice, x, silence, sent)
 }
 
 // blame tells whose fault a silence is: a call that ran out of its own time
@@ -171,7 +201,8 @@
 }
 
 // judge looks at the head of an answer.
-func (fl *flight) judge(ctx context.Context, t *spread.Target, x *exchange, s *silence, sent time.Duration) attempt {
+func (fl *flight) judge(ctx context.Context, c spread.Choice, x *exchange, s *silence, sent time.Duration) attempt {
+	t := c.Target
 	d := fl.f.opts.Dialect
 	status := x.head.StatusCode()
 	notRun := len(x.head.Peek(d.NotRun)) > 0 || status == http.StatusMisdirectedRequest
@@ -184,7 +215,7 @@
 		fl.note(t, "foreign")
 		return attempt{verdict: failing, err: errForeign}
 	case status < http.StatusMultipleChoices && fl.route.GetKind() == statev1.Route_KIND_STREAM:
-		return fl.stream(ctx, t, x, s, sent)
+		return fl.stream(ctx, c, x, s, sent)
 	default:
 		return fl.whole(t, x, status)
 	}
@@ -279,7 +310,10 @@
 }
 
 // stream passes events on as they come.
-func (fl *flight) stream(ctx context.Context, t *spread.Target, x *exchange, s *silence, sent time.Duration) attempt {
+func (fl *flight) stream(ctx context.Context, c spread.Choice, x *exchange, s *silence, sent time.Duration) attempt {
+	t := c.Target
+	mv := fl.mover(c)
+	defer mv.release()
 	s.restart(stallLimit)
 	// What is left of an event that broke off belongs to the former target.
 	fl.events.rest = nil
@@ -295,10 +329,18 @@
 				fl.note(t, "caller left")
 				return attempt{verdict: unjudged, done: true, err: errBegun{sinkErr}}
 			}
+			mv.start(ctx)
 		}
 		if err == io.EOF && len(fl.events.rest) == 0 && !fl.events.fault {
 			return fl.streamed(t, x)
 		}
+		if err != nil && !fl.events.fault {
+			if r := mv.resume(ctx); r != nil {
+				x.abandon()
+				fl.note(t, fmt.Sprintf("moved after event %d", fl.events.last))
+				return attempt{verdict: sound, resumption: r, err: err}
+			}
+		}
 		if err != nil || fl.events.fault {
 			x.abandon()
 			fl.loseRest(ctx, s, err)
