--- a/modules/raft/node.go
+++ b/modules/raft/node.go
@@ -72,6 +72,8 @@
 	// inStep is when all that was committed had been applied here.
 	inStep time.Duration
 	failed error
+	// leads is whether this box led after the last step, for the log.
+	leads bool
 	// capturing is set while a snapshot is encoded in the background.
 	capturing bool
 	proposals chan proposal
@@ -282,6 +284,21 @@
 	for _, r := range out.Requests {
 		n.dispatch(r)
 	}
+	n.noteLeading()
+}
+
+// noteLeading logs when this box begins or ceases to lead.
+func (n *Node) noteLeading() {
+	leads := n.core.role == Leader
+	if leads == n.leads {
+		return
+	}
+	n.leads = leads
+	message := "leads the control group"
+	if !leads {
+		message = "leads the control group no more"
+	}
+	n.opts.Log.Info(message, "term", n.core.term, "commit", n.core.commit, "last", n.core.log.last(), "members", len(n.core.group), "all_started_anew", n.core.allFresh)
 }
 
 func (n *Node) storeOutput(out Output) error {
--- a/services/gateway/follow.go
+++ b/services/gateway/follow.go
@@ -27,8 +27,10 @@
 	// outOfStep is how long ago the followed box may have been in step with
 	// the control group.
 	outOfStep = 900 * time.Millisecond
-	// followPause is the time between tries.
+	// followPause is the time between tries, firstPause that of a box that has no
+	// table yet: after a restart of everything control is there within a second.
 	followPause = 150 * time.Millisecond
+	firstPause  = 50 * time.Millisecond
 )
 
 // Serve streams a source to a follower until the context ends.
@@ -105,10 +107,18 @@
 			f.Logger.Warn("dependency lost", "dependency", "control", "address", address, "reason", err.Error(), "in_step_ms_ago", f.Store.Confirmed().Milliseconds())
 			f.connected = ""
 		}
-		periodic.Sleep(ctx, followPause)
+		periodic.Sleep(ctx, f.pause())
 	}
 }
 
+// pause returns the time until the next try.
+func (f *Follower) pause() time.Duration {
+	if f.Store.Index() == nil {
+		return firstPause
+	}
+	return followPause
+}
+
 // follow reads one control box's stream until it ends, falls silent or falls
 // out of step.
 func (f *Follower) follow(ctx context.Context, address string) error {
