--- a/models/spread/spread_test.go
+++ b/models/spread/spread_test.go
@@ -169,3 +169,41 @@
 		t.Fatal("a target that is not in the table any more stayed")
 	}
 }
+
+// Two targets of another data centre that can't be reached take all of it out;
+// a single one, or any number in the box's own, does not.
+func TestADataCentreThatIsCutOff(t *testing.T) {
+	tests := map[string]struct {
+		centre string
+		failed int
+		out    int
+	}{
+		"one target elsewhere":  {centre: "dc-b", failed: 1, out: 1},
+		"two targets elsewhere": {centre: "dc-b", failed: 2, out: 4},
+		"two targets here":      {centre: "dc-a", failed: 2, out: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tb := table(8)
+			failed := 0
+			for _, target := range tb.byID {
+				if target.DataCentre == test.centre && failed < test.failed {
+					tb.Unreached(target, 0)
+					failed++
+				}
+			}
+			out := 0
+			for _, target := range tb.byID {
+				if target.bannedTo > time.Millisecond {
+					out++
+				}
+			}
+			if out != test.out {
+				t.Fatalf("%d targets are out, want %d", out, test.out)
+			}
+			if due := tb.Banned(firstBan); len(due) != test.out {
+				t.Fatalf("%d targets are due for a trial, want %d", len(due), test.out)
+			}
+		})
+	}
+}
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// dialTimeout is how long a new connection may take.
-	dialTimeout = 400 * time.Millisecond
+	// dialTimeout is how long a new connection may take: some round trips of
+	// 40 ms between regions. A lost opening packet is sent again after a second,
+	// which no call can wait for.
+	dialTimeout = 150 * time.Millisecond
 	// idleDefault is how long a connection may rest when the target names no
 	// time, and idleShare the part of a named time that is used.
 	idleDefault = 2500 * time.Millisecond
