placement: boxes agree on the number of readers; targets that were replaced are out for good

Change 1: boxes report what their long prompts cost to read with their leases, control answers with the sum (kept up to date report by report), and a reader is given back only when the load lies clearly below.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -57,6 +57,7 @@
 	})
 	e.shared = &gateway.Shared{Leases: e.leases, Dial: b.Peers.Draws}
 	e.between = b.Peers.Server(between.NewDraws(e.leases, b.Peers.HandlerOptions()))
+	registry := &gateway.Registry{Row: b.Store.Target, Client: b.Client}
 	e.forwarder = forward.New(forward.Options{
 		DataCentre: b.Settings.DataCentre,
 		Dialect:    platform.Dialect(),
@@ -66,10 +67,12 @@
 		Logger:     b.Logger,
 		Counter:    b.Metrics,
 		Orders:     platform.EngineOrders{},
+		Gone:       registry.Gone,
 		Meter:      e.meter,
 		RetryRatio: b.Settings.RetryRatio,
 		RetryStock: b.Settings.RetryStock,
 	})
+	e.leases.Placement = e.forwarder
 	e.callers = callers.New(callers.Options{
 		Forwarder:  e.forwarder,
 		Translator: platform.Translator{},
--- a/models/spread/reads.go
+++ b/models/spread/reads.go
@@ -23,6 +23,13 @@
 	// leastReaders is the part of one target's time below which none is kept for
 	// long prompts.
 	leastReaders = 0.02
+	// readerSlack is how far, in targets, the load must lie below what fewer readers
+	// could do before one is given back: calls suffer while boxes disagree.
+	readerSlack = 0.4
+	// fleetFresh is how long the load of all boxes counts after control told it.
+	fleetFresh = 10 * time.Second
+	// leastLoad is the load below which a box reports none.
+	leastLoad = time.Millisecond
 	// apartParts bounds the targets apart: one in so many of a service.
 	apartParts = 3
 	// readWindow is the time over which the load of long prompts is smoothed.
@@ -45,6 +52,12 @@
 	// readWindow, in nanoseconds; updated is when it last was.
 	busy    float64
 	updated time.Duration
+	// fleet is the load of all boxes as control told it last, at toldAt.
+	fleet  time.Duration
+	toldAt time.Duration
+	told   bool
+	// readers is how many targets read apart at present.
+	readers int
 }
 
 // learn takes in how long a prompt took to its first event.
@@ -83,14 +96,48 @@
 	r.busy += float64(d)
 }
 
-// apart returns how many of a service's targets read long prompts, for a number
-// of boxes with the load of this one.
+// load returns the reading time of this box's long prompts in each second.
+func (r *reads) load(now time.Duration) time.Duration {
+	r.decay(now)
+	return time.Duration(r.busy / readWindow.Seconds())
+}
+
+// fleetLoad returns that of all boxes: as control has told it, or as if all had
+// the load of this one.
+func (r *reads) fleetLoad(boxes int, now time.Duration) time.Duration {
+	if r.told && now-r.toldAt < fleetFresh {
+		return r.fleet
+	}
+	return r.load(now) * time.Duration(max(1, boxes))
+}
+
+// apart returns how many of a service's targets read long prompts.
 func (r *reads) apart(targets, boxes int, now time.Duration) int {
-	most := targets / apartParts
-	if r.busy == 0 || most == 0 {
+	if r.busy == 0 && !r.told {
 		return 0
 	}
-	r.decay(now)
-	load := r.busy / float64(readWindow) * float64(max(1, boxes))
-	return min(most, int(math.Ceil(load/readUse-leastReaders)))
+	wanted := r.fleetLoad(boxes, now).Seconds()/readUse - leastReaders
+	if up := int(math.Ceil(wanted)); up > r.readers || up <= 0 || wanted < float64(r.readers-1)-readerSlack {
+		r.readers = max(0, up)
+	}
+	return min(targets/apartParts, r.readers)
+}
+
+// ReadingLoads returns, by service, for how long in each second targets read long
+// prompts of this box.
+func (tb *Table) ReadingLoads(now time.Duration) map[string]time.Duration {
+	loads := map[string]time.Duration{}
+	for service, r := range tb.reads {
+		if load := r.load(now); load > leastLoad {
+			loads[service] = load
+		}
+	}
+	return loads
+}
+
+// SetFleetReading takes in for how long in each second the targets of a service
+// read long prompts of all boxes.
+func (tb *Table) SetFleetReading(service string, load, now time.Duration) {
+	r := tb.readsOf(service)
+	r.fleet, r.toldAt, r.told = load, now, true
 }
--- a/models/spread/reads_test.go
+++ b/models/spread/reads_test.go
@@ -95,3 +95,37 @@
 		t.Fatal("a prompt that shows no speed has changed it")
 	}
 }
+
+// All boxes keep as many targets for long prompts as control's sum asks for, and
+// don't give one back for a small change.
+func TestBoxesAgreeOnReaders(t *testing.T) {
+	seconds := func(targets float64) time.Duration { return time.Duration(targets * readUse * float64(time.Second)) }
+	steps := []struct {
+		name    string
+		load    time.Duration
+		readers int
+	}{
+		{"one is enough", seconds(0.9), 1},
+		{"three are needed", seconds(2.5), 3},
+		{"a little less", seconds(1.7), 3},
+		{"clearly less", seconds(1.5), 2},
+		{"more than a third of all", seconds(9), 4},
+		{"none", 0, 0},
+	}
+	busy, idle := learned(), learned()
+	busy.Choose(longNeed(1), 0)
+	for _, step := range steps {
+		for name, tb := range map[string]*Table{"busy": busy, "idle": idle} {
+			tb.SetFleetReading("s", step.load, time.Second)
+			if got := tb.readsOf("s").apart(12, 7, time.Second); got != step.readers {
+				t.Errorf("%s, %s box: %d readers, want %d", step.name, name, got, step.readers)
+			}
+		}
+	}
+	if loads := busy.ReadingLoads(time.Second); loads["s"] == 0 {
+		t.Error("a box with a long prompt reports no load")
+	}
+	if loads := idle.ReadingLoads(time.Second); len(loads) != 0 {
+		t.Errorf("an idle box reports %v", loads)
+	}
+}
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -67,7 +67,9 @@
 	// Waiting counts the prompt tokens of its calls without a first event.
 	Waiting int
 
-	hash     uint64
+	hash uint64
+	// replaced is set once another target answers at the address.
+	replaced bool
 	failures int
 	bannedTo time.Duration
 	sick     bool
@@ -274,7 +276,7 @@
 	var healthy, out []*Target
 	for _, t := range tb.services[need.Service] {
 		switch {
-		case t.Draining || need.Exclude[t.ID]:
+		case t.Draining || t.replaced || need.Exclude[t.ID]:
 		case t.bannedTo > now:
 			out = append(out, t)
 		default:
@@ -354,6 +356,14 @@
 	}
 }
 
+// Replaced takes a target out for good, since another one has its address, and
+// tells whether that is news.
+func (tb *Table) Replaced(t *Target) bool {
+	news := !t.replaced
+	t.replaced = true
+	return news
+}
+
 // Reached brings a target back that can be reached again.
 func (tb *Table) Reached(t *Target) {
 	if t.failures == 0 {
@@ -413,7 +423,7 @@
 func (tb *Table) Banned(now time.Duration) []*Target {
 	var due []*Target
 	for _, t := range tb.byID {
-		if t.failures > 0 && t.bannedTo <= now {
+		if t.failures > 0 && t.bannedTo <= now && !t.replaced {
 			due = append(due, t)
 		}
 	}
--- a/services/control/gateway.go
+++ b/services/control/gateway.go
@@ -41,9 +41,10 @@
 	mu      sync.Mutex
 	holders map[string]*holderRow
 	// boxes lists the entry boxes.
-	boxes  directory
-	days   map[string]dayReading
-	sweeps sweeps
+	boxes    directory
+	readings readings
+	days     map[string]dayReading
+	sweeps   sweeps
 	// told names holders of which the log has said that nothing is reclaimed.
 	told map[string]bool
 }
@@ -96,7 +97,7 @@
 	}
 	g.reclaimBefore(ctx, r)
 	holders, directory, stamp := g.note(r)
-	resp := &betweenv1.LeaseResponse{Holders: uint32(holders), Directory: wireDirectory(directory, r.GetDirectory())}
+	resp := &betweenv1.LeaseResponse{Holders: uint32(holders), Directory: wireDirectory(directory, r.GetDirectory()), Readings: g.noteReadings(r)}
 	sync := &statev1.LeaseSync{Holder: r.GetHolder(), Box: r.GetBox(), Stamp: stamp, Leaving: r.GetLeaving()}
 	at := make([]int, 0, len(r.GetReports()))
 	g.Machine.Read(func(s *state.State) {
@@ -230,6 +231,19 @@
 	return len(g.holders), g.boxes.current(now), row.stamp
 }
 
+// noteReadings takes in what a holder's long prompts cost to read, and returns
+// the sum over all.
+func (g *Gateway) noteReadings(r *betweenv1.LeaseRequest) []*betweenv1.ReadingLoad {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	loads := r.GetReadings()
+	if r.GetLeaving() {
+		loads = nil
+	}
+	g.readings.put(r.GetHolder(), loads)
+	return g.readings.list()
+}
+
 // sweepHolders forgets holders that have fallen silent; the caller holds the
 // lock.
 func (g *Gateway) sweepHolders(now time.Duration) {
@@ -239,6 +253,7 @@
 	for name, other := range g.holders {
 		if now-other.at > holderTimeout {
 			delete(g.holders, name)
+			g.readings.put(name, nil)
 		}
 	}
 }
--- /dev/null
+++ b/services/control/readings_test.go
@@ -0,0 +1,55 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+)
+
+// The sum of what long prompts cost to read follows the reports, and forgets boxes
+// that leave or fall silent.
+func TestReadingsOfAllBoxes(t *testing.T) {
+	f := newGateway(t)
+	report := func(holder string, leaving bool, loads ...*betweenv1.ReadingLoad) map[string]uint64 {
+		t.Helper()
+		resp, err := f.Lease(context.Background(), &betweenv1.LeaseRequest{Holder: holder, Box: holder, Leaving: leaving, Readings: loads})
+		if err != nil {
+			t.Fatal(err)
+		}
+		all := map[string]uint64{}
+		for _, l := range resp.GetReadings() {
+			all[l.GetService()] = l.GetLoad()
+		}
+		return all
+	}
+	load := func(service string, n uint64) *betweenv1.ReadingLoad {
+		return &betweenv1.ReadingLoad{Service: service, Load: n}
+	}
+	steps := []struct {
+		name string
+		do   func() map[string]uint64
+		want map[string]uint64
+	}{
+		{"the first box", func() map[string]uint64 { return report("a", false, load("s", 10)) }, map[string]uint64{"s": 10}},
+		{"another one", func() map[string]uint64 { return report("b", false, load("s", 5), load("u", 7)) }, map[string]uint64{"s": 15, "u": 7}},
+		{"the first reads less", func() map[string]uint64 { return report("a", false, load("s", 2)) }, map[string]uint64{"s": 7, "u": 7}},
+		{"it leaves", func() map[string]uint64 { return report("a", true, load("s", 2)) }, map[string]uint64{"s": 5, "u": 7}},
+		{"the other one is silent", func() map[string]uint64 {
+			f.clock.Advance(holderTimeout + sweepEvery + time.Second)
+			report("c", false)
+			return report("c", false, load("s", 1))
+		}, map[string]uint64{"s": 1}},
+	}
+	for _, step := range steps {
+		if diff := cmp.Diff(step.want, step.do()); diff != "" {
+			t.Fatalf("%s: %s", step.name, diff)
+		}
+	}
+}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -52,6 +52,8 @@
 	// sweepInterval is the time between looks at idle connections and at
 	// targets that are out.
 	sweepInterval = 500 * time.Millisecond
+	// goneTimeout bounds the news of a target that is gone.
+	goneTimeout = 2 * time.Second
 	// probeTimeout bounds a trial connection to a target that is out.
 	probeTimeout = 300 * time.Millisecond
 )
@@ -80,6 +82,8 @@
 	Clock      clock.Clock
 	Logger     *slog.Logger
 	Counter    Counter
+	// Gone tells control that a target is gone; nil where nobody is told.
+	Gone func(ctx context.Context, target string) error
 	// Orders says how engines copy running calls; nil where they can't.
 	Orders EngineOrders
 	// Meter counts the bytes of targets' connections; nil for none.
@@ -434,6 +438,11 @@
 			return
 		}
 		f.opts.Logger.Warn("target out", "target", t.ID, "address", t.Address, "reason", "unreachable", "ms", ban.Milliseconds(), "request", fl.call.ID)
+	case replaced:
+		if f.targets.Replaced(t) {
+			f.opts.Logger.Warn("target out", "target", t.ID, "address", t.Address, "reason", "another target has its address", "request", fl.call.ID)
+			go f.tellGone(t.ID)
+		}
 	case sound, turnedAway:
 		f.targets.Reached(t)
 		f.targets.Ended(t, false, now)
@@ -445,6 +454,20 @@
 	}
 }
 
+// tellGone tells control, and so all boxes, that a target has been replaced: each
+// box would else learn it from a call of its own, and all these count as further
+// sends.
+func (f *Forwarder) tellGone(target string) {
+	if f.opts.Gone == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), goneTimeout)
+	defer cancel()
+	if err := f.opts.Gone(ctx, target); err != nil {
+		f.opts.Logger.Warn("control was not told that a target is gone", "target", target, "reason", err.Error())
+	}
+}
+
 // verdict is what a call shows of its target.
 type verdict int
 
@@ -452,6 +475,8 @@
 	unjudged verdict = iota
 	sound
 	turnedAway
+	// replaced says that another target has the address.
+	replaced
 	failing
 	unreachable
 )
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -228,7 +228,7 @@
 	fl.note(t, fmt.Sprintf("turned away %d", status))
 	if status == http.StatusMisdirectedRequest {
 		// Another target has the address now.
-		return attempt{verdict: unreachable, notRun: true, err: errNotSent}
+		return attempt{verdict: replaced, notRun: true, err: errNotSent}
 	}
 	return attempt{verdict: turnedAway, notRun: true, err: errNotSent}
 }
--- a/services/gateway/leases.go
+++ b/services/gateway/leases.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	"havenwinch.dev/havenwinch/models/lease"
 	"havenwinch.dev/havenwinch/modules/clock"
 )
@@ -55,6 +56,18 @@
 	Client     *Client
 	Clock      clock.Clock
 	Logger     *slog.Logger
+	// Placement tells and hears what long prompts cost to read; nil for a box
+	// that places no calls.
+	Placement Placement
+}
+
+// Placement decides where calls go, and needs to know for that what the long
+// prompts of all boxes cost to read.
+type Placement interface {
+	// Readings returns what targets read of this box's long prompts.
+	Readings() []*betweenv1.ReadingLoad
+	// SetReadings takes in what they read of those of all boxes.
+	SetReadings(all []*betweenv1.ReadingLoad)
 }
 
 // NewLeases returns the leases of a box's process; the holder's name ends with
--- a/services/gateway/registry.go
+++ b/services/gateway/registry.go
@@ -57,6 +57,11 @@
 	}
 }
 
+// Gone takes a target out that its own calls have not taken out.
+func (g *Registry) Gone(ctx context.Context, id string) error {
+	return g.Put(ctx, &statev1.RegisteredTarget{Id: id, State: statev1.RegisteredTarget_STATE_GONE})
+}
+
 // join adds a row to the open batch, or opens one.
 func (g *Registry) join(t *statev1.RegisteredTarget) *putBatch {
 	g.mu.Lock()
--- a/services/gateway/report.go
+++ b/services/gateway/report.go
@@ -68,8 +68,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
+	if l.Placement != nil {
+		r.Readings = l.Placement.Readings()
+	}
 	resp, err := l.Client.Lease(ctx, r)
 	l.take(resp, err)
+	if err == nil && l.Placement != nil {
+		l.Placement.SetReadings(resp.GetReadings())
+	}
 }
 
 // request takes a new sample, or repeats the last one until control has it. It
