placement: readers are asked what they read; common parts are copied from their keeper

Any call that goes to another target than the one that keeps its common part names that one as the source.

--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -167,9 +167,14 @@
 	Target *Target
 	// Apart is set when the call's prompt is long and read apart.
 	Apart bool
-	// Home is the target that would have had a prompt that is read apart, and
-	// keeps its common part.
+	// Readers are the targets that read long prompts, for a call that is read apart.
+	Readers []*Target
+	// Home is the target that would have had a prompt that is read apart; nil for
+	// other calls.
 	Home *Target
+	// Keeper is the target that most likely keeps the common part of the prompt,
+	// nil when that is the call's own or there is no such part.
+	Keeper *Target
 	// Reading is how long the prompt is expected to be read, zero when unknown.
 	Reading time.Duration
 }
@@ -189,15 +194,17 @@
 		r.add(c.Reading, now)
 	}
 	readers, others := tb.part(need, candidates, now)
-	switch {
-	case len(others) == 0:
-		c.Target = tb.pick(need, candidates)
-	case long && len(readers) > 0:
+	c.Target = tb.pick(need, others)
+	if long && len(readers) > 0 {
 		c.Apart = true
-		c.Target = leastWaiting(readers, need.Affinity)
-		c.Home = tb.pick(need, others)
-	default:
-		c.Target = tb.pick(need, others)
+		c.Home, c.Target = c.Target, leastWaiting(readers, need.Affinity)
+		c.Readers = readers
+	}
+	if need.Affinity != 0 {
+		c.Keeper = highest(others, need.Affinity, func(*Target) bool { return true })
+	}
+	if c.Keeper == c.Target {
+		c.Keeper = nil
 	}
 	return c
 }
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -98,8 +98,10 @@
 type Forwarder struct {
 	opts    Options
 	started time.Duration
-	pool    *pool
-	retries retryBudget
+	// reportWait bounds the questions to readers.
+	reportWait time.Duration
+	pool       *pool
+	retries    retryBudget
 
 	mu      sync.Mutex
 	targets *spread.Table
@@ -108,7 +110,7 @@
 
 // New returns a forwarder.
 func New(opts Options) *Forwarder {
-	return &Forwarder{opts: opts, started: opts.Clock.Boot(), pool: newPool(opts.Clock.Boot, opts.Meter), targets: spread.NewTable(opts.DataCentre)}
+	return &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, pool: newPool(opts.Clock.Boot, opts.Meter), targets: spread.NewTable(opts.DataCentre)}
 }
 
 // warmUp returns when a box without a routing table will likely have one.
@@ -374,8 +376,8 @@
 	if fl.resumption != nil {
 		return append(fields, Field{Name: d.Resume, Value: fl.resumption.source})
 	}
-	if c.Home != nil && fl.service.GetEngine().GetMoves() {
-		fields = append(fields, Field{Name: d.Fetch, Value: c.Home.Address})
+	if c.Keeper != nil && fl.service.GetEngine().GetMoves() {
+		fields = append(fields, Field{Name: d.Fetch, Value: c.Keeper.Address})
 	}
 	return fields
 }
@@ -390,22 +392,33 @@
 }
 
 // choose takes a place at a target.
-func (fl *flight) choose() spread.Choice {
+func (fl *flight) choose(ctx context.Context) spread.Choice {
 	f := fl.f
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	c := f.targets.Choose(spread.Need{
+	need := spread.Need{
 		Service: fl.service.GetName(), Affinity: fl.call.Affinity, Tokens: int(fl.call.Own), Boxes: f.opts.Leases.Boxes(), Exclude: fl.exclude,
 		Pause: time.Duration(fl.route.GetPause()) * time.Millisecond,
-	}, f.opts.Clock.Boot())
+	}
+	f.mu.Lock()
+	c := f.targets.Choose(need, f.opts.Clock.Boot())
+	f.mu.Unlock()
+	if c.Apart {
+		c.Target = f.leastReading(ctx, c)
+	}
 	if c.Target != nil {
-		c.Target.Running++
-		fl.waiting = int(fl.call.Input)
-		c.Target.Waiting += fl.waiting
+		fl.enter(c.Target)
 	}
 	return c
 }
 
+// enter takes a place at a target, where the prompt is to be read.
+func (fl *flight) enter(t *spread.Target) {
+	fl.f.mu.Lock()
+	defer fl.f.mu.Unlock()
+	t.Running++
+	fl.waiting = int(fl.call.Input)
+	t.Waiting += fl.waiting
+}
+
 // answered notes that the target has read the prompt of a call that was sent at
 // a time.
 func (fl *flight) answered(t *spread.Target, sent time.Duration) {
--- a/services/forward/move.go
+++ b/services/forward/move.go
@@ -25,8 +25,9 @@
 	// moveTimeout bounds one order to copy; copies of the longest prompts took up
 	// to 0.5 s between data centres.
 	moveTimeout = 2 * time.Second
-	// moveAnswer bounds the answer to an order, in bytes.
-	moveAnswer = 4096
+	// orderAnswer bounds the answer to an order, in bytes; reports list the calls
+	// that run.
+	orderAnswer = 32 << 10
 )
 
 // EngineOrders says how engines are told to copy the memory of a running call.
@@ -34,6 +35,10 @@
 	// Copy returns the path and body of the order to copy a call's memory to the
 	// engine at an address. With stop the run ends first; else it goes on.
 	Copy(call, address string, stop bool) (path string, body []byte)
+	// ReportPath is where an engine tells of its work.
+	ReportPath() string
+	// Report reads what it tells.
+	Report(answer []byte) (EngineReport, error)
 	// Release returns the path under which a copy is freed.
 	Release(handle string) string
 	// Handle reads the name of the copy in an answer.
@@ -132,7 +137,10 @@
 	if err != nil {
 		return 0, nil, errors.Wrap(errNotSent, err.Error())
 	}
-	call := &Call{Method: method, URI: path, Host: t.Address, Body: body, Fields: []Field{{Name: "Content-Type", Value: "application/json"}}}
+	call := &Call{Method: method, URI: path, Host: t.Address, Body: body}
+	if len(body) > 0 {
+		call.Fields = []Field{{Name: "Content-Type", Value: "application/json"}}
+	}
 	x, err := f.send(ctx, c, call, nil)
 	if err != nil {
 		return 0, nil, err
@@ -141,8 +149,8 @@
 		x.abandon()
 		return 0, nil, err
 	}
-	answer, err = io.ReadAll(io.LimitReader(x.body, moveAnswer))
-	x.whole = err == nil && len(answer) < moveAnswer
+	answer, err = io.ReadAll(io.LimitReader(x.body, orderAnswer))
+	x.whole = err == nil && len(answer) < orderAnswer
 	x.finish()
 	return x.head.StatusCode(), answer, err
 }
--- a/services/forward/move_test.go
+++ b/services/forward/move_test.go
@@ -25,6 +25,12 @@
 func (testOrders) Copy(call, address string, stop bool) (string, []byte) {
 	return "/copy", fmt.Appendf(nil, "%s %s %v", call, address, stop)
 }
+func (testOrders) ReportPath() string { return "/report" }
+func (testOrders) Report(answer []byte) (EngineReport, error) {
+	var r EngineReport
+	_, err := fmt.Sscanf(string(answer), "%d %d", &r.Waiting, &r.Reading)
+	return r, err
+}
 func (testOrders) Release(handle string) string         { return "/release/" + handle }
 func (testOrders) Handle(answer []byte) (string, error) { return string(answer), nil }
 func (testOrders) Source(address, handle string) string { return address + "/" + handle }
@@ -46,6 +52,8 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 	}
 	switch {
+	case r.path == "/report":
+		say(200, "0 0")
 	case strings.HasPrefix(r.path, "/release/"):
 		say(200, "")
 		e.released <- r.path
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -61,7 +61,7 @@
 	var last attempt
 	unreached := 0
 	for {
-		c := fl.place()
+		c := fl.place(ctx)
 		t := c.Target
 		if t == nil {
 			return fl.end(ctx, last)
@@ -91,11 +91,11 @@
 }
 
 // place takes a place at the target that gets the call next.
-func (fl *flight) place() spread.Choice {
+func (fl *flight) place(ctx context.Context) spread.Choice {
 	if fl.resumption != nil {
 		return fl.follow()
 	}
-	return fl.choose()
+	return fl.choose(ctx)
 }
 
 // goesOn tells whether a stopped run goes on from a copy of its memory. One that
