forward: a stopped run is never run anew; a crowded link says nothing of targets

Change 1: once a run was stopped, a call that may not be repeated ends when nobody takes the run. TestAStoppedRunIsNotRunAnew ran the call twice before. Change 3: at most four readers are asked for their reports.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -68,6 +68,7 @@
 		Counter:    b.Metrics,
 		Orders:     platform.EngineOrders{},
 		Gone:       registry.Gone,
+		Crowded:    e.overload.Crowded,
 		Meter:      e.meter,
 		RetryRatio: b.Settings.RetryRatio,
 		RetryStock: b.Settings.RetryStock,
--- a/models/spread/reads.go
+++ b/models/spread/reads.go
@@ -30,6 +30,10 @@
 	fleetFresh = 10 * time.Second
 	// leastLoad is the load below which a box reports none.
 	leastLoad = time.Millisecond
+	// askedReaders is how many readers are asked for their work before a long
+	// prompt is sent. Choosing among a few is nearly as good as among all
+	// (Mitzenmacher 2001, "The Power of Two Choices").
+	askedReaders = 4
 	// apartParts bounds the targets apart: one in so many of a service.
 	apartParts = 3
 	// readWindow is the time over which the load of long prompts is smoothed.
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -198,7 +198,7 @@
 	if long && len(readers) > 0 {
 		c.Apart = true
 		c.Home, c.Target = c.Target, leastWaiting(readers, need.Affinity)
-		c.Readers = readers
+		c.Readers = firstReaders(readers, need.Affinity)
 	}
 	if need.Affinity != 0 {
 		c.Keeper = highest(others, need.Affinity, func(*Target) bool { return true })
@@ -225,6 +225,14 @@
 	return candidates[:n], candidates[n:]
 }
 
+// firstReaders returns the few readers that come first for a common part: they
+// are asked what they read, and asking all would not grow with the fleet.
+func firstReaders(readers []*Target, affinity uint64) []*Target {
+	list := slices.Clone(readers)
+	slices.SortFunc(list, func(a, b *Target) int { return cmp.Compare(mix(b.hash^affinity), mix(a.hash^affinity)) })
+	return list[:min(askedReaders, len(list))]
+}
+
 // leastWaiting returns the target with the fewest prompt tokens that wait.
 func leastWaiting(candidates []*Target, affinity uint64) *Target {
 	least := math.MaxInt
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -84,6 +84,8 @@
 	Counter    Counter
 	// Gone tells control that a target is gone; nil where nobody is told.
 	Gone func(ctx context.Context, target string) error
+	// Crowded tells whether the box's own link is crowded; nil for never.
+	Crowded func() bool
 	// Orders says how engines copy running calls; nil where they can't.
 	Orders EngineOrders
 	// Meter counts the bytes of targets' connections; nil for none.
@@ -110,7 +112,10 @@
 
 // New returns a forwarder.
 func New(opts Options) *Forwarder {
-	return &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, pool: newPool(opts.Clock.Boot, opts.Meter), targets: spread.NewTable(opts.DataCentre)}
+	if opts.Crowded == nil {
+		opts.Crowded = func() bool { return false }
+	}
+	return &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, pool: newPool(opts.Clock.Boot, opts.Meter, opts.Crowded), targets: spread.NewTable(opts.DataCentre)}
 }
 
 // warmUp returns when a box without a routing table will likely have one.
@@ -446,6 +451,9 @@
 	now := f.opts.Clock.Boot()
 	switch v {
 	case unreachable:
+		if f.opts.Crowded() {
+			return
+		}
 		ban := f.targets.Unreached(t, now)
 		if ban == 0 {
 			return
--- a/services/forward/move_test.go
+++ b/services/forward/move_test.go
@@ -14,9 +14,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/spread"
-	"havenwinch.dev/havenwinch/modules/clock"
 )
 
 // testOrders is a dialect of orders to engines.
@@ -164,13 +162,51 @@
 	}
 }
 
-// A run that was stopped and is taken by no engine may not run anew where its
-// route doesn't allow that.
+// A run that was stopped and that no engine can be reached for is not run anew
+// elsewhere where its route doesn't allow that. (Quiet-1 of the grown site: ORDER
+// and TWICE.)
 func TestAStoppedRunIsNotRunAnew(t *testing.T) {
-	fl := &flight{f: &Forwarder{}, route: &statev1.Route{Kind: statev1.Route_KIND_STREAM, MaxAttempts: 2}, service: &statev1.Service{Name: "s"}, resumed: true, deadline: 2 * time.Hour}
-	fl.f.opts.Clock = clock.NewFake()
-	fl.f.retries.noted("s", 1, 100)
-	if fl.mayRepeat(true) {
-		t.Fatal("a stopped run may be sent to one more target")
+	e := &engineScript{copies: 200, stops: 200, stopped: make(chan struct{}), released: make(chan string, 1)}
+	var targets []*target
+	// Once the run is stopped nobody can be reached but two targets that have had
+	// nothing to do with it.
+	cut := func(c net.Conn, r received) {
+		if strings.HasSuffix(r.body, "true") {
+			for _, tg := range targets {
+				if len(tg.requests()) > 0 || strings.Contains(r.body, tg.l.Addr().String()) {
+					_ = tg.l.Close()
+				}
+			}
+		}
+		e.answer(c, r)
+		if r.path == "/copy" {
+			_ = c.Close()
+		}
+	}
+	for _, name := range []string{"one", "two", "three", "four"} {
+		targets = append(targets, newTarget(t, name, cut, cut, cut, cut, cut, cut, cut, cut))
+	}
+	f := newForwarder(t, &book{}, targets...)
+	f.opts.Orders = testOrders{}
+	index := f.opts.Store.Index()
+	index.Service("s").Engine.Moves = true
+	index.Route("h", "/stream/x").Pause = 100
+	f.targets.Read(f.targets.Choose(spread.Need{Service: "s"}, 0).Target, 4000, 100*time.Millisecond)
+	c := &collector{}
+	call := newCall("stream")
+	call.Input, call.Own, call.Affinity = 20000, 20000, 7
+	if err := f.Serve(context.Background(), call, c); err == nil || c.ended {
+		t.Fatal("the answer looks whole")
+	}
+	runs := 0
+	for _, tg := range targets {
+		for _, r := range tg.requests() {
+			if r.id != "" && r.resume == "" {
+				runs++
+			}
+		}
+	}
+	if runs != 1 {
+		t.Fatalf("the call was run %d times", runs)
 	}
 }
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -21,6 +21,8 @@
 	// 40 ms between regions. A lost opening packet is sent again after a second,
 	// which no call can wait for.
 	dialTimeout = 150 * time.Millisecond
+	// crowdedTimeout takes its place while the box's own link is crowded.
+	crowdedTimeout = 600 * time.Millisecond
 	// idleDefault is how long a connection may rest when the target names no
 	// time, and idleShare the part of a named time that is used.
 	idleDefault = 2500 * time.Millisecond
@@ -60,15 +62,17 @@
 	dialer net.Dialer
 	now    func() time.Duration
 	meter  *meter.Meter
+	// crowded tells whether the box's own link is.
+	crowded func() bool
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
-func newPool(now func() time.Duration, m *meter.Meter) *pool {
+func newPool(now func() time.Duration, m *meter.Meter, crowded func() bool) *pool {
 	return &pool{
+		crowded: crowded,
 		dialer: net.Dialer{
-			Timeout:         dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 		},
 		now:   now,
@@ -125,6 +129,12 @@
 }
 
 func (p *pool) dial(ctx context.Context, t *spread.Target) (*conn, error) {
+	limit := dialTimeout
+	if p.crowded() {
+		limit = crowdedTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	c, err := p.dialer.DialContext(ctx, "tcp", t.Address)
 	if err != nil {
 		return nil, err
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -75,6 +75,9 @@
 		if fl.goesOn(ctx, last) {
 			continue
 		}
+		if fl.resumed && !routing.Repeatable(fl.route) {
+			return fl.end(ctx, last)
+		}
 		if last.verdict == unreachable && ctx.Err() == nil {
 			unreached++
 			if unreached < maxReach {
--- a/services/overload/overload.go
+++ b/services/overload/overload.go
@@ -50,7 +50,9 @@
 
 	// since is when the box became busy, in nanoseconds; zero while it is not.
 	since atomic.Int64
-	state watchState
+	// crowded is set while the link carries so much that packets may wait.
+	crowded atomic.Bool
+	state   watchState
 }
 
 // watchState is what the watcher's own goroutine knows.
@@ -74,6 +76,10 @@
 // Busy tells whether the box should get no new connections.
 func (w *Watcher) Busy() bool { return w.since.Load() != 0 }
 
+// Crowded tells whether packets may wait at the box's own link: what does not
+// answer in time says little of the other end then.
+func (w *Watcher) Crowded() bool { return w.crowded.Load() }
+
 // Sheds tells whether kept connections should be closed after their answers.
 func (w *Watcher) Sheds() bool {
 	since := w.since.Load()
@@ -96,6 +102,7 @@
 
 func (w *Watcher) decide(now time.Duration) {
 	since := time.Duration(w.since.Load())
+	w.crowded.Store(w.state.load > quietBelow)
 	switch {
 	case since == 0 && w.state.load > busyAbove && now >= w.state.rests:
 		w.since.Store(int64(now))
--- a/services/overload/overload_test.go
+++ b/services/overload/overload_test.go
@@ -46,3 +46,23 @@
 		})
 	}
 }
+
+// A crowded link is told apart from a busy one: also while the box asks for new
+// connections again.
+func TestCrowded(t *testing.T) {
+	w := &Watcher{Link: 10, Clock: clock.NewFake(), Logger: logging.Discard()}
+	for name, step := range map[string]struct {
+		load    float64
+		crowded bool
+	}{
+		"idle":    {load: quietBelow / 2},
+		"crowded": {load: (quietBelow + busyAbove) / 2, crowded: true},
+		"busy":    {load: 1, crowded: true},
+	} {
+		w.state.load = step.load
+		w.decide(time.Second)
+		if w.Crowded() != step.crowded {
+			t.Errorf("%s: crowded %v", name, w.Crowded())
+		}
+	}
+}
