spread: long prompts are read apart only where streams suffer from them

Change: a box counts the streams that one target made as a whole and whose longest pause exceeded what their route allows. It asks for readers above 4% of them and ceases under 0.4%.

--- a/models/spread/reads.go
+++ b/models/spread/reads.go
@@ -9,10 +9,10 @@
 )
 
 // While a target reads a long prompt, each step of its batch carries a chunk of
-// it, so the events of all streams that run there come late. Long prompts are
-// therefore read apart: at few targets that all boxes agree on without talking,
-// the first of the service by the hash of their identities. What counts as long
-// and how many targets read follow from what calls show.
+// it, so the events of all streams that run there come late. Where that makes
+// their pauses too long, long prompts are read apart: at the first few targets of
+// the service by the hash of their identities. Whether it is needed, what counts
+// as long and how many targets read follow from what calls show.
 const (
 	// longShare is the part of the longest pause that a stream may make from
 	// which on the reading of one prompt counts as long.
@@ -23,6 +23,14 @@
 	// leastReaders is the part of one target's time below which none is kept for
 	// long prompts.
 	leastReaders = 0.02
+	// pauseWeight is the weight of a new stream in the part of streams with too long
+	// a pause: about the last 60 count. Above pausedMany long prompts are read
+	// apart, below pausedFew no more. Where engines make such pauses, 19 to 29% of
+	// the streams had one before and 5 to 8% with targets apart; where events hold
+	// fewer tokens or engines read faster, none had.
+	pauseWeight = 1.0 / 60
+	pausedMany  = 0.04
+	pausedFew   = 0.004
 	// readerSlack is how far, in targets, the load must lie below what fewer readers
 	// could do before one is given back: calls suffer while boxes disagree.
 	readerSlack = 0.4
@@ -62,6 +70,10 @@
 	told   bool
 	// readers is how many targets read apart at present.
 	readers int
+	// paused is the part of this box's streams with too long a pause, smoothed;
+	// suffers is set while that is too many.
+	paused  float64
+	suffers bool
 }
 
 // learn takes in how long a prompt took to its first event.
@@ -80,6 +92,21 @@
 	}
 }
 
+// stream takes in the longest pause of a stream that has ended.
+func (r *reads) stream(pause, limit time.Duration) {
+	late := 0.0
+	if pause > limit {
+		late = 1
+	}
+	r.paused += pauseWeight * (late - r.paused)
+	switch {
+	case r.paused > pausedMany:
+		r.suffers = true
+	case r.paused < pausedFew:
+		r.suffers = false
+	}
+}
+
 // time returns how long a target reads a number of tokens, zero when that is
 // not known.
 func (r *reads) time(tokens int) time.Duration {
@@ -100,8 +127,12 @@
 	r.busy += float64(d)
 }
 
-// load returns the reading time of this box's long prompts in each second.
+// load returns the reading time of this box's long prompts in each second, zero
+// while its streams don't suffer from them.
 func (r *reads) load(now time.Duration) time.Duration {
+	if !r.suffers {
+		return 0
+	}
 	r.decay(now)
 	return time.Duration(r.busy / readWindow.Seconds())
 }
@@ -117,9 +148,6 @@
 
 // apart returns how many of a service's targets read long prompts.
 func (r *reads) apart(targets, boxes int, now time.Duration) int {
-	if r.busy == 0 && !r.told {
-		return 0
-	}
 	wanted := r.fleetLoad(boxes, now).Seconds()/readUse - leastReaders
 	if up := int(math.Ceil(wanted)); up > r.readers || up <= 0 || wanted < float64(r.readers-1)-readerSlack {
 		r.readers = max(0, up)
@@ -127,6 +155,14 @@
 	return min(targets/apartParts, r.readers)
 }
 
+// Streamed notes the longest pause of a stream that a target has made, and what
+// its route allows.
+func (tb *Table) Streamed(t *Target, pause, limit time.Duration) {
+	if limit > 0 {
+		tb.readsOf(t.Service).stream(pause, limit)
+	}
+}
+
 // ReadingLoads returns, by service, for how long in each second targets read long
 // prompts of this box.
 func (tb *Table) ReadingLoads(now time.Duration) map[string]time.Duration {
--- a/models/spread/reads_test.go
+++ b/models/spread/reads_test.go
@@ -16,6 +16,25 @@
 	for range 20 {
 		tb.Read(tb.byID["t0"], 4000, 100*time.Millisecond)
 	}
+	suffer(tb, 1)
+	return tb
+}
+
+// suffer ends streams of which one in so many had too long a pause.
+func suffer(tb *Table, parts int) {
+	for i := range 600 {
+		pause := testPause / 2
+		if i%parts == 0 {
+			pause = 2 * testPause
+		}
+		tb.Streamed(tb.byID["t0"], pause, testPause)
+	}
+}
+
+// spared is a learned table whose streams don't suffer.
+func spared() *Table {
+	tb := learned()
+	suffer(tb, 1<<20)
 	return tb
 }
 
@@ -62,6 +81,7 @@
 		need  Need
 	}{
 		"no speed is known":       {table: table(12), need: longNeed(1)},
+		"no stream suffers":       {table: spared(), need: longNeed(1)},
 		"the prompt is short":     {table: learned(), need: Need{Service: "s", Tokens: 4000, Pause: testPause}},
 		"no pause is bounded":     {table: learned(), need: Need{Service: "s", Tokens: 40000}},
 		"too few targets to part": {table: table(apartParts - 1), need: longNeed(1)},
@@ -129,3 +149,30 @@
 		t.Errorf("an idle box reports %v", loads)
 	}
 }
+
+// Long prompts are read apart only where streams suffer from them.
+func TestReadersFollowTheStreams(t *testing.T) {
+	steps := []struct {
+		name  string
+		parts int
+		apart bool
+	}{
+		{"many suffer", 5, true},
+		{"few do, since they are apart", 50, true},
+		{"none does", 1 << 20, false},
+		{"a few do again", 50, false},
+		{"many do again", 10, true},
+	}
+	tb := learned()
+	for _, step := range steps {
+		suffer(tb, step.parts)
+		tb.Choose(longNeed(1), 0)
+		if c := tb.Choose(longNeed(1), 0); c.Apart != step.apart {
+			t.Fatalf("%s: apart %v", step.name, c.Apart)
+		}
+	}
+	tb.Streamed(tb.byID["t0"], time.Hour, 0)
+	if loads := tb.ReadingLoads(0); len(loads) != 1 {
+		t.Fatalf("a stream without a bound has changed what suffers: %v", loads)
+	}
+}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -436,6 +436,17 @@
 	fl.f.targets.Read(t, int(fl.call.Own), fl.f.opts.Clock.Boot()-sent)
 }
 
+// streamedAt notes the longest pause of a stream that one target has made as a
+// whole: a pause while a stream went on elsewhere shows nothing of reading.
+func (fl *flight) streamedAt(t *spread.Target) {
+	if len(fl.sends) > 1 {
+		return
+	}
+	fl.f.mu.Lock()
+	defer fl.f.mu.Unlock()
+	fl.f.targets.Streamed(t, fl.sink.pause, time.Duration(fl.route.GetPause())*time.Millisecond)
+}
+
 func (fl *flight) endWait(t *spread.Target) {
 	t.Waiting -= fl.waiting
 	fl.waiting = 0
--- a/services/forward/move_test.go
+++ b/services/forward/move_test.go
@@ -85,6 +85,15 @@
 	_, _ = io.WriteString(c, "0\r\n\r\n")
 }
 
+// longPromptsHurt makes a forwarder believe that streams suffer from long prompts.
+func longPromptsHurt(f *Forwarder) {
+	t := f.targets.Choose(spread.Need{Service: "s"}, 0).Target
+	f.targets.Read(t, 4000, 100*time.Millisecond)
+	for range 20 {
+		f.targets.Streamed(t, time.Second, time.Millisecond)
+	}
+}
+
 func TestRunsOfLongPromptsMoveOn(t *testing.T) {
 	tests := map[string]struct {
 		script engineScript
@@ -117,7 +126,7 @@
 			index := f.opts.Store.Index()
 			index.Service("s").Engine.Moves = true
 			index.Route("h", "/stream/x").Pause = 100
-			f.targets.Read(f.targets.Choose(spread.Need{Service: "s"}, 0).Target, 4000, 100*time.Millisecond)
+			longPromptsHurt(f)
 			c := &collector{}
 			call := newCall("stream")
 			call.Input, call.Own, call.Affinity = 20000, 20000, 7
@@ -191,7 +200,7 @@
 	index := f.opts.Store.Index()
 	index.Service("s").Engine.Moves = true
 	index.Route("h", "/stream/x").Pause = 100
-	f.targets.Read(f.targets.Choose(spread.Need{Service: "s"}, 0).Target, 4000, 100*time.Millisecond)
+	longPromptsHurt(f)
 	c := &collector{}
 	call := newCall("stream")
 	call.Input, call.Own, call.Affinity = 20000, 20000, 7
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -382,6 +382,7 @@
 	}
 	x.finish()
 	fl.note(t, fmt.Sprintf("%d to event %d", x.head.StatusCode(), fl.events.last))
+	fl.streamedAt(t)
 	if err := fl.sink.End(); err != nil {
 		return attempt{verdict: sound, done: true, err: errBegun{err}}
 	}
