--- a/models/spread/reads.go
+++ b/models/spread/reads.go
@@ -163,6 +163,11 @@
 	}
 }
 
+// Readers returns how many targets of a service read long prompts.
+func (tb *Table) Readers(service string, boxes int, now time.Duration) int {
+	return tb.readsOf(service).apart(len(tb.services[service]), boxes, now)
+}
+
 // ReadingLoads returns, by service, for how long in each second targets read long
 // prompts of this box.
 func (tb *Table) ReadingLoads(now time.Duration) map[string]time.Duration {
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -108,6 +108,8 @@
 	mu      sync.Mutex
 	targets *spread.Table
 	seen    uint64
+	// readers is how many targets read long prompts, by service, for the log.
+	readers map[string]int
 }
 
 // New returns a forwarder.
@@ -213,6 +215,8 @@
 	exclude map[string]bool
 	// ran counts the targets that may have worked on the call.
 	ran int
+	// placed is the last choice of a target.
+	placed spread.Choice
 	// waiting counts the prompt tokens that the present target has not read.
 	waiting int
 	events  events
@@ -412,6 +416,7 @@
 	if c.Target != nil {
 		fl.enter(c.Target)
 	}
+	fl.placed = c
 	return c
 }
 
--- a/services/forward/readings.go
+++ b/services/forward/readings.go
@@ -24,7 +24,24 @@
 func (f *Forwarder) SetReadings(all []*betweenv1.ReadingLoad) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.opts.Clock.Boot()
 	for _, l := range all {
-		f.targets.SetFleetReading(l.GetService(), time.Duration(l.GetLoad())*time.Microsecond, f.opts.Clock.Boot())
+		load := time.Duration(l.GetLoad()) * time.Microsecond
+		f.targets.SetFleetReading(l.GetService(), load, now)
+		f.noteReaders(l.GetService(), load, now)
 	}
 }
+
+// noteReaders logs how many targets read long prompts when that changes; the
+// caller holds the lock.
+func (f *Forwarder) noteReaders(service string, load, now time.Duration) {
+	readers := f.targets.Readers(service, f.opts.Leases.Boxes(), now)
+	if readers == f.readers[service] {
+		return
+	}
+	if f.readers == nil {
+		f.readers = map[string]int{}
+	}
+	f.readers[service] = readers
+	f.opts.Logger.Info("targets that read long prompts", "service", service, "readers", readers, "fleet_reading_ms_per_s", load.Milliseconds())
+}
