raft: fresh boxes ask for votes less and less often

Suspected: a fresh candidate began anew every 70 to 250 ms, before answers that are slow could come, so that the group elected late. Change: each further early try waits twice as long, after four as any other box. Test: TestFreshBoxesAskLessAndLessOften.

--- a/modules/raft/core.go
+++ b/modules/raft/core.go
@@ -133,6 +133,8 @@
 	// they are fresh, allFresh that all have.
 	freshAnswers map[string]bool
 	allFresh     bool
+	// earlyTries is how often this box has asked for votes while it was fresh.
+	earlyTries int
 	// proposed holds the incarnations whose admission is already in the log.
 	proposed map[string]string
 }
@@ -193,9 +195,9 @@
 func (c *Core) quorum() int { return len(c.group)/2 + 1 }
 
 func (c *Core) resetDue(now time.Duration) {
-	if c.fresh {
-		spread := time.Duration(c.opts.Rand.Int63n(int64(c.opts.Election) / freshSpreadParts))
-		c.due = now + c.opts.Election/freshWaitParts + spread
+	if c.fresh && c.earlyTries < freshTries {
+		wait := c.freshWait()
+		c.due = now + wait + time.Duration(c.opts.Rand.Int63n(int64(wait)))
 		return
 	}
 	spread := time.Duration(c.opts.Rand.Int63n(int64(c.opts.Election)))
--- a/modules/raft/core_election.go
+++ b/modules/raft/core_election.go
@@ -18,18 +18,26 @@
 // catch up with their answer, so a leader that is elected meanwhile has a later
 // term at a quorum.
 const (
-	// freshWaitParts and freshSpreadParts are the parts of the election time
-	// after which a fresh box asks for votes, at least and at random.
-	freshWaitParts   = 10
-	freshSpreadParts = 4
+	// freshWaitParts is the part of the election time after which a fresh box asks
+	// for votes first, at least; up to twice that at random. Each further time it
+	// waits twice as long, so that a campaign ends where boxes are slow.
+	freshWaitParts = 10
+	// freshTries is how often a fresh box asks before it waits as any other.
+	freshTries = 4
 )
 
+// freshWait returns the shortest time until a fresh box asks for votes.
+func (c *Core) freshWait() time.Duration {
+	return c.opts.Election / freshWaitParts << c.earlyTries
+}
+
 // campaign asks all members for their votes. The pre-vote before it changes
 // nothing anywhere, so that a box that was cut off does not disturb a leader
 // when it returns.
 func (c *Core) campaign(now time.Duration, pre bool) {
 	if pre {
 		c.allFresh, c.freshAnswers = false, map[string]bool{}
+		c.earlyTries++
 	}
 	c.ask(now, pre)
 }
--- a/modules/raft/core_test.go
+++ b/modules/raft/core_test.go
@@ -758,3 +758,21 @@
 		}
 	}
 }
+
+// A fresh box asks for votes less and less often: where boxes are slow a campaign
+// that is begun anew before its answers can come never ends.
+func TestFreshBoxesAskLessAndLessOften(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	m := g.members["a"]
+	last := m.core.opts.Election / freshWaitParts / 2
+	for try := range freshTries + 2 {
+		wait := m.core.due - g.now
+		if wait < last || wait < min(testElection, 2*last) {
+			t.Fatalf("try %d after %s, the one before after at least %s", try, wait, last)
+		}
+		last = min(testElection, 2*last)
+		g.now = m.core.due
+		m.core.Tick(g.now)
+		m.core.Take()
+	}
+}
