forward: a moved run that nobody takes on is billed what its engine may have made

Cause (read in the diff): a run that was stopped to move and that no engine took on was billed the events that came through; the stopped engine may have made some more that its closed stream did not bring. Change: such a call is billed as any broken stream whose end was not seen.

--- a/services/forward/move_test.go
+++ b/services/forward/move_test.go
@@ -203,11 +203,16 @@
 	for _, name := range []string{"one", "two", "three", "four"} {
 		targets = append(targets, newTarget(t, name, cut, cut, cut, cut, cut, cut, cut, cut))
 	}
-	f := moving(t, &book{}, targets...)
+	b := &book{}
+	f := moving(t, b, targets...)
 	c, call := &collector{}, longCall()
 	if err := f.Serve(context.Background(), call, c); err == nil || c.ended {
 		t.Fatal("the answer looks whole")
 	}
+	// The engine may have made some events that its closed stream did not bring.
+	if want := []uint64{min(20000+(2+unseenEvents)*5, call.Input+call.Output)}; !cmp.Equal(b.settled, want) {
+		t.Errorf("billed %v, want %v", b.settled, want)
+	}
 	runs := 0
 	for _, tg := range targets {
 		for _, r := range tg.requests() {
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -120,6 +120,10 @@
 
 // end gives the final answer when no target has given a good one.
 func (fl *flight) end(ctx context.Context, last attempt) error {
+	if fl.resumed {
+		// The engine that was stopped may have made more than came through.
+		fl.unseen = true
+	}
 	if fl.began {
 		return errBegun{last.err}
 	}
