forward: a stopped run counts as an arrival in one place; repeats removed

Cause (read in the whole diff): after a run was stopped to move, a check of its own kept calls that may not be repeated from running anew, on top of the rule that an unreachable target leaves a call free to go elsewhere. A resumable call that has had its only attempt went past it and ran a second time. Change: such a call isn't free, so it asks mayRepeat as any call that has arrived; the check of its own is gone. VoteReply tests its condition once, Choose looks its service up once; both without change of behaviour. Before: TestAStoppedRunIsNotRunAnew, its new case, ran the call twice; after: once.

--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -189,7 +189,8 @@
 	if long {
 		r.add(c.Reading, now)
 	}
-	readers, others := tb.part(need, candidates, now)
+	n := r.apart(len(candidates), need.Boxes, now)
+	readers, others := candidates[:n], candidates[n:]
 	c.Target = tb.pick(need, others)
 	if long && len(readers) > 0 {
 		c.Apart = true
@@ -215,12 +216,6 @@
 	return r
 }
 
-// part divides candidates into those that read long prompts and all others.
-func (tb *Table) part(need Need, candidates []*Target, now time.Duration) (readers, others []*Target) {
-	n := tb.readsOf(need.Service).apart(len(candidates), need.Boxes, now)
-	return candidates[:n], candidates[n:]
-}
-
 // firstReaders returns the few readers that come first for a common part: they
 // are asked what they read, and asking all would not grow with the fleet.
 func firstReaders(readers []*Target, affinity uint64) []*Target {
--- a/modules/raft/core_election.go
+++ b/modules/raft/core_election.go
@@ -178,8 +178,7 @@
 	if pre && r.GetFresh() && r.GetTerm() == c.term {
 		c.noteFresh(from, now)
 	}
-	wanted := c.role == PreCandidate && asked.GetPreVote() && asked.GetTerm() == c.term+1 ||
-		c.role == Candidate && !asked.GetPreVote() && asked.GetTerm() == c.term
+	wanted := pre || c.role == Candidate && !asked.GetPreVote() && asked.GetTerm() == c.term
 	if !wanted || !r.GetGranted() || c.group[from] != r.GetIncarnation() {
 		return
 	}
--- a/services/forward/move_test.go
+++ b/services/forward/move_test.go
@@ -183,6 +183,19 @@
 // elsewhere where its route doesn't allow that. (Quiet-1 of the grown site: ORDER
 // and TWICE.)
 func TestAStoppedRunIsNotRunAnew(t *testing.T) {
+	tests := map[string]string{
+		"a call that may not be repeated":      "stream",
+		"a call that has had its only attempt": "resume",
+	}
+	for name, route := range tests {
+		t.Run(name, func(t *testing.T) { stopAndCut(t, route) })
+	}
+}
+
+// stopAndCut lets a run be stopped to move, and nobody be reached then who could go
+// on with it.
+func stopAndCut(t *testing.T, route string) {
+	t.Helper()
 	e := &engineScript{copies: 200, stops: 200, stopped: make(chan struct{}), released: make(chan string, 1)}
 	var targets []*target
 	// Once the run is stopped nobody can be reached but two targets that have had
@@ -205,7 +218,10 @@
 	}
 	b := &book{}
 	f := moving(t, b, targets...)
+	r := f.opts.Store.Index().Route("h", "/"+route+"/x")
+	r.Pause, r.MaxAttempts = 100, 1
 	c, call := &collector{}, longCall()
+	call.Path = "/" + route + "/x"
 	if err := f.Serve(context.Background(), call, c); err == nil || c.ended {
 		t.Fatal("the answer looks whole")
 	}
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -75,16 +75,16 @@
 		if fl.goesOn(ctx, last) {
 			continue
 		}
-		if fl.resumed && !routing.Repeatable(fl.route) {
-			return fl.end(ctx, last)
-		}
-		if last.verdict == unreachable && ctx.Err() == nil {
+		// A call that has arrived nowhere is free to go elsewhere; one whose run
+		// was stopped to move has arrived.
+		free := last.verdict == unreachable && !fl.resumed
+		if free && ctx.Err() == nil {
 			unreached++
 			if unreached < maxReach {
 				continue
 			}
 		}
-		if ctx.Err() != nil || last.verdict == unreachable || !fl.mayRepeat(last.notRun) {
+		if ctx.Err() != nil || free || !fl.mayRepeat(last.notRun) {
 			return fl.end(ctx, last)
 		}
 		if last.notRun {
