forward: what an answer says of the requests that its target takes is logged

Sight for the incident of the limits: from the logs nobody could tell whether and when a box was told, which value, and how many requests of which kind it sent there since. One line for each change at a box, with the requests that it has sent to the target so far, calls apart from questions and orders of its own. Nothing is decided on it yet. Tests of services/forward and platform pass.

--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -66,6 +66,9 @@
 	Running int
 	// Waiting counts the prompt tokens of its calls without a first event.
 	Waiting int
+	// CallsSent and OwnSent count this box's requests to it: calls, and questions
+	// and orders of this system's own.
+	CallsSent, OwnSent uint64
 
 	hash  uint64
 	start string
--- a/services/forward/call.go
+++ b/services/forward/call.go
@@ -42,6 +42,8 @@
 	// Fetch holds the address of an engine that keeps a part of the prompt; the
 	// target copies it from there in place of reading it.
 	Fetch string
+	// Limit holds the requests a second that a target takes from all boxes together.
+	Limit string
 	// Resume names the copy of a stopped run's memory from which the target goes
 	// on with it.
 	Resume string
@@ -74,6 +76,8 @@
 	Affinity uint64
 	// Arrived is the boot time at which the call was read.
 	Arrived time.Duration
+	// System is set for a question or an order of this system's own.
+	System bool
 }
 
 // Sink is the caller's end of an answer.
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -51,6 +51,7 @@
 
 // send writes the call. Its own fields come after those that are passed on.
 func (f *Forwarder) send(ctx context.Context, c *conn, call *Call, own []Field) (*exchange, error) {
+	f.sentTo(c.target, call.System)
 	x := &exchange{f: f, conn: c}
 	x.stop = context.AfterFunc(ctx, c.close)
 	head := writeHead(call, own)
@@ -119,6 +120,7 @@
 		x.frame()
 		echoed := string(x.head.Peek(x.f.opts.Dialect.RequestID))
 		if echoed == "" || echoed == id {
+			x.heard()
 			return nil
 		}
 		if stray == maxStray || !x.framed {
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -104,6 +104,8 @@
 	seen    uint64
 	// endings holds the targets that broke a call off lately.
 	endings map[*spread.Target]*ending
+	// limits holds what targets' last answers said of the requests they take.
+	limits map[*spread.Target]string
 	// readers is how many targets read long prompts, by service, for the log.
 	readers map[string]int
 }
@@ -113,7 +115,7 @@
 	if opts.Crowded == nil {
 		opts.Crowded = func() bool { return false }
 	}
-	return &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, pool: newPool(opts.Clock.Boot, opts.Meter, opts.Crowded), targets: spread.NewTable(opts.DataCentre), endings: map[*spread.Target]*ending{}}
+	return &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, pool: newPool(opts.Clock.Boot, opts.Meter, opts.Crowded), targets: spread.NewTable(opts.DataCentre), endings: map[*spread.Target]*ending{}, limits: map[*spread.Target]string{}}
 }
 
 // warmUp returns when a box without a routing table will likely have one.
--- a/services/forward/move.go
+++ b/services/forward/move.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return 0, nil, errors.Wrap(errNotSent, err.Error())
 	}
-	call := &Call{Method: method, URI: path, Host: t.Address, Body: body}
+	call := &Call{Method: method, URI: path, Host: t.Address, Body: body, System: true}
 	if len(body) > 0 {
 		call.Fields = []Field{{Name: "Content-Type", Value: "application/json"}}
 	}
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -45,7 +45,7 @@
 	net    net.Conn
 	reader *bufio.Reader
 	meter  *meter.Meter
-	target string
+	target *spread.Target
 	// in is what comes from the target; closed is set once the target has closed or
 	// reset the connection, lost also when its machine has fallen silent.
 	in     io.Reader
@@ -100,7 +100,7 @@
 // get returns an idle connection that is still sound, or a new one.
 func (p *pool) get(ctx context.Context, t *spread.Target) (*conn, error) {
 	if c := p.takeIdle(t.ID); c != nil {
-		c.reused = true
+		c.reused, c.target = true, t
 		return c, nil
 	}
 	return p.dial(ctx, t)
@@ -158,7 +158,7 @@
 	if tcp, ok := c.(*net.TCPConn); ok {
 		limitUnacked(tcp)
 	}
-	dialled := &conn{net: c, in: p.meter.Reader(c), meter: p.meter, target: t.ID}
+	dialled := &conn{net: c, in: p.meter.Reader(c), meter: p.meter, target: t}
 	dialled.reader = bufio.NewReaderSize(dialled, readBuffer)
 	return dialled, nil
 }
@@ -187,7 +187,7 @@
 	c.restsTo = p.now() + keep
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle[c.target] = append(p.idle[c.target], c)
+	p.idle[c.target.ID] = append(p.idle[c.target.ID], c)
 }
 
 func (p *pool) drop(c *conn) { c.close() }
