--- a/tests/soak/site_test.go
+++ b/tests/soak/site_test.go
@@ -115,9 +115,13 @@
 	ackedLeave time.Time
 	// failShare is the part of requests that get no answer.
 	failShare float64
-	rng       *rand.Rand
-	quit      chan struct{}
-	stopping  sync.Once
+	// limits are the limits that the server has named, the present one last.
+	limits []namedLimit
+	// arrivals are when requests came, oldest first, while it named a limit.
+	arrivals []time.Time
+	rng      *rand.Rand
+	quit     chan struct{}
+	stopping sync.Once
 }
 
 // all returns the servers that have started so far.
@@ -232,6 +236,7 @@
 	}
 	sv.mu.Lock()
 	left, fails := sv.ackedLeave, sv.rng.Float64() < sv.failShare
+	sv.arrived(w.Header())
 	sv.mu.Unlock()
 	if !left.IsZero() && time.Since(left) > drainBound {
 		sv.site.breaks("server %s got request %s %s after it was acknowledged that it leaves", sv.id, id, time.Since(left))
