gateway: a report asks the placement of calls outside the lock of the leases

Cause: since the limits, a report asked HasLimits under the lock of the leases, which waits for the forwarder's lock, while the forwarder asks how many boxes there are under its own. Each waited for the other. Why it holds: no call to the placement is made under the leases' lock, and the forwarder asks the leases before it takes its own.

--- a/services/forward/limits.go
+++ b/services/forward/limits.go
@@ -232,8 +232,9 @@
 // that no target takes it now.
 func (fl *flight) shut(ctx context.Context) *Refusal {
 	f := fl.f
+	need := fl.need()
 	f.mu.Lock()
-	w, shut := f.targets.Shut(fl.need(), f.opts.Clock.Boot())
+	w, shut := f.targets.Shut(need, f.opts.Clock.Boot())
 	f.mu.Unlock()
 	if !shut || fl.waitLimited(ctx, w) {
 		return nil
--- a/services/forward/readings.go
+++ b/services/forward/readings.go
@@ -22,20 +22,21 @@
 
 // SetReadings implements the leases' Placement.
 func (f *Forwarder) SetReadings(all []*betweenv1.ReadingLoad) {
+	boxes := f.opts.Leases.Boxes()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opts.Clock.Boot()
 	for _, l := range all {
 		load := time.Duration(l.GetLoad()) * time.Microsecond
 		f.targets.SetFleetReading(l.GetService(), load, now)
-		f.noteReaders(l.GetService(), load, now)
+		f.noteReaders(l.GetService(), boxes, load, now)
 	}
 }
 
 // noteReaders logs how many targets read long prompts when that changes; the
 // caller holds the lock.
-func (f *Forwarder) noteReaders(service string, load, now time.Duration) {
-	readers := f.targets.Readers(service, f.opts.Leases.Boxes(), now)
+func (f *Forwarder) noteReaders(service string, boxes int, load, now time.Duration) {
+	readers := f.targets.Readers(service, boxes, now)
 	if readers == f.readers[service] {
 		return
 	}
--- a/services/gateway/report.go
+++ b/services/gateway/report.go
@@ -93,12 +93,14 @@
 	if index == nil {
 		return nil
 	}
+	// The placement has a lock of its own, under which it asks how many boxes there are:
+	// asked under this one, both waited for each other and the box answered nobody.
+	news := l.Placement != nil && l.Placement.HasLimits()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Boot()
 	l.expireDraws(now)
 	organisations, holds := l.reports(index, now)
-	news := l.Placement != nil && l.Placement.HasLimits()
 	if !holds && !news && !l.leaving && l.reported > 0 && now-l.reported < presenceInterval {
 		return nil
 	}
--- a/tests/soak/limit_test.go
+++ b/tests/soak/limit_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand"
 	"net/http"
 	"strconv"
 	"strings"
@@ -153,6 +154,55 @@
 	}
 }
 
+// stormLimits are the limits that servers name for a while during the faults of a run,
+// and calmLimits those of the calm after it, in requests a second.
+var (
+	stormLimits = []float64{0, 0.4, 1, 3, 10, 1000}
+	calmLimits  = []float64{0.5, 1, 2, 6}
+)
+
+// calmTime is how long limits are kept after all faults have ended.
+const calmTime = limitKnown + limitWindow + time.Second
+
+// calm checks, once all faults have ended, that a server of each kind that names a
+// limit gets no more than that: boxes that were killed, paused and cut off agree again
+// on who sends.
+func (w *world) calm(t *testing.T, rng *rand.Rand) {
+	t.Helper()
+	var limited []*server
+	seen := map[string]bool{}
+	for _, sv := range w.site.all() {
+		if !sv.running() || seen[sv.service] {
+			continue
+		}
+		seen[sv.service] = true
+		sv.nameLimit(calmLimits[rng.Intn(len(calmLimits))])
+		limited = append(limited, sv)
+	}
+	time.Sleep(calmTime)
+	for _, sv := range limited {
+		sv.endLimit()
+		l := sv.lastLimit()
+		most, all := sv.mostOf(l)
+		t.Logf("%s (%s) named %g a second: at most %d in %s, %d allowed, %d in all", sv.id, sv.service, l.perSecond, most, limitWindow, l.allowed(), all)
+		if most > l.allowed() {
+			t.Errorf("%s, which named a limit of %g a second, got %d requests in %s, %d are allowed", sv.id, l.perSecond, most, limitWindow, l.allowed())
+		}
+	}
+}
+
+// running tells whether the server takes calls and has not said that it leaves.
+func (sv *server) running() bool {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	select {
+	case <-sv.quit:
+		return false
+	default:
+		return sv.state == "ready"
+	}
+}
+
 // callAll lets callers send to all boxes until the function that it returns is called.
 func (w *world) callAll(t *testing.T, callers int) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -20,6 +20,7 @@
 var regressions = map[int64]string{
 	313:  "an entry box was not ready a minute after all faults had ended, once, beside load; see docs/FINDINGS.md",
 	3026: "data race: rows of targets were changed while calls read them",
+	8002: "an entry box answered nobody: a report asked the placement under the lock of the leases, and that asked them",
 }
 
 const (
@@ -35,7 +36,7 @@
 // TestSoak plays random faults: the seeds of SOAK_SEEDS ("first,count"), or one
 // fixed seed and the regressions.
 func TestSoak(t *testing.T) {
-	seeds := []int64{11, 7007}
+	seeds := []int64{11, 7007, 8008}
 	for seed := range regressions {
 		seeds = append(seeds, seed)
 	}
@@ -104,6 +105,9 @@
 			return o.status == 200 && o.whole
 		})
 	}
+	if seed >= limitKindsFrom {
+		w.calm(t, rng)
+	}
 	close(stop)
 	work.Wait()
 	ended := w.site.endedUnder(<-fatal)
@@ -130,11 +134,13 @@
 
 // faultKinds are the faults of a run. Those after the first ones came later: seeds
 // below laterKindsFrom keep the schedules that they had.
-var faultKinds = []string{"kill", "term", "hup", "pause", "herd", "wipe", "delay", "silent", "one way", "reset", "grey", "release", "crash", "mute"}
+var faultKinds = []string{"kill", "term", "hup", "pause", "herd", "wipe", "delay", "silent", "one way", "reset", "grey", "release", "crash", "mute", "limit"}
 
 const (
 	firstKinds     = 12
 	laterKindsFrom = 7000
+	secondKinds    = 14
+	limitKindsFrom = 8000
 )
 
 // fault brings one fault about; several may overlap.
@@ -146,8 +152,11 @@
 	for_ := time.Duration(200+rng.Intn(1800)) * time.Millisecond
 	later := func(do func()) { time.AfterFunc(for_, do) }
 	kinds := faultKinds
-	if w.all.seed < laterKindsFrom {
+	switch {
+	case w.all.seed < laterKindsFrom:
 		kinds = faultKinds[:firstKinds]
+	case w.all.seed < limitKindsFrom:
+		kinds = faultKinds[:secondKinds]
 	}
 	kind := kinds[rng.Intn(len(kinds))]
 	t.Logf("%s on %s and %s for %s", kind, b.name, sv.id, for_)
@@ -190,6 +199,9 @@
 		sv.link.reset()
 	case "release":
 		w.release(t, rng)
+	case "limit":
+		sv.nameLimit(stormLimits[rng.Intn(len(stormLimits))])
+		later(sv.endLimit)
 	case "mute":
 		for _, other := range w.site.all() {
 			other.link.mute()
@@ -254,6 +266,7 @@
 	for _, sv := range w.site.all() {
 		sv.link.set(linkSound)
 		sv.grey(0)
+		sv.endLimit()
 	}
 	for _, b := range w.boxes {
 		b.signal(syscall.SIGCONT)
