--- a/services/forward/limits.go
+++ b/services/forward/limits.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -123,7 +124,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opts.Clock.Boot()
-	before := f.targets.LimitOf(t, now)
+	before := limitText(f.targets.LimitOf(t, now))
 	if !f.targets.Heard(t, rate.Statement{Limit: perSecond, Sent: x.sent, Received: now}) {
 		return
 	}
@@ -137,6 +138,14 @@
 	f.hurryLimits(now)
 }
 
+// limitText writes a limit for the log, empty for none.
+func limitText(perSecond float64) string {
+	if perSecond == rate.None {
+		return ""
+	}
+	return strconv.FormatFloat(perSecond, 'g', 4, 64)
+}
+
 // hurryLimits makes this box tell control soon; the caller holds the lock.
 func (f *Forwarder) hurryLimits(now time.Duration) {
 	if f.opts.Hurry == nil || !f.targets.Untold() || now-f.hurried < limitHurry {
--- a/tests/soak/limit_test.go
+++ b/tests/soak/limit_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -171,7 +172,10 @@
 	t.Helper()
 	var limited []*server
 	seen := map[string]bool{}
-	for _, sv := range w.site.all() {
+	all := w.site.all()
+	// Of several starts under one id only the last one is used.
+	slices.Reverse(all)
+	for _, sv := range all {
 		if !sv.running() || seen[sv.service] {
 			continue
 		}
