forward: further sends of large fleets are given out as a rate for all boxes

What callers saw: nothing yet; at the target's 360 boxes no call would have been sent on after a failure. Cause, the same as of the limits: a number for the whole fleet, divided evenly, is less than one for each box. Where the part is under one, the stock is spent as a rate by models/rate, and the share of the calls is kept for half a window only, so that boxes don't spend at once what they saved up. Why it holds: in any window the rate gives the stock, the share what calls gave in about that time. New setting retry-window, 10 s where the platform names none.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -78,6 +78,8 @@
 		Meter:      e.meter,
 		RetryRatio: b.Settings.RetryRatio,
 		RetryStock: b.Settings.RetryStock,
+
+		RetryWindow: b.Settings.RetryWindow,
 	})
 	e.leases.Placement = e.forwarder
 	e.callers = callers.New(callers.Options{
--- a/modules/setting/forward.go
+++ b/modules/setting/forward.go
@@ -41,11 +41,13 @@
 	LinkMbps   float64
 	RetryRatio float64
 	RetryStock float64
-	StopLimit  time.Duration
-	Election   time.Duration
-	Heartbeat  time.Duration
-	LogLevel   string
-	LogRate    int
+	// RetryWindow is the time over which both bound.
+	RetryWindow time.Duration
+	StopLimit   time.Duration
+	Election    time.Duration
+	Heartbeat   time.Duration
+	LogLevel    string
+	LogRate     int
 
 	Secret []byte
 }
@@ -84,6 +86,7 @@
 		&cli.FloatFlag{Name: "link-mbps", Usage: "megabits a second that the link of this box carries; 0 when not known", Destination: &f.LinkMbps, Sources: source("link-mbps")},
 		&cli.FloatFlag{Name: "retry-ratio", Value: 0.1, Usage: "share of the calls of a service that may be sent to a further target, over the whole fleet", Destination: &f.RetryRatio, Sources: source("retry-ratio")},
 		&cli.FloatFlag{Name: "retry-stock", Value: 20, Usage: "further sends beside the share, over the whole fleet", Destination: &f.RetryStock, Sources: source("retry-stock")},
+		duration("retry-window", 10*time.Second, "time over which the share and the number of further sends bound", &f.RetryWindow),
 		duration("stop-limit", 10*time.Second, "time for a planned stop", &f.StopLimit),
 		duration("election-timeout", 700*time.Millisecond, "time without a leader before an election, at least", &f.Election),
 		duration("heartbeat", 150*time.Millisecond, "time between a leader's signs of life", &f.Heartbeat),
@@ -160,6 +163,7 @@
 	c.require(f.LinkMbps >= 0, "link-mbps", "must not be negative")
 	c.require(f.RetryRatio >= 0 && f.RetryRatio <= 1, "retry-ratio", "must lie between 0 and 1")
 	c.require(f.RetryStock >= 0, "retry-stock", "must not be negative")
+	c.require(f.RetryWindow >= time.Second, "retry-window", "must be a second at least")
 	c.require(f.StopLimit > 0, "stop-limit", "must be above zero")
 	c.require(f.Election >= 100*time.Millisecond, "election-timeout", "must be at least 100ms")
 	c.require(f.Heartbeat > 0 && f.Heartbeat <= f.Election/3, "heartbeat", "must be above zero and at most a third of the election timeout")
--- a/modules/setting/forward_test.go
+++ b/modules/setting/forward_test.go
@@ -67,6 +67,7 @@
 		"memory":         {setting: "memory-mb", value: "1"},
 		"ratio":          {setting: "retry-ratio", value: "2"},
 		"stock":          {setting: "retry-stock", value: "-1"},
+		"window":         {setting: "retry-window", value: "20ms"},
 		"stop":           {setting: "stop-limit", value: "0s"},
 		"heartbeat":      {setting: "heartbeat", value: "10s"},
 		"level":          {setting: "log-level", value: "loud"},
--- a/services/forward/flight.go
+++ b/services/forward/flight.go
@@ -160,7 +160,7 @@
 	if !notRun && (!routing.Repeatable(fl.route) || fl.ran >= int(fl.route.GetMaxAttempts())) {
 		return false
 	}
-	return fl.f.retries.take(fl.service.GetName())
+	return fl.f.takeRetry(fl.service.GetName())
 }
 
 // noteCall adds the call's share of further sends. A box that has not heard how many
@@ -171,8 +171,8 @@
 	if boxes == 0 {
 		return
 	}
-	stock := retryStockUsed * fl.f.opts.RetryStock / float64(boxes)
-	fl.f.retries.noted(fl.service.GetName(), retryShareUsed*fl.f.opts.RetryRatio, stock)
+	f := fl.f
+	f.retries.noted(fl.service.GetName(), f.opts.retryTerms(boxes), f.opts.retryWindow(), f.opts.Clock.Boot())
 }
 
 // pause waits a moment that differs from call to call.
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -94,6 +94,8 @@
 	// share of the calls in a window, and a number beside it.
 	RetryRatio float64
 	RetryStock float64
+	// RetryWindow is the time over which they do, 10 s where it is zero.
+	RetryWindow time.Duration
 }
 
 // Forwarder passes the calls of one box through.
