--- a/models/rate/rate.go
+++ b/models/rate/rate.go
@@ -170,6 +170,12 @@
 	// was the box's, to be made up for.
 	used, owed int64
 	last       time.Duration
+	// next is the window after it, nextPart the box's part of that of nextOf sends a
+	// second: worked out anew for each call that finds no target, it cost 0.5 ms with
+	// 264 targets and 360 boxes.
+	next     window
+	nextPart int64
+	nextOf   float64
 }
 
 // unknownUse stands for sends of a window that were not counted in it.
@@ -225,7 +231,11 @@
 func (m *Meter) Next(f Fleet, perSecond float64, key uint64, now time.Duration) (begins time.Duration, part int64) {
 	w := f.window(perSecond, now)
 	next := window{index: w.index + 1, length: w.length, begins: w.begins + w.length}
-	return next.begins, max(0, f.part(perSecond, key, next)-m.owed)
+	if next.index != m.next.index || next.length != m.next.length || perSecond != m.nextOf {
+		m.next, m.nextOf = next, perSecond
+		m.nextPart = f.part(perSecond, key, next)
+	}
+	return next.begins, max(0, m.nextPart-m.owed)
 }
 
 // Count counts a send that no rate bounds, so that it is known when one begins to.
--- a/models/spread/limits.go
+++ b/models/spread/limits.go
@@ -189,6 +189,11 @@
 // Shut tells whether this box may send to no target of a call's service now, and what
 // becomes of the call then.
 func (tb *Table) Shut(need Need, now time.Duration) (Want, bool) {
+	for _, t := range tb.services[need.Service] {
+		if tb.usable(t, need) && t.bannedTo <= now && !tb.Limited(t, now) {
+			return Want{}, false
+		}
+	}
 	found := tb.candidates(need, now)
 	if len(found.open) > 0 || len(found.closed) == 0 {
 		return Want{}, false
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -340,6 +340,11 @@
 	closed []*Target
 }
 
+// usable tells whether a target may have a call as far as it is there.
+func (tb *Table) usable(t *Target, need Need) bool {
+	return !t.Draining && !t.replaced && !need.Exclude[t.start]
+}
+
 // candidates finds the targets that a call may go to: those that are out only when
 // there are no others at all.
 func (tb *Table) candidates(need Need, now time.Duration) found {
@@ -347,7 +352,7 @@
 	var limited, out []*Target
 	for _, t := range tb.services[need.Service] {
 		switch {
-		case t.Draining || t.replaced || need.Exclude[t.start]:
+		case !tb.usable(t, need):
 		case t.bannedTo > now:
 			out = append(out, t)
 		case !tb.Limited(t, now):
