--- a/models/spread/limits.go
+++ b/models/spread/limits.go
@@ -97,9 +97,9 @@
 
 // Learned takes in what a target said to another box, and tells whether a limit holds
 // then that differs from the one before.
-func (tb *Table) Learned(id string, born int64, s rate.Statement) (t *Target, changed bool) {
+func (tb *Table) Learned(id string, born int64, service string, s rate.Statement) (t *Target, changed bool) {
 	t = tb.byID[id]
-	if t == nil || t.Born != born {
+	if t == nil || t.Born != born || t.Service != service {
 		return nil, false
 	}
 	before := t.limit.Said.Limit
--- a/models/spread/limits_test.go
+++ b/models/spread/limits_test.go
@@ -154,9 +154,12 @@
 	if fresh := tb.services["s"][0]; tb.Limited(fresh, limitsStart) {
 		t.Fatal("another start has the limit")
 	}
-	if tg, _ := tb.Learned("t0", 0, rate.Statement{Limit: 1, Received: limitsStart}); tg != nil {
+	if tg, _ := tb.Learned("t0", 0, "s", rate.Statement{Limit: 1, Received: limitsStart}); tg != nil {
 		t.Fatal("a limit of the earlier start was taken for the later one's")
 	}
+	if tg, _ := tb.Learned("t0", 7, "other", rate.Statement{Limit: 1, Received: limitsStart}); tg != nil {
+		t.Fatal("a limit of another service's target with the same id was taken")
+	}
 }
 
 // A target whose limit has ended is used again step by step.
--- a/services/control/limits.go
+++ b/services/control/limits.go
@@ -40,6 +40,7 @@
 type limitRow struct {
 	target   string
 	born     int64
+	service  string
 	limit    rate.Limit
 	revision uint64
 }
@@ -54,10 +55,10 @@
 	if l.rows == nil {
 		l.rows = map[string]*limitRow{}
 	}
-	key := fmt.Sprint(m.GetTarget(), "@", m.GetBorn())
+	key := fmt.Sprint(m.GetTarget(), "@", m.GetBorn(), " ", m.GetService())
 	row := l.rows[key]
 	if row == nil {
-		row = &limitRow{target: m.GetTarget(), born: m.GetBorn()}
+		row = &limitRow{target: m.GetTarget(), born: m.GetBorn(), service: m.GetService()}
 	}
 	if !row.limit.Take(statementOf(m, now)) {
 		return
@@ -89,12 +90,12 @@
 
 // clean forgets changes that later ones have replaced, and targets that are not
 // registered, once there are many.
-func (l *limits) clean(registered func(target string, born int64) bool) {
+func (l *limits) clean(registered func(target string, born int64, service string) bool) {
 	if len(l.order) <= 2*len(l.rows)+limitsSlack {
 		return
 	}
 	for key, row := range l.rows {
-		if !registered(row.target, row.born) {
+		if !registered(row.target, row.born, row.service) {
 			delete(l.rows, key)
 			row.revision = 0
 		}
@@ -122,7 +123,7 @@
 
 func messageOf(row *limitRow, now time.Duration) *betweenv1.TargetLimit {
 	s := row.limit.Said
-	m := &betweenv1.TargetLimit{Target: row.target, Born: row.born, SentAgo: (now - s.Sent).Milliseconds(), ReceivedAgo: (now - s.Received).Milliseconds()}
+	m := &betweenv1.TargetLimit{Target: row.target, Born: row.born, Service: row.service, SentAgo: (now - s.Sent).Milliseconds(), ReceivedAgo: (now - s.Received).Milliseconds()}
 	if s.Limit == rate.None {
 		m.None = true
 	} else {
@@ -135,9 +136,9 @@
 // know. Limits of targets that aren't registered are passed over.
 func (g *Gateway) noteLimits(r *betweenv1.LeaseRequest, resp *betweenv1.LeaseResponse) {
 	g.Machine.Read(func(s *state.State) {
-		registered := func(target string, born int64) bool {
+		registered := func(target string, born int64, service string) bool {
 			row := s.Routing.Targets[target]
-			return row != nil && row.GetBorn() == born && row.GetState() != statev1.RegisteredTarget_STATE_GONE
+			return row != nil && row.GetBorn() == born && row.GetService() == service && row.GetState() != statev1.RegisteredTarget_STATE_GONE
 		}
 		now := g.Clock.Boot()
 		g.mu.Lock()
@@ -147,7 +148,7 @@
 		}
 		before := g.limits.revision
 		for _, m := range r.GetLimits() {
-			if registered(m.GetTarget(), m.GetBorn()) && m.GetPerSecond() >= 0 {
+			if registered(m.GetTarget(), m.GetBorn(), m.GetService()) && m.GetPerSecond() >= 0 {
 				g.limits.take(m, now)
 			}
 		}
--- a/services/control/limits_bench_test.go
+++ b/services/control/limits_bench_test.go
@@ -39,7 +39,7 @@
 			for b.Loop() {
 				box := n % boxes
 				f.clock.Advance(time.Second / boxes)
-				told := &betweenv1.TargetLimit{Target: fmt.Sprintf("i-%010d", n%targets), Born: 5, PerSecond: float64(1 + n%7), SentAgo: 20, ReceivedAgo: 10}
+				told := &betweenv1.TargetLimit{Target: fmt.Sprintf("i-%010d", n%targets), Born: 5, Service: "s", PerSecond: float64(1 + n%7), SentAgo: 20, ReceivedAgo: 10}
 				resp := &betweenv1.LeaseResponse{}
 				f.noteLimits(&betweenv1.LeaseRequest{Box: "box", Limits: []*betweenv1.TargetLimit{told}, LimitsList: has[box].list, LimitsRevision: has[box].revision}, resp)
 				has[box] = known{resp.GetLimitsList(), resp.GetLimitsRevision()}
--- a/services/control/limits_test.go
+++ b/services/control/limits_test.go
@@ -42,7 +42,7 @@
 		return got, known{list: resp.GetLimitsList(), revision: resp.GetLimitsRevision()}
 	}
 	limit := func(target string, born int64, perSecond float64, sent, received int64) *betweenv1.TargetLimit {
-		return &betweenv1.TargetLimit{Target: target, Born: born, PerSecond: perSecond, SentAgo: sent, ReceivedAgo: received}
+		return &betweenv1.TargetLimit{Target: target, Born: born, Service: "s", PerSecond: perSecond, SentAgo: sent, ReceivedAgo: received}
 	}
 	_, a := ask(known{})
 	b := a
@@ -57,7 +57,7 @@
 		{name: "an older answer", told: []*betweenv1.TargetLimit{limit("t0", 5, 9, 4000, 3000)}, want: "[]"},
 		{name: "an earlier start", told: []*betweenv1.TargetLimit{limit("t1", 4, 1, 2, 1)}, want: "[]"},
 		{name: "not registered", told: []*betweenv1.TargetLimit{limit("t9", 5, 1, 2, 1)}, want: "[]"},
-		{name: "ended", told: []*betweenv1.TargetLimit{{Target: "t0", Born: 5, None: true, SentAgo: 2, ReceivedAgo: 1}}, want: "[t0 0 true 51]"},
+		{name: "ended", told: []*betweenv1.TargetLimit{{Target: "t0", Born: 5, Service: "s", None: true, SentAgo: 2, ReceivedAgo: 1}}, want: "[t0 0 true 51]"},
 	}
 	for _, s := range steps {
 		f.clock.Advance(time.Second)
@@ -97,7 +97,7 @@
 		f.clock.Advance(time.Second)
 		var told []*betweenv1.TargetLimit
 		for i := range targets {
-			told = append(told, &betweenv1.TargetLimit{Target: fmt.Sprint("t", i), Born: 5, PerSecond: float64(1 + round), SentAgo: 20, ReceivedAgo: 10})
+			told = append(told, &betweenv1.TargetLimit{Target: fmt.Sprint("t", i), Born: 5, Service: "s", PerSecond: float64(1 + round), SentAgo: 20, ReceivedAgo: 10})
 		}
 		if n := ask(told); n > mostLimits {
 			t.Fatalf("%d limits in one answer", n)
--- a/services/forward/limit_test.go
+++ b/services/forward/limit_test.go
@@ -229,7 +229,7 @@
 	}{
 		{name: "first report, lost", want: " 0 1"},
 		{name: "told again", resp: answer("a", 3), want: " 0 1"},
-		{name: "nothing new", resp: answer("a", 4, &betweenv1.TargetLimit{Target: "two", PerSecond: 2, SentAgo: 200, ReceivedAgo: 100}), want: "a 3 0"},
+		{name: "nothing new", resp: answer("a", 4, &betweenv1.TargetLimit{Target: "two", Service: "s", PerSecond: 2, SentAgo: 200, ReceivedAgo: 100}), want: "a 3 0"},
 		{name: "another leader", resp: answer("b", 1), want: "a 4 0"},
 		{name: "heard here, told again", resp: answer("b", 2), want: "b 1 1"},
 		{name: "known", resp: answer("b", 2), want: "b 2 0"},
--- a/services/forward/limits.go
+++ b/services/forward/limits.go
@@ -179,7 +179,7 @@
 
 func limitMessage(t *spread.Target, now time.Duration) *betweenv1.TargetLimit {
 	s := t.Said()
-	m := &betweenv1.TargetLimit{Target: t.ID, Born: t.Born, SentAgo: (now - s.Sent).Milliseconds(), ReceivedAgo: (now - s.Received).Milliseconds()}
+	m := &betweenv1.TargetLimit{Target: t.ID, Born: t.Born, Service: t.Service, SentAgo: (now - s.Sent).Milliseconds(), ReceivedAgo: (now - s.Received).Milliseconds()}
 	if s.Limit == rate.None {
 		m.None = true
 	} else {
@@ -230,7 +230,7 @@
 	if m.GetNone() {
 		s.Limit = rate.None
 	}
-	t, changed := f.targets.Learned(m.GetTarget(), m.GetBorn(), s)
+	t, changed := f.targets.Learned(m.GetTarget(), m.GetBorn(), m.GetService(), s)
 	if changed {
 		f.opts.Logger.Info("limit of a target learned from control", "target", t.ID, "born", t.Born, "service", t.Service, "none", m.GetNone(), "limit", m.GetPerSecond(),
 			"heard_ms_ago", m.GetReceivedAgo(), "calls_sent", t.CallsSent, "own_sent", t.OwnSent, "boxes", f.fleet.Boxes())
