forward: a target's own failure is passed on whatever becomes of the next send

What callers saw: 502 in place of the answer of a target that had run the call, when the target after it could not be reached, turned the call away or gave no answer. Cause: the end of a call looked at its last attempt alone. Why it holds: the answer is kept with the call. What the target without an answer may have made is billed at its most, as before. Two cases of TestFaultsOfTargets failed before.

--- a/services/forward/flight.go
+++ b/services/forward/flight.go
@@ -46,6 +46,11 @@
 	// were not seen, unseen when it can have made a few events more.
 	lostOutput bool
 	unseen     bool
+	// failure is a target's own failure, passed on when no other target does better,
+	// whatever became of the call there.
+	failure *answer
+	// failed is set when it was.
+	failed bool
 	// digest is the call's content once it was made; struck is set when a target
 	// broke the call off.
 	digest quarantine.Content
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -261,6 +261,10 @@
 		"the target's own failure":        {route: "unsafe", first: []script{whole(500, "no")}, status: 500, body: "no", sends: 1, spent: 100},
 		"safe after a failure":            {route: "safe", first: []script{whole(500, "no")}, second: []script{whole(200, "yes")}, status: 200, body: "yes", sends: 2, spent: 100},
 		"safe after two failures":         {route: "safe", first: []script{whole(500, "no")}, second: []script{whole(500, "nope")}, status: 500, body: "nope", sends: 2, spent: 100},
+		// Callers got 502 though a target had answered: the next one could not be reached
+		// or gave no answer, and only what came last counted.
+		"safe, a failure and no answer":   {route: "safe", first: []script{whole(500, "no")}, second: []script{closed()}, status: 500, body: "no", sends: 2, spent: 150},
+		"safe, a failure and turned away": {route: "safe", first: []script{whole(500, "no")}, second: []script{shed()}, status: 500, body: "no", sends: 2, spent: 100},
 		"shed":                            {route: "unsafe", first: []script{shed()}, second: []script{whole(200, "yes")}, status: 200, body: "yes", sends: 2, spent: 100},
 		"shed by all":                     {route: "unsafe", first: []script{shed()}, second: []script{shed()}, refused: structs.KindNoTarget, run: structs.RunNo, sends: 2},
 		"another target at the address":   {route: "unsafe", first: []script{raw("HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")}, second: []script{whole(200, "yes")}, status: 200, body: "yes", sends: 2, spent: 100},
--- a/services/forward/limits.go
+++ b/services/forward/limits.go
@@ -47,7 +47,7 @@
 	limitEnded      = "ended"
 	limitUnreadable = "unreadable"
 	limitSent       = "sent"
-	limitOwed       = "sent beyond the part"
+	limitContinued  = "continued"
 	limitWithheld   = "withheld"
 	limitWaited     = "waited"
 	limitRefused    = "refused"
@@ -68,7 +68,10 @@
 		f.opts.Counter.Limit(limitWithheld)
 		return errors.WithStack(errLimited)
 	}
-	if limited {
+	switch {
+	case limited && call.Continues:
+		f.opts.Counter.Limit(limitContinued)
+	case limited:
 		f.opts.Counter.Limit(limitSent)
 	}
 	if call.System {
--- a/services/forward/reserve.go
+++ b/services/forward/reserve.go
@@ -74,7 +74,7 @@
 		}
 		spent = fl.call.Input + events*uint64(max(1, fl.service.GetEngine().GetEventTokens()))
 	}
-	if fl.lostOutput && err != nil {
+	if fl.lostOutput && (err != nil || fl.failed) {
 		// Nobody saw what the target made.
 		spent = fl.reserved.Tokens
 	}
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -70,6 +70,9 @@
 		}
 		last = fl.attempt(ctx, c)
 		fl.leave(t, last.verdict)
+		if last.failure != nil {
+			fl.failure = last.failure
+		}
 		if last.limited && ctx.Err() == nil && withheld < maxReach {
 			// Another call took the last of this box's part in between.
 			withheld++
@@ -138,8 +141,9 @@
 	if fl.began {
 		return errBegun{last.err}
 	}
-	if last.failure != nil {
-		return fl.pass(last.failure)
+	if fl.failure != nil {
+		fl.failed = true
+		return fl.pass(fl.failure)
 	}
 	if fl.ran == 0 && last.heldFor > 0 {
 		return heldBack(last.heldFor)
