soak: callers leave also while a server has not answered yet

The test passed with the close of the target's connection left out, since a stream's next event showed that the caller had gone.

--- a/tests/soak/leaves_test.go
+++ b/tests/soak/leaves_test.go
@@ -52,6 +52,7 @@
 		}
 	})
 	const calls, callers, output = 40, 8, 6000
+	w.site.readTime = 4 * time.Second
 	var mu sync.Mutex
 	left := map[string]time.Time{}
 	var work sync.WaitGroup
@@ -61,7 +62,7 @@
 			defer work.Done()
 			rng := rand.New(rand.NewSource(int64(n)))
 			for k := range calls {
-				id := fmt.Sprintf("leaves-%d-%d", n, k)
+				id := fmt.Sprintf("leaves-%d-%d-%d", n, k, k%2)
 				at := w.leave(t, rng, id, output)
 				mu.Lock()
 				left[id] = at
--- a/tests/soak/site_test.go
+++ b/tests/soak/site_test.go
@@ -37,6 +37,9 @@
 	ended map[string]int
 	// presences says when requests came and went, by id.
 	presences map[string]*presence
+	// readTime is how long servers take to the head of some answers; it is set before
+	// callers send.
+	readTime time.Duration
 	// fresh is how many ids were given out.
 	fresh int
 	// cleanups end what started during the test.
@@ -286,6 +289,13 @@
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
 	}
+	if sv.site.readTime > 0 && strings.HasSuffix(id, "1") {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(sv.site.readTime):
+		}
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	for n := first; n < events(limit); n++ {
