forward: a lost opening packet to a target does not take it out

What callers saw: on a link that loses packets, calls went to far targets and their prompts were read anew. Cause: a connection may take 150 ms, the system sends a lost opening packet again after a second. Change: another attempt after 60 ms, but not while the box's own link is crowded.

--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"havenwinch.dev/havenwinch/models/spread"
+	"havenwinch.dev/havenwinch/modules/dial"
 	"havenwinch.dev/havenwinch/modules/meter"
 )
 
@@ -24,6 +25,9 @@
 	// 40 ms between regions. A lost opening packet is sent again after a second,
 	// which no call can wait for.
 	dialTimeout = 150 * time.Millisecond
+	// dialAgain is when another attempt is begun beside one without an answer, so that
+	// one lost packet does not take a target out.
+	dialAgain = 60 * time.Millisecond
 	// crowdedTimeout takes its place while the box's own link is crowded.
 	crowdedTimeout = 600 * time.Millisecond
 	// idleDefault is how long a connection may rest when the target names no
@@ -75,9 +79,11 @@
 
 // pool holds idle connections by target.
 type pool struct {
-	dialer net.Dialer
-	now    func() time.Duration
-	meter  *meter.Meter
+	// connect opens a connection; again begins another attempt beside one that has no
+	// answer yet.
+	connect, again dial.Func
+	now            func() time.Duration
+	meter          *meter.Meter
 	// crowded tells whether the box's own link is.
 	crowded func() bool
 
@@ -86,14 +92,16 @@
 }
 
 func newPool(now func() time.Duration, m *meter.Meter, crowded func() bool) *pool {
+	dialer := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+	}
 	return &pool{
 		crowded: crowded,
-		dialer: net.Dialer{
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
-		},
-		now:   now,
-		meter: m,
-		idle:  map[string][]*conn{},
+		connect: dialer.DialContext,
+		again:   dial.Again(dialer.DialContext, dialAgain),
+		now:     now,
+		meter:   m,
+		idle:    map[string][]*conn{},
 	}
 }
 
@@ -145,13 +153,11 @@
 }
 
 func (p *pool) dial(ctx context.Context, t *spread.Target) (*conn, error) {
-	limit := dialTimeout
+	limit, connect := dialTimeout, p.again
 	if p.crowded() {
-		limit = crowdedTimeout
+		limit, connect = crowdedTimeout, p.connect
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	c, err := p.dialer.DialContext(ctx, "tcp", t.Address)
+	c, err := dial.Within(connect, limit)(ctx, "tcp", t.Address)
 	if err != nil {
 		return nil, err
 	}
