--- /dev/null
+++ b/models/rate/message.go
@@ -0,0 +1,38 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package rate
+
+import (
+	"time"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+)
+
+// Message returns a statement of a start of a target as boxes tell it to each other:
+// by its age, since their clocks differ.
+func (s Statement) Message(target string, born int64, service string, now time.Duration) *betweenv1.TargetLimit {
+	m := &betweenv1.TargetLimit{
+		Target: target, Born: born, Service: service,
+		SentAgo: (now - s.Sent).Milliseconds(), ReceivedAgo: (now - s.Received).Milliseconds(),
+	}
+	if s.Limit == None {
+		m.None = true
+	} else {
+		m.PerSecond = s.Limit
+	}
+	return m
+}
+
+// OfMessage returns the statement of a message that came now. It returns false when
+// that is none.
+func OfMessage(m *betweenv1.TargetLimit, now time.Duration) (Statement, bool) {
+	s := Statement{
+		Limit: m.GetPerSecond(),
+		Sent:  now - time.Duration(m.GetSentAgo())*time.Millisecond, Received: now - time.Duration(m.GetReceivedAgo())*time.Millisecond,
+	}
+	if m.GetNone() {
+		s.Limit = None
+	}
+	return s, s.Limit >= 0
+}
--- a/services/control/limits.go
+++ b/services/control/limits.go
@@ -52,6 +52,10 @@
 
 // take takes in what a target said to a box.
 func (l *limits) take(m *betweenv1.TargetLimit, now time.Duration) {
+	said, ok := rate.OfMessage(m, now)
+	if !ok {
+		return
+	}
 	if l.rows == nil {
 		l.rows = map[string]*limitRow{}
 	}
@@ -60,7 +64,7 @@
 	if row == nil {
 		row = &limitRow{target: m.GetTarget(), born: m.GetBorn(), service: m.GetService()}
 	}
-	if !row.limit.Take(statementOf(m, now)) {
+	if !row.limit.Take(said) {
 		return
 	}
 	l.rows[key] = row
@@ -82,7 +86,7 @@
 		}
 		has = c.revision
 		if c.row.revision == c.revision {
-			changed = append(changed, messageOf(c.row, now))
+			changed = append(changed, c.row.limit.Said.Message(c.row.target, c.row.born, c.row.service, now))
 		}
 	}
 	return changed, has
@@ -109,29 +113,6 @@
 	l.order = kept
 }
 
-// statementOf puts a message's ages on this box's clock.
-func statementOf(m *betweenv1.TargetLimit, now time.Duration) rate.Statement {
-	s := rate.Statement{
-		Limit: m.GetPerSecond(),
-		Sent:  now - time.Duration(m.GetSentAgo())*time.Millisecond, Received: now - time.Duration(m.GetReceivedAgo())*time.Millisecond,
-	}
-	if m.GetNone() {
-		s.Limit = rate.None
-	}
-	return s
-}
-
-func messageOf(row *limitRow, now time.Duration) *betweenv1.TargetLimit {
-	s := row.limit.Said
-	m := &betweenv1.TargetLimit{Target: row.target, Born: row.born, Service: row.service, SentAgo: (now - s.Sent).Milliseconds(), ReceivedAgo: (now - s.Received).Milliseconds()}
-	if s.Limit == rate.None {
-		m.None = true
-	} else {
-		m.PerSecond = s.Limit
-	}
-	return m
-}
-
 // noteLimits takes in what targets said to a box, and fills in what the box may not
 // know. Limits of targets that aren't registered are passed over.
 func (g *Gateway) noteLimits(r *betweenv1.LeaseRequest, resp *betweenv1.LeaseResponse) {
@@ -148,7 +129,7 @@
 		}
 		before := g.limits.revision
 		for _, m := range r.GetLimits() {
-			if registered(m.GetTarget(), m.GetBorn(), m.GetService()) && m.GetPerSecond() >= 0 {
+			if registered(m.GetTarget(), m.GetBorn(), m.GetService()) {
 				g.limits.take(m, now)
 			}
 		}
--- a/services/forward/limits.go
+++ b/services/forward/limits.go
@@ -176,21 +176,10 @@
 	f.telling = f.targets.TellLimits(max(1, fleetLimits/max(1, f.fleet.Boxes())))
 	now := f.opts.Clock.Boot()
 	for _, t := range f.telling {
-		r.Limits = append(r.Limits, limitMessage(t, now))
+		r.Limits = append(r.Limits, t.Said().Message(t.ID, t.Born, t.Service, now))
 	}
 }
 
-func limitMessage(t *spread.Target, now time.Duration) *betweenv1.TargetLimit {
-	s := t.Said()
-	m := &betweenv1.TargetLimit{Target: t.ID, Born: t.Born, Service: t.Service, SentAgo: (now - s.Sent).Milliseconds(), ReceivedAgo: (now - s.Received).Milliseconds()}
-	if s.Limit == rate.None {
-		m.None = true
-	} else {
-		m.PerSecond = s.Limit
-	}
-	return m
-}
-
 // TakeLimits implements the leases' Placement.
 func (f *Forwarder) TakeLimits(_ *betweenv1.LeaseRequest, resp *betweenv1.LeaseResponse, boxes *lease.Directory) {
 	f.mu.Lock()
@@ -229,9 +218,9 @@
 
 // learn takes in a limit that another box heard; the caller holds the lock.
 func (f *Forwarder) learn(m *betweenv1.TargetLimit, now time.Duration) {
-	s := rate.Statement{Limit: m.GetPerSecond(), Sent: now - time.Duration(m.GetSentAgo())*time.Millisecond, Received: now - time.Duration(m.GetReceivedAgo())*time.Millisecond}
-	if m.GetNone() {
-		s.Limit = rate.None
+	s, ok := rate.OfMessage(m, now)
+	if !ok {
+		return
 	}
 	t, changed := f.targets.Learned(m.GetTarget(), m.GetBorn(), m.GetService(), s)
 	if changed {
