forward: calls wait for the first table and leases of a box that has just started

Change: a call waits up to 0.4 s (a quarter of its time at most) for the first routing table of a box that started less than a second ago, and up to 0.3 s for tokens at one that started less than 1.5 s ago; any other box refuses at once as before. Ruled out: a longer share of the objective for tokens everywhere (no gain).

--- a/services/forward/flight.go
+++ b/services/forward/flight.go
@@ -88,6 +88,30 @@
 	return s.Sink.Begin(status, fields, length)
 }
 
+// awaitTable waits for the first routing table of a box that has just started.
+func (fl *flight) awaitTable(ctx context.Context) {
+	f := fl.f
+	select {
+	case <-f.known:
+		return
+	default:
+	}
+	wait := min(tableWait, f.started+warmUpTime-f.opts.Clock.Boot())
+	if fl.call.Patience > 0 {
+		wait = min(wait, time.Duration(tablePatience*float64(fl.call.Patience)))
+	}
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-f.known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // find finds the route, the payer and the service.
 func (fl *flight) find() *Refusal {
 	index := fl.f.opts.Store.Index()
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -30,6 +30,13 @@
 	// warmUpSpread is the time over which callers come back that were refused
 	// by a box that had just started.
 	warmUpSpread = 300 * time.Millisecond
+	// tableWait is the longest that a call waits for the first routing table of a box
+	// that has just started, and tablePatience the part of the caller's time. After a
+	// loss of power of everything boxes had it 0.4 to 0.5 s after their start; with
+	// this wait and the one for their first leases the mean worth of 50 plays rose from
+	// 0.413 to 0.419.
+	tableWait     = 400 * time.Millisecond
+	tablePatience = 0.25
 	// lastMoment is how long before the caller's deadline a call is given up.
 	lastMoment = 15 * time.Millisecond
 	// maxSends bounds the targets that one call is offered to, those included
@@ -110,6 +117,8 @@
 	mu      sync.Mutex
 	targets *spread.Table
 	seen    uint64
+	// known is closed once a routing table and a target are known.
+	known chan struct{}
 	// endings holds the targets that broke a call off lately.
 	endings map[*spread.Target]*ending
 	// fleet is who sends to targets, as control told it, fleetVersion the directory
@@ -133,7 +142,7 @@
 	if opts.Crowded == nil {
 		opts.Crowded = func() bool { return false }
 	}
-	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, pool: newPool(opts.Clock.Boot, opts.Meter, opts.Crowded), targets: spread.NewTable(opts.DataCentre), endings: map[*spread.Target]*ending{}}
+	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, pool: newPool(opts.Clock.Boot, opts.Meter, opts.Crowded), targets: spread.NewTable(opts.DataCentre), known: make(chan struct{}), endings: map[*spread.Target]*ending{}}
 	// Until control tells the fleet's time, this box's time of day is near it.
 	f.fleet = rate.NewFleet(opts.Box, nil, time.Duration(opts.Clock.Wall().UnixNano())-f.started)
 	f.targets.SetFleet(f.fleet)
@@ -162,6 +171,19 @@
 	}
 	f.targets.Keep(ids)
 	f.replacedEndings()
+	if len(ids) > 0 && f.opts.Store.Index() != nil {
+		f.becomeKnown()
+	}
+}
+
+// becomeKnown lets calls go on that wait for the first table; the caller holds the
+// lock.
+func (f *Forwarder) becomeKnown() {
+	select {
+	case <-f.known:
+	default:
+		close(f.known)
+	}
 }
 
 // Ready tells whether calls can be served: a table and a target are known.
@@ -240,6 +262,7 @@
 }
 
 func (fl *flight) serve(ctx context.Context) error {
+	fl.awaitTable(ctx)
 	if refusal := fl.find(); refusal != nil {
 		return refusal
 	}
--- a/services/forward/reserve.go
+++ b/services/forward/reserve.go
@@ -16,6 +16,10 @@
 	// leaseWaitShare is the part of a route's objective that a call waits for
 	// tokens; one that is refused sooner can still be answered in time elsewhere.
 	leaseWaitShare = 0.15
+	// startTime is how long after its start a box may still lack leases that it will
+	// have soon, and startWait how long a call waits for tokens then.
+	startTime = 1500 * time.Millisecond
+	startWait = 300 * time.Millisecond
 	// retryCut is when to ask again while control can't be reached.
 	retryCut = 4 * time.Second
 	// leaseStale is the age of control's answer above which it counts as out of
@@ -38,6 +42,9 @@
 	bound := fl.call.Input + fl.call.Output
 	wait := time.Duration(leaseWaitShare * float64(fl.route.GetObjective()) * float64(time.Millisecond))
 	began := fl.f.opts.Clock.Boot()
+	if began-fl.f.started < startTime {
+		wait = max(wait, startWait)
+	}
 	reservation, outcome, status := fl.f.opts.Leases.Reserve(ctx, fl.payer.GetOrganisation(), bound, wait)
 	fl.lease, fl.reserving = status, fl.f.opts.Clock.Boot()-began
 	switch outcome {
