forward: a control box that keeps no list of limits tells no time either

While boxes of two versions run side by side an answer without a list would have set the fleet's time to nothing. Seen in review. The test on real processes gains limits far above the traffic: no call is refused for want of a target.

--- a/services/forward/limit_test.go
+++ b/services/forward/limit_test.go
@@ -47,7 +47,7 @@
 	f.opts.Clock, f.opts.Box = c, "a"
 	f.opts.Dialect.Limit = "X-Limit"
 	f.opts.Dialect.ReadLimit = func(text string) (float64, error) { return strconv.ParseFloat(text, 64) }
-	f.TakeLimits(nil, &betweenv1.LeaseResponse{FleetTime: c.Wall().UnixMilli()}, lease.NewDirectory([]lease.Box{{Name: "a", Address: "a:1", DataCentre: "dc"}}))
+	f.TakeLimits(nil, &betweenv1.LeaseResponse{LimitsList: "first", FleetTime: c.Wall().UnixMilli()}, lease.NewDirectory([]lease.Box{{Name: "a", Address: "a:1", DataCentre: "dc"}}))
 	return f, c
 }
 
@@ -227,8 +227,10 @@
 		resp *betweenv1.LeaseResponse
 		want string
 	}{
-		{name: "first report, lost", want: " 0 1"},
-		{name: "told again", resp: answer("a", 3), want: " 0 1"},
+		{name: "first report, lost", want: "first 0 1"},
+		{name: "a control box without a list", resp: &betweenv1.LeaseResponse{}, want: "first 0 1"},
+		{name: "another leader's", resp: answer("a", 3), want: "first 0 0"},
+		{name: "told again", resp: answer("a", 3), want: "a 3 1"},
 		{name: "nothing new", resp: answer("a", 4, &betweenv1.TargetLimit{Target: "two", Service: "s", PerSecond: 2, SentAgo: 200, ReceivedAgo: 100}), want: "a 3 0"},
 		{name: "another leader", resp: answer("b", 1), want: "a 4 0"},
 		{name: "heard here, told again", resp: answer("b", 2), want: "b 1 1"},
--- a/services/forward/limits.go
+++ b/services/forward/limits.go
@@ -190,6 +190,10 @@
 		return
 	}
 	f.telling = nil
+	if resp.GetLimitsList() == "" {
+		// A control box of an earlier version keeps no list and tells no time.
+		return
+	}
 	now := f.opts.Clock.Boot()
 	f.setFleet(resp, boxes, now)
 	if resp.GetLimitsList() != f.limitsList {
--- a/tests/soak/limit_test.go
+++ b/tests/soak/limit_test.go
@@ -110,10 +110,13 @@
 		limited int
 		// leastUsed is the part of what is allowed that must be used.
 		leastUsed float64
+		// wide is set when the limit is far above the traffic.
+		wide bool
 	}{
-		"one a second":                 {perSecond: 1, limited: 2, leastUsed: 0.5},
-		"nothing":                      {perSecond: 0, limited: 1},
-		"every engine, three a second": {perSecond: 3, limited: 3, leastUsed: 0.5},
+		"one a second":                      {perSecond: 1, limited: 2, leastUsed: 0.5},
+		"nothing":                           {perSecond: 0, limited: 1},
+		"every engine, a thousand a second": {perSecond: 1000, limited: 3, wide: true},
+		"every engine, three a second":      {perSecond: 3, limited: 3, leastUsed: 0.5},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -143,7 +146,7 @@
 					t.Errorf("%s got %d requests, with a limit of %g a second at least %.1f should be sent there", sv.id, all, test.perSecond, least)
 				}
 			}
-			if test.limited < 3 {
+			if test.limited < 3 || test.wide {
 				w.noneWithoutTarget(t)
 			}
 			for _, sv := range limited {
