--- /dev/null
+++ b/services/forward/helpers_test.go
@@ -0,0 +1,237 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/services/gateway"
+	"havenwinch.dev/havenwinch/services/quarantine"
+)
+
+var testDialect = Dialect{RequestID: "X-Id", Deadline: "X-Deadline", Organisation: "X-Org", ExpectTarget: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed", LastEvent: "X-Last", Priority: "X-Rank", Fetch: "X-Fetch", Resume: "X-Resume"}
+
+// received is one request that a scripted target has read.
+type received struct {
+	id, target, last, org, rank string
+	body, deadline              string
+	path, fetch, resume         string
+}
+
+// target answers each request with the next of its scripts.
+type target struct {
+	t       *testing.T
+	name    string
+	l       net.Listener
+	mu      sync.Mutex
+	scripts []script
+	got     []received
+}
+
+// script writes an answer; closing the connection is its own affair.
+type script func(c net.Conn, r received)
+
+func newTarget(t *testing.T, name string, scripts ...script) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tg := &target{t: t, name: name, l: l, scripts: scripts}
+	go tg.serve()
+	t.Cleanup(func() { _ = l.Close() })
+	return tg
+}
+
+func (tg *target) serve() {
+	for {
+		c, err := tg.l.Accept()
+		if err != nil {
+			return
+		}
+		go tg.handle(c)
+	}
+}
+
+func (tg *target) handle(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		h := req.Header
+		rec := received{id: h.Get("X-Id"), target: h.Get("X-Expect"), last: h.Get("X-Last"), org: h.Get("X-Org"), rank: h.Get("X-Rank"), deadline: h.Get("X-Deadline"), body: string(body), path: req.URL.Path, fetch: h.Get("X-Fetch"), resume: h.Get("X-Resume")}
+		tg.mu.Lock()
+		at := len(tg.got)
+		tg.got = append(tg.got, rec)
+		tg.mu.Unlock()
+		if at >= len(tg.scripts) {
+			return
+		}
+		tg.scripts[at](c, rec)
+	}
+}
+
+func (tg *target) requests() []received {
+	tg.mu.Lock()
+	defer tg.mu.Unlock()
+	return append([]received(nil), tg.got...)
+}
+
+func head(id, extra string) string {
+	return "HTTP/1.1 200 OK\r\nX-Signed: s\r\nX-Id: " + id + "\r\n" + extra
+}
+
+// whole answers with a body of a known length.
+func whole(status int, body string) script {
+	return func(c net.Conn, r received) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Signed: s\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", status, r.id, len(body), body)
+	}
+}
+
+// raw writes text with the request's id in place of ID, and closes.
+func raw(text string) script {
+	return func(c net.Conn, r received) {
+		_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", r.id))
+		_ = c.Close()
+	}
+}
+
+func shed() script {
+	return func(c net.Conn, _ received) {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
+func closed() script { return func(c net.Conn, _ received) { _ = c.Close() } }
+
+// chunks writes events as chunks; ended says whether the stream ends well.
+func chunks(ended bool, parts ...string) script {
+	return func(c net.Conn, r received) {
+		var b strings.Builder
+		b.WriteString(head(r.id, "Transfer-Encoding: chunked\r\n\r\n"))
+		for _, p := range parts {
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(p), p)
+		}
+		if ended {
+			b.WriteString("0\r\n\r\n")
+		}
+		_, _ = io.WriteString(c, b.String())
+		if !ended {
+			_ = c.Close()
+		}
+	}
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id) }
+
+// collector is a caller's end.
+type collector struct {
+	status int
+	body   strings.Builder
+	ended  bool
+	writes int
+}
+
+func (c *collector) Begin(status int, _ []Field, _ int) error { c.status = status; return nil }
+func (c *collector) Write(p []byte) error {
+	c.writes++
+	c.body.Write(p)
+	return nil
+}
+func (c *collector) End() error { c.ended = true; return nil }
+
+// book is the leases of a test.
+type book struct {
+	mu      sync.Mutex
+	outcome gateway.Outcome
+	settled []uint64
+	// asked is called at each reservation; nil for nothing.
+	asked func()
+	// boxes is how many entry boxes there are, one where nothing is said; unknown is
+	// set while control has not said.
+	boxes   int
+	unknown bool
+}
+
+func (b *book) Reserve(_ context.Context, organisation string, tokens uint64, _ time.Duration) (gateway.Reservation, gateway.Outcome, gateway.Status) {
+	if b.asked != nil {
+		b.asked()
+	}
+	return gateway.Reservation{Organisation: organisation, Tokens: tokens}, b.outcome, gateway.Status{Left: 5, Free: 3, Age: 10}
+}
+func (b *book) Settle(_ gateway.Reservation, spent uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settled = append(b.settled, spent)
+}
+func (b *book) Boxes() int {
+	if b.unknown {
+		return 0
+	}
+	return max(1, b.boxes)
+}
+
+type noCounter struct{}
+
+func (noCounter) Done(string, string)             {}
+func (noCounter) FirstByte(string, time.Duration) {}
+func (noCounter) Forwarded(string, string)        {}
+func (noCounter) Limit(string)                    {}
+
+// newQuarantine returns a box's quarantine that reaches no control box.
+func newQuarantine(store *gateway.Store) *quarantine.Service {
+	return quarantine.New(quarantine.Options{List: &store.Quarantine, Clock: clock.System{}, Logger: logging.Discard(), Report: func(context.Context, *statev1.ReportCalls) error { return nil }})
+}
+
+func newForwarder(t *testing.T, leases Leases, targets ...*target) *Forwarder {
+	t.Helper()
+	route := func(name string, kind statev1.Route_Kind, attempts uint32, resumable bool) *statev1.Route {
+		return &statev1.Route{Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: kind, Timeout: 20000, Objective: 4000, MaxAttempts: attempts, Resumable: resumable, Splits: []*statev1.Split{{Service: "s", Weight: 1}}}
+	}
+	message := &betweenv1.FollowResponse{
+		Routing: &statev1.RoutingTable{
+			Version: 1,
+			Routes: []*statev1.Route{
+				route("safe", statev1.Route_KIND_SAFE, 2, false), route("unsafe", statev1.Route_KIND_UNSAFE, 2, false),
+				route("stream", statev1.Route_KIND_STREAM, 2, false), route("resume", statev1.Route_KIND_STREAM, 2, true),
+			},
+			Services: []*statev1.Service{{Name: "s", Engine: &statev1.EngineLimits{EventTokens: 5}}},
+			Payers:   []*statev1.Payer{{Organisation: "o", Keys: []string{"key"}, Priority: 1, Prepaid: 1000, Limited: true}},
+		},
+		TargetRevision: uint64(len(targets)),
+	}
+	for i, tg := range targets {
+		message.Targets = append(message.Targets, &statev1.RegisteredTarget{Id: tg.name, Service: "s", Address: tg.l.Addr().String(), DataCentre: []string{"dc", "far"}[min(i, 1)], State: statev1.RegisteredTarget_STATE_READY, Revision: uint64(i + 1)})
+	}
+	store := gateway.NewStore(clock.System{})
+	store.Take(message)
+	f := New(Options{DataCentre: "dc", Dialect: testDialect, Store: store, Leases: leases, Clock: clock.System{}, Logger: logging.Discard(), Counter: noCounter{}, Quarantine: newQuarantine(store), RetryStock: 100})
+	f.Refresh()
+	return f
+}
+
+func newCall(route string) *Call {
+	return &Call{ID: "id-1", Method: http.MethodPost, URI: "/" + route + "/x?q=1", Path: "/" + route + "/x", Host: "h", Key: "key", LastEvent: -1, Input: 100, Output: 50, Body: []byte("question"),
+		Fields: []Field{{Name: "X-Id", Value: "id-1"}}, Arrived: clock.System{}.Boot()}
+}
