forward: bytes of targets that are not the answer as agreed are logged and counted

Could not be told apart before: a second head in a begun answer (the call's line says 'done'), events without a readable id that were handed on, answers without the id or to another call, and what a connection had carried before. Each is a line 'odd answer of a target' with request, target, form, status, whether it was signed, the first 32 bytes where there are some, and the connection's former call or order; a counter odd_answers_total by service and form. The line of a call says how many heads were passed on and whether the answer was ended.

--- a/routers/gateway/server_test.go
+++ b/routers/gateway/server_test.go
@@ -61,6 +61,7 @@
 func (noCounter) FirstByte(string, time.Duration) {}
 func (noCounter) Forwarded(string, string)        {}
 func (noCounter) Limit(string)                    {}
+func (noCounter) Odd(string, string)              {}
 
 // fixture is a server before one target, whose handler a test writes.
 type fixture struct {
--- a/services/forward/call.go
+++ b/services/forward/call.go
@@ -85,6 +85,14 @@
 	Continues bool
 }
 
+// name returns the call's id, of an order its path.
+func (c *Call) name() string {
+	if c.System {
+		return c.URI
+	}
+	return c.ID
+}
+
 // Sink is the caller's end of an answer.
 type Sink interface {
 	// Begin sends the head; a negative length means that it is not known.
--- a/services/forward/events.go
+++ b/services/forward/events.go
@@ -18,6 +18,8 @@
 	count uint64
 	// fault is set when an id did not follow the one before.
 	fault bool
+	// odd is told of events whose id can't be read; nil for nobody.
+	odd func(event []byte)
 }
 
 var (
@@ -46,6 +48,9 @@
 func (e *events) accept(event []byte) bool {
 	id, found := eventID(event)
 	if !found {
+		if e.odd != nil {
+			e.odd(event)
+		}
 		return true
 	}
 	if id <= e.last {
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httputil"
 	"strconv"
@@ -60,6 +61,7 @@
 		return nil, err
 	}
 	x := &exchange{f: f, conn: c, call: call, sent: f.opts.Clock.Boot()}
+	c.before, c.carried = c.carried, call.name()
 	x.stop = context.AfterFunc(ctx, c.close)
 	head := writeHead(call, own)
 	if len(call.Body) <= inlineBody {
@@ -119,6 +121,7 @@
 		x.head.Reset()
 		x.head.SetNoDefaultContentType(true)
 		if err := x.head.Read(x.conn.reader); err != nil {
+			x.oddHead(err)
 			return errors.Wrap(errNoAnswer, err.Error())
 		}
 		if x.head.StatusCode() < http.StatusOK {
@@ -127,9 +130,13 @@
 		x.frame()
 		echoed := string(x.head.Peek(x.f.opts.Dialect.RequestID))
 		if echoed == "" || echoed == id {
+			if echoed != id {
+				x.odd(oddUnnamed)
+			}
 			x.heard()
 			return nil
 		}
+		x.odd(oddStray, slog.String("answers", echoed))
 		if stray == maxStray || !x.framed {
 			return errors.Wrap(errNoAnswer, "answers of other calls came in its place")
 		}
@@ -139,6 +146,22 @@
 	}
 }
 
+// odd notes an answer that is not as agreed, and what its connection has carried.
+func (x *exchange) odd(form string, attrs ...slog.Attr) {
+	attrs = append(attrs, slog.Int("status", x.head.StatusCode()), slog.Bool("signed", len(x.head.Peek(x.f.opts.Dialect.Signature)) > 0),
+		slog.Bool("reused", x.conn.reused), slog.String("before", x.conn.before))
+	x.f.odd(x.call, x.conn.target, form, 0, nil, attrs...)
+}
+
+// oddHead notes a head that can't be read; a connection that was closed has none.
+func (x *exchange) oddHead(err error) {
+	if x.conn.closed || x.conn.reader.Buffered() == 0 {
+		return
+	}
+	seen, _ := x.conn.reader.Peek(min(oddShown, x.conn.reader.Buffered()))
+	x.f.odd(x.call, x.conn.target, oddHead, 0, seen, slog.String("reason", err.Error()), slog.Bool("reused", x.conn.reused), slog.String("before", x.conn.before))
+}
+
 // frame sets up how the body ends.
 func (x *exchange) frame() {
 	length := x.head.ContentLength()
--- a/services/forward/flight.go
+++ b/services/forward/flight.go
@@ -72,6 +72,9 @@
 	now   func() time.Duration
 	last  time.Duration
 	pause time.Duration
+	// heads is how many heads were passed on, ended that the answer was.
+	heads int
+	ended bool
 }
 
 // handed notes that events are about to be passed on.
@@ -85,9 +88,15 @@
 
 func (s *countingSink) Begin(status int, fields []Field, length int) error {
 	s.first = s.now()
+	s.heads++
 	return s.Sink.Begin(status, fields, length)
 }
 
+func (s *countingSink) End() error {
+	s.ended = true
+	return s.Sink.End()
+}
+
 // awaitTable waits for the first routing table of a box that has just started.
 func (fl *flight) awaitTable(ctx context.Context) {
 	f := fl.f
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -74,6 +74,8 @@
 	Forwarded(service, outcome string)
 	// Limit counts an event of targets that name limits.
 	Limit(event string)
+	// Odd counts bytes of targets that are not the answer as agreed.
+	Odd(service, form string)
 }
 
 // Options configure a Forwarder.
--- a/services/forward/helpers_test.go
+++ b/services/forward/helpers_test.go
@@ -198,6 +198,7 @@
 func (noCounter) FirstByte(string, time.Duration) {}
 func (noCounter) Forwarded(string, string)        {}
 func (noCounter) Limit(string)                    {}
+func (noCounter) Odd(string, string)              {}
 
 // newQuarantine returns a box's quarantine that reaches no control box.
 func newQuarantine(store *gateway.Store) *quarantine.Service {
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -53,6 +53,9 @@
 			slog.Uint64("reserved", fl.reserved.Tokens), slog.Int64("reserve_ms", fl.reserving.Milliseconds()), slog.String("lease_holder", fl.reserved.Holder), slog.Uint64("lease_free", fl.lease.Free), slog.Uint64("budget_left", fl.lease.Left), slog.Uint64("budget_unallotted", fl.lease.Unallotted), slog.Int64("lease_age_ms", fl.lease.Age),
 			slog.Uint64("input", fl.call.Input), slog.Uint64("output_limit", fl.call.Output), slog.Uint64("events", fl.events.count))
 	}
+	if fl.sink.heads > 0 {
+		attrs = append(attrs, slog.Int("heads", fl.sink.heads), slog.Bool("ended", fl.sink.ended))
+	}
 	if fl.placed.Limited > 0 {
 		attrs = append(attrs, slog.Int("limited_targets", fl.placed.Limited), slog.Int64("waited_ms", fl.waited.Milliseconds()))
 	}
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -58,6 +58,9 @@
 	// restsTo is when an idle connection must not be used any more.
 	restsTo time.Duration
 	reused  bool
+	// carried names the last call that left over it, an order by its path, before the
+	// one that was before that.
+	carried, before string
 }
 
 func (c *conn) close() { _ = c.net.Close() }
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -266,6 +266,7 @@
 		return fl.turnedAway(t, x, status)
 	case !signed || len(x.head.ContentEncoding()) > 0:
 		x.abandon()
+		x.odd(oddForeign)
 		fl.note(t, "foreign")
 		return attempt{verdict: failing, err: errForeign}
 	case status < http.StatusMultipleChoices && fl.route.GetKind() == statev1.Route_KIND_STREAM:
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -22,6 +22,7 @@
 	s.restart(stallLimit)
 	// What is left of an event that broke off belongs to the former target.
 	fl.events.rest = nil
+	fl.events.odd = func(event []byte) { fl.f.odd(fl.call, t, oddEvent, fl.events.count, event) }
 	buffer := make([]byte, readBuffer)
 	for {
 		n, err := x.body.Read(buffer)
--- a/services/forward/whole.go
+++ b/services/forward/whole.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,9 @@
 // whole reads an answer in full before any of it is passed on, so that a
 // broken one can be asked for again.
 func (fl *flight) whole(t *spread.Target, x *exchange, status int) attempt {
+	if fl.began {
+		fl.f.odd(fl.call, t, oddSecondHead, fl.events.count, nil, slog.Int("status", status))
+	}
 	body, err := io.ReadAll(io.LimitReader(x.body, maxWhole))
 	if err != nil {
 		x.abandon()
--- a/services/metrics/metrics.go
+++ b/services/metrics/metrics.go
@@ -24,6 +24,7 @@
 	forwarded  *prometheus.CounterVec
 	refused    prometheus.Counter
 	limits     *prometheus.CounterVec
+	odd        *prometheus.CounterVec
 }
 
 // New returns counters in a registry of their own.
@@ -54,13 +55,19 @@
 	m.limits = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "target_limits_total", Help: "What targets that name limits said, and what became of requests to them, by event.",
 	}, []string{"event"})
-	m.Registry.MustRegister(m.limits, m.refused, m.requests, m.firstToken, m.tokens, m.firstByte, m.forwarded, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.odd = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "odd_answers_total", Help: "Bytes of targets that are not the answer as agreed, by service and form.",
+	}, []string{"service", "form"})
+	m.Registry.MustRegister(m.odd, m.limits, m.refused, m.requests, m.firstToken, m.tokens, m.firstByte, m.forwarded, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
 // Limit counts an event of targets that name limits.
 func (m *Metrics) Limit(event string) { m.limits.WithLabelValues(event).Inc() }
 
+// Odd counts bytes of targets that are not the answer as agreed.
+func (m *Metrics) Odd(service, form string) { m.odd.WithLabelValues(service, form).Inc() }
+
 // EntryRefused counts an entry of the list of targets that could not be used.
 func (m *Metrics) EntryRefused() { m.refused.Inc() }
 
