--- a/routers/gateway/server_test.go
+++ b/routers/gateway/server_test.go
@@ -79,21 +79,33 @@
 	backend := &http.Server{Handler: target}
 	go func() { _ = backend.Serve(l) }()
 	t.Cleanup(func() { _ = backend.Close() })
+	return newFixtureBefore(t, l.Addr().String())
+}
 
-	copyOf := store.NewStore(clock.System{})
-	copyOf.Take(&betweenv1.FollowResponse{
+// newFixtureBefore returns a server before targets at some addresses; the first is in
+// its own data centre.
+func newFixtureBefore(t *testing.T, addresses ...string) *fixture {
+	t.Helper()
+	route := func(name string, kind statev1.Route_Kind, attempts uint32) *statev1.Route {
+		return &statev1.Route{Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: kind, Timeout: 30000, Objective: 1000, MaxAttempts: attempts, Resumable: name == "resume", Splits: []*statev1.Split{{Service: "s", Weight: 1}}}
+	}
+	message := &betweenv1.FollowResponse{
 		Routing: &statev1.RoutingTable{
 			Version: 1,
 			Routes: []*statev1.Route{
-				{Name: "plain", Host: "h", PathPrefix: "/plain/", Kind: statev1.Route_KIND_UNSAFE, Timeout: 30000, Objective: 1000, MaxAttempts: 1, Splits: []*statev1.Split{{Service: "s", Weight: 1}}},
-				{Name: "stream", Host: "h", PathPrefix: "/stream/", Kind: statev1.Route_KIND_STREAM, Timeout: 30000, Objective: 1000, MaxAttempts: 1, Splits: []*statev1.Split{{Service: "s", Weight: 1}}},
+				route("plain", statev1.Route_KIND_UNSAFE, 1), route("safe", statev1.Route_KIND_SAFE, 2),
+				route("stream", statev1.Route_KIND_STREAM, 1), route("resume", statev1.Route_KIND_STREAM, 2),
 			},
 			Services: []*statev1.Service{{Name: "s"}},
 			Limits:   &statev1.CallerLimits{MaxHeaderBytes: 1024, MaxBodyBytes: 2048},
 		},
-		Targets:        []*statev1.RegisteredTarget{{Id: "t1", Service: "s", Address: l.Addr().String(), State: statev1.RegisteredTarget_STATE_READY, Revision: 1}},
-		TargetRevision: 1,
-	})
+		TargetRevision: uint64(len(addresses)),
+	}
+	for i, address := range addresses {
+		message.Targets = append(message.Targets, &statev1.RegisteredTarget{Id: fmt.Sprintf("t%d", i+1), Service: "s", Address: address, DataCentre: []string{"", "far"}[min(i, 1)], State: statev1.RegisteredTarget_STATE_READY, Revision: uint64(i + 1)})
+	}
+	copyOf := store.NewStore(clock.System{})
+	copyOf.Take(message)
 	f := forward.New(forward.Options{Dialect: dialect, Store: copyOf, Leases: noLeases{}, Quarantine: quarantine.New(quarantine.Options{List: &copyOf.Quarantine, Clock: clock.System{}, Logger: logging.Discard()}), Clock: clock.System{}, Logger: logging.Discard(), Counter: noCounter{}, RetryStock: 10})
 	f.Refresh()
 	work, cancel := context.WithCancel(context.Background())
--- a/services/forward/helpers_test.go
+++ b/services/forward/helpers_test.go
@@ -151,9 +151,15 @@
 	body   strings.Builder
 	ended  bool
 	writes int
+	// heads is how many heads came; more than one is never an answer.
+	heads int
 }
 
-func (c *collector) Begin(status int, _ []Field, _ int) error { c.status = status; return nil }
+func (c *collector) Begin(status int, _ []Field, _ int) error {
+	c.status = status
+	c.heads++
+	return nil
+}
 func (c *collector) Write(p []byte) error {
 	c.writes++
 	c.body.Write(p)
--- a/services/forward/move_test.go
+++ b/services/forward/move_test.go
@@ -241,3 +241,33 @@
 		t.Fatalf("the call was run %d times", runs)
 	}
 }
+
+// Callers with long prompts got bytes that are no answer in the middle of a stream,
+// which was then ended as whole. A run had handed on events and was stopped to move; the
+// target that was to go on with it answered with a failure of its own.
+func TestAMovedRunThatFailsBreaksOff(t *testing.T) {
+	for _, status := range []int{302, 400, 404, 409, 413, 429, 500, 502, 503, 504} {
+		for name, length := range map[string]int{"short": 5, "long": maxWhole + 1} {
+			t.Run(fmt.Sprint(status, " ", name), func(t *testing.T) {
+				e := &engineScript{copies: 200, stops: 200, stopped: make(chan struct{}), released: make(chan string, 1)}
+				answer := func(c net.Conn, r received) {
+					if r.resume == "" {
+						e.answer(c, r)
+						return
+					}
+					whole(status, strings.Repeat("x", length))(c, r)
+				}
+				var targets []*target
+				for _, name := range []string{"one", "two", "three", "four"} {
+					targets = append(targets, newTarget(t, name, answer, answer, answer, answer, answer, answer, answer, answer))
+				}
+				f := moving(t, &book{}, targets...)
+				c := &collector{}
+				err := f.Serve(context.Background(), longCall(), c)
+				if err == nil || c.ended || c.status != 200 || c.heads != 1 || c.body.String() != event(0)+event(1) {
+					t.Fatalf("status %d, %d heads, ended %v, body of %d bytes, %v; want two events and a stream that breaks off", c.status, c.heads, c.ended, c.body.Len(), err)
+				}
+			})
+		}
+	}
+}
