reply, forward, gateway: an answer has one owner and one head

Callers saw bytes that are no answer: within a stream's chunks a second head and body, and then the end of a whole answer.

Cause: five places wrote heads to a caller (refusals, unreadable requests, whole answers, long ones, streams) and none of them knew what had been written before. A stream that goes on elsewhere got the next target's own failure as a whole answer: 302, 400, 404, 409, 413 and 429 on each route, 5xx longer than 256 KiB, and any 5xx after a moved run, which goes on also where its route allows no repeat. Only long prompts are moved, hence one kind of stream.

Mend: modules/reply has all that is written to a caller's connection. An Answer goes from nothing sent to begun to ended, or breaks; a step that its state doesn't allow is an error that writes nothing, and what is not ended closes its connection. The session has no writer of its own any more. In the forwarder a failure within a begun stream is a failed attempt: the stream goes on at a third target within the bound on further sends, or it breaks off.

Ruled out: several writers at once (one goroutine writes). The unit tests' collector takes one head now and panics at a second.

--- a/routers/gateway/answer.go
+++ b/routers/gateway/answer.go
@@ -16,94 +16,11 @@
 	"github.com/valyala/fasthttp"
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/modules/reply"
 	"havenwinch.dev/havenwinch/services/forward"
 	"havenwinch.dev/havenwinch/structs"
 )
 
-// sink writes an answer to the caller.
-type sink struct {
-	ss      *session
-	head    bool
-	begun   bool
-	chunked bool
-}
-
-// Begin implements forward.Sink.
-func (k *sink) Begin(status int, fields []forward.Field, length int) error {
-	k.begun = true
-	w := k.ss.writer
-	k.ss.statusLine(status)
-	for _, f := range fields {
-		writeField(w, f.Name, f.Value)
-	}
-	k.chunked = length < 0
-	if k.chunked {
-		writeField(w, "Transfer-Encoding", "chunked")
-	} else {
-		writeField(w, "Content-Length", strconv.Itoa(length))
-	}
-	k.ss.closing()
-	_, err := w.WriteString("\r\n")
-	return err
-}
-
-// closing tells the caller when the connection closes after this answer.
-func (ss *session) closing() {
-	if ss.s.stopping.Load() || ss.s.opts.Sheds != nil && ss.s.opts.Sheds() {
-		ss.last = true
-	}
-	if ss.last {
-		writeField(ss.writer, "Connection", "close")
-	}
-}
-
-func (ss *session) statusLine(status int) {
-	_ = ss.conn.SetWriteDeadline(time.Now().Add(writeTime))
-	w := ss.writer
-	_, _ = w.WriteString("HTTP/1.1 ")
-	_, _ = w.WriteString(strconv.Itoa(status))
-	_ = w.WriteByte(' ')
-	_, _ = w.WriteString(http.StatusText(status))
-	_, _ = w.WriteString("\r\n")
-}
-
-type stringWriter interface{ WriteString(s string) (int, error) }
-
-func writeField(w stringWriter, name, value string) {
-	_, _ = w.WriteString(name)
-	_, _ = w.WriteString(": ")
-	_, _ = w.WriteString(value)
-	_, _ = w.WriteString("\r\n")
-}
-
-// Write implements forward.Sink.
-func (k *sink) Write(p []byte) error {
-	if len(p) == 0 || k.head {
-		return k.ss.writer.Flush()
-	}
-	_ = k.ss.conn.SetWriteDeadline(time.Now().Add(writeTime))
-	var err error
-	if k.chunked {
-		_, err = httputil.NewChunkedWriter(k.ss.writer).Write(p)
-	} else {
-		_, err = k.ss.writer.Write(p)
-	}
-	if err != nil {
-		return err
-	}
-	return k.ss.writer.Flush()
-}
-
-// End implements forward.Sink.
-func (k *sink) End() error {
-	if k.chunked {
-		if _, err := k.ss.writer.WriteString("0\r\n\r\n"); err != nil {
-			return err
-		}
-	}
-	return k.ss.writer.Flush()
-}
-
 // statuses are the HTTP statuses of refusals. Those of 408, 421, 429 and 503
 // promise that the call has not run.
 var statuses = map[structs.Kind]int{
@@ -123,28 +40,21 @@
 }
 
 // refuse answers with a refusal.
-func (ss *session) refuse(h *fasthttp.RequestHeader, r *forward.Refusal) error {
+func (ss *session) refuse(a *reply.Answer, h *fasthttp.RequestHeader, r *forward.Refusal) error {
 	field, id := ss.s.opts.Translator.RequestID(h)
 	body, err := json.Marshal(structs.ErrorBody{Error: structs.Error{Kind: r.Kind, Message: r.Message, Run: r.Run, RequestID: id, RetryAfter: r.RetryAfter.Seconds()}})
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	w := ss.writer
-	ss.statusLine(statuses[r.Kind])
+	fields := make([]reply.Field, 0, 3)
 	if id != "" {
-		writeField(w, field, id)
+		fields = append(fields, reply.Field{Name: field, Value: id})
 	}
 	if r.RetryAfter > 0 {
-		writeField(w, "Retry-After", strconv.FormatFloat(math.Ceil(r.RetryAfter.Seconds()*100)/100, 'f', -1, 64))
-	}
-	writeField(w, "Content-Type", "application/json")
-	writeField(w, "Content-Length", strconv.Itoa(len(body)))
-	ss.closing()
-	_, _ = w.WriteString("\r\n")
-	if !h.IsHead() {
-		_, _ = w.Write(body)
+		fields = append(fields, reply.Field{Name: "Retry-After", Value: strconv.FormatFloat(math.Ceil(r.RetryAfter.Seconds()*100)/100, 'f', -1, 64)})
 	}
-	return w.Flush()
+	fields = append(fields, reply.Field{Name: "Content-Type", Value: "application/json"})
+	return a.Whole(statuses[r.Kind], fields, body)
 }
 
 func malformed(err error) *forward.Refusal {
@@ -167,17 +77,15 @@
 	return false
 }
 
+// plain answers a request that can't be read; the connection ends.
 func (ss *session) plain(status int, message string) {
-	ss.statusLine(status)
-	writeField(ss.writer, "Content-Type", "text/plain; charset=utf-8")
-	writeField(ss.writer, "Content-Length", strconv.Itoa(len(message)))
-	writeField(ss.writer, "Connection", "close")
-	_, _ = ss.writer.WriteString("\r\n" + message)
-	_ = ss.writer.Flush()
+	ss.last = true
+	// A caller that doesn't take it has left.
+	_ = ss.replies.Next(http.MethodGet).Whole(status, []reply.Field{{Name: "Content-Type", Value: "text/plain; charset=utf-8"}}, []byte(message))
 }
 
 // readBody reads the whole body of a request.
-func (ss *session) readBody(h *fasthttp.RequestHeader, limits *statev1.CallerLimits) ([]byte, *forward.Refusal) {
+func (ss *session) readBody(a *reply.Answer, h *fasthttp.RequestHeader, limits *statev1.CallerLimits) ([]byte, *forward.Refusal) {
 	most := int64(limits.GetMaxBodyBytes())
 	length := h.ContentLength()
 	if int64(length) > most {
@@ -187,8 +95,9 @@
 		return nil, nil
 	}
 	if string(h.Peek("Expect")) != "" {
-		_, _ = ss.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
-		_ = ss.writer.Flush()
+		if err := a.Continue(); err != nil {
+			return nil, malformed(errors.New("the body was not sent: wait for 100 Continue and send it"))
+		}
 	}
 	_ = ss.conn.SetReadDeadline(time.Now().Add(bodyTime))
 	if length > 0 {
--- a/routers/gateway/begun_test.go
+++ b/routers/gateway/begun_test.go
@@ -76,6 +76,12 @@
 // Callers with long prompts got bytes that are no answer in the middle of a stream,
 // which was then ended as whole. A stream had handed on events; its target broke off,
 // or its run was stopped to move; the next target answered with a failure of its own.
+//
+// Cause: each path to the caller wrote a head when it had an answer, and none of them
+// knew what had been written. Evidence: in plays of stuttering and failing targets the
+// log had a call whose run moved after event 7 and whose next target answered 500, with
+// the outcome "done", and its caller could not read the answer; with a line for each
+// second head, all calls that callers could not read had one.
 func TestNothingFollowsABegunStreamButItsOwnEvents(t *testing.T) {
 	// A long failure is passed on as it comes, a short one once it has been read.
 	const short, long = 5, 300 << 10
--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -21,6 +21,7 @@
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/reply"
 	"havenwinch.dev/havenwinch/services/forward"
 )
 
@@ -143,7 +144,8 @@
 	s      *Server
 	conn   net.Conn
 	reader *bufio.Reader
-	writer *bufio.Writer
+	// replies is all that writes to the connection.
+	replies *reply.Conn
 	// last says that the connection closes after this answer.
 	last bool
 }
@@ -151,7 +153,8 @@
 func (s *Server) handle(c net.Conn) {
 	defer c.Close()
 	limits := s.limits()
-	ss := &session{s: s, conn: c, reader: bufio.NewReaderSize(c, int(limits.GetMaxHeaderBytes())), writer: bufio.NewWriterSize(c, writeBuffer)}
+	ss := &session{s: s, conn: c, reader: bufio.NewReaderSize(c, int(limits.GetMaxHeaderBytes()))}
+	ss.replies = reply.NewConn(c, reply.Options{WriteTime: writeTime, Last: ss.closes})
 	for !ss.last && ss.await(s.limits()) {
 		if !ss.exchange(s.limits()) {
 			return
@@ -159,7 +162,13 @@
 	}
 }
 
-const writeBuffer = 4 << 10
+// closes tells whether the connection closes after the answer whose head is written now.
+func (ss *session) closes() bool {
+	if ss.s.stopping.Load() || ss.s.opts.Sheds != nil && ss.s.opts.Sheds() {
+		ss.last = true
+	}
+	return ss.last
+}
 
 // await waits for the first byte of a request.
 func (ss *session) await(limits *statev1.CallerLimits) bool {
@@ -200,38 +209,36 @@
 		return ss.badHeader(err)
 	}
 	ss.last = h.ConnectionClose()
-	body, refusal := ss.readBody(h, limits)
+	a := ss.replies.Next(string(h.Method()))
+	body, refusal := ss.readBody(a, h, limits)
 	if refusal != nil {
 		ss.last = true
-		return ss.refuse(h, refusal) == nil
+		return ss.refuse(a, h, refusal) == nil
 	}
 	call, err := ss.s.opts.Translator.Call(h, body)
 	if err != nil {
-		return ss.refuse(h, malformed(err)) == nil
+		return ss.refuse(a, h, malformed(err)) == nil
 	}
 	call.Arrived = ss.s.opts.Clock.Boot()
-	return ss.serve(h, call)
+	return ss.serve(a, h, call)
 }
 
-// serve has the call passed through while it watches the caller.
-func (ss *session) serve(h *fasthttp.RequestHeader, call *forward.Call) bool {
+// serve has the call passed through while it watches the caller; false ends the
+// connection.
+func (ss *session) serve(a *reply.Answer, h *fasthttp.RequestHeader, call *forward.Call) bool {
 	ctx, cancel := context.WithCancel(ss.s.opts.Work)
 	defer cancel()
 	stop := ss.watch(cancel)
-	sink := &sink{ss: ss, head: h.IsHead()}
-	err := ss.s.opts.Forwarder.Serve(ctx, call, sink)
+	err := ss.s.opts.Forwarder.Serve(ctx, call, a)
 	gone := stop()
 	if gone {
 		return false
 	}
-	if err == nil {
-		return !ss.last
-	}
 	var refusal *forward.Refusal
-	if !sink.begun && errors.As(err, &refusal) {
-		return ss.refuse(h, refusal) == nil && !ss.last
+	if a.State() == reply.None && errors.As(err, &refusal) {
+		err = ss.refuse(a, h, refusal)
 	}
-	return false
+	return err == nil && a.State() == reply.Ended && !ss.last
 }
 
 // watch notices when the caller closes its connection; what it returns ends
--- a/services/forward/call.go
+++ b/services/forward/call.go
@@ -11,14 +11,12 @@
 	"fmt"
 	"time"
 
+	"havenwinch.dev/havenwinch/modules/reply"
 	"havenwinch.dev/havenwinch/structs"
 )
 
 // Field is one header field.
-type Field struct {
-	Name  string
-	Value string
-}
+type Field = reply.Field
 
 // Dialect names the header fields in which callers, targets and this system
 // tell each other about a call. An empty name is a field that is not used.
@@ -93,7 +91,8 @@
 	return c.ID
 }
 
-// Sink is the caller's end of an answer.
+// Sink is the caller's end of an answer. A step that the answer's state doesn't allow
+// is an error and writes nothing: see reply.Answer.
 type Sink interface {
 	// Begin sends the head; a negative length means that it is not known.
 	Begin(status int, fields []Field, length int) error
--- a/services/forward/flight.go
+++ b/services/forward/flight.go
@@ -15,6 +15,7 @@
 	"havenwinch.dev/havenwinch/models/quarantine"
 	"havenwinch.dev/havenwinch/models/routing"
 	"havenwinch.dev/havenwinch/models/spread"
+	"havenwinch.dev/havenwinch/modules/reply"
 	"havenwinch.dev/havenwinch/services/gateway"
 	"havenwinch.dev/havenwinch/structs"
 )
@@ -43,7 +44,6 @@
 	// waiting counts the prompt tokens that the present target has not read.
 	waiting int
 	events  events
-	began   bool
 	// lostOutput is set when a target may have made any number of tokens that
 	// were not seen, unseen when it can have made a few events more.
 	lostOutput bool
@@ -64,8 +64,8 @@
 	waited time.Duration
 }
 
-// countingSink notes when the caller got its first byte, and the longest pause
-// between the events of a stream.
+// countingSink notes how far the answer has gone, when the caller got its first byte,
+// and the longest pause between the events of a stream.
 type countingSink struct {
 	Sink
 	first time.Duration
@@ -77,6 +77,9 @@
 	ended bool
 }
 
+// begun tells whether the caller has the head of its answer.
+func (s *countingSink) begun() bool { return s.heads > 0 }
+
 // handed notes that events are about to be passed on.
 func (s *countingSink) handed() {
 	now := s.now()
@@ -87,9 +90,12 @@
 }
 
 func (s *countingSink) Begin(status int, fields []Field, length int) error {
-	s.first = s.now()
-	s.heads++
-	return s.Sink.Begin(status, fields, length)
+	err := s.Sink.Begin(status, fields, length)
+	if !reply.IsErrHead(err) {
+		s.first = s.now()
+		s.heads++
+	}
+	return err
 }
 
 func (s *countingSink) End() error {
--- a/services/forward/helpers_test.go
+++ b/services/forward/helpers_test.go
@@ -145,27 +145,39 @@
 
 func event(id int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id) }
 
-// collector is a caller's end.
+// collector is a caller's end. It takes one answer: one head, then bytes, then the end.
 type collector struct {
 	status int
 	body   strings.Builder
 	ended  bool
 	writes int
-	// heads is how many heads came; more than one is never an answer.
+	// heads is how many heads came.
 	heads int
 }
 
 func (c *collector) Begin(status int, _ []Field, _ int) error {
+	if c.heads > 0 {
+		panic(fmt.Sprintf("a second head, of %d, after %d", status, c.status))
+	}
 	c.status = status
 	c.heads++
 	return nil
 }
 func (c *collector) Write(p []byte) error {
+	if c.heads == 0 || c.ended {
+		panic("bytes of a body before its head or after its end")
+	}
 	c.writes++
 	c.body.Write(p)
 	return nil
 }
-func (c *collector) End() error { c.ended = true; return nil }
+func (c *collector) End() error {
+	if c.heads == 0 || c.ended {
+		panic("an end without a head or after an end")
+	}
+	c.ended = true
+	return nil
+}
 
 // book is the leases of a test.
 type book struct {
--- a/services/forward/move.go
+++ b/services/forward/move.go
@@ -87,7 +87,7 @@
 // start begins to move once the call has its first event; each move is one more
 // arrival at the service, which the fleet's bound on further sends counts.
 func (m *mover) start(ctx context.Context) {
-	if m == nil || m.begun || !m.fl.began || !m.fl.f.takeRetry(m.fl.service.GetName()) {
+	if m == nil || m.begun || !m.fl.sink.begun() || !m.fl.f.takeRetry(m.fl.service.GetName()) {
 		return
 	}
 	m.begun = true
--- a/services/forward/move_test.go
+++ b/services/forward/move_test.go
@@ -245,6 +245,9 @@
 // Callers with long prompts got bytes that are no answer in the middle of a stream,
 // which was then ended as whole. A run had handed on events and was stopped to move; the
 // target that was to go on with it answered with a failure of its own.
+//
+// Cause: such a run goes on also where its route allows no repeat, so the failure was not
+// kept for a further target but passed on at once, within the begun answer.
 func TestAMovedRunThatFailsBreaksOff(t *testing.T) {
 	for _, status := range []int{302, 400, 404, 409, 413, 429, 500, 502, 503, 504} {
 		for name, length := range map[string]int{"short": 5, "long": maxWhole + 1} {
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -138,7 +138,7 @@
 		// The engine that was stopped may have made more than came through.
 		fl.unseen = true
 	}
-	if fl.began {
+	if fl.sink.begun() {
 		return errBegun{last.err}
 	}
 	if fl.failure != nil {
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -65,8 +65,7 @@
 		return nil
 	}
 	fl.sink.handed()
-	if !fl.began {
-		fl.began = true
+	if !fl.sink.begun() {
 		if err := fl.sink.Begin(x.head.StatusCode(), x.fields(), -1); err != nil {
 			return err
 		}
@@ -76,8 +75,7 @@
 
 func (fl *flight) streamed(t *spread.Target, x *exchange) attempt {
 	x.whole = true
-	if !fl.began {
-		fl.began = true
+	if !fl.sink.begun() {
 		if err := fl.sink.Begin(x.head.StatusCode(), x.fields(), -1); err != nil {
 			x.abandon()
 			return attempt{verdict: unjudged, done: true, err: errBegun{err}}
--- a/services/forward/whole.go
+++ b/services/forward/whole.go
@@ -22,8 +22,8 @@
 // whole reads an answer in full before any of it is passed on, so that a
 // broken one can be asked for again.
 func (fl *flight) whole(t *spread.Target, x *exchange, status int) attempt {
-	if fl.began {
-		fl.f.odd(fl.call, t, oddSecondHead, fl.events.count, nil, slog.Int("status", status))
+	if fl.sink.begun() {
+		return fl.failedWithin(t, x, status)
 	}
 	body, err := io.ReadAll(io.LimitReader(x.body, maxWhole))
 	if err != nil {
@@ -41,11 +41,26 @@
 	if status >= http.StatusInternalServerError && routing.Repeatable(fl.route) {
 		return attempt{verdict: failing, failure: got, err: errors.Errorf("the target answered %d", status)}
 	}
-	v := sound
+	return attempt{verdict: verdictOf(status), done: true, err: fl.pass(got)}
+}
+
+// verdictOf tells what a target's own answer shows of it.
+func verdictOf(status int) verdict {
 	if status >= http.StatusInternalServerError {
-		v = failing
+		return failing
 	}
-	return attempt{verdict: v, done: true, err: fl.pass(got)}
+	return sound
+}
+
+// failedWithin takes the failure of a target that was to go on with a stream of which the
+// caller has a part. A failure is an answer of its own: passed on within the stream, its
+// head and body would be bytes that are no answer. The stream goes on elsewhere, or it
+// breaks off.
+func (fl *flight) failedWithin(t *spread.Target, x *exchange, status int) attempt {
+	fl.f.odd(fl.call, t, oddSecondHead, fl.events.count, nil, slog.Int("status", status))
+	fl.drain(x)
+	fl.note(t, fmt.Sprintf("%d after event %d", status, fl.events.last))
+	return attempt{verdict: verdictOf(status), err: errors.Errorf("the target that was to go on with the stream answered %d", status)}
 }
 
 // long passes an answer on as it comes, after what was read of it.
