forward: only events of the run are handed on

What callers could get: bytes of a target that are no event. A block without an id that can be read was handed on, also after a fault in the same read; an id in place of another that was spoilt to an earlier number was taken for a repeat, so a stream could be ended as whole without its last event; two ids in one block went by the first. An event without an end filled the box's memory.

Cause: only an id that could be read and was too high counted as a fault.

A repeat counts as one only before a target's first new event.

--- /dev/null
+++ b/services/forward/events_test.go
@@ -0,0 +1,110 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package forward
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// Callers could get bytes that are no event of their run: an event whose id can't be read
+// was handed on, also after a fault in the same read; a spoilt id of the last event was
+// taken for a repeat, and the stream was ended as whole without it. Cause: only ids that
+// could be read and were too high counted as faults.
+func TestWhatAStreamMayHold(t *testing.T) {
+	cases := map[string]struct {
+		// last is what the caller has, -1 for nothing.
+		last  int64
+		text  string
+		out   string
+		fault bool
+		rest  string
+	}{
+		"events":                         {last: -1, text: event(0) + event(1), out: event(0) + event(1)},
+		"events from another number on":  {last: -1, text: event(7) + event(8), out: event(7) + event(8)},
+		"what comes after what it has":   {last: 3, text: event(4), out: event(4)},
+		"a repeat at the start":          {last: 3, text: event(2) + event(3) + event(4), out: event(4)},
+		"a repeat later":                 {last: 3, text: event(4) + event(4) + event(5), out: event(4), fault: true},
+		"an older one later":             {last: -1, text: event(0) + event(1) + event(0), out: event(0) + event(1), fault: true},
+		"a gap":                          {last: -1, text: event(0) + event(2) + event(3), out: event(0), fault: true},
+		"a gap at the start":             {last: 3, text: event(5), fault: true},
+		"no id":                          {last: -1, text: event(0) + "data: x\n\n" + event(1), out: event(0), fault: true},
+		"no id after a gap":              {last: -1, text: event(0) + event(2) + "data: x\n\n", out: event(0), fault: true},
+		"bytes that are no event":        {last: -1, text: event(0) + "\x16\x03\x01\n\n", out: event(0), fault: true},
+		"a head":                         {last: -1, text: event(0) + "HTTP/1.1 200 OK\nX: y\n\n", out: event(0), fault: true},
+		"an id that is no number":        {last: -1, text: event(0) + "id: x\ndata: e\n\n", out: event(0), fault: true},
+		"a negative id":                  {last: -1, text: "id: -1\ndata: e\n\n", fault: true},
+		"an id with a sign":              {last: 0, text: "id: +1\ndata: e\n\n", fault: true},
+		"an id beyond all numbers":       {last: -1, text: "id: 99999999999999999999\n\n", fault: true},
+		"two ids":                        {last: -1, text: "id: 0\ndata: a\nid: 1\ndata: b\n\n", fault: true},
+		"a line that is no field":        {last: -1, text: "id: 0\ndata: a\nnonsense\n\n", fault: true},
+		"a line end that others take":    {last: -1, text: "id: 0\ndata: a\r\rid: 1\n\n", fault: true},
+		"a NUL":                          {last: -1, text: "id: 0\ndata: a\x00\n\n", fault: true},
+		"a comment":                      {last: -1, text: ": still here\n\n" + event(0) + ":\n\n", out: ": still here\n\n" + event(0) + ":\n\n"},
+		"a comment after a fault":        {last: -1, text: event(0) + event(2) + ": still here\n\n", out: event(0), fault: true},
+		"another version of the weights": {last: -1, text: "weight-versions: 3\nid: 0\ndata: a\n\n", out: "weight-versions: 3\nid: 0\ndata: a\n\n"},
+		"a field of its own":             {last: -1, text: "id:0\nevent: made\nretry: 5\ndata\n\n", out: "id:0\nevent: made\nretry: 5\ndata\n\n"},
+		"a part of an event":             {last: -1, text: event(0) + "id: 1\ndata", out: event(0), rest: "id: 1\ndata"},
+		"an event without end":           {last: -1, text: "id: 0\ndata: " + strings.Repeat("a", mostEvent), fault: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			for _, step := range []int{1, 7, len(c.text)} {
+				e := &events{last: c.last}
+				e.begin()
+				var out []byte
+				for at := 0; at < len(c.text); at += step {
+					out = append(out, e.take([]byte(c.text[at:min(len(c.text), at+step)]))...)
+				}
+				if diff := cmp.Diff(c.out, string(out)); diff != "" || e.fault != c.fault {
+					t.Fatalf("in steps of %d: fault %v, want %v; %s", step, e.fault, c.fault, diff)
+				}
+				if !c.fault && string(e.rest) != c.rest {
+					t.Fatalf("left %q, want %q", e.rest, c.rest)
+				}
+			}
+		})
+	}
+}
+
+// Whatever bytes come, in whatever pieces and from however many targets, a caller gets the
+// events of a run in order, each once, and comments.
+func TestRandomEvents(t *testing.T) {
+	parts := []string{event(0), event(1), event(2), event(3), ": c\n\n", "data: x\n\n", "id: 1\n", "\n", "id: x\n\n", "nonsense\n", "\r\n\r\n", "id: 2\nid: 3\n\n"}
+	rapid.Check(t, func(t *rapid.T) {
+		e := &events{last: -1}
+		var got []byte
+		for range rapid.IntRange(1, 3).Draw(t, "targets") {
+			e.begin()
+			text := strings.Join(rapid.SliceOfN(rapid.SampledFrom(parts), 0, 8).Draw(t, "parts"), "")
+			for len(text) > 0 {
+				n := rapid.IntRange(1, len(text)).Draw(t, "read")
+				got = append(got, e.take([]byte(text[:n]))...)
+				text = text[n:]
+			}
+		}
+		next := int64(-1)
+		for _, block := range bytes.SplitAfter(got, eventEnd) {
+			if bytes.Contains(block, []byte("nonsense")) || bytes.Contains(block, []byte("\r")) || bytes.Count(block, []byte("id:")) > 1 {
+				t.Fatalf("got %q, in %q", block, got)
+			}
+			_, text, found := strings.Cut(string(block), "id: ")
+			if !found {
+				if strings.Contains(string(block), "data") {
+					t.Fatalf("got %q, in %q", block, got)
+				}
+				continue
+			}
+			id := int64(text[0] - '0')
+			if next >= 0 && id != next {
+				t.Fatalf("got %q in the place of event %d, in %q", block, next, got)
+			}
+			next = id + 1
+		}
+	})
+}
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -70,6 +70,9 @@
 		"stream with an event missing":          {route: "stream", first: []script{chunks(true, event(0), event(2))}, status: 200, body: event(0), broken: true, sends: 1, spent: 150},
 		"stream that ends in an event":          {route: "stream", first: []script{chunks(true, event(0), "id: 1\ndata:")}, status: 200, body: event(0), broken: true, sends: 1, spent: 150},
 		"resumable stream that breaks twice":    {route: "resume", first: []script{chunks(false, event(0))}, second: []script{chunks(false, event(1))}, status: 200, body: event(0) + event(1), broken: true, sends: 2, spent: 150},
+		"stream with an event that has no id":   {route: "stream", first: []script{chunks(true, event(0), "data: x\n\n", event(1))}, status: 200, body: event(0), broken: true, sends: 1, spent: 150},
+		"stream whose last event is spoilt":     {route: "resume", first: []script{chunks(true, event(0)+event(1), "id: 0\ndata: e2\n\n")}, second: []script{chunks(true, event(2))}, status: 200, body: event(0) + event(1) + event(2), sends: 2, spent: 115},
+		"stream with a head in it":              {route: "resume", first: []script{chunks(true, event(0), "HTTP/1.1 200 OK\r\nX: y\r\n\r\n\n\n")}, second: []script{chunks(true, event(1))}, status: 200, body: event(0) + event(1), sends: 2, spent: 110},
 		"stream refused by the target":          {route: "stream", first: []script{whole(400, "bad")}, status: 400, body: "bad", sends: 1, spent: 100},
 		"stream without length, reset at start": {route: "resume", first: []script{raw(head("ID", "\r\n") + "id: 0\nda")}, second: []script{chunks(true, event(0))}, status: 200, body: event(0), sends: 2, spent: 150},
 	}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -20,8 +20,7 @@
 	mv := fl.mover(c)
 	defer mv.release()
 	s.restart(stallLimit)
-	// What is left of an event that broke off belongs to the former target.
-	fl.events.rest = nil
+	fl.events.begin()
 	fl.events.odd = func(event []byte) { fl.f.odd(fl.call, t, oddEvent, fl.events.count, event) }
 	buffer := make([]byte, readBuffer)
 	for {
@@ -51,9 +50,7 @@
 			x.abandon()
 			fl.loseRest(ctx, x.conn, s)
 			fl.note(t, fmt.Sprintf("broke off after event %d", fl.events.last))
-			fault := fl.events.fault
-			fl.events.fault = false
-			return attempt{verdict: fl.blame(ctx, s), err: errors.Errorf("the stream broke off (event out of order: %v): %v", fault, err)}
+			return attempt{verdict: fl.blame(ctx, s), err: errors.Errorf("the stream broke off (no event of it came: %v): %v", fl.events.fault, err)}
 		}
 	}
 }
