forward: a stopped run's stream without a length is not taken for whole

What callers could get: a part of an answer that looked like the whole of it. A run whose stream had no length was stopped to move; its engine closed the connection, which is also how such a stream ends when it is whole, and the caller's answer was ended after the events so far.

Cause: the end of the bytes was looked at before the order that had stopped the run. Mend: a stream without a length that ends while its run is being moved asks what became of the order; one that was not stopped (404) is whole. TestRunsOfLongPromptsMoveOn (its stream has no length) failed before.

--- a/services/forward/move_test.go
+++ b/services/forward/move_test.go
@@ -40,8 +40,11 @@
 	// other engine does not take the run.
 	copies, stops int
 	full          bool
-	stopped       chan struct{}
-	released      chan string
+	// unframed is set when the engine's stream has no length: it ends as its connection
+	// does, whether it is whole or not.
+	unframed bool
+	stopped  chan struct{}
+	released chan string
 }
 
 // answer acts on one request as an engine.
@@ -73,8 +76,13 @@
 
 // read answers with the first events and, if nobody stops it, the others.
 func (e *engineScript) read(c net.Conn, r received) {
-	_, _ = io.WriteString(c, head(r.id, "Transfer-Encoding: chunked\r\n\r\n"))
 	chunk := func(text string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+	if e.unframed {
+		_, _ = io.WriteString(c, head(r.id, "\r\n"))
+		chunk = func(text string) { _, _ = io.WriteString(c, text) }
+	} else {
+		_, _ = io.WriteString(c, head(r.id, "Transfer-Encoding: chunked\r\n\r\n"))
+	}
 	chunk(event(0) + event(1))
 	if e.copies == 200 && (e.stops == 200 || e.stops == 503) {
 		<-e.stopped
@@ -82,6 +90,10 @@
 		return
 	}
 	chunk(event(2) + event(3))
+	if e.unframed {
+		_ = c.Close()
+		return
+	}
 	_, _ = io.WriteString(c, "0\r\n\r\n")
 }
 
@@ -117,7 +129,11 @@
 		// atSource is set when the run goes on where it was stopped.
 		atSource bool
 	}{
-		"it moves":                           {script: engineScript{copies: 200, stops: 200}, sends: 2},
+		"it moves": {script: engineScript{copies: 200, stops: 200}, sends: 2},
+		// Its closed stream looked like the end of a whole one, and callers got a part of an
+		// answer as the whole of it.
+		"it moves, its stream has no length": {script: engineScript{copies: 200, stops: 200, unframed: true}, sends: 2},
+		"it ends, its stream has no length":  {script: engineScript{copies: 200, stops: 404, unframed: true}, sends: 1},
 		"the other engine has no room then":  {script: engineScript{copies: 200, stops: 200, full: true}, sends: 3, atSource: true},
 		"the last copy has no room":          {script: engineScript{copies: 200, stops: 503}, sends: 2, atSource: true},
 		"the engine refuses the order":       {script: engineScript{copies: 409}, sends: 1},
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -36,22 +36,29 @@
 			}
 			mv.start(ctx)
 		}
-		if err == io.EOF && len(fl.events.rest) == 0 && !fl.events.fault {
+		if err == nil && !fl.events.fault {
+			continue
+		}
+		whole := err == io.EOF && len(fl.events.rest) == 0 && !fl.events.fault
+		if whole && x.framed {
 			return fl.streamed(t, x)
 		}
-		if err != nil && !fl.events.fault {
+		// A stream without a length ends in the same way when it is whole and when its run
+		// was stopped to move.
+		if !fl.events.fault {
 			if r := mv.resume(ctx); r != nil {
 				x.abandon()
 				fl.note(t, fmt.Sprintf("moved after event %d", fl.events.last))
 				return attempt{verdict: sound, resumption: r, err: err}
 			}
 		}
-		if err != nil || fl.events.fault {
-			x.abandon()
-			fl.loseRest(ctx, x.conn, s)
-			fl.note(t, fmt.Sprintf("broke off after event %d", fl.events.last))
-			return attempt{verdict: fl.blame(ctx, s), err: errors.Errorf("the stream broke off (no event of it came: %v): %v", fl.events.fault, err)}
+		if whole {
+			return fl.streamed(t, x)
 		}
+		x.abandon()
+		fl.loseRest(ctx, x.conn, s)
+		fl.note(t, fmt.Sprintf("broke off after event %d", fl.events.last))
+		return attempt{verdict: fl.blame(ctx, s), err: errors.Errorf("the stream broke off (no event of it came: %v): %v", fl.events.fault, err)}
 	}
 }
 
