forward: heads of targets are read strictly; answers without a body have none

What callers could get: answers that readers take in different ways. The library that reads targets' heads takes bare line ends, folded lines, blanks in and after names, a length beside a coding, statuses of 600 and more, unknown versions, bytes before the head, and 101 as an interim answer; what it had read was written on. HEAD waited for a body that doesn't come (502). Interim answers had no bound. Fields that the target's Connection field names were passed on.

Cause: one lenient parser stood between two sides. An answer without a body is bound to none, and the target's connection is not used again after one.

--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -22,6 +23,8 @@
 	// connection, and strayBody the bytes of each.
 	maxStray  = 4
 	strayBody = 1 << 20
+	// maxInterim bounds the interim answers before an answer.
+	maxInterim = 8
 )
 
 // Kinds of failures of one exchange with a target.
@@ -118,15 +121,10 @@
 // read reads the head of the answer and passes over answers to other calls.
 func (x *exchange) read(id string) error {
 	for stray := 0; ; stray++ {
-		x.head.Reset()
-		x.head.SetNoDefaultContentType(true)
-		if err := x.head.Read(x.conn.reader); err != nil {
+		if err := x.readFinal(); err != nil {
 			x.oddHead(err)
 			return errors.Wrap(errNoAnswer, err.Error())
 		}
-		if x.head.StatusCode() < http.StatusOK {
-			continue
-		}
 		x.frame()
 		echoed := string(x.head.Peek(x.f.opts.Dialect.RequestID))
 		if echoed == "" || echoed == id {
@@ -146,6 +144,32 @@
 	}
 }
 
+// readFinal reads the next head that is not one of an interim answer.
+func (x *exchange) readFinal() error {
+	for range maxInterim {
+		if err := x.readHead(); err != nil {
+			return err
+		}
+		if x.head.StatusCode() >= http.StatusOK {
+			return nil
+		}
+	}
+	return errHead{fmt.Sprintf("more than %d interim answers", maxInterim)}
+}
+
+func (x *exchange) readHead() error {
+	head, err := peekHead(x.conn.reader)
+	if err != nil {
+		return err
+	}
+	if err := checkHead(head); err != nil {
+		return err
+	}
+	x.head.Reset()
+	x.head.SetNoDefaultContentType(true)
+	return x.head.Read(x.conn.reader)
+}
+
 // odd notes an answer that is not as agreed, and what its connection has carried.
 func (x *exchange) odd(form string, attrs ...slog.Attr) {
 	attrs = append(attrs, slog.Int("status", x.head.StatusCode()), slog.Bool("signed", len(x.head.Peek(x.f.opts.Dialect.Signature)) > 0),
@@ -167,7 +191,9 @@
 	length := x.head.ContentLength()
 	x.framed = true
 	switch {
-	case bodyless(x.head.StatusCode()):
+	case x.bodyless():
+		// A target that sends one all the same would have it taken for the next head.
+		x.framed = false
 		x.body = strings.NewReader("")
 	case length >= 0:
 		x.body = &sized{r: x.conn.reader, left: int64(length)}
@@ -179,8 +205,19 @@
 	}
 }
 
-func bodyless(status int) bool {
-	return status == http.StatusNoContent || status == http.StatusNotModified
+// bodyless tells whether the answer has no body, whatever its head says of its length.
+func (x *exchange) bodyless() bool {
+	status := x.head.StatusCode()
+	return x.call.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+// length returns what the head that is passed on says of the length of a body that has been
+// read; that of one that is left out is what the target says, negative when it doesn't.
+func (x *exchange) length(body []byte) int {
+	if x.bodyless() {
+		return max(-1, x.head.ContentLength())
+	}
+	return len(body)
 }
 
 // sized reads a body of a known length; one that ends early is an error.
@@ -273,10 +310,24 @@
 // fields returns the answer's fields that are passed on.
 func (x *exchange) fields() []Field {
 	var list []Field
+	named := string(x.head.Peek("Connection"))
 	for name, value := range x.head.All() {
-		if key := string(name); !hopFields[key] {
+		if key := string(name); !hopFields[key] && !isNamed(named, key) {
 			list = append(list, Field{Name: key, Value: string(value)})
 		}
 	}
 	return list
 }
+
+// isNamed tells whether a Connection field names a field.
+func isNamed(list, field string) bool {
+	if list == "" {
+		return false
+	}
+	for _, name := range strings.Split(list, ",") {
+		if strings.EqualFold(strings.TrimSpace(name), field) {
+			return true
+		}
+	}
+	return false
+}
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -33,6 +33,8 @@
 	status int
 	fields []Field
 	body   []byte
+	// length is what the head says of the body's; negative for nothing.
+	length int
 }
 
 // attempt is what came of sending the call to one target.
--- a/services/forward/whole.go
+++ b/services/forward/whole.go
@@ -31,7 +31,7 @@
 		fl.note(t, fmt.Sprintf("cut %d", status))
 		return attempt{verdict: failing, err: errors.Wrap(errNoAnswer, err.Error())}
 	}
-	got := &answer{status: status, fields: x.fields(), body: body}
+	got := &answer{status: status, fields: x.fields(), body: body, length: x.length(body)}
 	if len(body) == maxWhole {
 		return fl.long(t, x, got)
 	}
@@ -90,7 +90,7 @@
 
 // pass passes a whole answer on.
 func (fl *flight) pass(a *answer) error {
-	if err := fl.sink.Begin(a.status, a.fields, len(a.body)); err != nil {
+	if err := fl.sink.Begin(a.status, a.fields, a.length); err != nil {
 		return errBegun{err}
 	}
 	if err := fl.sink.Write(a.body); err != nil {
