forward: an answer belongs to a request only where that can be told

What callers could get: the answer to an order of ours (to copy, stop or release a run, to report) as the answer to their call, when a target answers the order twice and the second time late; a call that may not be repeated was sent a second time when that late answer said that nothing had run; and a run was believed to be stopped that went on.

Cause: orders carry no id, shared connections with callers' calls, and an answer without an id was taken for whatever was due. The check that an idle connection is quiet comes before the request is written, so bytes may come in between.

Mend: connections are for calls, for questions (a late report is an older one), or for one order. An answer without an id is a call's only on a connection that has carried nothing before; else the call has had no answer, and is sent again only where that is safe. After an answer to another call a connection is not used again, and a call does not go twice over one connection.

--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -127,13 +127,20 @@
 		}
 		x.frame()
 		echoed := string(x.head.Peek(x.f.opts.Dialect.RequestID))
-		if echoed == "" || echoed == id {
-			if echoed != id {
-				x.odd(oddUnnamed)
+		if echoed == id {
+			x.heard()
+			return nil
+		}
+		if echoed == "" {
+			x.odd(oddUnnamed)
+			if x.conn.before != "" {
+				// It may be a late one to an earlier call.
+				return errors.Wrap(errNoAnswer, "an answer without an id came over a connection that had carried another call")
 			}
 			x.heard()
 			return nil
 		}
+		x.conn.strays++
 		x.odd(oddStray, slog.String("answers", echoed))
 		if stray == maxStray || !x.framed {
 			return errors.Wrap(errNoAnswer, "answers of other calls came in its place")
--- a/services/forward/helpers_test.go
+++ b/services/forward/helpers_test.go
@@ -40,6 +40,8 @@
 	mu      sync.Mutex
 	scripts []script
 	got     []received
+	// accepted are the connections, by the caller's address.
+	accepted []string
 }
 
 // script writes an answer; closing the connection is its own affair.
@@ -69,6 +71,9 @@
 
 func (tg *target) handle(c net.Conn) {
 	defer c.Close()
+	tg.mu.Lock()
+	tg.accepted = append(tg.accepted, c.RemoteAddr().String())
+	tg.mu.Unlock()
 	r := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(r)
@@ -98,6 +103,13 @@
 	return append([]received(nil), tg.got...)
 }
 
+// connections returns the connections over which requests could come.
+func (tg *target) connections() []string {
+	tg.mu.Lock()
+	defer tg.mu.Unlock()
+	return append([]string(nil), tg.accepted...)
+}
+
 func head(id, extra string) string {
 	return "HTTP/1.1 200 OK\r\nX-Signed: s\r\nX-Id: " + id + "\r\n" + extra
 }
--- a/services/forward/limit_test.go
+++ b/services/forward/limit_test.go
@@ -154,7 +154,7 @@
 	}
 	tg := f.targets.Choose(spread.Need{Service: "s"}, c.Boot()).Target
 	ask := func() error {
-		_, _, err := f.order(context.Background(), tg, http.MethodGet, "/report", nil)
+		_, _, err := f.order(context.Background(), tg, useReports, http.MethodGet, "/report", nil)
 		return err
 	}
 	if err := ask(); err != nil {
--- a/services/forward/move.go
+++ b/services/forward/move.go
@@ -120,7 +120,7 @@
 // order sends one order to copy and notes the handle.
 func (m *mover) order(ctx context.Context, stop bool) (status int, err error) {
 	path, body := m.fl.f.opts.Orders.Copy(m.fl.call.ID, m.to.Address, stop)
-	status, answer, err := m.fl.f.order(ctx, m.from, http.MethodPost, path, body)
+	status, answer, err := m.fl.f.order(ctx, m.from, useOrder, http.MethodPost, path, body)
 	if err != nil {
 		return status, err
 	}
@@ -134,10 +134,10 @@
 }
 
 // order makes a call of this system's own to a target.
-func (f *Forwarder) order(ctx context.Context, t *spread.Target, method, path string, body []byte) (status int, answer []byte, err error) {
+func (f *Forwarder) order(ctx context.Context, t *spread.Target, u use, method, path string, body []byte) (status int, answer []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
-	c, err := f.pool.get(ctx, t)
+	c, err := f.pool.get(ctx, t, u, "")
 	if err != nil {
 		return 0, nil, errors.Wrap(errNotSent, err.Error())
 	}
@@ -194,7 +194,7 @@
 		if m.handle == "" {
 			return
 		}
-		_, _, err := m.fl.f.order(context.Background(), m.from, http.MethodDelete, m.fl.f.opts.Orders.Release(m.handle), nil)
+		_, _, err := m.fl.f.order(context.Background(), m.from, useOrder, http.MethodDelete, m.fl.f.opts.Orders.Release(m.handle), nil)
 		if err != nil {
 			m.fl.f.opts.Logger.Info("copy of a run not released", "request", m.fl.call.ID, "target", m.from.ID, "reason", err.Error())
 		}
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -58,6 +58,9 @@
 	// restsTo is when an idle connection must not be used any more.
 	restsTo time.Duration
 	reused  bool
+	use     use
+	// strays counts the answers to other calls that came over it.
+	strays int
 	// carried names the last call that left over it, an order by its path, before the
 	// one that was before that.
 	carried, before string
@@ -91,7 +94,26 @@
 	crowded func() bool
 
 	mu   sync.Mutex
-	idle map[string][]*conn
+	idle map[idleKey][]*conn
+}
+
+// use is what a connection is for. Answers to calls carry the call's id, those to questions
+// and orders don't: one that comes late must not be taken for that of another kind.
+type use int
+
+const (
+	// useCalls is for callers' calls.
+	useCalls use = iota
+	// useReports is for questions that change nothing: a late answer is an older one.
+	useReports
+	// useOrder is for one order: a late answer would be believed of the next.
+	useOrder
+)
+
+// idleKey names the connections that may carry the same requests.
+type idleKey struct {
+	target string
+	use    use
 }
 
 func newPool(now func() time.Duration, m *meter.Meter, crowded func() bool) *pool {
@@ -104,31 +126,37 @@
 		again:   dial.Again(dialer.DialContext, dialAgain),
 		now:     now,
 		meter:   m,
-		idle:    map[string][]*conn{},
+		idle:    map[idleKey][]*conn{},
 	}
 }
 
-// get returns an idle connection that is still sound, or a new one.
-func (p *pool) get(ctx context.Context, t *spread.Target) (*conn, error) {
-	if c := p.takeIdle(t.ID); c != nil {
+// get returns an idle connection that is still sound, or a new one. One that has carried a
+// call of the same id is not sound: an answer in excess could not be told from its own.
+func (p *pool) get(ctx context.Context, t *spread.Target, u use, id string) (*conn, error) {
+	if c := p.takeIdle(idleKey{t.ID, u}, id); c != nil {
 		c.reused, c.target = true, t
 		return c, nil
 	}
-	return p.dial(ctx, t)
+	c, err := p.dial(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	c.use = u
+	return c, nil
 }
 
-func (p *pool) takeIdle(target string) *conn {
+func (p *pool) takeIdle(key idleKey, id string) *conn {
 	for {
 		p.mu.Lock()
-		list := p.idle[target]
+		list := p.idle[key]
 		if len(list) == 0 {
 			p.mu.Unlock()
 			return nil
 		}
 		c := list[len(list)-1]
-		p.idle[target] = list[:len(list)-1]
+		p.idle[key] = list[:len(list)-1]
 		p.mu.Unlock()
-		if c.restsTo > p.now() && quiet(c.net) {
+		if c.restsTo > p.now() && (key.use != useCalls || c.carried != id) && quiet(c.net) {
 			return c
 		}
 		p.drop(c)
@@ -189,14 +217,15 @@
 	} else {
 		keep = time.Duration(idleShare * float64(keep))
 	}
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.use == useOrder || c.strays > 0 {
 		p.drop(c)
 		return
 	}
 	c.restsTo = p.now() + keep
+	key := idleKey{c.target.ID, c.use}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle[c.target.ID] = append(p.idle[c.target.ID], c)
+	p.idle[key] = append(p.idle[key], c)
 }
 
 func (p *pool) drop(c *conn) { c.close() }
@@ -207,9 +236,9 @@
 	now := p.now()
 	var old []*conn
 	p.mu.Lock()
-	for target, list := range p.idle {
+	for key, list := range p.idle {
 		kept := list[:0]
-		stays := keep(target)
+		stays := keep(key.target)
 		for _, c := range list {
 			if stays && c.restsTo > now {
 				kept = append(kept, c)
@@ -217,9 +246,9 @@
 				old = append(old, c)
 			}
 		}
-		p.idle[target] = kept
+		p.idle[key] = kept
 		if len(kept) == 0 {
-			delete(p.idle, target)
+			delete(p.idle, key)
 		}
 	}
 	p.mu.Unlock()
--- a/services/forward/readers.go
+++ b/services/forward/readers.go
@@ -81,7 +81,7 @@
 // askReader asks one reader for its report; it answers without a reader when
 // there is none.
 func (f *Forwarder) askReader(ctx context.Context, r *spread.Target, answers chan<- readersReport) {
-	status, body, err := f.order(ctx, r, http.MethodGet, f.opts.Orders.ReportPath(), nil)
+	status, body, err := f.order(ctx, r, useReports, http.MethodGet, f.opts.Orders.ReportPath(), nil)
 	if err != nil || status != http.StatusOK {
 		f.opts.Logger.Debug("no report of a reader", "target", r.ID, "status", status, "error", err)
 		answers <- readersReport{}
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -170,7 +170,7 @@
 // attempt sends the call to one target.
 func (fl *flight) attempt(ctx context.Context, choice spread.Choice) attempt {
 	t := choice.Target
-	c, err := fl.f.pool.get(ctx, t)
+	c, err := fl.f.pool.get(ctx, t, useCalls, fl.call.ID)
 	if err != nil {
 		fl.note(t, "unreachable "+reachFailure(err))
 		return attempt{verdict: unreachable, notRun: true, err: errors.Wrap(errNotSent, err.Error())}
