http1, gateway, platform: heads of requests are read strictly

What could happen: a request whose head readers take in different ways was passed on: lengths beside codings, bare line ends, folded lines, an unknown version; one with two ids, sizes or models went to its target with both, of which the target may take the other one. No caller was seen to send such.

Cause: as for targets' answers, one lenient reader. Mend: modules/http1 looks at each head, of requests and of answers, before the library reads it; what is not sound is refused with 400, reaches no target, and ends the connection. A field that decides something stands once.

--- a/modules/reply/head.go
+++ b/modules/reply/head.go
@@ -5,9 +5,10 @@
 
 import (
 	"fmt"
-	"strings"
 
 	"github.com/pkg/errors"
+
+	"havenwinch.dev/havenwinch/modules/http1"
 )
 
 // Statuses of final answers.
@@ -37,39 +38,12 @@
 		return errors.WithStack(ErrHead{Reason: fmt.Sprintf("%d is no final status", status)})
 	}
 	for _, f := range fields {
-		if !isToken(f.Name) {
+		if !http1.IsToken(f.Name) {
 			return errors.WithStack(ErrHead{Reason: fmt.Sprintf("%q is no name of a field", f.Name)})
 		}
-		if !isValue(f.Value) {
+		if !http1.IsValue(f.Value) {
 			return errors.WithStack(ErrHead{Reason: fmt.Sprintf("field %s has control characters in its value", f.Name)})
 		}
 	}
 	return nil
 }
-
-// tokenChars says which bytes may stand in the name of a field.
-var tokenChars = func() (chars [256]bool) {
-	for c := range chars {
-		letter := c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
-		chars[c] = letter || c < 0x80 && strings.IndexByte("!#$%&'*+-.^_`|~", byte(c)) >= 0
-	}
-	return chars
-}()
-
-func isToken(s string) bool {
-	for i := range len(s) {
-		if !tokenChars[s[i]] {
-			return false
-		}
-	}
-	return s != ""
-}
-
-func isValue(s string) bool {
-	for i := range len(s) {
-		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
--- a/routers/gateway/answer.go
+++ b/routers/gateway/answer.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/modules/http1"
 	"havenwinch.dev/havenwinch/modules/reply"
 	"havenwinch.dev/havenwinch/services/forward"
 	"havenwinch.dev/havenwinch/structs"
@@ -64,13 +65,13 @@
 // badHeader answers a request whose head can't be read; nothing of it was
 // passed on, and the connection ends.
 func (ss *session) badHeader(err error) bool {
-	var small *fasthttp.ErrSmallBuffer
-	var nothing fasthttp.ErrNothingRead
 	switch {
-	case err == io.EOF || errors.As(err, &nothing):
+	case err == io.EOF:
 		return false
-	case errors.As(err, &small):
-		ss.plain(http.StatusRequestHeaderFieldsTooLarge, "the head of the request is too long: send fewer or shorter fields")
+	case http1.IsErrTooLong(err):
+		ss.plain(http.StatusRequestHeaderFieldsTooLarge, err.Error())
+	case http1.IsErrHead(err):
+		ss.plain(http.StatusBadRequest, err.Error()+": send a request line and fields of HTTP/1.1")
 	default:
 		ss.plain(http.StatusBadRequest, "the head of the request can't be read: send a request line and fields of HTTP/1.1 in time")
 	}
--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -21,6 +21,7 @@
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/http1"
 	"havenwinch.dev/havenwinch/modules/reply"
 	"havenwinch.dev/havenwinch/services/forward"
 )
@@ -205,7 +206,7 @@
 func (ss *session) exchange(limits *statev1.CallerLimits) bool {
 	_ = ss.conn.SetReadDeadline(time.Now().Add(time.Duration(limits.GetHeaderTimeout()) * time.Millisecond))
 	h := &fasthttp.RequestHeader{}
-	if err := h.Read(ss.reader); err != nil {
+	if err := ss.readHead(h); err != nil {
 		return ss.badHeader(err)
 	}
 	ss.last = h.ConnectionClose()
@@ -223,6 +224,21 @@
 	return ss.serve(a, h, call)
 }
 
+// readHead reads the head of a request that every reader takes the same way.
+func (ss *session) readHead(h *fasthttp.RequestHeader) error {
+	if err := http1.SkipLine(ss.reader); err != nil {
+		return err
+	}
+	head, err := http1.Peek(ss.reader)
+	if err != nil {
+		return err
+	}
+	if _, err := http1.CheckRequest(head); err != nil {
+		return err
+	}
+	return h.Read(ss.reader)
+}
+
 // serve has the call passed through while it watches the caller; false ends the
 // connection.
 func (ss *session) serve(a *reply.Answer, h *fasthttp.RequestHeader, call *forward.Call) bool {
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -16,6 +15,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"havenwinch.dev/havenwinch/modules/http1"
 )
 
 const (
@@ -161,15 +162,15 @@
 			return nil
 		}
 	}
-	return errHead{fmt.Sprintf("more than %d interim answers", maxInterim)}
+	return errors.Errorf("more than %d interim answers came", maxInterim)
 }
 
 func (x *exchange) readHead() error {
-	head, err := peekHead(x.conn.reader)
+	head, err := http1.Peek(x.conn.reader)
 	if err != nil {
 		return err
 	}
-	if err := checkHead(head); err != nil {
+	if _, err := http1.CheckAnswer(head); err != nil {
 		return err
 	}
 	x.head.Reset()
