forward: the benchmark of a whole call gives each call an id of its own

A call does not go twice over one connection any more, so one id for all made a new connection for each.

--- a/services/forward/bench_test.go
+++ b/services/forward/bench_test.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 )
 
@@ -29,19 +30,21 @@
 			go func() {
 				r := bufio.NewReader(c)
 				for {
-					if _, err := http.ReadRequest(r); err != nil {
+					req, err := http.ReadRequest(r)
+					if err != nil {
 						return
 					}
-					_, _ = c.Write([]byte(head("id-1", "Content-Length: 2\r\n\r\nok")))
+					_, _ = c.Write([]byte(head(req.Header.Get("X-Id"), "Content-Length: 2\r\n\r\nok")))
 				}
 			}()
 		}
 	}()
 	t := &testing.T{}
 	f := newForwarder(t, &book{}, &target{name: "one", l: l})
-	for b.Loop() {
+	for n := 0; b.Loop(); n++ {
 		call := newCall("unsafe")
-		call.Body = nil
+		call.ID = strconv.Itoa(n)
+		call.Body, call.Fields = nil, []Field{{Name: "X-Id", Value: call.ID}}
 		if err := f.Serve(context.Background(), call, &collector{}); err != nil {
 			b.Fatal(err)
 		}
