forward: a stream goes on with the status that it began with

What callers could get: the first events of a stream as the whole of it. The target that was to go on with a begun stream answered 204 (or another empty answer of 2xx), which was taken for the rest of the stream and its end.

Cause: any 2xx counted as events of the call. Mend: within a begun answer only the status of its head goes on; another one is a failure within the stream. 201 and 204 are in the tables of both tests of begun streams; the two cases of 204 in each failed before.

--- a/routers/gateway/begun_test.go
+++ b/routers/gateway/begun_test.go
@@ -85,7 +85,7 @@
 func TestNothingFollowsABegunStreamButItsOwnEvents(t *testing.T) {
 	// A long failure is passed on as it comes, a short one once it has been read.
 	const short, long = 5, 300 << 10
-	for _, status := range []int{302, 400, 404, 409, 413, 429, 500, 502, 503, 504} {
+	for _, status := range []int{201, 204, 302, 400, 404, 409, 413, 429, 500, 502, 503, 504} {
 		for name, length := range map[string]int{"short": short, "long": long} {
 			t.Run(fmt.Sprint(status, " ", name), func(t *testing.T) {
 				f := newFixtureBefore(t, rawTarget(t, false, headOfStream+chunk(event(1)+event(2))), rawTarget(t, false, failure(status, length)))
--- a/services/forward/flight.go
+++ b/services/forward/flight.go
@@ -75,6 +75,8 @@
 	// heads is how many heads were passed on, ended that the answer was.
 	heads int
 	ended bool
+	// status is that of the head.
+	status int
 }
 
 // begun tells whether the caller has the head of its answer.
@@ -92,7 +94,7 @@
 func (s *countingSink) Begin(status int, fields []Field, length int) error {
 	err := s.Sink.Begin(status, fields, length)
 	if !reply.IsErrHead(err) {
-		s.first = s.now()
+		s.first, s.status = s.now(), status
 		s.heads++
 	}
 	return err
--- a/services/forward/move_test.go
+++ b/services/forward/move_test.go
@@ -265,7 +265,7 @@
 // Cause: such a run goes on also where its route allows no repeat, so the failure was not
 // kept for a further target but passed on at once, within the begun answer.
 func TestAMovedRunThatFailsBreaksOff(t *testing.T) {
-	for _, status := range []int{302, 400, 404, 409, 413, 429, 500, 502, 503, 504} {
+	for _, status := range []int{201, 204, 302, 400, 404, 409, 413, 429, 500, 502, 503, 504} {
 		for name, length := range map[string]int{"short": 5, "long": maxWhole + 1} {
 			t.Run(fmt.Sprint(status, " ", name), func(t *testing.T) {
 				e := &engineScript{copies: 200, stops: 200, stopped: make(chan struct{}), released: make(chan string, 1)}
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -271,13 +271,22 @@
 		x.odd(oddForeign)
 		fl.note(t, "foreign")
 		return attempt{verdict: failing, err: errForeign}
-	case status < http.StatusMultipleChoices && fl.route.GetKind() == statev1.Route_KIND_STREAM:
+	case fl.isStream(status):
 		return fl.stream(ctx, c, x, s, sent)
 	default:
 		return fl.whole(t, x, status)
 	}
 }
 
+// isStream tells whether an answer is events of the call. A stream goes on with the status
+// that it began with: an empty answer of another one would be taken for its end.
+func (fl *flight) isStream(status int) bool {
+	if fl.sink.begun() {
+		return status == fl.sink.status
+	}
+	return status < http.StatusMultipleChoices && fl.route.GetKind() == statev1.Route_KIND_STREAM
+}
+
 // turnedAway reads the rest of an answer whose target did not run the call.
 func (fl *flight) turnedAway(t *spread.Target, x *exchange, status int) attempt {
 	fl.ran--
