http1, forward: half of an answer before another is no part of its head

What callers could get: an answer with the status of an earlier one. Half of an answer in excess came late over a kept connection and broke off within its status line or a field's value; the head that followed was read as the rest of it: 'HTTP/1.1 413 HTTP/1.1 200 X', 413 with the body and the id of the answer of 200.

Cause: a reason or a value may hold any text, and the id stood in the second half. Mend: a reason or value that holds the beginning of an answer (HTTP/1. and a status) is no sound head; the fields that say whose an answer is stand in it once at most. Via: HTTP/1.1 proxy stays sound.

--- a/modules/http1/http1.go
+++ b/modules/http1/http1.go
@@ -126,7 +126,7 @@
 func checkStatusLine(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	digits, reason, _ := bytes.Cut(rest, []byte(" "))
-	if !isVersion(version) || len(digits) != 3 || !isNumber(digits) || !IsValue(reason) {
+	if !isVersion(version) || len(digits) != 3 || !isNumber(digits) || !IsValue(reason) || hasHead(reason) {
 		return unsound("%q is no status line", clip(line))
 	}
 	status := int(digits[0]-'0')*100 + int(digits[1]-'0')*10 + int(digits[2]-'0')
@@ -146,6 +146,22 @@
 	return nil
 }
 
+// hasHead tells whether a text holds the beginning of another answer: half of an answer in
+// excess came before this one, and the two would be read as one.
+func hasHead(text []byte) bool {
+	for {
+		at := bytes.Index(text, []byte("HTTP/1."))
+		if at < 0 {
+			return false
+		}
+		text = text[at:]
+		if len(text) >= len("HTTP/1.1 200") && text[8] == ' ' && isNumber(text[9:12]) {
+			return true
+		}
+		text = text[1:]
+	}
+}
+
 func isVersion(version []byte) bool {
 	return string(version) == "HTTP/1.1" || string(version) == "HTTP/1.0"
 }
@@ -170,7 +186,7 @@
 		lines = rest
 		name, value, found := bytes.Cut(line, []byte(":"))
 		value = bytes.Trim(value, " \t")
-		if !found || !IsToken(name) || !IsValue(value) {
+		if !found || !IsToken(name) || !IsValue(value) || hasHead(value) {
 			return f, unsound("%q is no field", clip(line))
 		}
 		if hosts != nil && isName(name, "host") {
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -175,7 +175,20 @@
 	}
 	x.head.Reset()
 	x.head.SetNoDefaultContentType(true)
-	return x.head.Read(x.conn.reader)
+	if err := x.head.Read(x.conn.reader); err != nil {
+		return err
+	}
+	return x.once(x.f.opts.Dialect.RequestID, x.f.opts.Dialect.Signature)
+}
+
+// once looks whether fields that say whose an answer is stand in it once at most.
+func (x *exchange) once(fields ...string) error {
+	for _, name := range fields {
+		if len(x.head.PeekAll(name)) > 1 {
+			return errors.Errorf("the answer has two fields %s", name)
+		}
+	}
+	return nil
 }
 
 // odd notes an answer that is not as agreed, and what its connection has carried.
