--- a/modules/reply/reply_test.go
+++ b/modules/reply/reply_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"havenwinch.dev/havenwinch/tests/observe"
+	"havenwinch.dev/havenwinch/tests/seeded"
 )
 
 // step is one thing that code asks of an answer.
@@ -66,6 +67,8 @@
 	return got, err, ended
 }
 
+func TestMain(m *testing.M) { seeded.Main(m) }
+
 func TestStates(t *testing.T) {
 	cases := map[string]struct {
 		steps []step
--- a/services/forward/schedule_test.go
+++ b/services/forward/schedule_test.go
@@ -22,6 +22,7 @@
 	"havenwinch.dev/havenwinch/models/spread"
 	"havenwinch.dev/havenwinch/modules/reply"
 	"havenwinch.dev/havenwinch/tests/observe"
+	"havenwinch.dev/havenwinch/tests/seeded"
 )
 
 // The schedules of this file play what targets send and when, through the forwarder and
@@ -487,6 +488,8 @@
 	}
 }
 
+func TestMain(m *testing.M) { seeded.Main(m) }
+
 func TestRandomTargets(t *testing.T) {
 	for name, moves := range map[string]bool{"calls": false, "moved runs": true} {
 		t.Run(name, func(base *testing.T) {
