forward: a signed answer without the id of its call is nobody's

What a caller could get: the answer to another call, where its id was spoilt and it came on a connection that had carried nothing before. Who signs an answer knows the id; only one that was turned away before it was read may lack it, on such a connection.

--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -134,9 +134,9 @@
 		}
 		if echoed == "" {
 			x.odd(oddUnnamed)
-			if x.conn.before != "" {
-				// It may be a late one to an earlier call.
-				return errors.Wrap(errNoAnswer, "an answer without an id came over a connection that had carried another call")
+			// It may be a late one to an earlier call, and who signs an answer knows its id.
+			if x.conn.before != "" || x.signed() {
+				return errors.Wrap(errNoAnswer, "an answer came without the id of its call")
 			}
 			x.heard()
 			return nil
@@ -181,6 +181,9 @@
 	return x.once(x.f.opts.Dialect.RequestID, x.f.opts.Dialect.Signature)
 }
 
+// signed tells whether a target has made the answer.
+func (x *exchange) signed() bool { return len(x.head.Peek(x.f.opts.Dialect.Signature)) > 0 }
+
 // once looks whether fields that say whose an answer is stand in it once at most.
 func (x *exchange) once(fields ...string) error {
 	for _, name := range fields {
@@ -193,7 +196,7 @@
 
 // odd notes an answer that is not as agreed, and what its connection has carried.
 func (x *exchange) odd(form string, attrs ...slog.Attr) {
-	attrs = append(attrs, slog.Int("status", x.head.StatusCode()), slog.Bool("signed", len(x.head.Peek(x.f.opts.Dialect.Signature)) > 0),
+	attrs = append(attrs, slog.Int("status", x.head.StatusCode()), slog.Bool("signed", x.signed()),
 		slog.Bool("reused", x.conn.reused), slog.String("before", x.conn.before))
 	x.f.odd(x.call, x.conn.target, form, 0, nil, attrs...)
 }
--- a/services/forward/limits.go
+++ b/services/forward/limits.go
@@ -93,7 +93,7 @@
 func (x *exchange) heard() {
 	d := x.f.opts.Dialect
 	status := x.head.StatusCode()
-	signed := len(x.head.Peek(d.Signature)) > 0
+	signed := x.signed()
 	if d.ReadLimit == nil || status == http.StatusMisdirectedRequest {
 		return
 	}
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -262,7 +262,7 @@
 	d := fl.f.opts.Dialect
 	status := x.head.StatusCode()
 	notRun := len(x.head.Peek(d.NotRun)) > 0 || status == http.StatusMisdirectedRequest
-	signed := len(x.head.Peek(d.Signature)) > 0
+	signed := x.signed()
 	switch {
 	case notRun:
 		return fl.turnedAway(t, x, status)
--- a/services/forward/whose_test.go
+++ b/services/forward/whose_test.go
@@ -171,6 +171,31 @@
 	}
 }
 
+// Who signs an answer knows the id of its call: one without it is another call's, whose id
+// was spoilt, also on a connection that has carried nothing before. One that was turned away
+// before it was read has neither.
+func TestAnswersWithoutAnID(t *testing.T) {
+	cases := map[string]struct {
+		first script
+		sends int
+		ok    bool
+	}{
+		"signed":           {first: unnamed(200, "X-Signed: s\r\n", "wrong"), sends: 1},
+		"a failure signed": {first: unnamed(500, "X-Signed: s\r\n", "wrong"), sends: 1},
+		"turned away":      {first: unnamed(503, "X-Not-Run: 1\r\n", ""), sends: 2, ok: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			one, two := newTarget(t, "one", c.first), newTarget(t, "two", whole(200, "yes"))
+			got := &collector{}
+			err := newForwarder(t, &book{}, one, two).Serve(context.Background(), newCall("unsafe"), got)
+			if sends := len(one.calls()) + len(two.calls()); (err == nil) != c.ok || sends != c.sends || c.ok && got.body.String() != "yes" {
+				t.Fatalf("%d sends, status %d, body %q, %v", sends, got.status, got.body.String(), err)
+			}
+		})
+	}
+}
+
 // A call that comes again to a target, by the same id, does not go over the connection that
 // carried it before: an answer in excess to the first could not be told from its own.
 func TestTheSameCallGoesOverAnotherConnection(t *testing.T) {
