forward: the boot clock is read once a step of a call

Each reading is a system call; a call read it some fourteen times, five of them since targets name limits. The time of the last step that could take long is kept and passed along: read anew after waits, before the call is written, and after its answer. What must not rest on an old time (a box that was suspended) reads it as before: after a connection was had, right before a write.

--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -58,13 +58,13 @@
 }
 
 // send writes the call. Its own fields come after those that are passed on. Every
-// request to a target leaves here; errLimited says that it did not.
-func (f *Forwarder) send(ctx context.Context, c *conn, call *Call, own []Field) (*exchange, error) {
-	if err := f.take(c.target, call); err != nil {
+// request to a target leaves here; errLimited says that it did not. The boot time is now.
+func (f *Forwarder) send(ctx context.Context, c *conn, call *Call, own []Field, now time.Duration) (*exchange, error) {
+	if err := f.take(c.target, call, now); err != nil {
 		f.pool.put(c, 0)
 		return nil, err
 	}
-	x := &exchange{f: f, conn: c, call: call, sent: f.opts.Clock.Boot()}
+	x := &exchange{f: f, conn: c, call: call, sent: now}
 	c.before, c.carried = c.carried, call.name()
 	x.stop = context.AfterFunc(ctx, c.close)
 	head := writeHead(call, own)
--- a/services/forward/flight.go
+++ b/services/forward/flight.go
@@ -29,6 +29,9 @@
 	service  *statev1.Service
 	sink     *countingSink
 	deadline time.Duration
+	// now is the boot time of the last step that could take long: reading that clock is a
+	// system call.
+	now      time.Duration
 	reserved gateway.Reservation
 	lease    gateway.Status
 	// reserving is how long it took to set tokens aside.
@@ -155,13 +158,21 @@
 	if left, held := fl.f.opts.Quarantine.Held(fl.content()); held {
 		return heldBack(left)
 	}
+	fl.tick()
 	if fl.left() <= 0 {
 		return &Refusal{Kind: structs.KindDeadlinePast, Run: structs.RunNo, RetryAfter: retrySoon, Message: "the deadline has passed: send a later one"}
 	}
 	return nil
 }
 
-func (fl *flight) left() time.Duration { return fl.deadline - fl.f.opts.Clock.Boot() }
+// tick reads the clock after a step that could take long.
+func (fl *flight) tick() time.Duration {
+	fl.now = fl.f.opts.Clock.Boot()
+	return fl.now
+}
+
+// left is what was left of the call's time at the last step that could take long.
+func (fl *flight) left() time.Duration { return fl.deadline - fl.now }
 
 // own are the fields that this system sets on the call.
 func (fl *flight) own(c spread.Choice) []Field {
@@ -200,6 +211,7 @@
 
 // mayRepeat tells whether the call may go to one more target that may run it.
 func (fl *flight) mayRepeat(notRun bool) bool {
+	fl.tick()
 	if len(fl.sends) >= maxSends || fl.left() <= 0 {
 		return false
 	}
@@ -220,7 +232,7 @@
 		return
 	}
 	f := fl.f
-	f.retries.noted(fl.service.GetName(), f.opts.retryTerms(boxes), f.opts.retryWindow(), f.opts.Clock.Boot())
+	f.retries.noted(fl.service.GetName(), f.opts.retryTerms(boxes), f.opts.retryWindow(), fl.now)
 }
 
 // pause waits a moment that differs from call to call.
--- a/services/forward/leaves_test.go
+++ b/services/forward/leaves_test.go
@@ -101,7 +101,7 @@
 			t.Fatal(err)
 		}
 		call := newCall("safe")
-		x, err := f.send(context.Background(), c, call, nil)
+		x, err := f.send(context.Background(), c, call, nil, f.opts.Clock.Boot())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/services/forward/limits.go
+++ b/services/forward/limits.go
@@ -59,10 +59,9 @@
 
 // take counts a request that leaves for a target, unless that has a limit and this
 // box's part of it is used up.
-func (f *Forwarder) take(t *spread.Target, call *Call) error {
+func (f *Forwarder) take(t *spread.Target, call *Call, now time.Duration) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.opts.Clock.Boot()
 	limited := f.targets.Limited(t, now)
 	if !f.targets.Take(t, call.Continues, now) {
 		f.opts.Counter.Limit(limitWithheld)
@@ -239,7 +238,7 @@
 	f := fl.f
 	need := fl.need()
 	f.mu.Lock()
-	w, shut := f.targets.Shut(need, f.opts.Clock.Boot())
+	w, shut := f.targets.Shut(need, fl.now)
 	f.mu.Unlock()
 	if !shut || fl.waitLimited(ctx, w) {
 		return nil
@@ -262,6 +261,7 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
+	fl.tick()
 	fl.f.mu.Lock()
 	defer fl.f.mu.Unlock()
 	fl.f.targets.Waited(fl.service.GetName())
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -37,7 +37,7 @@
 		outcome = outcomeLeft
 	}
 	fl.f.opts.Counter.Done(organisation, outcome)
-	now := fl.f.opts.Clock.Boot()
+	now := fl.tick()
 	attrs := []slog.Attr{
 		slog.String("request", fl.call.ID),
 		slog.String("outcome", outcome),
--- a/services/forward/move.go
+++ b/services/forward/move.go
@@ -145,7 +145,7 @@
 	if len(body) > 0 {
 		call.Fields = []Field{{Name: "Content-Type", Value: "application/json"}}
 	}
-	x, err := f.send(ctx, c, call, nil)
+	x, err := f.send(ctx, c, call, nil, f.opts.Clock.Boot())
 	if err != nil {
 		return 0, nil, err
 	}
--- a/services/forward/place.go
+++ b/services/forward/place.go
@@ -52,7 +52,7 @@
 	f := fl.f
 	need := fl.need()
 	f.mu.Lock()
-	c := f.targets.Choose(need, f.opts.Clock.Boot())
+	c := f.targets.Choose(need, fl.now)
 	f.mu.Unlock()
 	if c.Apart {
 		reader, load := f.leastReading(ctx, c)
@@ -104,12 +104,11 @@
 
 // leave gives a place back and notes the outcome.
 func (fl *flight) leave(t *spread.Target, v verdict) {
-	f := fl.f
+	f, now := fl.f, fl.tick()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t.Running--
 	fl.endWait(t)
-	now := f.opts.Clock.Boot()
 	switch v {
 	case unreachable:
 		if f.opts.Crowded() {
--- a/services/forward/reserve.go
+++ b/services/forward/reserve.go
@@ -41,12 +41,12 @@
 	}
 	bound := fl.call.Input + fl.call.Output
 	wait := time.Duration(leaseWaitShare * float64(fl.route.GetObjective()) * float64(time.Millisecond))
-	began := fl.f.opts.Clock.Boot()
+	began := fl.now
 	if began-fl.f.started < startTime {
 		wait = max(wait, startWait)
 	}
 	reservation, outcome, status := fl.f.opts.Leases.Reserve(ctx, fl.payer.GetOrganisation(), bound, wait)
-	fl.lease, fl.reserving = status, fl.f.opts.Clock.Boot()-began
+	fl.lease, fl.reserving = status, fl.tick()-began
 	switch outcome {
 	case gateway.Reserved:
 		fl.reserved = reservation
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -105,6 +105,7 @@
 		}
 		if last.notRun {
 			pause(ctx, 10*time.Millisecond)
+			fl.tick()
 		}
 	}
 }
@@ -178,6 +179,7 @@
 	// The caller may have left, or the call's time be over: writing to a connection
 	// that was idle does not ask the context first, and after the box was suspended
 	// no timer has fired yet.
+	fl.tick()
 	if ctx.Err() != nil || fl.left() <= 0 {
 		fl.f.pool.put(c, 0)
 		return attempt{verdict: unjudged, notRun: true, over: true, err: errNotSent}
@@ -202,9 +204,9 @@
 // attemptOn sends the call over a connection and takes the answer.
 func (fl *flight) attemptOn(ctx context.Context, choice spread.Choice, c *conn, silence *silence) attempt {
 	t := choice.Target
-	sent := fl.f.opts.Clock.Boot()
+	sent := fl.now
 	fl.call.Continues = fl.resumption != nil
-	x, err := fl.f.send(ctx, c, fl.call, fl.own(choice))
+	x, err := fl.f.send(ctx, c, fl.call, fl.own(choice), sent)
 	if errors.Is(err, errLimited) {
 		return attempt{verdict: unjudged, notRun: true, limited: true, err: err}
 	}
