soak: a strict reader, servers that stutter, spoil, break off and fail, engines that take orders

Why the soak never saw the incident: its callers closed their connection at bytes that they could not read and counted a failed request; its servers neither stuttered nor failed within a stream; no run moved there. Now callers read with tests/observe and what can't be read is a broken promise with its dump; what breaks off must be a part of the answer; a failure that a server has signed must be one that it gave.

--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -4,15 +4,15 @@
 package soak
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"math/rand"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
+
+	"havenwinch.dev/havenwinch/tests/observe"
 )
 
 // outcome is how a request ended for its caller.
@@ -24,6 +24,8 @@
 	// whole is false when the answer broke off or none came.
 	whole bool
 	retry string
+	// signed says that a server made it.
+	signed bool
 }
 
 // callers sends requests over connections that stay open as long as the box
@@ -43,7 +45,7 @@
 	n     int
 	rng   *rand.Rand
 	conn  net.Conn
-	r     *bufio.Reader
+	got   *observe.Reader
 	count int
 }
 
@@ -96,12 +98,16 @@
 		if err != nil {
 			return o
 		}
-		c.conn, c.r = conn, bufio.NewReader(conn)
+		c.conn, c.got = conn, observe.NewReader(conn)
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(answerLimit))
 	tokens := ""
 	if strings.HasPrefix(route, "stream") {
-		tokens = fmt.Sprintf("Token-Count: %d,%d\r\nPrompt-Prefix: aa:10,bb%d:20,%x:5\r\n", 200+c.rng.Intn(400), outputLimit, c.rng.Intn(5), c.rng.Int31())
+		prompt := 200 + c.rng.Intn(400)
+		if c.all.seed >= oddKindsFrom && key == "key-large" && c.rng.Intn(4) == 0 {
+			prompt += 2 * longPrompt
+		}
+		tokens = fmt.Sprintf("Token-Count: %d,%d\r\nPrompt-Prefix: aa:10,bb%d:20,%x:%d\r\n", prompt, outputLimit, c.rng.Intn(5), c.rng.Int31(), max(5, prompt-1000))
 	}
 	_, err := fmt.Fprintf(c.conn, "POST /%s/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 8000\r\nApi-Key: %s\r\nTenant: forged\r\n%sContent-Length: %d\r\n\r\n%s", route, id, key, tokens, len(body), body)
 	if err != nil {
@@ -112,17 +118,15 @@
 }
 
 func (c *caller) answer(o outcome) outcome {
-	resp, err := http.ReadResponse(c.r, nil)
-	if err != nil {
-		c.drop()
-		return o
+	a, err := c.got.Answer(http.MethodPost)
+	o.status, o.body, o.whole, o.retry, o.signed = a.Status, string(a.Body), err == nil, a.Get("Retry-After"), a.Get("Server-Signature") != ""
+	if observe.IsErrUnreadable(err) {
+		c.all.site.breaks("request %s (%s) over %s: %v", o.id, o.route, c.conn.RemoteAddr(), err)
 	}
-	data, err := io.ReadAll(resp.Body)
-	o.status, o.body, o.whole, o.retry = resp.StatusCode, string(data), err == nil, resp.Header.Get("Retry-After")
-	if got := resp.Header.Get("Attempt-Id"); got != "" && got != o.id {
+	if got := a.Get("Attempt-Id"); got != "" && got != o.id {
 		c.all.site.breaks("request %s got the answer to %s", o.id, got)
 	}
-	if err != nil || resp.Close {
+	if err != nil || a.Closes() {
 		c.drop()
 	}
 	return o
@@ -136,7 +140,10 @@
 	if strings.Contains(o.body, heldBack) {
 		cs.site.breaks("request %s (%s) was held back, and no server ended under it alone", o.id, o.route)
 	}
-	if o.status != http.StatusOK || !o.whole {
+	if o.signed && o.status != http.StatusOK && !cs.site.hasSaid(o.id, o.status) {
+		cs.site.breaks("request %s (%s) got %d as a server's, and none has said so", o.id, o.route, o.status)
+	}
+	if o.status != http.StatusOK {
 		return
 	}
 	want := "answer to " + o.id
@@ -147,7 +154,9 @@
 		}
 		want = b.String()
 	}
-	if o.body != want {
+	// A server that says nothing of where its answer ends may have broken it off unseen.
+	part := strings.HasPrefix(want, o.body) && (!o.whole || cs.site.brokeOff(o.id))
+	if o.body != want && !part {
 		cs.site.breaks("request %s (%s) was answered %q", o.id, o.route, o.body)
 	}
 }
@@ -173,6 +182,8 @@
 			}
 		case o.status == http.StatusOK && o.whole:
 			served++
+		case o.signed && o.status != http.StatusOK:
+			failed++
 		case o.status == http.StatusUnauthorized || o.status == http.StatusNotFound:
 			cs.site.breaks("request %s got %d", o.id, o.status)
 		default:
--- a/tests/soak/site_test.go
+++ b/tests/soak/site_test.go
@@ -44,6 +44,13 @@
 	fresh int
 	// cleanups end what started during the test.
 	cleanups []func()
+	// failures are the statuses that servers gave to a request as failures of their own,
+	// broke says that one broke off its answer.
+	failures map[string]map[int]bool
+	broke    map[string]bool
+	// copies counts, by id, the copies of stopped runs; moved how many there were.
+	copies map[string]int
+	moved  int
 }
 
 // atEnd has something done at the end of the test.
@@ -62,7 +69,7 @@
 }
 
 func newSite(control []string) *site {
-	return &site{control: control, runs: map[string]int{}, given: map[string]uint64{}, counted: map[string]bool{}, ended: map[string]int{}, presences: map[string]*presence{}}
+	return &site{control: control, runs: map[string]int{}, given: map[string]uint64{}, counted: map[string]bool{}, ended: map[string]int{}, presences: map[string]*presence{}, failures: map[string]map[int]bool{}, broke: map[string]bool{}, copies: map[string]int{}}
 }
 
 // breaks notes a promise that was not kept.
@@ -120,6 +127,11 @@
 	ackedLeave time.Time
 	// failShare is the part of requests that get no answer.
 	failShare float64
+	// oddShare is the part that is answered in odd forms.
+	oddShare float64
+	// runs are the calls that it answers; reading is held while it reads a long prompt.
+	runs    map[string]*run
+	reading sync.RWMutex
 	// limits are the limits that the server has named, the present one last.
 	limits []namedLimit
 	// arrivals are when requests came, oldest first, while it named a limit.
@@ -153,9 +165,9 @@
 	if err != nil {
 		return nil, err
 	}
-	sv := &server{site: s, id: id, service: service, link: proxy, state: "ready", born: time.Now().UnixMilli(), rng: rand.New(rand.NewSource(seed)), quit: make(chan struct{})}
-	sv.http = &http.Server{Handler: sv}
-	go func() { _ = sv.http.Serve(l) }()
+	sv := &server{site: s, id: id, service: service, link: proxy, state: "ready", born: time.Now().UnixMilli(), rng: rand.New(rand.NewSource(seed)), quit: make(chan struct{}), runs: map[string]*run{}}
+	sv.http = &http.Server{Handler: sv, ConnContext: keepConn}
+	go func() { _ = sv.http.Serve(stutterListener{l}) }()
 	go sv.beats()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -230,6 +242,9 @@
 
 // ServeHTTP implements http.Handler.
 func (sv *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if sv.order(w, r) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -258,12 +273,22 @@
 	sv.site.came(id)
 	defer sv.site.gone(id)
 	prompt, limit := tokensOf(r.Header.Get("Token-Count"))
-	sv.site.began(id, r.Header.Get("Tenant"), prompt)
+	w.Header().Set("Attempt-Id", id)
+	if r.Header.Get("Kv-From") == "" {
+		sv.site.began(id, r.Header.Get("Tenant"), prompt)
+		sv.read(prompt)
+	} else if !sv.site.goesOn(id) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if fails {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Server-Signature", sv.id)
+	if sv.odd(w, r, id, sv.form()) {
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, "/plain/") {
 		_, _ = io.WriteString(w, "answer to "+id)
 		return
@@ -298,10 +323,17 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
+	run := sv.begin(id)
+	defer sv.end(id)
 	for n := first; n < events(limit); n++ {
+		sv.reading.RLock()
+		//lint:ignore SA2001 events are only held up while a prompt is read
+		sv.reading.RUnlock()
 		select {
 		case <-r.Context().Done():
 			return
+		case <-run.stopped:
+			panic(http.ErrAbortHandler)
 		case <-sv.quit:
 			panic(http.ErrAbortHandler)
 		case <-time.After(eventPause):
@@ -330,7 +362,7 @@
 			service = plainService
 		}
 		return map[string]any{"name": name, "hostname": "site.example", "path_prefix": "/" + name + "/", "type": kind, "timeout_ms": 8000,
-			"target_latency_ms": 2000, "itl_target_ms": 1000, "priority": 1, "service": service, "max_attempts": attempts, "public": false, "stream_resume": resume}
+			"target_latency_ms": 2000, "itl_target_ms": itlTarget, "priority": 1, "service": service, "max_attempts": attempts, "public": false, "stream_resume": resume}
 	}
 	document := map[string]any{
 		"version": version,
@@ -339,7 +371,7 @@
 			route("stream/resume", "streaming", 2, true), route("stream/once", "streaming", 1, false),
 		},
 		"services": []any{
-			map[string]any{"name": engineService, "health_path": "/healthz", "max_connections": 100, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000, "stride": stride}},
+			map[string]any{"name": engineService, "health_path": "/healthz", "max_connections": 100, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000, "stride": stride, "moves": true}},
 			map[string]any{"name": plainService, "health_path": "/healthz", "max_connections": 100},
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -115,6 +115,9 @@
 	if ended > mostUnderFaults {
 		t.Errorf("%d servers ended under one call, want at most %d", ended, mostUnderFaults)
 	}
+	w.site.mu.Lock()
+	t.Logf("%d runs were stopped to move", w.site.moved)
+	w.site.mu.Unlock()
 	w.site.checkReads()
 	w.verdict(t)
 }
@@ -134,13 +137,15 @@
 
 // faultKinds are the faults of a run. Those after the first ones came later: seeds
 // below laterKindsFrom keep the schedules that they had.
-var faultKinds = []string{"kill", "term", "hup", "pause", "herd", "wipe", "delay", "silent", "one way", "reset", "grey", "release", "crash", "mute", "limit"}
+var faultKinds = []string{"kill", "term", "hup", "pause", "herd", "wipe", "delay", "silent", "one way", "reset", "grey", "release", "crash", "mute", "limit", "stutter", "stutter"}
 
 const (
 	firstKinds     = 12
 	laterKindsFrom = 7000
 	secondKinds    = 14
 	limitKindsFrom = 8000
+	thirdKinds     = 15
+	oddKindsFrom   = 9000
 )
 
 // fault brings one fault about; several may overlap.
@@ -157,6 +162,8 @@
 		kinds = faultKinds[:firstKinds]
 	case w.all.seed < limitKindsFrom:
 		kinds = faultKinds[:secondKinds]
+	case w.all.seed < oddKindsFrom:
+		kinds = faultKinds[:thirdKinds]
 	}
 	kind := kinds[rng.Intn(len(kinds))]
 	t.Logf("%s on %s and %s for %s", kind, b.name, sv.id, for_)
@@ -212,6 +219,15 @@
 			id = w.site.freshID()
 		}
 		sv.crash(id)
+	case "stutter":
+		for _, other := range w.site.all() {
+			other.stutter(0.3)
+		}
+		later(func() {
+			for _, other := range w.site.all() {
+				other.stutter(0)
+			}
+		})
 	case "grey":
 		sv.grey(0.5)
 		later(func() { sv.grey(0) })
@@ -266,6 +282,7 @@
 	for _, sv := range w.site.all() {
 		sv.link.set(linkSound)
 		sv.grey(0)
+		sv.stutter(0)
 		sv.endLimit()
 	}
 	for _, b := range w.boxes {
