--- a/tests/soak/engine_test.go
+++ b/tests/soak/engine_test.go
@@ -61,7 +61,7 @@
 	if !strings.HasPrefix(r.URL.Path, "/api/") {
 		return false
 	}
-	if form := sv.form(); form == formTwice {
+	if form := sv.form(r); form == formTwice {
 		sv.mu.Lock()
 		connOf(r).sayAgain(sv.rng)
 		sv.mu.Unlock()
--- a/tests/soak/site_test.go
+++ b/tests/soak/site_test.go
@@ -286,7 +286,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Server-Signature", sv.id)
-	if sv.odd(w, r, id, sv.form()) {
+	if sv.odd(w, r, id, sv.form(r)) {
 		return
 	}
 	if strings.HasPrefix(r.URL.Path, "/plain/") {
--- a/tests/soak/stutter_test.go
+++ b/tests/soak/stutter_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 )
 
@@ -137,13 +138,17 @@
 	sv.oddShare = share
 }
 
-// form draws how a request is answered; negative for as it should be.
-func (sv *server) form() int {
+// form draws how a request is answered; negative for as it should be. Half of the odd
+// answers to streams that go on here are failures: few requests are such.
+func (sv *server) form(r *http.Request) int {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	if sv.oddShare == 0 || sv.rng.Float64() >= sv.oddShare {
 		return -1
 	}
+	if r.Header.Get("Last-Event-Id") != "" && sv.rng.Intn(2) == 0 {
+		return formFails
+	}
 	return sv.rng.Intn(forms)
 }
 
@@ -256,3 +261,35 @@
 	defer s.mu.Unlock()
 	return s.broke[id]
 }
+
+// Callers with long prompts got bytes that are no answer in the middle of a stream. Runs are
+// stopped to move while servers stutter, spoil, break off and fail; a strict reader has the
+// callers' place. Nothing is killed or cut, so what breaks off was broken off by a server.
+func TestCallersOfServersThatStutter(t *testing.T) {
+	// As a seed of the soak it has long prompts among its requests.
+	w := newWorld(t, oddKindsFrom, 1, 2, 4, 2)
+	for _, sv := range w.site.all() {
+		sv.stutter(0.2)
+	}
+	stop := make(chan struct{})
+	var work sync.WaitGroup
+	for n := range soakCallers {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			w.caller(n).run(stop)
+		}()
+	}
+	eventually(t, fmt.Sprintf("%d runs were stopped to move", stutterMoves), func() bool {
+		w.site.mu.Lock()
+		defer w.site.mu.Unlock()
+		return w.site.moved >= stutterMoves
+	})
+	close(stop)
+	work.Wait()
+	w.verdict(t)
+}
+
+// stutterMoves is how many runs move while servers stutter: some of them go on where they
+// are answered with a failure.
+const stutterMoves = 60
