spread: what may stand above the mean, and wait, at a target is the whole fleet's

Change: the slack is divided by the boxes; what may wait is 250 ms of reading at the speed that calls show, 20,000 tokens while that is not known.

--- a/models/spread/reads.go
+++ b/models/spread/reads.go
@@ -114,6 +114,15 @@
 	return time.Duration(r.perToken * float64(tokens))
 }
 
+// tokens returns how many tokens a target reads in a time, or another number while that is
+// not known.
+func (r *reads) tokens(d time.Duration, otherwise int) int {
+	if r.perToken == 0 {
+		return otherwise
+	}
+	return int(float64(d) / r.perToken)
+}
+
 // decay brings the load up to date.
 func (r *reads) decay(now time.Duration) {
 	if elapsed := now - r.updated; elapsed > 0 {
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -27,11 +27,14 @@
 	// loadBound is how far above the mean a target's load may lie before calls
 	// with a common part go to the next one.
 	loadBound = 1.5
-	// loadSlack is added to the bound, in calls.
+	// loadSlack is added to the bound, in calls of the whole fleet: each box sees its own
+	// only, and each would else add it.
 	loadSlack = 3.0
-	// waitingTokens is how many prompt tokens may wait at one target for calls
-	// with a common part, over the whole fleet; about half a second of reading.
-	waitingTokens = 70000
+	// waitingTime is the reading that may wait at one target for calls with a common part,
+	// over the whole fleet, and waitingTokens the prompt tokens in its place while it is not
+	// known how fast targets read.
+	waitingTime   = 250 * time.Millisecond
+	waitingTokens = 20000
 	// farCost is what another data centre adds to a target's load, in calls.
 	farCost = 0.6
 	// firstBan and longestBan bound the time that an unreachable target is out,
@@ -302,9 +305,10 @@
 	for _, t := range candidates {
 		total += t.Running
 	}
-	bound := loadBound*float64(total)/float64(len(candidates)) + loadSlack
+	boxes := max(1, need.Boxes)
+	bound := loadBound*float64(total)/float64(len(candidates)) + loadSlack/float64(boxes)
 	open := func(t *Target) bool { return float64(t.Running) <= bound }
-	share := waitingTokens / max(1, need.Boxes)
+	share := tb.readsOf(need.Service).tokens(waitingTime, waitingTokens) / boxes
 	quiet := func(t *Target) bool { return open(t) && t.Waiting < share }
 	if best := highest(candidates, need.Affinity, quiet); best != nil {
 		return best
--- a/models/spread/spread_test.go
+++ b/models/spread/spread_test.go
@@ -187,3 +187,47 @@
 		}
 	}
 }
+
+// Each box sees its own calls only. What may stand above the mean, and wait, at one target is
+// counted for the whole fleet: 70 boxes that each added it for themselves sent 200 calls and
+// more to a target of 64 places.
+func TestBoundsAreTheFleets(t *testing.T) {
+	for name, boxes := range map[string]int{"one box": 1, "many": 30} {
+		t.Run(name, func(t *testing.T) {
+			tb := table(4)
+			need := Need{Service: "s", Affinity: 7, Boxes: boxes}
+			first := tb.Choose(need, 0).Target
+			calls := 0
+			for tb.Choose(need, 0).Target == first {
+				first.Running++
+				calls++
+			}
+			// A target without others' load takes the slack of the fleet, and one call.
+			if most := int(loadSlack/float64(boxes)) + 4; calls*boxes > most*boxes || boxes > 1 && calls > 1 {
+				t.Fatalf("%d calls of each of %d boxes", calls, boxes)
+			}
+		})
+	}
+}
+
+// How many prompt tokens may wait follows from how fast targets read.
+func TestWaitingPromptsFollowTheReadingSpeed(t *testing.T) {
+	for name, perToken := range map[string]time.Duration{"fast": 10 * time.Microsecond, "slow": 50 * time.Microsecond} {
+		t.Run(name, func(t *testing.T) {
+			tb := table(4)
+			need := Need{Service: "s", Affinity: 7, Boxes: 1}
+			first := tb.Choose(need, 0).Target
+			for range 200 {
+				tb.Read(first, 10000, 10000*perToken)
+			}
+			first.Waiting = int(waitingTime/perToken) * 8 / 10
+			if got := tb.Choose(need, 0).Target; got != first {
+				t.Fatalf("%s was chosen below the bound", got.ID)
+			}
+			first.Waiting = int(waitingTime/perToken) * 12 / 10
+			if got := tb.Choose(need, 0).Target; got == first {
+				t.Fatal("the first was chosen above the bound")
+			}
+		})
+	}
+}
