--- a/modules/http1/http1.go
+++ b/modules/http1/http1.go
@@ -126,7 +126,7 @@
 func checkStatusLine(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	digits, reason, _ := bytes.Cut(rest, []byte(" "))
-	if !isVersion(version) || len(digits) != 3 || !isNumber(digits) || !IsValue(reason) || hasHead(reason) {
+	if !isVersion(version) || len(digits) != 3 || !IsNumber(digits) || !IsValue(reason) || hasHead(reason) {
 		return unsound("%q is no status line", clip(line))
 	}
 	status := int(digits[0]-'0')*100 + int(digits[1]-'0')*10 + int(digits[2]-'0')
@@ -155,7 +155,7 @@
 			return false
 		}
 		text = text[at:]
-		if len(text) >= len("HTTP/1.1 200") && text[8] == ' ' && isNumber(text[9:12]) {
+		if len(text) >= len("HTTP/1.1 200") && text[8] == ' ' && IsNumber(text[9:12]) {
 			return true
 		}
 		text = text[1:]
@@ -212,7 +212,7 @@
 	case coding:
 		f.Chunked = true
 		return nil
-	case !isNumber(value):
+	case !IsNumber(value):
 		return unsound("%q is no length", clip(value))
 	}
 	f.Sized = true
@@ -238,7 +238,8 @@
 	return true
 }
 
-func isNumber(digits []byte) bool {
+// IsNumber tells whether a text is digits only, and few enough for 64 bits.
+func IsNumber(digits []byte) bool {
 	for _, c := range digits {
 		if c < '0' || c > '9' {
 			return false
--- a/modules/reply/reply_test.go
+++ b/modules/reply/reply_test.go
@@ -37,7 +37,7 @@
 
 // play asks for steps on one connection, a new answer after each that has ended, and
 // returns what a strict reader gets and how many answers ended.
-func play(method string, steps []step) (got []*observe.Answer, err error, ended int) {
+func play(method string, steps []step) (got []*observe.Answer, ended int, err error) {
 	near, far := net.Pipe()
 	done := make(chan struct{})
 	go func() {
@@ -64,7 +64,7 @@
 	}
 	_ = near.Close()
 	<-done
-	return got, err, ended
+	return got, ended, err
 }
 
 func TestMain(m *testing.M) { seeded.Main(m) }
@@ -125,7 +125,7 @@
 		for i := range rapid.IntRange(0, 12).Draw(t, "steps") {
 			steps = append(steps, allSteps[rapid.IntRange(0, len(allSteps)-1).Draw(t, fmt.Sprint("step ", i))])
 		}
-		got, err, ended := play(method, steps)
+		got, ended, err := play(method, steps)
 		if observe.IsErrUnreadable(err) {
 			t.Fatal(err)
 		}
--- a/services/forward/events.go
+++ b/services/forward/events.go
@@ -6,6 +6,8 @@
 import (
 	"bytes"
 	"strconv"
+
+	"havenwinch.dev/havenwinch/modules/http1"
 )
 
 // events cuts a stream into whole events, so that a part of one never reaches
@@ -36,13 +38,9 @@
 	otherEnds = "\r\x00"
 )
 
-const (
-	// mostEvent bounds an event, in bytes: a target that never ends one must not fill
-	// the memory of the box.
-	mostEvent = 1 << 20
-	// mostDigits bounds the digits of an id, which then fits a number of 64 bits.
-	mostDigits = 18
-)
+// mostEvent bounds an event, in bytes: a target that never ends one must not fill the memory
+// of the box.
+const mostEvent = 1 << 20
 
 // begin starts with what another target sends. What is left of an event that broke off
 // belongs to the former one.
@@ -135,7 +133,7 @@
 			}
 		default:
 			digits := bytes.TrimPrefix(value, []byte(" "))
-			if kind == blockEvent || !isNumber(digits) {
+			if kind == blockEvent || !http1.IsNumber(digits) {
 				return 0, blockSpoilt
 			}
 			// It has digits only, and few enough.
@@ -155,12 +153,3 @@
 	}
 	return true
 }
-
-func isNumber(digits []byte) bool {
-	for _, c := range digits {
-		if c < '0' || c > '9' {
-			return false
-		}
-	}
-	return len(digits) > 0 && len(digits) <= mostDigits
-}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -36,30 +36,36 @@
 			}
 			mv.start(ctx)
 		}
-		if err == nil && !fl.events.fault {
-			continue
+		if err != nil || fl.events.fault {
+			return fl.streamEnded(ctx, t, x, s, mv, err)
 		}
-		whole := err == io.EOF && len(fl.events.rest) == 0 && !fl.events.fault
-		if whole && x.framed {
-			return fl.streamed(t, x)
-		}
-		// A stream without a length ends in the same way when it is whole and when its run
-		// was stopped to move.
-		if !fl.events.fault {
-			if r := mv.resume(ctx); r != nil {
-				x.abandon()
-				fl.note(t, fmt.Sprintf("moved after event %d", fl.events.last))
-				return attempt{verdict: sound, resumption: r, err: err}
-			}
-		}
-		if whole {
-			return fl.streamed(t, x)
+	}
+}
+
+// streamEnded tells what the end of a target's bytes is: that of the stream, that of a run
+// that was stopped to move, or a break.
+func (fl *flight) streamEnded(ctx context.Context, t *spread.Target, x *exchange, s *silence, mv *mover, err error) attempt {
+	fault := fl.events.fault
+	whole := err == io.EOF && len(fl.events.rest) == 0 && !fault
+	if whole && x.framed {
+		return fl.streamed(t, x)
+	}
+	// A stream without a length ends in the same way when it is whole and when its run
+	// was stopped to move.
+	if !fault {
+		if r := mv.resume(ctx); r != nil {
+			x.abandon()
+			fl.note(t, fmt.Sprintf("moved after event %d", fl.events.last))
+			return attempt{verdict: sound, resumption: r, err: err}
 		}
-		x.abandon()
-		fl.loseRest(ctx, x.conn, s)
-		fl.note(t, fmt.Sprintf("broke off after event %d", fl.events.last))
-		return attempt{verdict: fl.blame(ctx, s), err: errors.Errorf("the stream broke off (no event of it came: %v): %v", fl.events.fault, err)}
 	}
+	if whole {
+		return fl.streamed(t, x)
+	}
+	x.abandon()
+	fl.loseRest(ctx, x.conn, s)
+	fl.note(t, fmt.Sprintf("broke off after event %d", fl.events.last))
+	return attempt{verdict: fl.blame(ctx, s), err: errors.Errorf("the stream broke off (no event of it came: %v): %v", fault, err)}
 }
 
 // hand hands whole events on; the head goes before the first of them and is
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -77,14 +77,7 @@
 		}
 	})
 	stop := make(chan struct{})
-	var work sync.WaitGroup
-	for n := range soakCallers {
-		work.Add(1)
-		go func() {
-			defer work.Done()
-			w.caller(n).run(stop)
-		}()
-	}
+	work := w.startCallers(stop)
 	work.Add(1)
 	go func() {
 		defer work.Done()
@@ -122,6 +115,19 @@
 	w.verdict(t)
 }
 
+// startCallers has callers send requests until the channel is closed.
+func (w *world) startCallers(stop <-chan struct{}) *sync.WaitGroup {
+	work := &sync.WaitGroup{}
+	for n := range soakCallers {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			w.caller(n).run(stop)
+		}()
+	}
+	return work
+}
+
 // operate changes the configuration and reads it back.
 func (w *world) operate(stop <-chan struct{}, rng *rand.Rand) {
 	for version := uint64(10); ; version += uint64(1 + rng.Intn(3)) {
--- a/tests/soak/stutter_test.go
+++ b/tests/soak/stutter_test.go
@@ -272,14 +272,7 @@
 		sv.stutter(0.2)
 	}
 	stop := make(chan struct{})
-	var work sync.WaitGroup
-	for n := range soakCallers {
-		work.Add(1)
-		go func() {
-			defer work.Done()
-			w.caller(n).run(stop)
-		}()
-	}
+	work := w.startCallers(stop)
 	eventually(t, fmt.Sprintf("%d runs were stopped to move", stutterMoves), func() bool {
 		w.site.mu.Lock()
 		defer w.site.mu.Unlock()
