quarantine: a box keeps the ends it saw until control's list counts them

What callers saw: a call under which three targets had ended was held back (503, not run), then sent again to a fourth and further targets (502), each of which ended with all calls that ran there, until control's list came; in a cut for as long as the cut lasted.

Cause: a box dropped all ends of a call as soon as control acknowledged a report of any of them. An acknowledgement says that the report is in the log; the box goes by its copy of the list, which comes later, may be older than the report, and did not say what it counts. So (a) acknowledged ends counted nowhere at the box until the list, (b) an end that came while others were in a report was dropped with them, (c) ends on the list and ends of the box's own were never added up.

Fix: control numbers each report in its replicated state, and says of each list how many reports it counts. A box keeps its ends until a list with that number either has the call or has released it, whatever order answers and lists come in; a bound of time remains for a box that gets no list. Listed suspects carry their weight and marks of the starts, so that a box adds its own ends to them, each start once. Control keeps the starts of a call that ended well, so that a report sent again counts nothing twice. A box reads the list under the lock under which ends are dropped.

--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,7 @@
 	$(GO) run ./measure/fleet
 
 fuzz:
-	$(GO) test ./modules/raft ./models/ledger ./models/state ./models/quarantine ./models/rate ./modules/reply ./services/forward -run TestRandom -rapid.checks=$(CHECKS)
+	$(GO) test ./modules/raft ./models/ledger ./models/state ./models/quarantine ./models/rate ./modules/reply ./services/quarantine ./services/forward -run TestRandom -rapid.checks=$(CHECKS)
 	$(GO) test ./platform -run '^$$' -fuzz FuzzInstance -fuzztime $(FUZZTIME)
 	$(GO) test ./platform -run '^$$' -fuzz FuzzEnd -fuzztime $(FUZZTIME)
 	$(GO) test ./platform -run '^$$' -fuzz FuzzReport -fuzztime $(FUZZTIME)
--- a/models/quarantine/list.go
+++ b/models/quarantine/list.go
@@ -14,13 +14,19 @@
 	mu       sync.RWMutex
 	rows     map[Content]*statev1.QuarantinedCall
 	revision uint64
+	reports  uint64
 }
 
-// Take takes all listed rows of a revision in, and tells whether they are news.
-func (l *List) Take(rows []*statev1.QuarantinedCall, revision uint64) bool {
+// Take takes all listed rows of a revision in, and tells whether they are news. reports
+// is how many reports of calls they count.
+func (l *List) Take(rows []*statev1.QuarantinedCall, revision, reports uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision <= l.revision {
+	if revision < l.revision {
+		return false
+	}
+	l.reports = max(l.reports, reports)
+	if revision == l.revision {
 		return false
 	}
 	l.rows = make(map[Content]*statev1.QuarantinedCall, len(rows))
@@ -40,6 +46,13 @@
 	return l.revision
 }
 
+// Reports returns how many reports of calls the copy counts.
+func (l *List) Reports() uint64 {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.reports
+}
+
 // Row returns what control has listed of a call, nil for most calls.
 func (l *List) Row(c Content) *statev1.QuarantinedCall {
 	l.mu.RLock()
--- a/models/quarantine/table.go
+++ b/models/quarantine/table.go
@@ -56,13 +56,15 @@
 // anywhere. Rows are replaced and never changed. It is not safe for concurrent use.
 type Table struct {
 	rows map[Content]*statev1.QuarantinedCall
-	// listed are the rows that all boxes are told of, without the targets; revision
-	// rises with them.
+	// listed are the rows that all boxes are told of, with marks in place of targets;
+	// revision rises with them.
 	listed   map[Content]*statev1.QuarantinedCall
 	revision uint64
 	// due holds the contents of all rows in the order in which they are due.
 	due []Content
 	now int64
+	// reports is how many reports were taken in.
+	reports uint64
 }
 
 // NewTable returns an empty table.
@@ -92,8 +94,11 @@
 // Revision rises with every change of the listed rows.
 func (tb *Table) Revision() uint64 { return tb.revision }
 
+// Reports returns how many reports were taken in.
+func (tb *Table) Reports() uint64 { return tb.reports }
+
 // Listed returns the rows that all boxes are told of: calls that are held back,
-// were before, or under which some targets ended. They don't name the targets.
+// were before, or under which some targets ended.
 func (tb *Table) Listed() []*statev1.QuarantinedCall { return sorted(tb.listed) }
 
 // Row returns what is known of a call, nil when nothing.
@@ -102,6 +107,7 @@
 // Take takes a report in and returns what it has held back and released. Reports
 // may be repeated: an end counts once for each start of a target.
 func (tb *Table) Take(r *statev1.ReportCalls) []Verdict {
+	tb.reports++
 	verdicts := tb.expire(r.GetAt())
 	for _, e := range r.GetEnded() {
 		c, ok := ContentOf(e.GetContent())
@@ -157,10 +163,15 @@
 	return row
 }
 
-// served forgets a call that has ended well, and returns what was known of it.
+// served clears a call that has ended well, and returns what was known of it. The
+// starts of targets stay known: a report that is sent again must not count them anew.
 func (tb *Table) served(c Content) *statev1.QuarantinedCall {
 	row := tb.rows[c]
+	if row == nil {
+		return nil
+	}
 	tb.remove(c)
+	tb.put(c, &statev1.QuarantinedCall{Content: c[:], Targets: row.GetTargets(), Due: tb.now + suspectFor.Milliseconds()})
 	return row
 }
 
@@ -230,11 +241,18 @@
 
 func (tb *Table) list(c Content, row *statev1.QuarantinedCall) {
 	known := tb.listed[c]
-	if !row.GetHeld() && row.GetRounds() == 0 && len(row.GetTargets()) < listedTargets {
+	if row.GetWeight() == 0 || !row.GetHeld() && row.GetRounds() == 0 && len(row.GetTargets()) < listedTargets {
 		return
 	}
-	tb.listed[c] = &statev1.QuarantinedCall{Content: row.GetContent(), Due: row.GetDue(), Held: row.GetHeld(), Rounds: row.GetRounds()}
-	if known == nil || known.GetHeld() != row.GetHeld() {
+	told := &statev1.QuarantinedCall{Content: row.GetContent(), Due: row.GetDue(), Held: row.GetHeld(), Rounds: row.GetRounds()}
+	if !row.GetHeld() {
+		told.Weight = row.GetWeight()
+		for _, t := range row.GetTargets() {
+			told.Targets = append(told.Targets, Mark(t))
+		}
+	}
+	tb.listed[c] = told
+	if known == nil || known.GetHeld() != told.GetHeld() || known.GetWeight() != told.GetWeight() {
 		tb.revision++
 	}
 }
@@ -261,6 +279,7 @@
 // Snapshot puts the table into a snapshot.
 func (tb *Table) Snapshot(s *statev1.Snapshot) {
 	s.Quarantine, s.QuarantineRevision, s.QuarantineAt = sorted(tb.rows), tb.revision, tb.now
+	s.QuarantineReports = tb.reports
 }
 
 // sorted returns rows in the order of their contents.
@@ -282,5 +301,6 @@
 		}
 	}
 	tb.revision, tb.now = s.GetQuarantineRevision(), s.GetQuarantineAt()
+	tb.reports = s.GetQuarantineReports()
 	return tb
 }
--- a/routers/between/between.go
+++ b/routers/between/between.go
@@ -131,7 +131,9 @@
 	if r.Msg.GetReport() == nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("field report is missing: send what is to be reported"))
 	}
-	return reply(&betweenv1.ReportCallsResponse{}, c.service.Quarantine().Report(ctx, r.Msg.GetReport()), control.WireError)
+	report := r.Msg.GetReport()
+	err := c.service.Quarantine().Report(ctx, report)
+	return reply(&betweenv1.ReportCallsResponse{Number: report.GetNumber()}, err, control.WireError)
 }
 
 type feed struct{ opts Options }
--- a/routers/between/gateway.go
+++ b/routers/between/gateway.go
@@ -51,7 +51,9 @@
 }
 
 func (g *gatewayCalls) Submit(ctx context.Context, r *connect.Request[betweenv1.SubmitRequest]) (*connect.Response[betweenv1.SubmitResponse], error) {
-	return reply(&betweenv1.SubmitResponse{}, g.opts.Gateway.Submit(ctx, r.Msg.GetEntry()), wireUnknown)
+	e := r.Msg.GetEntry()
+	err := g.opts.Gateway.Submit(ctx, e)
+	return reply(&betweenv1.SubmitResponse{ReportNumber: e.GetReportCalls().GetNumber()}, err, wireUnknown)
 }
 
 func (g *gatewayCalls) ReadRouting(ctx context.Context, _ *connect.Request[betweenv1.ReadRoutingRequest]) (*connect.Response[betweenv1.ReadRoutingResponse], error) {
--- a/routers/caller/quarantine_test.go
+++ b/routers/caller/quarantine_test.go
@@ -80,3 +80,47 @@
 		})
 	}
 }
+
+// A request that control holds back stays held back at a box that control's list reaches
+// late. It used to be sent to further targets from the acknowledgement of the box's
+// report on, and the caller got 502 in place of 503.
+func TestARequestIsHeldBackBeforeTheListComes(t *testing.T) {
+	cases := map[string]struct{ path, body string }{
+		"generation":    {path: chatPath, body: chat(fatal, 8, "")},
+		"plain service": {path: "/services/portal/x", body: fatal},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			opts := single.Options{Tokens: 100_000, ListLate: true, Wrap: func(_ http.Handler, end func()) http.Handler {
+				return http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+					end()
+					panic(http.ErrAbortHandler)
+				})
+			}}
+			for range 16 {
+				opts.Engines = append(opts.Engines, standin.Options(single.DefaultEngine))
+				opts.Services = append(opts.Services, http.NotFoundHandler())
+			}
+			s := single.New(t, opts)
+			n := 0
+			ask := func() answer {
+				n++
+				return send(t, s, "POST", c.path, c.body, fmt.Sprintf("Idempotency-Key: key-%d", n))
+			}
+			s.Eventually("control holds the request back", func() bool {
+				ask()
+				return s.HeldByControl() == 1
+			})
+			for range 30 {
+				if got := ask(); got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, string(structs.KindQuarantined)) {
+					t.Fatalf("status %d: %s", got.status, got.body)
+				}
+			}
+			s.ListCalls()
+			if got := ask(); got.status != http.StatusServiceUnavailable {
+				t.Fatalf("status %d once the list is there: %s", got.status, got.body)
+			}
+		})
+	}
+}
--- a/services/configuration/feed.go
+++ b/services/configuration/feed.go
@@ -63,6 +63,7 @@
 	m.Machine.Read(func(st *state.State) {
 		resp = since(st, has.Revision)
 		resp.Quarantine, resp.QuarantineRevision = st.Quarantine.After(has.Quarantine)
+		resp.QuarantineReports = st.Quarantine.Reports()
 	})
 	resp.ConfirmedAgo = m.Confirmed().Milliseconds()
 	return resp
--- a/services/configuration/store.go
+++ b/services/configuration/store.go
@@ -126,6 +126,7 @@
 	defer s.mu.RUnlock()
 	resp := since(s.state, has.Revision)
 	resp.Quarantine, resp.QuarantineRevision = s.Quarantine.After(has.Quarantine)
+	resp.QuarantineReports = s.Quarantine.Reports()
 	resp.ConfirmedAgo = (s.clock.Boot() - s.confirmed).Milliseconds()
 	if !s.known {
 		resp.ConfirmedAgo = unconfirmed.Milliseconds()
@@ -168,7 +169,7 @@
 	}
 	s.trim()
 	s.confirm(r)
-	newCalls := s.Quarantine.Take(r.GetQuarantine(), r.GetQuarantineRevision())
+	newCalls := s.Quarantine.Take(r.GetQuarantine(), r.GetQuarantineRevision(), r.GetQuarantineReports())
 	if s.state.Revision == before && !newCalls {
 		return true, nil
 	}
--- a/services/control/client.go
+++ b/services/control/client.go
@@ -61,9 +61,10 @@
 	return call(ctx, c, r, betweenv1connect.ControlServiceClient.Query)
 }
 
-// ReportCalls tells control of calls under which targets ended.
+// ReportCalls tells control of calls under which targets ended, and numbers the report.
 func (c *Client) ReportCalls(ctx context.Context, r *statev1.ReportCalls) error {
-	_, err := call(ctx, c, &betweenv1.ReportCallsRequest{Report: r}, betweenv1connect.ControlServiceClient.ReportCalls)
+	resp, err := call(ctx, c, &betweenv1.ReportCallsRequest{Report: r}, betweenv1connect.ControlServiceClient.ReportCalls)
+	r.Number = resp.GetNumber()
 	return err
 }
 
--- a/services/control/quarantine.go
+++ b/services/control/quarantine.go
@@ -41,6 +41,8 @@
 	if !ok {
 		return errors.Errorf("the state answered a report of calls with %T: all control boxes must run one version", answer)
 	}
+	// Later reports may be counted already: a list that counts them counts this one.
+	q.Machine.Read(func(s *state.State) { r.Number = s.Quarantine.Reports() })
 	q.log(verdicts)
 	return nil
 }
--- a/services/gateway/client.go
+++ b/services/gateway/client.go
@@ -108,9 +108,12 @@
 	return c.Submit(ctx, &statev1.Entry{Kind: &statev1.Entry_PutRouting{PutRouting: &statev1.PutRouting{Packed: packed}}})
 }
 
-// ReportCalls tells control of calls under which targets ended.
+// ReportCalls tells control of calls under which targets ended, and numbers the report.
 func (c *Client) ReportCalls(ctx context.Context, r *statev1.ReportCalls) error {
-	return c.Submit(ctx, &statev1.Entry{Kind: &statev1.Entry_ReportCalls{ReportCalls: r}})
+	e := &statev1.Entry{Kind: &statev1.Entry_ReportCalls{ReportCalls: r}}
+	resp, err := ask(ctx, c, &betweenv1.SubmitRequest{Entry: e}, betweenv1connect.GatewayServiceClient.Submit)
+	r.Number = resp.GetReportNumber()
+	return err
 }
 
 // Lease reports and asks for tokens.
--- a/services/gateway/store.go
+++ b/services/gateway/store.go
@@ -58,6 +58,7 @@
 			resp.Targets, resp.AllTargets = changes.rows, changes.all
 		}
 		resp.Quarantine, resp.QuarantineRevision = s.Quarantine.After(has.Quarantine)
+		resp.QuarantineReports = s.Quarantine.Reports()
 		table = s.Routing.Table
 	})
 	if table.GetVersion() > has.Version {
@@ -157,6 +158,7 @@
 	defer s.mu.Unlock()
 	resp := &betweenv1.FollowResponse{TargetRevision: s.revision}
 	resp.Quarantine, resp.QuarantineRevision = s.Quarantine.After(has.Quarantine)
+	resp.QuarantineReports = s.Quarantine.Reports()
 	if s.revision > has.Targets {
 		resp.AllTargets = true
 		for _, t := range s.targets {
@@ -191,7 +193,7 @@
 		s.takeTargets(r)
 		newTargets = true
 	}
-	newCalls := s.Quarantine.Take(r.GetQuarantine(), r.GetQuarantineRevision())
+	newCalls := s.Quarantine.Take(r.GetQuarantine(), r.GetQuarantineRevision(), r.GetQuarantineReports())
 	if newTable || newTargets || newCalls {
 		close(s.changed)
 		s.changed = make(chan struct{})
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -39,9 +39,9 @@
 	Options
 
 	mu sync.Mutex
-	// own holds the ends that control has not acknowledged yet: a box that is cut
-	// off goes by what it sees itself.
-	own     *quarantine.Table
+	// own holds the ends that control's list may not count yet. An acknowledgement
+	// does not end them: the list that counts them comes later, in a cut much later.
+	own     quarantine.Unlisted
 	served  quarantine.Recent
 	waiting statev1.ReportCalls
 	// news wakes the reporter.
@@ -56,29 +56,35 @@
 	List   *quarantine.List
 	Clock  clock.Clock
 	Logger *slog.Logger
-	// Report tells control.
+	// Report tells control and sets the number of the report.
 	Report func(ctx context.Context, r *statev1.ReportCalls) error
 }
 
 // New returns a service that knows of no calls.
 func New(opts Options) *Service {
-	return &Service{Options: opts, own: quarantine.NewTable(), news: make(chan struct{}, 1)}
+	return &Service{Options: opts, news: make(chan struct{}, 1)}
 }
 
 // Held tells whether a call is held back, and for how long.
 func (q *Service) Held(c quarantine.Content) (left time.Duration, held bool) {
-	if row := q.List.Row(c); row.GetHeld() {
-		left := time.UnixMilli(row.GetDue()).Sub(q.Clock.Wall())
-		return max(time.Second, left), left > -overdue
-	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	row := q.own.Row(c)
-	now := q.Clock.Boot().Milliseconds()
-	if !row.GetHeld() || row.GetDue() <= now {
-		return 0, false
+	// The list is read under the lock: ends are dropped once it counts them, so one
+	// that was read before could lack what has just been dropped.
+	row := q.List.Row(c)
+	now := q.Clock.Boot()
+	if row.GetHeld() && !q.served.Has(c, now) {
+		left := time.UnixMilli(row.GetDue()).Sub(q.Clock.Wall())
+		if left > -overdue {
+			return max(time.Second, left), true
+		}
 	}
-	return time.Duration(row.GetDue()-now) * time.Millisecond, true
+	return q.own.Held(c, q.onBootClock(row), now)
+}
+
+// onBootClock returns a listed row with its time on the boot clock of this box.
+func (q *Service) onBootClock(row *statev1.QuarantinedCall) *statev1.QuarantinedCall {
+	return quarantine.OnClock(row, q.Clock.Boot()-time.Duration(q.Clock.Wall().UnixNano()))
 }
 
 // Ended notes that a target ended while it had a call. A call that has ended well
@@ -89,9 +95,14 @@
 	if q.served.Has(c, q.Clock.Boot()) {
 		return
 	}
-	end := &statev1.EndedUnder{Content: c[:], Target: target, Weight: weight}
-	q.own.Take(&statev1.ReportCalls{Ended: []*statev1.EndedUnder{end}, At: q.Clock.Boot().Milliseconds()})
-	q.waiting.Ended = lastOf(append(q.waiting.Ended, end))
+	row, now := q.List.Row(c), q.Clock.Boot()
+	listed := q.onBootClock(row)
+	_, before := q.own.Held(c, listed, now)
+	q.own.Add(c, target, weight, listed, now)
+	if left, held := q.own.Held(c, listed, now); held && !before && !row.GetHeld() {
+		q.Logger.Warn("call held back by this box", "content", c.String(), "target", target, "listed_weight", row.GetWeight(), "list_reports", q.List.Reports(), "for_ms", left.Milliseconds())
+	}
+	q.waiting.Ended = lastOf(append(q.waiting.Ended, &statev1.EndedUnder{Content: c[:], Target: target, Weight: weight}))
 	q.wake()
 }
 
@@ -101,14 +112,14 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.served.Add(c, q.Clock.Boot())
-	if listed || q.own.Row(c) != nil {
+	if listed || q.own.Has(c) {
 		q.clear(c)
 	}
 }
 
 // clear tells control that a call ended well; the caller holds the lock.
 func (q *Service) clear(c quarantine.Content) {
-	q.own.Take(&statev1.ReportCalls{Served: [][]byte{c[:]}})
+	q.own.Forget(c)
 	q.waiting.Served = lastOf(append(q.waiting.Served, c[:]))
 	q.wake()
 }
@@ -120,11 +131,13 @@
 	}
 }
 
-// Listed looks through control's list when it is new: a call on it that has ended
-// well here a moment ago is told of, and what is held back is logged.
+// Listed looks through control's list when it is new: ends that it counts are dropped,
+// a call on it that has ended well here a moment ago is told of, and what is held back
+// is logged.
 func (q *Service) Listed() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.own.Settle(q.List, q.Clock.Boot())
 	rows, revision := q.List.After(q.seen)
 	if revision == q.seen {
 		return
@@ -178,19 +191,11 @@
 		q.waiting.Served = lastOf(append(r.GetServed(), q.waiting.Served...))
 		return false
 	}
-	q.acknowledged(r)
+	// The list that counts the report may have come before the answer.
+	q.own.Acknowledge(r)
+	q.own.Settle(q.List, q.Clock.Boot())
 	return true
 }
 
-// acknowledged leaves what control has counted to control; the caller holds the
-// lock.
-func (q *Service) acknowledged(r *statev1.ReportCalls) {
-	known := &statev1.ReportCalls{}
-	for _, e := range r.GetEnded() {
-		known.Served = append(known.Served, e.GetContent())
-	}
-	q.own.Take(known)
-}
-
 // lastOf bounds what waits for control.
 func lastOf[T any](list []T) []T { return list[max(0, len(list)-mostReported):] }
--- a/tests/single/single.go
+++ b/tests/single/single.go
@@ -24,6 +24,7 @@
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/allot"
 	"havenwinch.dev/havenwinch/models/ledger"
+	"havenwinch.dev/havenwinch/models/state"
 	"havenwinch.dev/havenwinch/models/target"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/digest"
@@ -120,6 +121,8 @@
 	MaxBody int
 	// ReadTimeout bounds the reading of a request.
 	ReadTimeout time.Duration
+	// ListLate keeps control's list of quarantined calls from the box until ListCalls.
+	ListLate bool
 }
 
 // DefaultEngine is a quick engine.
@@ -185,17 +188,44 @@
 	}
 }
 
-// report tells control of calls under which targets ended, and the box of control's
-// list.
-func (s *Single) report(ctx context.Context, r *statev1.ReportCalls) error {
-	if err := s.Control.Quarantine().Report(ctx, r); err != nil {
-		return err
+// reporter returns what tells control of calls under which targets ended, and the box
+// of control's list.
+func (s *Single) reporter(opts Options) func(context.Context, *statev1.ReportCalls) error {
+	return func(ctx context.Context, r *statev1.ReportCalls) error {
+		if err := s.Control.Quarantine().Report(ctx, r); err != nil || opts.ListLate {
+			return err
+		}
+		return s.takeList()
 	}
+}
+
+func (s *Single) takeList() error {
 	source := configuration.MachineSource{Machine: s.Machine, Confirmed: func() time.Duration { return 0 }}
 	_, err := s.Store.Take(source.Since(s.Store.Position()))
 	return err
 }
 
+// ListCalls brings control's list of quarantined calls to the box.
+func (s *Single) ListCalls() {
+	s.T.Helper()
+	if err := s.takeList(); err != nil {
+		s.T.Fatal(err)
+	}
+	s.Quarantine.Listed()
+}
+
+// HeldByControl returns how many calls control holds back.
+func (s *Single) HeldByControl() (n int) {
+	s.Machine.Read(func(st *state.State) {
+		for _, row := range st.Quarantine.Listed() {
+			if row.GetHeld() {
+				n++
+			}
+		}
+	})
+	return n
+}
+
 func (s *Single) build(ctx context.Context, opts Options) {
 	s.T.Helper()
 	if opts.Window == 0 {
@@ -212,7 +242,7 @@
 		keepers = opts.Keepers(remote)
 	}
 	s.Policy = target.CacheLoad{}
-	s.Quarantine = quarantine.New(quarantine.Options{List: &store.Quarantine, Clock: clock.System{}, Logger: s.Logger, Report: s.report})
+	s.Quarantine = quarantine.New(quarantine.Options{List: &store.Quarantine, Clock: clock.System{}, Logger: s.Logger, Report: s.reporter(opts)})
 	go s.Quarantine.Run(ctx)
 	s.Dispatcher = dispatch.New(dispatch.Options{
 		Box: Box + "@1", Name: Box, DataCentre: DataCentre, KeyWindow: opts.Window, Keepers: keepers, Config: store,
