caller: a part of an answer does not end its body well

What callers saw: on the path with keys a streamed answer that broke off after some events ended with an error event and then with a whole chunked body.

Cause: the library ends a body well whenever the function that writes it returns, and that function has no way to say that it failed.

Evidence: "forgotten, streamed" of TestEngineFaults, whose check now also asks how the body ended, and TestAKeptAnswerThatBreaksOff fail on the code before (the body ended without an error).

Fix: streams are written through a pipe that is closed with an error when the caller has a part of the answer, so that the library closes the connection without the last chunk. The error event still comes before that. A stream that is refused before any event of the answer ends well, as it did.

--- a/routers/caller/caller_test.go
+++ b/routers/caller/caller_test.go
@@ -41,8 +41,18 @@
 	} `json:"havenwinch"`
 }
 
-// send sends a request with headers as "Name: value".
+// send sends a request with headers as "Name: value", whose answer must end well.
 func send(t *testing.T, s *single.Single, method, path, body string, headers ...string) answer {
+	t.Helper()
+	a, err := sendAny(t, s, method, path, body, headers...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// sendAny is send for an answer that may break off; the error says how.
+func sendAny(t *testing.T, s *single.Single, method, path, body string, headers ...string) (answer, error) {
 	t.Helper()
 	req, err := http.NewRequest(method, s.URL+path, strings.NewReader(body))
 	if err != nil {
@@ -59,16 +69,16 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
+	a := answer{status: resp.StatusCode, header: resp.Header, body: string(data)}
 	if err != nil {
-		t.Fatal(err)
+		return a, err
 	}
-	a := answer{status: resp.StatusCode, header: resp.Header, body: string(data)}
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "application/json") {
 		if err := json.Unmarshal(data, &a); err != nil {
 			t.Fatalf("%s: %s", err, data)
 		}
 	}
-	return a
+	return a, nil
 }
 
 func chat(prompt string, maxTokens int, extra string) string {
--- a/routers/caller/chat.go
+++ b/routers/caller/chat.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"havenwinch.dev/havenwinch/services/dispatch"
@@ -37,25 +38,19 @@
 	c.whole(s, a, r)
 }
 
-// streamed answers with server-sent events. The writer runs after the handler
-// has returned, so it uses nothing of the handler's context.
+// streamed answers with server-sent events.
 func (c *Caller) streamed(s *session, a *dispatch.Admission) {
 	id, organisation := s.id, s.organisation
-	s.ctx.SetContentType(contentStream)
 	s.ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-store")
-	s.ctx.Response.ImmediateHeaderFlush = true
-	c.running.Add(1)
-	s.ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer c.running.Done()
+	c.stream(s.ctx, func(w *bufio.Writer) error {
 		sink := &streamSink{w: w}
 		result, refusal := c.opts.Dispatcher.Serve(c.opts.Work, a, sink)
 		if refusal != nil {
 			c.ended(id, organisation, string(refusal.Kind))
-			sink.refuse(errorBody(id, refusal))
-			return
+			return sink.refuse(errorBody(id, refusal))
 		}
 		c.ended(id, organisation, "done")
-		sink.end(id, a.Request.Model, result)
+		return sink.end(id, a.Request.Model, result)
 	})
 }
 
@@ -68,6 +63,8 @@
 // streamSink writes events to a caller.
 type streamSink struct {
 	w *bufio.Writer
+	// begun says that the caller has a part of the answer.
+	begun bool
 }
 
 // Alive implements dispatch.Sink with a comment, which clients skip.
@@ -81,6 +78,7 @@
 	if e.Usage != nil && e.Finish == "" {
 		return nil
 	}
+	k.begun = true
 	writeEvent(k.w, e.Sequence, e.Data)
 	return k.w.Flush()
 }
@@ -117,7 +115,7 @@
 	return structs.Usage{PromptTokens: u.PromptTokens, CompletionTokens: u.CompletionTokens, TotalTokens: u.Total()}
 }
 
-func (k *streamSink) end(id, model string, result dispatch.Result) {
+func (k *streamSink) end(id, model string, result dispatch.Result) error {
 	data, err := json.Marshal(billing{
 		Object:     "chat.completion.chunk",
 		Model:      model,
@@ -126,21 +124,24 @@
 		Havenwinch: billed(id, result),
 	})
 	if err != nil {
-		return
+		return errors.WithStack(err)
 	}
 	fmt.Fprintf(k.w, "data: %s\n\ndata: [DONE]\n\n", data)
-	_ = k.w.Flush()
+	return k.w.Flush()
 }
 
-// refuse ends a stream that has begun without its end mark, so that no client
-// takes it for whole.
-func (k *streamSink) refuse(body structs.ErrorBody) {
+// refuse ends a stream with an error in place of its end mark. It returns errNotWhole
+// when the caller has a part of the answer.
+func (k *streamSink) refuse(body structs.ErrorBody) error {
 	data, err := json.Marshal(body)
 	if err != nil {
-		return
+		return errors.WithStack(err)
 	}
 	fmt.Fprintf(k.w, "event: error\ndata: %s\n\n", data)
-	_ = k.w.Flush()
+	if err := k.w.Flush(); err != nil || !k.begun {
+		return err
+	}
+	return errNotWhole
 }
 
 // wholeAnswer is the body of an answer in one piece.
--- a/routers/caller/faults_test.go
+++ b/routers/caller/faults_test.go
@@ -5,9 +5,14 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
+	"github.com/pkg/errors"
+
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	standin "havenwinch.dev/havenwinch/standin/engine"
 	"havenwinch.dev/havenwinch/structs"
@@ -61,7 +66,11 @@
 			if test.once {
 				headers = append(headers, "Havenwinch-Repeatable: no")
 			}
-			got := send(t, s, "POST", chatPath, chat("hi", 8, fmt.Sprintf(`,"stream":%v`, test.stream)), headers...)
+			got, err := sendAny(t, s, "POST", chatPath, chat("hi", 8, fmt.Sprintf(`,"stream":%v`, test.stream)), headers...)
+			// A stream that is not whole must not end its body well.
+			if broken := test.stream && test.kind != ""; broken != errors.Is(err, io.ErrUnexpectedEOF) || !broken && err != nil {
+				t.Errorf("the answer ended with %v", err)
+			}
 			checkFault(t, s, got, test.stream, test.status, test.kind, test.run)
 			received, served := counts(s)
 			if received != test.received || served != test.served {
@@ -122,3 +131,39 @@
 	}
 	return strings.Join(words, " ")
 }
+
+// cutWriter breaks a connection off after some bytes of a body.
+type cutWriter struct {
+	http.ResponseWriter
+	left int
+}
+
+func (w *cutWriter) Flush() { w.ResponseWriter.(http.Flusher).Flush() }
+
+func (w *cutWriter) Write(data []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(data[:min(len(data), w.left)])
+	if w.left -= len(data); w.left <= 0 {
+		w.Flush()
+		panic(http.ErrAbortHandler)
+	}
+	return n, err
+}
+
+// The rest of a kept answer that breaks off must not look like its end either.
+func TestAKeptAnswerThatBreaksOff(t *testing.T) {
+	var cut atomic.Bool
+	s := single.New(t, single.Options{Tokens: 1000, Wrap: func(h http.Handler, _ func()) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if cut.Load() && r.Header.Get("Last-Event-ID") != "" {
+				w = &cutWriter{ResponseWriter: w, left: 400}
+			}
+			h.ServeHTTP(w, r)
+		})
+	}})
+	send(t, s, "POST", chatPath, chat("hi", 20, `,"stream":true`), "Idempotency-Key: k1")
+	cut.Store(true)
+	rest, err := sendAny(t, s, "GET", "/v1/requests/k1/answer", "", "Last-Event-ID: 4")
+	if !errors.Is(err, io.ErrUnexpectedEOF) || !strings.Contains(rest.body, string(structs.KindTruncated)) {
+		t.Fatalf("the answer ended with %v: %s", err, rest.body)
+	}
+}
--- a/routers/caller/requests.go
+++ b/routers/caller/requests.go
@@ -107,24 +107,21 @@
 		c.refuse(s, refusal)
 		return
 	}
-	c.forward(s, record, stream)
+	c.forward(s, record, stream, after)
 }
 
-func (c *Caller) forward(s *session, record *statev1.RequestRecord, stream *engine.Stream) {
+// forward hands on a kept answer, of which the caller has the events up to after.
+func (c *Caller) forward(s *session, record *statev1.RequestRecord, stream *engine.Stream, after int) {
 	id, organisation := s.id, s.organisation
-	s.ctx.SetContentType(contentStream)
-	c.running.Add(1)
-	s.ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer c.running.Done()
+	c.stream(s.ctx, func(w *bufio.Writer) error {
 		defer stream.Close()
-		sink := &streamSink{w: w}
+		sink := &streamSink{w: w, begun: after > 0}
 		var result dispatch.Result
 		for {
 			e, err := stream.Next()
 			if err != nil {
 				c.ended(id, organisation, string(structs.KindTruncated))
-				sink.refuse(errorBody(id, &dispatch.Refusal{Kind: structs.KindTruncated, Run: structs.RunYes, Message: "the answer broke off: ask again from the last event id that arrived"}))
-				return
+				return sink.refuse(errorBody(id, &dispatch.Refusal{Kind: structs.KindTruncated, Run: structs.RunYes, Message: "the answer broke off: ask again from the last event id that arrived"}))
 			}
 			if e.End {
 				break
@@ -132,8 +129,8 @@
 			if e.Usage != nil {
 				result.Usage = e.Usage
 			}
-			if sink.Event(e) != nil {
-				return
+			if err := sink.Event(e); err != nil {
+				return err
 			}
 		}
 		if result.Usage == nil {
@@ -141,7 +138,7 @@
 		}
 		result.Replayed, result.Billed = true, min(result.Usage.Total(), record.GetBound())
 		c.ended(id, organisation, "done")
-		sink.end(id, record.GetModel(), result)
+		return sink.end(id, record.GetModel(), result)
 	})
 }
 
