dispatch: what refuses a second try does not say that the first has not run

What callers saw: a call to a plain service that may be repeated, whose server broke off after it had the call, was refused on its second try (no server free, held back, no room at the keeper) with "run":"no", and its record said the same, though the first server may have run it.

Cause: each refusal of callService was written as if it were the first try.

Evidence: TestACallThatMayHaveRunIsNotSaidNotToHaveRun, with and without a key, got 429 with "run":"no" on the code before.

Fix: a try that may have run turns what later refusals and the record say into unknown.

--- a/services/dispatch/service.go
+++ b/services/dispatch/service.go
@@ -82,19 +82,27 @@
 // certainly was not sent.
 func (d *Dispatcher) callService(ctx context.Context, r *ServiceRequest, need target.Need, a *Admission) (*engine.ServiceAnswer, *Refusal) {
 	at := &attempt{d: d, a: a}
+	// mayHaveRun says that an earlier server broke off after it had the call.
+	mayHaveRun := false
+	refuse := func(refusal *Refusal) *Refusal {
+		if mayHaveRun {
+			refusal.Run = structs.RunUnknown
+		}
+		return at.endService(ctx, refusal)
+	}
 	for try := 1; ; try++ {
 		s, refusal := d.acquire(ctx, queue.Item{Organisation: r.Organisation, Interactive: true, Deadline: d.opts.Clock.Boot() + time.Until(r.Deadline)}, need, func(int) error { return nil })
 		if refusal != nil {
-			return nil, at.endService(ctx, refusal)
+			return nil, refuse(refusal)
 		}
 		if refusal := d.heldBack(r.Request); refusal != nil {
 			d.release(s, true)
-			return nil, at.endService(ctx, refusal)
+			return nil, refuse(refusal)
 		}
 		if a != nil {
 			if accepted, err := at.start(ctx, s.target.Name); err != nil || !accepted {
 				d.release(s, true)
-				return nil, at.endService(ctx, &Refusal{Kind: structs.KindBudgetUnreachable, Run: structs.RunNo, RetryAfter: retryKeeper, Message: "the start of this call could not be recorded, so it was not sent: ask again after the stated time"})
+				return nil, refuse(&Refusal{Kind: structs.KindBudgetUnreachable, Run: structs.RunNo, RetryAfter: retryKeeper, Message: "the start of this call could not be recorded, so it was not sent: ask again after the stated time"})
 			}
 		}
 		d.opts.Recorder.Record("service called", r.ID, s.target.Name)
@@ -115,8 +123,9 @@
 		}
 		again := try < maxServiceTries && (notSent || r.Repeatable) && ctx.Err() == nil && d.mayRetry(s.pool)
 		if !again {
-			return nil, at.endService(ctx, serviceFailed(notSent, r.Repeatable))
+			return nil, refuse(serviceFailed(notSent && !mayHaveRun, r.Repeatable))
 		}
+		mayHaveRun = mayHaveRun || !notSent
 		need.Exclude[s.target.Name] = true
 	}
 }
