quarantine: numbers of reports and lists go on when control has lost its state

A control group that began anew after the loss of its disks numbered its lists from one on, and boxes that had a list took none of them until the numbers had passed theirs: calls were held back, or sent, by a list that nobody kept any more.

Cause: numbers that only count what one state has seen.

Fix: a number is at least the time of day, in milliseconds, of the entry that raises it. Entries carry that time, so all copies come to the same number, and it still only rises when the time of day goes back. TestListsOfControlThatHasLostItsState fails with numbers that only count.

TestReportsAreNumbered asks on both ways to control.

--- a/models/quarantine/list.go
+++ b/models/quarantine/list.go
@@ -18,7 +18,7 @@
 }
 
 // Take takes all listed rows of a revision in, and tells whether they are news. reports
-// is how many reports of calls they count.
+// is the number of the last report of calls that they count.
 func (l *List) Take(rows []*statev1.QuarantinedCall, revision, reports uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -46,7 +46,7 @@
 	return l.revision
 }
 
-// Reports returns how many reports of calls the copy counts.
+// Reports returns the number of the last report of calls that the copy counts.
 func (l *List) Reports() uint64 {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
--- a/models/quarantine/table.go
+++ b/models/quarantine/table.go
@@ -63,7 +63,7 @@
 	// due holds the contents of all rows in the order in which they are due.
 	due []Content
 	now int64
-	// reports is how many reports were taken in.
+	// reports is the number of the last report that was taken in.
 	reports uint64
 }
 
@@ -94,7 +94,7 @@
 // Revision rises with every change of the listed rows.
 func (tb *Table) Revision() uint64 { return tb.revision }
 
-// Reports returns how many reports were taken in.
+// Reports returns the number of the last report that was taken in.
 func (tb *Table) Reports() uint64 { return tb.reports }
 
 // Listed returns the rows that all boxes are told of: calls that are held back,
@@ -107,8 +107,8 @@
 // Take takes a report in and returns what it has held back and released. Reports
 // may be repeated: an end counts once for each start of a target.
 func (tb *Table) Take(r *statev1.ReportCalls) []Verdict {
-	tb.reports++
 	verdicts := tb.expire(r.GetAt())
+	tb.reports = tb.after(tb.reports)
 	for _, e := range r.GetEnded() {
 		c, ok := ContentOf(e.GetContent())
 		if !ok {
@@ -253,7 +253,7 @@
 	}
 	tb.listed[c] = told
 	if known == nil || known.GetHeld() != told.GetHeld() || known.GetWeight() != told.GetWeight() {
-		tb.revision++
+		tb.revision = tb.after(tb.revision)
 	}
 }
 
@@ -265,7 +265,7 @@
 	delete(tb.rows, c)
 	if tb.listed[c] != nil {
 		delete(tb.listed, c)
-		tb.revision++
+		tb.revision = tb.after(tb.revision)
 	}
 }
 
@@ -276,6 +276,11 @@
 	}
 }
 
+// after returns the number that follows one: at least the time in milliseconds, so that
+// numbers go on rising when control has lost its state, and copies of the table that
+// began from different snapshots come to the same ones.
+func (tb *Table) after(n uint64) uint64 { return max(n+1, uint64(max(0, tb.now))) }
+
 // Snapshot puts the table into a snapshot.
 func (tb *Table) Snapshot(s *statev1.Snapshot) {
 	s.Quarantine, s.QuarantineRevision, s.QuarantineAt = sorted(tb.rows), tb.revision, tb.now
--- /dev/null
+++ b/routers/between/reports_test.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package between
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/quarantine"
+	"havenwinch.dev/havenwinch/models/state"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/services/control"
+	"havenwinch.dev/havenwinch/services/gateway"
+)
+
+type directLog struct{ machine *control.Machine }
+
+func (d directLog) Propose(_ context.Context, data []byte) (any, error) {
+	return d.machine.Apply(data), nil
+}
+func (d directLog) ReadBarrier() error { return nil }
+
+// A box learns the number of its report on both ways to control: without it the box
+// would keep what it reported until its time is over, also after a release.
+func TestReportsAreNumbered(t *testing.T) {
+	machine := control.NewMachine()
+	log, c, logger := directLog{machine}, clock.NewFake(), logging.Discard()
+	mux := http.NewServeMux()
+	mux.Handle("/gateway/", http.StripPrefix("/gateway", NewGateway(GatewayOptions{
+		Gateway: &control.Gateway{Log: log, Machine: machine, Clock: c, Logger: logger}, Stopping: context.Background(),
+	})))
+	path, handler := betweenv1connect.NewControlServiceHandler(&controller{service: control.New(control.Options{Log: log, Machine: machine, Clock: c, Logger: logger})})
+	mux.Handle(path, handler)
+	server := httptest.NewServer(mux)
+	defer server.Close()
+
+	boxes := gateway.NewClient([]string{"control"}, func(string) betweenv1connect.GatewayServiceClient {
+		return betweenv1connect.NewGatewayServiceClient(server.Client(), server.URL+"/gateway")
+	})
+	callers := control.NewClient([]string{"control"}, map[string]betweenv1connect.ControlServiceClient{
+		"control": betweenv1connect.NewControlServiceClient(server.Client(), server.URL),
+	})
+	cases := map[string]func(context.Context, *statev1.ReportCalls) error{
+		"box that passes calls through": boxes.ReportCalls,
+		"box with keys":                 callers.ReportCalls,
+	}
+	for name, report := range cases {
+		t.Run(name, func(t *testing.T) {
+			content := quarantine.Of("o", "POST", name, nil)
+			r := &statev1.ReportCalls{Ended: []*statev1.EndedUnder{{Content: content[:], Target: "t1", Weight: quarantine.EarlyEnd}}}
+			if err := report(t.Context(), r); err != nil {
+				t.Fatal(err)
+			}
+			var counted uint64
+			machine.Read(func(s *state.State) { counted = s.Quarantine.Reports() })
+			if r.GetNumber() == 0 || r.GetNumber() != counted {
+				t.Fatalf("number %d, control has counted up to %d", r.GetNumber(), counted)
+			}
+		})
+	}
+}
--- a/services/quarantine/orders_test.go
+++ b/services/quarantine/orders_test.go
@@ -14,6 +14,7 @@
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/quarantine"
+	"havenwinch.dev/havenwinch/services/control"
 	"havenwinch.dev/havenwinch/services/gateway"
 )
 
@@ -178,6 +179,29 @@
 	}
 }
 
+// Control that has lost its state counts anew; boxes must not take its lists for old.
+func TestListsOfControlThatHasLostItsState(t *testing.T) {
+	w := newWard(t, 2)
+	for n := range 5 {
+		w.ends(0, quarantine.Content{byte(n)}, "t1", "t2", "t3")
+		w.settle()
+	}
+	w.machine = control.NewMachine()
+	w.quarantine.Log, w.quarantine.Machine = directLog{w.machine}, w.machine
+	w.clock.Advance(time.Second)
+	c := quarantine.Content{9}
+	w.ends(1, c, "t1", "t2", "t3")
+	w.settle()
+	for i, q := range w.boxes {
+		if !w.held(q, c) {
+			t.Errorf("box %d has not taken the list", i)
+		}
+		if q.own.Has(c) {
+			t.Errorf("box %d keeps ends that the list counts", i)
+		}
+	}
+}
+
 // restore has control read its state from a snapshot, as a new leader does.
 func (w *ward) restore() {
 	data, err := w.machine.Capture()()
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -72,6 +72,9 @@
 	// The list is read under the lock: ends are dropped once it counts them, so one
 	// that was read before could lack what has just been dropped.
 	row := q.List.Row(c)
+	if row == nil && !q.own.Has(c) {
+		return 0, false
+	}
 	now := q.Clock.Boot()
 	if row.GetHeld() && !q.served.Has(c, now) {
 		left := time.UnixMilli(row.GetDue()).Sub(q.Clock.Wall())
