quarantine: an end after a good one does not list a call

The starts of targets that stay known after a call ended well counted towards the two from which on all boxes are told of a call, so that a single further end listed it. That is one message to all boxes more for each end under a call that many callers send.

Fix: a row says how many of its starts ended before the call last ended well. TestEndsBeforeAGoodOne fails without it.

--- a/models/quarantine/table.go
+++ b/models/quarantine/table.go
@@ -140,9 +140,12 @@
 	row := &statev1.QuarantinedCall{
 		Content: c[:], Targets: append(slices.Clone(old.GetTargets()), target),
 		Weight: old.GetWeight() + min(weight, EarlyEnd), Held: old.GetHeld(), Rounds: old.GetRounds(),
-		Due: tb.now + suspectFor.Milliseconds(),
+		Due: tb.now + suspectFor.Milliseconds(), Cleared: old.GetCleared(),
+	}
+	if len(row.GetTargets()) > maxTargets {
+		row.Targets = row.Targets[1:]
+		row.Cleared -= min(1, row.GetCleared())
 	}
-	row.Targets = row.Targets[max(0, len(row.Targets)-maxTargets):]
 	if row.GetHeld() {
 		// It was on its way before the box had heard of it.
 		row.Due = old.GetDue()
@@ -171,7 +174,9 @@
 		return nil
 	}
 	tb.remove(c)
-	tb.put(c, &statev1.QuarantinedCall{Content: c[:], Targets: row.GetTargets(), Due: tb.now + suspectFor.Milliseconds()})
+	tb.put(c, &statev1.QuarantinedCall{
+		Content: c[:], Targets: row.GetTargets(), Cleared: uint32(len(row.GetTargets())), Due: tb.now + suspectFor.Milliseconds(),
+	})
 	return row
 }
 
@@ -241,7 +246,7 @@
 
 func (tb *Table) list(c Content, row *statev1.QuarantinedCall) {
 	known := tb.listed[c]
-	if row.GetWeight() == 0 || !row.GetHeld() && row.GetRounds() == 0 && len(row.GetTargets()) < listedTargets {
+	if !row.GetHeld() && row.GetRounds() == 0 && len(row.GetTargets())-int(row.GetCleared()) < listedTargets {
 		return
 	}
 	told := &statev1.QuarantinedCall{Content: row.GetContent(), Due: row.GetDue(), Held: row.GetHeld(), Rounds: row.GetRounds()}
--- a/models/quarantine/table_test.go
+++ b/models/quarantine/table_test.go
@@ -128,6 +128,36 @@
 	}
 }
 
+// Ends before a call ended well stay known, so that a report that is sent again counts
+// nothing, but make no call listed or held back any more.
+func TestEndsBeforeAGoodOne(t *testing.T) {
+	tb, a := NewTable(), contentNo(1)
+	steps := []struct {
+		report *statev1.ReportCalls
+		listed int
+		weight uint32
+	}{
+		{ended(0, end(a, "1", EarlyEnd), end(a, "2", EarlyEnd)), 1, 2 * EarlyEnd},
+		{served(1, a), 0, 0},
+		{ended(2, end(a, "1", EarlyEnd), end(a, "2", EarlyEnd)), 0, 0},
+		{ended(3, end(a, "3", EarlyEnd)), 0, EarlyEnd},
+		{ended(4, end(a, "4", EarlyEnd)), 1, 2 * EarlyEnd},
+		{served(5, a), 0, 0},
+		{ended(6, end(a, "5", LateEnd), end(a, "6", LateEnd), end(a, "7", LateEnd), end(a, "8", LateEnd), end(a, "9", LateEnd)), 1, 5 * LateEnd},
+		{served(7, a), 0, 0},
+		{ended(8, end(a, "10", EarlyEnd)), 0, EarlyEnd},
+	}
+	for i, step := range steps {
+		tb.Take(step.report)
+		if got := len(tb.Listed()); got != step.listed || tb.Row(a).GetWeight() != step.weight {
+			t.Fatalf("step %d: %d listed, weight %d, want %d and %d", i, got, tb.Row(a).GetWeight(), step.listed, step.weight)
+		}
+	}
+	if n := len(tb.Row(a).GetTargets()); n != maxTargets {
+		t.Fatalf("%d starts are known", n)
+	}
+}
+
 // A crash of many targets strikes more calls once than the table holds; what is
 // known of worse ones stays.
 func TestTheTableIsBounded(t *testing.T) {
