--- a/services/quarantine/orders_test.go
+++ b/services/quarantine/orders_test.go
@@ -67,6 +67,20 @@
 	q.Report = report
 }
 
+// toldAfterTheList has a box report, and get the list that counts the report before
+// control's acknowledgement.
+func (w *ward) toldAfterTheList(box int) {
+	q := w.boxes[box]
+	report := q.Report
+	q.Report = func(ctx context.Context, r *statev1.ReportCalls) error {
+		err := report(ctx, r)
+		w.deliver(box, w.listFor(box))
+		return err
+	}
+	w.told(box)
+	q.Report = report
+}
+
 // A call under which three targets ended, as far as a box can know, is held back there
 // in whatever order reports, acknowledgements and lists come. Boxes used to forget what
 // they had seen as soon as control had acknowledged it.
@@ -152,14 +166,7 @@
 		},
 		"the list that counts the report comes before its acknowledgement": func(w *ward) {
 			w.ends(0, c, "t1", "t2", "t3")
-			q := w.boxes[0]
-			report := q.Report
-			q.Report = func(ctx context.Context, r *statev1.ReportCalls) error {
-				err := report(ctx, r)
-				w.deliver(0, w.listFor(0))
-				return err
-			}
-			w.told(0)
+			w.toldAfterTheList(0)
 		},
 		"control's state is read from a snapshot between report and list": func(w *ward) {
 			w.ends(0, c, "t1", "t2", "t3")
@@ -296,14 +303,7 @@
 			w.deliver(0, w.listFor(0))
 		},
 		"listed, then acknowledged": func(w *ward) {
-			q := w.boxes[0]
-			report := q.Report
-			q.Report = func(ctx context.Context, r *statev1.ReportCalls) error {
-				err := report(ctx, r)
-				w.deliver(0, w.listFor(0))
-				return err
-			}
-			w.told(0)
+			w.toldAfterTheList(0)
 		},
 		"listed, told again, and the list has not changed": func(w *ward) {
 			w.toldWithoutAnswer(0)
