quarantine: how many targets end under a call, at 6 and at 360 boxes

A call that is sent to each box in turn ends 3 targets where control is in reach and lists come; 3 for each box (18 and 1,080) where no list comes or control is out of reach; 1 for each box and 2 more (8 and 362) where two ends were listed before; 2 more for a box that starts anew after its second end; 6 where the report of one box does not fit the 512 ends that wait and is dropped.

--- /dev/null
+++ b/services/quarantine/deadly_test.go
@@ -0,0 +1,91 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+
+	"havenwinch.dev/havenwinch/models/quarantine"
+)
+
+// deadly sends a call that ends each target once to each box in turn, until all hold it
+// back, and returns how many targets have ended. between is called after each end.
+func (w *ward) deadly(c quarantine.Content, between func(box, ended int)) (ended int) {
+	for held := 0; held < len(w.boxes); {
+		for b, q := range w.boxes {
+			if w.held(q, c) {
+				held++
+				continue
+			}
+			held = 0
+			ended++
+			w.ends(b, c, fmt.Sprint("t", ended))
+			between(b, ended)
+		}
+	}
+	return ended
+}
+
+// How many targets end under a call that is sent to each box in turn: three where boxes
+// hear of each other, more where they don't.
+func TestTargetsThatEndUnderACall(t *testing.T) {
+	c := quarantine.Content{7}
+	cases := map[string]struct {
+		play func(w *ward) int
+		// most is how many targets may end, for each box and in all.
+		eachBox, inAll int
+	}{
+		"control and lists at once": {play: func(w *ward) int {
+			return w.deadly(c, func(int, int) { w.settle() })
+		}, inAll: 3},
+		"each box reports at once, no list comes": {play: func(w *ward) int {
+			return w.deadly(c, func(b, _ int) { w.told(b) })
+		}, eachBox: 3},
+		"out of control's reach, nothing known": {play: func(w *ward) int {
+			w.setCut(true)
+			return w.deadly(c, func(int, int) {})
+		}, eachBox: 3},
+		"out of control's reach, two ends known": {play: func(w *ward) int {
+			w.ends(0, c, "a", "b")
+			w.settle()
+			w.setCut(true)
+			return w.deadly(c, func(int, int) {}) + 2
+		}, eachBox: 1, inAll: 2},
+		"out of reach, one box starts anew after its second end": {play: func(w *ward) int {
+			w.setCut(true)
+			seen, again := 0, false
+			return w.deadly(c, func(b, _ int) {
+				if b != 0 || again {
+					return
+				}
+				if seen++; seen == 2 {
+					again = true
+					w.startAnew(0)
+				}
+			})
+		}, eachBox: 3, inAll: 2},
+		"a box drops reports that do not fit, then control is in reach": {play: func(w *ward) int {
+			w.setCut(true)
+			w.ends(0, c, "a", "b", "c")
+			for n := range mostReported {
+				w.ends(0, quarantine.Content{8, byte(n), byte(n >> 8)}, "x")
+			}
+			w.setCut(false)
+			return w.deadly(c, func(int, int) { w.settle() }) + 3
+		}, inAll: 6},
+	}
+	for name, c := range cases {
+		for _, boxes := range []int{6, 360} {
+			t.Run(fmt.Sprintf("%s, %d boxes", name, boxes), func(t *testing.T) {
+				w := newWard(t, boxes)
+				got, want := c.play(w), c.eachBox*boxes+c.inAll
+				t.Logf("%d targets ended", got)
+				if got > want {
+					t.Errorf("%d targets ended, want at most %d", got, want)
+				}
+			})
+		}
+	}
+}
--- a/services/quarantine/orders_test.go
+++ b/services/quarantine/orders_test.go
@@ -67,6 +67,14 @@
 	q.Report = report
 }
 
+// startAnew starts a box anew, which knows nothing then.
+func (w *ward) startAnew(box int) {
+	q := w.start()
+	n := len(w.boxes) - 1
+	w.boxes[box], w.stores[box] = q, w.stores[n]
+	w.boxes, w.stores = w.boxes[:n], w.stores[:n]
+}
+
 // toldAfterTheList has a box report, and get the list that counts the report before
 // control's acknowledgement.
 func (w *ward) toldAfterTheList(box int) {
--- a/services/quarantine/schedule_test.go
+++ b/services/quarantine/schedule_test.go
@@ -165,10 +165,7 @@
 
 // restart starts a box anew, which knows nothing then.
 func (s *schedule) restart(box int) {
-	q := s.start()
-	n := len(s.boxes) - 1
-	s.boxes[box], s.stores[box] = q, s.stores[n]
-	s.boxes, s.stores = s.boxes[:n], s.stores[:n]
+	s.startAnew(box)
 	s.underWay[box], s.newest[box] = nil, 0
 	for i := range s.calls {
 		s.calls[i].boxes[box], s.calls[i].lists[box] = starts{}, starts{}
