quarantine: ends that did not fit a report are told once the others are

Of the ends that wait for control a box keeps 512. The oldest gave way and were told to nobody: a call that this box holds back ended three more targets at the others.

Cause: the ends that wait were the only ones that a report is made of.

Fix: a box keeps what it saw until control lists it, and so can tell the rest after a report that control has taken. TestTargetsThatEndUnderACall: 6 targets ended at 6 and at 360 boxes before, 3 now.

--- a/models/quarantine/unlisted.go
+++ b/models/quarantine/unlisted.go
@@ -114,6 +114,21 @@
 	}
 }
 
+// Unreported returns up to so many ends that control has not acknowledged.
+func (u *Unlisted) Unreported(most int) (ends []*statev1.EndedUnder) {
+	for c, call := range u.calls {
+		for _, e := range call.ends {
+			if len(ends) == most {
+				return ends
+			}
+			if e.report == 0 {
+				ends = append(ends, &statev1.EndedUnder{Content: c[:], Target: e.target, Weight: e.weight})
+			}
+		}
+	}
+	return ends
+}
+
 // Settle drops the ends that the list counts, and those that it counted until the call
 // was released. Control lists no call for a single end, so such an end stays.
 func (u *Unlisted) Settle(l *List, now time.Duration) {
--- a/services/quarantine/deadly_test.go
+++ b/services/quarantine/deadly_test.go
@@ -66,15 +66,16 @@
 				}
 			})
 		}, eachBox: 3, inAll: 2},
-		"a box drops reports that do not fit, then control is in reach": {play: func(w *ward) int {
+		"ends that did not fit a report, then control is in reach": {play: func(w *ward) int {
 			w.setCut(true)
 			w.ends(0, c, "a", "b", "c")
 			for n := range mostReported {
 				w.ends(0, quarantine.Content{8, byte(n), byte(n >> 8)}, "x")
 			}
 			w.setCut(false)
+			w.settle()
 			return w.deadly(c, func(int, int) { w.settle() }) + 3
-		}, inAll: 6},
+		}, inAll: 3},
 	}
 	for name, c := range cases {
 		for _, boxes := range []int{6, 360} {
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -27,7 +27,7 @@
 	reportTimeout = 900 * time.Millisecond
 	reportPause   = 200 * time.Millisecond
 	// mostReported bounds the ends that wait for control, many times the calls that
-	// a box has under way; the oldest give way.
+	// a box has under way; the oldest give way, and are told once the others are.
 	mostReported = 512
 	// overdue is how long a call is held back after its time is over, while
 	// control does not say so: a box that is cut off must not hold it for ever.
@@ -197,8 +197,21 @@
 	// The list that counts the report may have come before the answer.
 	q.own.Acknowledge(r)
 	q.own.Settle(q.List, q.Clock.Boot())
+	q.reportRest(r)
 	return true
 }
 
+// reportRest has the ends told that gave way to others while control was out of reach.
+// Control of an earlier version acknowledges no end, so it is told of none again. The
+// caller holds the lock.
+func (q *Service) reportRest(r *statev1.ReportCalls) {
+	if r.GetNumber() == 0 || len(q.waiting.GetEnded()) > 0 {
+		return
+	}
+	if q.waiting.Ended = q.own.Unreported(mostReported); len(q.waiting.Ended) > 0 {
+		q.wake()
+	}
+}
+
 // lastOf bounds what waits for control.
 func lastOf[T any](list []T) []T { return list[max(0, len(list)-mostReported):] }
