tests: what callers get in integration tests is read strictly

Connections of the lenient client are recorded and read by the strict observer once the fleet has ended: one answer to one request, by the protocol, or a cut one.

--- a/tests/integration/main_test.go
+++ b/tests/integration/main_test.go
@@ -22,11 +22,14 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"havenwinch.dev/havenwinch/modules/digest"
 	standin "havenwinch.dev/havenwinch/standin/engine"
 	"havenwinch.dev/havenwinch/standin/platform"
 	"havenwinch.dev/havenwinch/structs"
 	"havenwinch.dev/havenwinch/tests/fleet"
+	"havenwinch.dev/havenwinch/tests/observe"
 )
 
 const (
@@ -85,6 +88,8 @@
 	platform *platform.Platform
 	engines  map[string]*standin.Engine
 	number   uint64
+	// answers are what callers get.
+	answers observe.Recorder
 }
 
 var quickEngine = standin.Options{Slots: 8, PrefillPerSecond: 1_000_000, TokenTime: 2 * time.Millisecond, CacheBlocks: 256}
@@ -109,6 +114,9 @@
 	t.Cleanup(func() {
 		f.Close()
 		b.reportRaces()
+		if err := b.answers.Check(); err != nil {
+			t.Error(err)
+		}
 	})
 	if err := f.StartAll(); err != nil {
 		t.Fatal(err)
@@ -261,7 +269,7 @@
 		name, value, _ := strings.Cut(h, ": ")
 		req.Header.Set(name, value)
 	}
-	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true, DialContext: b.answers.DialContext}}
 	resp, err := client.Do(req)
 	if err != nil {
 		return reply{}, err
@@ -285,6 +293,9 @@
 				first = nil
 			}
 		}
+		if err == io.EOF && r.status == http.StatusOK && r.text != "" && !r.whole {
+			return r, errors.New("a part of an answer ended its body well")
+		}
 		if err == io.EOF {
 			return r, nil
 		}
