tests: one log that applies entries at once

Three copies of it stood in tests of gateway, between and single; those of control and of quarantine keep theirs (the first can't import it, the second holds the known failure's test and stays as it is).

--- a/routers/between/reports_test.go
+++ b/routers/between/reports_test.go
@@ -16,21 +16,15 @@
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/logging"
 	"havenwinch.dev/havenwinch/services/control"
+	"havenwinch.dev/havenwinch/services/control/controltest"
 	"havenwinch.dev/havenwinch/services/gateway"
 )
 
-type directLog struct{ machine *control.Machine }
-
-func (d directLog) Propose(_ context.Context, data []byte) (any, error) {
-	return d.machine.Apply(data), nil
-}
-func (d directLog) ReadBarrier() error { return nil }
-
 // A box learns the number of its report on both ways to control: without it the box
 // would keep what it reported until its time is over, also after a release.
 func TestReportsAreNumbered(t *testing.T) {
 	machine := control.NewMachine()
-	log, c, logger := directLog{machine}, clock.NewFake(), logging.Discard()
+	log, c, logger := controltest.Log{Machine: machine}, clock.NewFake(), logging.Discard()
 	mux := http.NewServeMux()
 	mux.Handle("/gateway/", http.StripPrefix("/gateway", NewGateway(GatewayOptions{
 		Gateway: &control.Gateway{Log: log, Machine: machine, Clock: c, Logger: logger}, Stopping: context.Background(),
--- /dev/null
+++ b/services/control/controltest/log.go
@@ -0,0 +1,22 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package controltest has stand-ins of control for tests.
+package controltest
+
+import (
+	"context"
+
+	"havenwinch.dev/havenwinch/services/control"
+)
+
+// Log applies entries at once, as a group of one would.
+type Log struct{ Machine *control.Machine }
+
+// Propose implements control.Log.
+func (l Log) Propose(_ context.Context, data []byte) (any, error) {
+	return l.Machine.Apply(data), nil
+}
+
+// ReadBarrier implements control.Log.
+func (l Log) ReadBarrier() error { return nil }
--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/logging"
 	"havenwinch.dev/havenwinch/services/control"
+	"havenwinch.dev/havenwinch/services/control/controltest"
 )
 
 func row(id string, state statev1.RegisteredTarget_State, revision uint64) *statev1.RegisteredTarget {
@@ -67,7 +68,7 @@
 	machine := control.NewMachine()
 	c := clock.NewFake()
 	source := &MachineSource{Machine: machine, OutOfStep: func() time.Duration { return 0 }, Members: func() []string { return nil }}
-	g := &control.Gateway{Log: directLog{machine}, Machine: machine, Clock: c, Logger: logging.Discard()}
+	g := &control.Gateway{Log: controltest.Log{Machine: machine}, Machine: machine, Clock: c, Logger: logging.Discard()}
 	for _, e := range []*statev1.Entry{
 		{Kind: &statev1.Entry_PutRouting{PutRouting: &statev1.PutRouting{Table: &statev1.RoutingTable{Version: 2, Source: []byte("doc")}}}},
 		{Kind: &statev1.Entry_PutTargets{PutTargets: &statev1.PutTargets{Targets: []*statev1.RegisteredTarget{row("a", ready, 0), row("b", gone, 0)}}}},
@@ -91,13 +92,6 @@
 	}
 }
 
-type directLog struct{ machine *control.Machine }
-
-func (d directLog) Propose(_ context.Context, data []byte) (any, error) {
-	return d.machine.Apply(data), nil
-}
-func (d directLog) ReadBarrier() error { return nil }
-
 // box is a control box that answers leases or names the leader.
 type box struct {
 	betweenv1connect.GatewayServiceClient
--- a/services/gateway/history_test.go
+++ b/services/gateway/history_test.go
@@ -17,6 +17,7 @@
 	"havenwinch.dev/havenwinch/modules/logging"
 	"havenwinch.dev/havenwinch/modules/pack"
 	"havenwinch.dev/havenwinch/services/control"
+	"havenwinch.dev/havenwinch/services/control/controltest"
 )
 
 // tableWith returns a table of many routes, one of which differs by version.
@@ -39,7 +40,7 @@
 	machine := control.NewMachine()
 	return &feed{
 		t:       t,
-		gateway: &control.Gateway{Log: directLog{machine}, Machine: machine, Clock: clock.NewFake(), Logger: logging.Discard()},
+		gateway: &control.Gateway{Log: controltest.Log{Machine: machine}, Machine: machine, Clock: clock.NewFake(), Logger: logging.Discard()},
 		source:  &MachineSource{Machine: machine, OutOfStep: func() time.Duration { return 0 }, Members: func() []string { return nil }},
 	}
 }
--- a/tests/single/single.go
+++ b/tests/single/single.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
-	"sync"
 	"testing"
 	"time"
 
@@ -34,6 +33,7 @@
 	"havenwinch.dev/havenwinch/routers/caller"
 	"havenwinch.dev/havenwinch/services/configuration"
 	"havenwinch.dev/havenwinch/services/control"
+	"havenwinch.dev/havenwinch/services/control/controltest"
 	"havenwinch.dev/havenwinch/services/dispatch"
 	"havenwinch.dev/havenwinch/services/engine"
 	"havenwinch.dev/havenwinch/services/keeper"
@@ -55,20 +55,6 @@
 	DataCentre = "dc-a"
 )
 
-// log applies entries at once, as a group of one would.
-type log struct {
-	mu      sync.Mutex
-	machine *control.Machine
-}
-
-func (l *log) Propose(_ context.Context, data []byte) (any, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.machine.Apply(data), nil
-}
-
-func (l *log) ReadBarrier() error { return nil }
-
 // controlCalls answers a keeper without a network.
 type controlCalls struct{ service *control.Service }
 
@@ -135,7 +121,7 @@
 	stamps := hlc.New(clock.System{})
 	s.Recorder = timeline.New(Box, DataCentre, stamps)
 	s.Control = control.New(control.Options{
-		Log: &log{machine: s.Machine}, Machine: s.Machine, Holders: &holders{single: s}, Policy: allot.Chosen(),
+		Log: controltest.Log{Machine: s.Machine}, Machine: s.Machine, Holders: &holders{single: s}, Policy: allot.Chosen(),
 		Clock: clock.System{}, Recorder: s.Recorder, Logger: s.Logger,
 	})
 	s.configure(opts.Tokens)
