soak: an answer breaks off for a reason

The soak's callers took any answer that broke off. Now one that has begun may break off only where its server broke it off, its run was stopped to move, its time was over, or the box that was asked or a server that worked on it had a trouble (kill, pause, loss of connections or answers, crash, leaving) at that time.

--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -26,13 +26,18 @@
 	retry string
 	// signed says that a server made it.
 	signed bool
+	// box is the entry box that was asked, from is when.
+	box  string
+	from time.Time
 }
 
 // callers sends requests over connections that stay open as long as the box
 // lets them.
 type callers struct {
-	site    *site
+	site *site
+	// entries are the addresses of entry boxes, names their names.
 	entries []string
+	names   []string
 	seed    int64
 
 	mu       sync.Mutex
@@ -47,6 +52,8 @@
 	conn  net.Conn
 	got   *observe.Reader
 	count int
+	// box is the entry box of the connection.
+	box string
 }
 
 const (
@@ -93,13 +100,14 @@
 func (c *caller) askBody(id, route, key, body string) outcome {
 	o := outcome{id: id, route: route}
 	if c.conn == nil {
-		entry := c.all.entries[c.rng.Intn(len(c.all.entries))]
-		conn, err := net.DialTimeout("tcp", entry, dialLimit)
+		n := c.rng.Intn(len(c.all.entries))
+		conn, err := net.DialTimeout("tcp", c.all.entries[n], dialLimit)
 		if err != nil {
 			return o
 		}
-		c.conn, c.got = conn, observe.NewReader(conn)
+		c.conn, c.got, c.box = conn, observe.NewReader(conn), c.all.names[n]
 	}
+	o.box, o.from = c.box, time.Now()
 	_ = c.conn.SetDeadline(time.Now().Add(answerLimit))
 	tokens := ""
 	if strings.HasPrefix(route, "stream") {
@@ -126,6 +134,9 @@
 	if got := a.Get("Attempt-Id"); got != "" && got != o.id {
 		c.all.site.breaks("request %s got the answer to %s", o.id, got)
 	}
+	if observe.IsErrCut(err) && a.Status == http.StatusOK && !c.all.site.brokeOff(o.id) && !c.all.site.reasons.mayBreak(o.id, o.box, o.from) {
+		c.all.site.breaks("request %s (%s) broke off at %s after %s and %d bytes, and nothing had a trouble that it met", o.id, o.route, o.box, time.Since(o.from), len(a.Body))
+	}
 	if err != nil || a.Closes() {
 		c.drop()
 	}
--- a/tests/soak/engine_test.go
+++ b/tests/soak/engine_test.go
@@ -98,6 +98,7 @@
 		close(running.stopped)
 		delete(sv.runs, order.ID)
 		sv.site.copied(order.ID)
+		sv.site.reasons.stop(order.ID)
 	}
 	status := http.StatusOK
 	if order.Last && sv.rng.Intn(5) == 0 {
--- a/tests/soak/fatal_test.go
+++ b/tests/soak/fatal_test.go
@@ -56,6 +56,7 @@
 
 // crash ends the server at once; another start, under this id, takes its place.
 func (sv *server) crash(id string) {
+	sv.site.reasons.disturb(sv.id, rebirthPause)
 	sv.stop()
 	time.AfterFunc(rebirthPause, func() {
 		if fresh, err := sv.site.start(id, sv.service, 0); err == nil {
--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -142,6 +142,14 @@
 	return list
 }
 
+func (f *fleet) names(role string) []string {
+	var names []string
+	for _, b := range f.of(role) {
+		names = append(names, b.name)
+	}
+	return names
+}
+
 // start starts the box's process if none runs.
 func (b *box) start() error {
 	b.mu.Lock()
--- a/tests/soak/path_test.go
+++ b/tests/soak/path_test.go
@@ -32,7 +32,7 @@
 	w.startAll(t)
 	w.site = newSite(w.addresses("control", w.ports.registry))
 	t.Cleanup(w.site.end)
-	w.all = &callers{site: w.site, entries: w.addresses("entry", w.ports.caller), seed: seed}
+	w.all = &callers{site: w.site, entries: w.addresses("entry", w.ports.caller), names: w.names("entry"), seed: seed}
 	if !w.site.configure(1, waitLimit) {
 		t.Fatal("the first configuration was not acknowledged")
 	}
--- a/tests/soak/site_test.go
+++ b/tests/soak/site_test.go
@@ -51,6 +51,8 @@
 	// copies counts, by id, the copies of stopped runs; moved how many there were.
 	copies map[string]int
 	moved  int
+	// reasons say which answers may break off.
+	reasons *reasons
 }
 
 // atEnd has something done at the end of the test.
@@ -69,7 +71,7 @@
 }
 
 func newSite(control []string) *site {
-	return &site{control: control, runs: map[string]int{}, given: map[string]uint64{}, counted: map[string]bool{}, ended: map[string]int{}, presences: map[string]*presence{}, failures: map[string]map[int]bool{}, broke: map[string]bool{}, copies: map[string]int{}}
+	return &site{control: control, runs: map[string]int{}, given: map[string]uint64{}, counted: map[string]bool{}, ended: map[string]int{}, presences: map[string]*presence{}, failures: map[string]map[int]bool{}, broke: map[string]bool{}, copies: map[string]int{}, reasons: newReasons()}
 }
 
 // breaks notes a promise that was not kept.
@@ -264,6 +266,7 @@
 	if r.Header.Get("Api-Key") != "" || r.Header.Get("Tenant") == "" {
 		sv.site.breaks("server %s was shown key %q and tenant %q of request %s", sv.id, r.Header.Get("Api-Key"), r.Header.Get("Tenant"), id)
 	}
+	sv.site.reasons.works(id, sv.id)
 	if strings.HasPrefix(string(body), fatalBody) {
 		sv.endUnder(w, r, string(body))
 	}
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -173,6 +173,7 @@
 	}
 	kind := kinds[rng.Intn(len(kinds))]
 	t.Logf("%s on %s and %s for %s", kind, b.name, sv.id, for_)
+	w.noteReasons(kind, b, sv, for_)
 	switch kind {
 	case "kill":
 		b.signal(syscall.SIGKILL)
@@ -263,6 +264,7 @@
 		return
 	}
 	t.Cleanup(fresh.stop)
+	w.site.reasons.disturb(old.id, drainBound)
 	old.drain()
 }
 
