--- a/tests/soak/path_test.go
+++ b/tests/soak/path_test.go
@@ -161,9 +161,7 @@
 	if !w.site.configure(7, waitLimit) {
 		t.Fatal("a configuration was not acknowledged")
 	}
-	for _, b := range w.boxes {
-		<-b.signal(syscall.SIGKILL)
-	}
+	w.killAll()
 	w.startAll(t)
 	eventually(t, "the configuration is read back", func() bool {
 		version := readVersion(w.site.control[0])
--- a/tests/soak/reasons_test.go
+++ b/tests/soak/reasons_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -90,3 +91,11 @@
 		}
 	}
 }
+
+// killAll kills all boxes at once.
+func (w *world) killAll() {
+	for _, b := range w.boxes {
+		w.site.reasons.disturb(b.name, 0)
+		<-b.signal(syscall.SIGKILL)
+	}
+}
