--- a/routers/gateway/fuzz_test.go
+++ b/routers/gateway/fuzz_test.go
@@ -49,10 +49,10 @@
 	var mu sync.Mutex
 	var got []passed
 	// The path names the execution: a call that was given up may still reach its target when
-	// a later one runs. Where the path was changed, one of the last executions must have
-	// sent what a target got.
+	// a later one runs. Where the path was changed, this execution or one of the last that
+	// were given up must have sent what a target got.
 	execution := 0
-	var last []*script
+	var givenUp []*script
 	m := newFixture(f, func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		mu.Lock()
@@ -70,26 +70,30 @@
 		mark := fmt.Sprintf("/x%d.", execution)
 		mu.Unlock()
 		sent = bytes.ReplaceAll(sent, []byte("/x"), []byte(mark))
-		checkAnswers(t, sent, askRaw(m.server, sent))
+		answers, whole := askRaw(m.server, sent)
+		checkAnswers(t, sent, answers)
 		mu.Lock()
 		defer mu.Unlock()
 		own := newScript(sent)
-		last = append([]*script{own}, last[:min(len(last), lastExecutions-1)]...)
 		for _, p := range got {
 			if strings.Contains(p.target, "/x") && !strings.Contains(p.target, mark) {
 				continue
 			}
-			scripts := last
-			if strings.Contains(p.target, mark) {
-				scripts = last[:1]
+			scripts := []*script{own}
+			if !strings.Contains(p.target, mark) {
+				scripts = append(scripts, givenUp...)
 			}
 			checkPassed(t, scripts, p, sent)
 		}
+		if !whole {
+			givenUp = append([]*script{own}, givenUp[:min(len(givenUp), mostGivenUp-1)]...)
+		}
 	})
 }
 
-// askRaw sends bytes over a connection of their own and returns what comes back.
-func askRaw(s *Server, sent []byte) []byte {
+// askRaw sends bytes over a connection of their own and returns what comes back. whole
+// is false when the caller gave up before the server had ended.
+func askRaw(s *Server, sent []byte) (answers []byte, whole bool) {
 	near, far := observe.Pipe()
 	served, read := make(chan struct{}), make(chan struct{})
 	go func() {
@@ -103,11 +107,11 @@
 		_, _ = io.Copy(&got, near)
 	}()
 	over := time.AfterFunc(fuzzWait, func() { _ = near.Close() })
-	defer over.Stop()
 	<-served
+	whole = over.Stop()
 	_ = near.Close()
 	<-read
-	return got.Bytes()
+	return got.Bytes(), whole
 }
 
 // checkAnswers looks whether a strict reader can read all that came back.
@@ -137,8 +141,9 @@
 	return http.ReadRequest(r)
 }
 
-// lastExecutions is how many executions may have sent a request that comes now.
-const lastExecutions = 16
+// mostGivenUp is how many executions that were given up may have sent a request that
+// comes now.
+const mostGivenUp = 16
 
 // script are the requests that another reader finds in a caller's bytes.
 type script struct {
