models/lease: limit the use of a first grant until the next report

Cause: a row that is created by its first report, as of a box that holds an organisation's lease by the directory and had no call of it yet, had no time of a sample, so that the limit on unreported use took it for partitioned since the boot of its machine. The whole lease could be used until the next report, up to 300 ms later; a box that ended within that time had more reclaimed than it had left, which is an overspend.

Change: a new row takes the time of the table's last sample, at which its counters were zero.

TestFirstGrantIsLimited fails before (the reservation above the burst limit was accepted) and passes after.

--- a/models/lease/lease.go
+++ b/models/lease/lease.go
@@ -63,6 +63,8 @@
 // concurrent use.
 type Table struct {
 	Leases map[string]*Lease
+	// sampledAt is the time of the last sample.
+	sampledAt time.Duration
 }
 
 // NewTable returns an empty table.
@@ -73,6 +75,8 @@
 	l := t.Leases[organisation]
 	if l == nil {
 		l = &Lease{}
+		// All counters were zero at the last sample.
+		l.limit.sampledAt = t.sampledAt
 		t.Leases[organisation] = l
 	}
 	return l
@@ -130,6 +134,7 @@
 
 // Sample copies the counters of all leases for the next report.
 func (t *Table) Sample(now time.Duration) {
+	t.sampledAt = now
 	for _, l := range t.Leases {
 		l.limit.startSample(counters{returned: l.Returned, spent: l.Spent, reserved: l.Reserved}, now)
 	}
--- a/models/lease/lease_test.go
+++ b/models/lease/lease_test.go
@@ -65,6 +65,22 @@
 	}
 }
 
+// A lease that was first granted in the answer to a report, which did not have it yet, could
+// be used up before the next report: control reclaimed tokens that were spent.
+func TestFirstGrantIsLimited(t *testing.T) {
+	now := time.Hour
+	tb := NewTable()
+	tb.Sample(now)
+	tb.Report(org, now)
+	tb.ApplyGrant(org, 160000, 160000, 160000, now)
+	if tb.Reserve(org, BurstLimit(160000)+1, now) {
+		t.Fatal("a reservation above the burst limit was accepted")
+	}
+	if !tb.Reserve(org, BurstLimit(160000), now) {
+		t.Fatal("a reservation within the burst limit was refused")
+	}
+}
+
 func TestAnnouncedTokensNeedNoLimit(t *testing.T) {
 	now := time.Second
 	tb := granted(160000, now)
