services/gateway: draw large requests at the box elsewhere that has enough tokens

Cause: boxes of other data centres were asked without waiting only.

Change: the one with the most free tokens, if it has enough, is asked once more and reports the reservation first.

--- a/services/gateway/shared.go
+++ b/services/gateway/shared.go
@@ -72,7 +72,8 @@
 // Reserve reserves tokens of an organisation until the context's deadline, and waits
 // for them at most for the given time. It asks the holders of this data centre first,
 // without waiting; then the one of them with the most recent answer from control, if
-// control can grant it more; then the holders in other data centres.
+// control can grant it more; then the holders in other data centres, and again the one of
+// these that has enough tokens, if it has to report the reservation first.
 func (s *SharedLeases) Reserve(ctx context.Context, organisation string, tokens uint64, wait time.Duration) (Reservation, Outcome, Status) {
 	q := drawTerms{organisation: organisation, tokens: tokens, lifetime: maxDrawLifetime}
 	if deadline, limited := ctx.Deadline(); limited {
@@ -86,7 +87,7 @@
 
 func (s *SharedLeases) reserve(ctx context.Context, q drawTerms, wait time.Duration) offer {
 	directory := s.Leases.Directory()
-	near := s.tryWithoutWaiting(ctx, s.localBoxes(directory, q.organisation), q)
+	near, _ := s.tryWithoutWaiting(ctx, s.localBoxes(directory, q.organisation), q)
 	if near.isFinal() {
 		return near
 	}
@@ -98,9 +99,15 @@
 			return o
 		}
 	}
-	if far := s.tryWithoutWaiting(ctx, s.rotate(directory.HoldersElsewhere(q.organisation, s.Leases.DataCentre)), q); far.isFinal() {
+	far, richest := s.tryWithoutWaiting(ctx, s.rotate(directory.HoldersElsewhere(q.organisation, s.Leases.DataCentre)), q)
+	if far.isFinal() {
 		return far
 	}
+	if richest.hasEnough(q.tokens) {
+		if o := s.try(ctx, richest.box, q, wait); o.isFinal() {
+			return o
+		}
+	}
 	return near
 }
 
@@ -116,17 +123,20 @@
 
 // tryWithoutWaiting tries boxes in turn, without waiting for tokens, until one gives a final
 // answer. Otherwise it returns the offer of the box with the most recent answer from
-// control.
-func (s *SharedLeases) tryWithoutWaiting(ctx context.Context, boxes []lease.Box, q drawTerms) offer {
-	best := offer{outcome: Short}
+// control, and that of the box with the most free tokens.
+func (s *SharedLeases) tryWithoutWaiting(ctx context.Context, boxes []lease.Box, q drawTerms) (recent, richest offer) {
+	recent = offer{outcome: Short}
 	for _, b := range boxes {
 		o := s.try(ctx, b, q, 0)
 		if o.isFinal() {
-			return o
+			return o, o
+		}
+		recent = recent.moreRecent(o)
+		if o.status.Free > richest.status.Free {
+			richest = o
 		}
-		best = best.moreRecent(o)
 	}
-	return best
+	return recent, richest
 }
 
 // offer is a box's answer to a draw.
@@ -142,12 +152,21 @@
 // isFinal reports whether no other box has to be tried.
 func (o offer) isFinal() bool { return o.answered && o.outcome != Short }
 
+// isConnected reports whether control has answered the box recently.
+func (o offer) isConnected() bool {
+	return o.answered && o.status.Age >= 0 && o.status.Age <= maxAnswerAgeMillis
+}
+
 // canGetMore reports whether the box can soon have enough tokens, with more from
 // control.
 func (o offer) canGetMore(tokens uint64) bool {
-	return o.status.Age >= 0 && o.status.Age <= maxAnswerAgeMillis && o.status.Unallotted+o.status.Free >= tokens
+	return o.isConnected() && o.status.Unallotted+o.status.Free >= tokens
 }
 
+// hasEnough reports whether the box has enough tokens, which it may use once it has reported
+// them to control.
+func (o offer) hasEnough(tokens uint64) bool { return o.isConnected() && o.status.Free >= tokens }
+
 // moreRecent returns the offer of the box with the more recent answer from control.
 func (o offer) moreRecent(other offer) offer {
 	switch {
--- a/services/gateway/shared_test.go
+++ b/services/gateway/shared_test.go
@@ -134,6 +134,21 @@
 	}
 }
 
+// A large request was refused although a box of another data centre had enough tokens: more
+// than that box may use without a report, which it only sends when it is asked to wait.
+func TestLargeDrawFromAnotherDataCentre(t *testing.T) {
+	f := newShared(func(_ int, far bool) uint64 { return map[bool]uint64{true: 100000, false: 10}[far] })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	holder := f.wire(2).leases
+	holder.Client = clientOver(map[string]*controlBox{"a": {answer: grantAll(100000)}}, "a")
+	go holder.Run(ctx)
+	r, outcome, _ := f.Reserve(ctx, "o", 20000, time.Minute)
+	if outcome != Reserved || r.Holder != f.order[2].Name {
+		t.Fatalf("%s at %q, want %q", outcome, r.Holder, f.order[2].Name)
+	}
+}
+
 func (f *sharedFixture) counts(n int) (reserved, spent uint64) {
 	l := f.wire(n).leases
 	l.mu.Lock()
