--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN = bin
 RACE_COUNT ?= 1
 
-.PHONY: build run up test fmt lint vet tools generate check-generate unit bench bench-policies bench-capacity bench-fleet fuzz soak versions clean
+.PHONY: build run up test fmt lint vet tools generate check-generate unit bench bench-policies bench-capacity bench-fleet fuzz soak versions regression clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/havenwinchd ./cmd/havenwinch ./standin
@@ -86,5 +86,15 @@
 	@test -x "$(EARLIER)/havenwinchd" || { echo "set EARLIER to the folder of an earlier havenwinchd"; exit 1; }
 	HAVENWINCH_EARLIER_BIN=$(abspath $(EARLIER)) $(GO) test -race -count=1 -v -run 'Version' ./tests/integration ./tests/soak
 
+# BENCH is the users' bench, SITES the folder of their deployments, WHY a line for the journal.
+REGRESSION = large/aulatrece-havenwinch-large further/plma-suva further-grown/plma-suva-grown \
+	grown/aulatrece-havenwinch-grown grown/kadsutera-havenwinch-grown
+JOBS ?= 3
+regression:
+	@test -x "$(BENCH)" || { echo "set BENCH to the users' bench"; exit 1; }
+	@test -d "$(SITES)" || { echo "set SITES to the folder of their deployments"; exit 1; }
+	@test -n "$(WHY)" || { echo "set WHY to what the run is for"; exit 1; }
+	$(BENCH) score $(REGRESSION:%=$(SITES)/%.toml) --quick --jobs $(JOBS) --why "$(WHY)"
+
 clean:
 	rm -rf $(BIN) .generated
