control: tokens that a holder has announced ahead are left in the budget

A request got 402 with more left than it needed, and a later one was served.

Change: reports name the advance; control counts it as used if the holder ends, and as left until then.

--- a/models/lease/lease.go
+++ b/models/lease/lease.go
@@ -206,12 +206,14 @@
 
 // Report is one lease's part of a report to control: the counters of the last
 // sample and the current demand. Rate is in tokens per second; Basis is the
-// number of tokens that the limit on unreported use is computed from.
+// number of tokens that the limit on unreported use is computed from. Reserved includes
+// Advance, the tokens that no request has reserved yet.
 type Report struct {
 	Organisation              string
 	Returned, Spent, Reserved uint64
 	Basis                     uint64
 	Rate, Need                uint64
+	Advance                   uint64
 }
 
 // Report updates the smoothed demand and returns the report of a lease.
@@ -227,6 +229,7 @@
 		Basis:        l.limit.basis,
 		Rate:         uint64(l.rate),
 		Need:         l.need,
+		Advance:      l.limit.advance,
 	}
 }
 
--- a/services/control/gateway.go
+++ b/services/control/gateway.go
@@ -292,7 +292,7 @@
 
 // usageOf sums up the free tokens and the spending rates of an organisation's
 // budget over the holders that report. left is what requests may still reserve: the
-// tokens that are neither spent nor reserved, nor kept back for a holder whose
+// tokens that are neither spent nor reserved by requests, nor kept back for a holder whose
 // process has ended, as those are never returned.
 func (g *Gateway) usageOf(s *state.State, b *state.Budget) (free, rate, left uint64) {
 	g.mu.Lock()
@@ -302,7 +302,7 @@
 		spent := a.GetSpent()
 		if d := g.holders[a.GetHolder()].reportFor(b.Name); d != nil {
 			rate += d.GetRate()
-			spent = max(spent, d.GetSpent()) + d.GetReserved()
+			spent = max(spent, d.GetSpent()) + d.GetReserved() - min(d.GetAdvance(), d.GetReserved())
 			if bound := max(a.GetReturned(), d.GetReturned()) + spent; a.GetAllotted() > bound {
 				free += a.GetAllotted() - bound
 			}
--- a/services/control/gateway_test.go
+++ b/services/control/gateway_test.go
@@ -205,3 +205,17 @@
 		t.Fatalf("%d tokens are left, want 1270000 minus the %d kept back", left, kept)
 	}
 }
+
+// Tokens that a holder has announced ahead of their use are left: a request was refused as if
+// the budget were used up, and a later one was served.
+func TestAnnouncedUseIsLeft(t *testing.T) {
+	f := newGateway(t)
+	granted := f.report(t, "box@1", 1, 0, &betweenv1.LeaseReport{}).GetAllotted()
+	left := f.report(t, "box@1", 2, 0, &betweenv1.LeaseReport{Spent: 1000, Reserved: 20500, Advance: 20000, Basis: granted}).GetLeft()
+	if left != 1270000-1500 {
+		t.Fatalf("%d tokens are left, want %d", left, 1270000-1500)
+	}
+	if got := f.row("box@1").GetReserved(); got != 20500 {
+		t.Fatalf("%d tokens are recorded as reserved, want 20500: they may have been used if the box ends", got)
+	}
+}
--- a/services/gateway/report.go
+++ b/services/gateway/report.go
@@ -126,7 +126,7 @@
 		row := l.table.Report(organisation, now)
 		r.Reports = append(r.Reports, &betweenv1.LeaseReport{
 			Organisation: row.Organisation, Returned: row.Returned, Spent: row.Spent, Reserved: row.Reserved,
-			Basis: row.Basis, Rate: row.Rate, Need: row.Need,
+			Basis: row.Basis, Rate: row.Rate, Need: row.Need, Advance: row.Advance,
 		})
 	}
 	return r
