services/gateway: a box's report has its age at the time of each attempt

Cause: a box that restarts while control has no leader sends its first report for up to 1.5 s, with the age that it had at first. Control took that time for the former process's and kept back more of its leases.

TestReportHasTheAgeOfEachAttempt fails without the change.

--- a/services/gateway/client.go
+++ b/services/gateway/client.go
@@ -125,9 +125,15 @@
 	return c.Submit(ctx, &statev1.Entry{Kind: &statev1.Entry_PutEvacuation{PutEvacuation: m}})
 }
 
-// Lease sends a box's report and returns what it is granted.
-func (c *Client) Lease(ctx context.Context, r *betweenv1.LeaseRequest) (*betweenv1.LeaseResponse, error) {
-	return callAny(ctx, c, r, betweenv1connect.GatewayServiceClient.Lease)
+// Lease sends a box's report and returns what it is granted. age returns for how long the
+// box's process has run, and is read again for each box that is tried: control takes it for
+// the age at the time of the call, and keeps back more for the former process if it is less.
+func (c *Client) Lease(ctx context.Context, r *betweenv1.LeaseRequest, age func() time.Duration) (*betweenv1.LeaseResponse, error) {
+	send := func(client betweenv1connect.GatewayServiceClient, ctx context.Context, req *connect.Request[betweenv1.LeaseRequest]) (*connect.Response[betweenv1.LeaseResponse], error) {
+		req.Msg.Age = age().Milliseconds()
+		return client.Lease(ctx, req)
+	}
+	return callAny(ctx, c, r, send)
 }
 
 // ReadRouting returns the newest committed routing table. The read is linearizable.
--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -131,7 +131,7 @@
 	}
 	c := clientOver(boxes, "a", "b")
 	for range 2 {
-		resp, err := c.Lease(context.Background(), &betweenv1.LeaseRequest{})
+		resp, err := c.Lease(context.Background(), &betweenv1.LeaseRequest{}, func() time.Duration { return 0 })
 		if err != nil || resp.GetHolders() != 3 {
 			t.Fatalf("%v, %v", resp, err)
 		}
@@ -203,7 +203,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	r := l.request()
-	_, err := l.Client.Lease(ctx, r)
+	_, err := l.Client.Lease(ctx, r, l.age)
 	l.handleAnswer(nil, 0, err)
 	if got, _ := l.Reserve(context.Background(), "o", 500, 0); got != Reserved {
 		t.Fatal("a small reservation waited for control")
@@ -279,6 +279,32 @@
 	}
 }
 
+// Guards against tokens kept back for a box that restarted while control had no leader: its
+// first report was on its way for up to 1.5 s, and that time counted as the former process's.
+func TestReportHasTheAgeOfEachAttempt(t *testing.T) {
+	const searching = 1200 * time.Millisecond
+	c := clock.NewFake()
+	started := c.Boot()
+	age := func() time.Duration { return c.Boot() - started }
+	var got time.Duration
+	boxes := map[string]*controlBox{
+		"silent": {answer: func(*betweenv1.LeaseRequest) (*betweenv1.LeaseResponse, error) {
+			c.Advance(searching)
+			return nil, connect.NewError(connect.CodeUnavailable, errors.New("no leader"))
+		}},
+		"leader": {answer: func(r *betweenv1.LeaseRequest) (*betweenv1.LeaseResponse, error) {
+			got = time.Duration(r.GetAge()) * time.Millisecond
+			return &betweenv1.LeaseResponse{}, nil
+		}},
+	}
+	if _, err := clientOver(boxes, "silent", "leader").Lease(context.Background(), &betweenv1.LeaseRequest{}, age); err != nil {
+		t.Fatal(err)
+	}
+	if got != searching {
+		t.Errorf("the report that reached the leader said %s, want %s", got, searching)
+	}
+}
+
 // Guards against a log entry for each call of a cold target, whose remaining time decreases
 // from call to call, and against a target that is cold again without any box hearing of it.
 func TestRegistryCommitsChangesOfColdTargets(t *testing.T) {
--- a/services/gateway/report.go
+++ b/services/gateway/report.go
@@ -60,6 +60,9 @@
 // SendFinalReport sends the last report, after Leave and the end of the last request.
 func (l *Leases) SendFinalReport(ctx context.Context) { l.report(ctx) }
 
+// age returns for how long this process has run.
+func (l *Leases) age() time.Duration { return l.Clock.Boot() - l.startedAt }
+
 func (l *Leases) report(ctx context.Context) {
 	l.reporting.Lock()
 	defer l.reporting.Unlock()
@@ -74,7 +77,7 @@
 		l.Placement.TellLimits(r)
 	}
 	began := l.Clock.Boot()
-	resp, err := l.Client.Lease(ctx, r)
+	resp, err := l.Client.Lease(ctx, r, l.age)
 	l.handleAnswer(resp, l.Clock.Boot()-began, err)
 	if l.Placement == nil {
 		return
@@ -116,7 +119,7 @@
 		l.leavingSampled = l.leaving
 	}
 	r := &betweenv1.LeaseRequest{
-		Holder: l.Holder, Box: l.Box, Leaving: l.leavingSampled, Age: (now - l.startedAt).Milliseconds(), Sample: l.sample,
+		Holder: l.Holder, Box: l.Box, Leaving: l.leavingSampled, Sample: l.sample,
 		Address: l.Address, DataCentre: l.DataCentre,
 	}
 	if l.directory != nil {
