services/gateway: followers begin with different control boxes, which send content in sync only

Cause: after a loss of power all 86 boxes asked the same three control boxes for their tables, one after the other each 50 ms, and got them whole from boxes that were not in sync, so that they discarded them. Those boxes took 0.6 s to read their disks instead of 0.3 s, and an election without a wait needs all of them.

A control box that is out of sync lets a new follower wait for up to 0.6 s and sends no content before it is in sync. Followers begin at an address by the hash of their names.

TestServeSendsContentInSyncOnly and TestFollowersBeginWithDifferentBoxes fail without it.

--- a/services/gateway/follow.go
+++ b/services/gateway/follow.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
@@ -28,6 +29,10 @@
 	// maxSyncAge is how long ago the followed box may have been in sync with the
 	// control group.
 	maxSyncAge = 900 * time.Millisecond
+	// syncWait is how long a control box that is out of sync lets a new follower wait,
+	// and syncPoll the time between its checks.
+	syncWait = 600 * time.Millisecond
+	syncPoll = 25 * time.Millisecond
 	// retryDelay is the delay between attempts to follow. firstRetryDelay is the one of a
 	// box without a routing table: after a restart of the whole fleet control is
 	// available within a second.
@@ -35,14 +40,21 @@
 	firstRetryDelay = 50 * time.Millisecond
 )
 
-// Serve streams a source to a follower until the context is done or send fails.
+// Serve streams a source to a follower until the context is done or send fails. While the
+// source is out of sync, its messages have no content, as a follower discards it: after a
+// restart of the whole fleet all boxes ask each control box in turn, and the tables for them
+// would take the time that control needs to elect a leader.
 func Serve(ctx context.Context, source Source, r *betweenv1.FollowRequest, send func(*betweenv1.FollowResponse) error) error {
 	has := Position{Version: r.GetRoutingVersion(), Targets: r.GetTargetRevision(), Quarantine: r.GetQuarantineRevision(), Evacuations: r.GetEvacuationRevision()}
+	awaitSync(ctx, source)
 	alive := time.NewTicker(keepaliveInterval)
 	defer alive.Stop()
 	for {
 		changed := source.Changed()
-		resp := source.After(has)
+		resp := &betweenv1.FollowResponse{}
+		if isInSync(source) {
+			resp = source.After(has)
+		}
 		resp.Confirmed = source.Confirmed().Milliseconds()
 		if err := send(resp); err != nil {
 			return err
@@ -61,6 +73,18 @@
 	}
 }
 
+func isInSync(source Source) bool { return source.Confirmed() <= maxSyncAge }
+
+// awaitSync waits until a source is in sync, the context is done or syncWait has passed.
+func awaitSync(ctx context.Context, source Source) {
+	for range syncWait / syncPoll {
+		if isInSync(source) || ctx.Err() != nil {
+			return
+		}
+		periodic.Sleep(ctx, syncPoll)
+	}
+}
+
 // maxLoggedTargets bounds how many targets of one message are logged individually.
 const maxLoggedTargets = 12
 
@@ -95,15 +119,17 @@
 	connected string
 }
 
-// Run follows one control box after the other until the context is done.
+// Run follows one control box after the other until the context is done. Boxes begin with
+// different ones: all know the same seeds, and a control box that had to send its tables to
+// the whole fleet at once would take long.
 func (f *Follower) Run(ctx context.Context) {
-	for next := 0; ctx.Err() == nil; next++ {
+	for next := xxhash.Sum64String(f.Box); ctx.Err() == nil; next++ {
 		addresses := f.Client.Addresses()
 		if len(addresses) == 0 {
 			periodic.Sleep(ctx, retryDelay)
 			continue
 		}
-		address := addresses[next%len(addresses)]
+		address := addresses[next%uint64(len(addresses))]
 		err := f.follow(ctx, address)
 		if ctx.Err() != nil {
 			return
--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -402,6 +402,85 @@
 	}
 }
 
+// syncingSource is a Source that is in sync from the given check on.
+type syncingSource struct {
+	*Store
+	checks, inSyncFrom int
+}
+
+func (s *syncingSource) Confirmed() time.Duration {
+	s.checks++
+	if s.checks < s.inSyncFrom {
+		return time.Hour
+	}
+	return 0
+}
+
+// Guards against control boxes that send all tables to each follower although they are out of
+// sync, so that followers discard them, and against followers that have to ask again although
+// their control box is in sync shortly after.
+func TestServeSendsContentInSyncOnly(t *testing.T) {
+	tests := map[string]struct {
+		inSyncFrom int
+		content    bool
+	}{
+		"in sync":            {content: true},
+		"in sync soon after": {inSyncFrom: 4, content: true},
+		"out of sync":        {inSyncFrom: 1 << 30},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			store := NewStore(clock.System{})
+			message := &betweenv1.FollowResponse{Routing: &statev1.RoutingTable{Version: 3}, Targets: []*statev1.RegisteredTarget{row("a", ready, 1)}, TargetRevision: 1}
+			if _, err := store.Apply(message); err != nil {
+				t.Fatal(err)
+			}
+			var first *betweenv1.FollowResponse
+			err := Serve(context.Background(), &syncingSource{Store: store, inSyncFrom: test.inSyncFrom}, &betweenv1.FollowRequest{}, func(r *betweenv1.FollowResponse) error {
+				first = r
+				return errors.New("enough")
+			})
+			if err == nil || (first.GetRouting() != nil) != test.content || (len(first.GetTargets()) > 0) != test.content {
+				t.Errorf("got %v, %v, want content: %v", first, err, test.content)
+			}
+			if outOfSync := time.Duration(first.GetConfirmed())*time.Millisecond > maxSyncAge; outOfSync == test.content {
+				t.Errorf("the message says that the box was in sync %d ms ago", first.GetConfirmed())
+			}
+		})
+	}
+}
+
+// askedFirst is a control box that records who asks it to follow, and ends their runs.
+type askedFirst struct {
+	betweenv1connect.GatewayServiceClient
+	asked func()
+}
+
+func (b *askedFirst) Follow(context.Context, *connect.Request[betweenv1.FollowRequest]) (*connect.ServerStreamForClient[betweenv1.FollowResponse], error) {
+	b.asked()
+	return nil, errors.New("enough")
+}
+
+// Guards against a herd: after a restart of the whole fleet each box knows the same seeds, and
+// all of them asked the first one first.
+func TestFollowersBeginWithDifferentBoxes(t *testing.T) {
+	seeds := []string{"a", "b", "c"}
+	asked := map[string]int{}
+	const boxes = 90
+	for n := range boxes {
+		ctx, cancel := context.WithCancel(context.Background())
+		client := NewClient(seeds, func(address string) betweenv1connect.GatewayServiceClient {
+			return &askedFirst{asked: func() { asked[address]++; cancel() }}
+		})
+		(&Follower{Box: fmt.Sprint("edge-", n), Store: NewStore(clock.System{}), Client: client, Logger: logging.Discard()}).Run(ctx)
+	}
+	for _, address := range seeds {
+		if asked[address] > boxes/2 || asked[address] < boxes/6 {
+			t.Errorf("%d of %d boxes began with %s", asked[address], boxes, address)
+		}
+	}
+}
+
 // Guards against an order that the state has refused being tried again until its time is up.
 func TestRefusedChangeIsNotRetried(t *testing.T) {
 	refusing := &refusingBox{}
