models/spread: targets that have started copy shared prefixes from the next target

Cause: a target that starts takes over the prefixes that belong to it with an empty cache, and no source was named for them, as the target itself comes first. Releases and targets that come back made it read them again.

For 10 s after a start, after it was cold or out of reach, the source is the first target by the prefix that has had time to fill its cache.

TestCacheSourceOfTargetsThatStarted fails without the change.

--- a/models/spread/cold.go
+++ b/models/spread/cold.go
@@ -40,11 +40,17 @@
 func (t *Target) IsCold(now time.Duration) bool { return now < max(t.coldUntil, t.suspectUntil) }
 
 // RecordCold records for how much longer a target says that it is cold.
-func (t *Target) RecordCold(left, now time.Duration) { t.coldUntil = now + left }
+func (t *Target) RecordCold(left, now time.Duration) {
+	t.coldUntil = now + left
+	if left > 0 {
+		t.fillingUntil = now + cacheFillTime
+	}
+}
 
 // suspectCold lets a target count as cold for as long as its start would take.
 func (tb *Table) suspectCold(t *Target, now time.Duration) {
 	t.suspectUntil = now + max(minColdSuspicion, tb.coldTerms[t.Service].Start)
+	t.fillingUntil = now + cacheFillTime
 }
 
 // CurrentLimit returns how many requests a second all boxes together may send to a target
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -39,6 +39,9 @@
 	defaultMaxWaitingTokens = 20000
 	// remoteCost is added to the load of a target in another data centre, in calls.
 	remoteCost = 0.6
+	// cacheFillTime is how long a target that has started is taken to lack the caches of the
+	// prefixes that belong to it. Within that time the last user of a prefix comes again.
+	cacheFillTime = 10 * time.Second
 )
 
 // Target is one start (one run of the process) of a registered target, as this box
@@ -81,6 +84,8 @@
 	// coldUntil is how long the target is cold by its own word, suspectUntil how long it
 	// counts as cold because that is not known.
 	coldUntil, suspectUntil time.Duration
+	// fillingUntil is how long the target's cache may lack the prefixes that belong to it.
+	fillingUntil time.Duration
 	// replaced is set once another target answers at the address, hasAnnouncedEnd once the target
 	// has announced its end.
 	replaced        bool
@@ -115,6 +120,8 @@
 type Table struct {
 	dataCentre string
 	byID       map[string]*Target
+	// hasTargets is set once the table has had targets, from the second update on.
+	hasTargets bool
 	// services holds the targets of each service, sorted by hash.
 	services map[string][]*Target
 	prefill  map[string]*prefillStats
@@ -150,7 +157,12 @@
 		t = nil
 	}
 	if t == nil {
-		t = &Target{ID: row.GetId(), Born: row.GetBorn(), Service: row.GetService(), Address: row.GetAddress(), DataCentre: row.GetDataCentre(), hash: xxhash.Sum64String(row.GetId()), start: startIdentity(row.GetId(), row.GetBorn())}
+		// The first targets of a box have run for some time as far as it knows.
+		filling := time.Duration(0)
+		if tb.hasTargets {
+			filling = now + cacheFillTime
+		}
+		t = &Target{ID: row.GetId(), fillingUntil: filling, Born: row.GetBorn(), Service: row.GetService(), Address: row.GetAddress(), DataCentre: row.GetDataCentre(), hash: xxhash.Sum64String(row.GetId()), start: startIdentity(row.GetId(), row.GetBorn())}
 		tb.byID[t.ID] = t
 		tb.insert(t)
 	}
@@ -191,6 +203,7 @@
 			tb.remove(t)
 		}
 	}
+	tb.hasTargets = len(tb.byID) > 0
 }
 
 func (tb *Table) Len() int { return len(tb.byID) }
@@ -268,14 +281,23 @@
 		c.Dedicated = targetsToQuery(dedicated, criteria.Affinity)
 	}
 	if criteria.Affinity != 0 {
-		c.CacheSource = highestScore(others, criteria.Affinity, func(*Target) bool { return true })
-	}
-	if c.CacheSource == c.Target {
-		c.CacheSource = nil
+		c.CacheSource = cacheSource(c.Target, others, criteria.Affinity, now)
 	}
 	return c
 }
 
+// cacheSource returns the target from which another one can copy the cache of a shared
+// prefix: the first by the prefix that has had the time to fill its cache. It returns nil if
+// that is the target itself, and for a target that is the first of all and has had that time.
+func cacheSource(target *Target, candidates []*Target, affinity uint64, now time.Duration) *Target {
+	filled := func(t *Target) bool { return t.fillingUntil <= now }
+	source := highestScore(candidates, affinity, filled)
+	if source == target {
+		return nil
+	}
+	return source
+}
+
 // prefillOf returns the prefill record of a service, and creates it if needed.
 func (tb *Table) prefillOf(service string) *prefillStats {
 	r := tb.prefill[service]
--- a/models/spread/spread_test.go
+++ b/models/spread/spread_test.go
@@ -234,3 +234,64 @@
 		})
 	}
 }
+
+// Guards against prompts whose shared prefix is prefilled again although another target has
+// it: a target that has started takes over the prefixes that belong to it, with an empty cache.
+func TestCacheSourceOfTargetsThatStarted(t *testing.T) {
+	const affinity = 7
+	criteria := Criteria{Service: "s", Affinity: affinity, Boxes: 1}
+	ready := func(n int, cold uint32, revision uint64) *statev1.RegisteredTarget {
+		return &statev1.RegisteredTarget{Id: fmt.Sprint("t", n), Service: "s", Address: fmt.Sprint("10.0.0.1:", n), DataCentre: "dc-a", State: statev1.RegisteredTarget_STATE_READY, Cold: cold, Revision: revision}
+	}
+	ranked := newTestTable(0)
+	for n := range 4 {
+		ranked.Put(ready(n, 0, 1), 0)
+	}
+	first := ranked.Choose(criteria, 0).Target.ID
+	second := ranked.Choose(Criteria{Service: "s", Affinity: affinity, Boxes: 1, Exclude: map[string]bool{first: true}}, 0).Target.ID
+	ids := map[string]bool{"t0": true, "t1": true, "t2": true, "t3": true}
+	without := func(id string) map[string]bool {
+		left := map[string]bool{}
+		for other := range ids {
+			left[other] = other != id
+		}
+		return left
+	}
+	fill := func(tb *Table, leave string) {
+		for n := range 4 {
+			if id := fmt.Sprint("t", n); id != leave {
+				tb.Put(ready(n, 0, 1), 0)
+			}
+		}
+		tb.RetainOnly(without(leave))
+	}
+	number := map[string]int{"t0": 0, "t1": 1, "t2": 2, "t3": 3}
+	tests := map[string]struct {
+		prepare func(tb *Table)
+		at      time.Duration
+		source  string
+	}{
+		"all known from the start": {prepare: func(tb *Table) { fill(tb, "") }},
+		"the first has started":    {prepare: func(tb *Table) { fill(tb, first); tb.Put(ready(number[first], 0, 2), time.Second) }, at: time.Second, source: second},
+		"it has filled its cache":  {prepare: func(tb *Table) { fill(tb, first); tb.Put(ready(number[first], 0, 2), time.Second) }, at: time.Second + cacheFillTime},
+		"another has started":      {prepare: func(tb *Table) { fill(tb, second); tb.Put(ready(number[second], 0, 2), time.Second) }, at: time.Second},
+		"the first was cold":       {prepare: func(tb *Table) { fill(tb, ""); tb.Put(ready(number[first], 100, 2), time.Second) }, at: 2 * time.Second, source: second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tb := newTestTable(0)
+			test.prepare(tb)
+			c := tb.Choose(criteria, test.at)
+			if c.Target.ID != first {
+				t.Fatalf("chose %s, want %s", c.Target.ID, first)
+			}
+			source := ""
+			if c.CacheSource != nil {
+				source = c.CacheSource.ID
+			}
+			if source != test.source {
+				t.Errorf("the cache comes from %q, want %q", source, test.source)
+			}
+		})
+	}
+}
