--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -162,7 +162,10 @@
 		if tb.hasTargets {
 			filling = now + cacheFillTime
 		}
-		t = &Target{ID: row.GetId(), fillingUntil: filling, Born: row.GetBorn(), Service: row.GetService(), Address: row.GetAddress(), DataCentre: row.GetDataCentre(), hash: xxhash.Sum64String(row.GetId()), start: startIdentity(row.GetId(), row.GetBorn())}
+		t = &Target{
+			ID: row.GetId(), Born: row.GetBorn(), Service: row.GetService(), Address: row.GetAddress(), DataCentre: row.GetDataCentre(),
+			hash: xxhash.Sum64String(row.GetId()), start: startIdentity(row.GetId(), row.GetBorn()), fillingUntil: filling,
+		}
 		tb.byID[t.ID] = t
 		tb.insert(t)
 	}
