--- a/models/spread/cold.go
+++ b/models/spread/cold.go
@@ -11,17 +11,16 @@
 	"havenwinch.dev/havenwinch/models/rate"
 )
 
-// A target is cold for some time after its start, and again whenever it says so. A cold
+// A target is cold for some time after its start, and again whenever it reports that. A cold
 // target handles few requests a second from all boxes together and fails under many more.
 // Without a limit it would get the calls of all boxes at once, as it has the least load of
 // all targets. So the boxes divide its rate as they divide the limits that targets state.
 //
-// A target whose word is not known counts as cold for as long as a start takes: it may
-// have restarted while this box could not reach it, or while its data centre was
-// evacuated.
+// A target that may have restarted unnoticed counts as cold for as long as a start takes:
+// after this box could not reach it, and after its data centre was evacuated.
 
-// minColdSuspicion is how long a target without a known state counts as cold at least: two
-// intervals of its reports to control, and their way to this box.
+// minColdSuspicion is how long such a target counts as cold at least: two intervals of its
+// reports to control, and the time that these take to reach this box.
 const minColdSuspicion = 2500 * time.Millisecond
 
 // ColdTerms say what the cold targets of a service can handle.
@@ -39,7 +38,7 @@
 // IsCold reports whether a target counts as cold at now.
 func (t *Target) IsCold(now time.Duration) bool { return now < max(t.coldUntil, t.suspectUntil) }
 
-// RecordCold records for how much longer a target says that it is cold.
+// RecordCold records for how much longer a target is cold as it has reported.
 func (t *Target) RecordCold(left, now time.Duration) {
 	t.coldUntil = now + left
 	if left > 0 {
--- a/models/spread/cold_test.go
+++ b/models/spread/cold_test.go
@@ -59,13 +59,13 @@
 		// cold says, by time, whether the target has a limit.
 		cold map[time.Duration]bool
 	}{
-		"warm":            {terms: terms, do: func(*Table, *Target) {}, cold: map[time.Duration]bool{0: false}},
-		"by its own word": {terms: terms, do: func(tb *Table, _ *Target) { tb.Put(coldRow(0, "a", 2*second, 2), second) }, cold: map[time.Duration]bool{2900 * time.Millisecond: true, 3 * second: false}},
+		"warm":        {terms: terms, do: func(*Table, *Target) {}, cold: map[time.Duration]bool{0: false}},
+		"as reported": {terms: terms, do: func(tb *Table, _ *Target) { tb.Put(coldRow(0, "a", 2*second, 2), second) }, cold: map[time.Duration]bool{2900 * time.Millisecond: true, 3 * second: false}},
 		"the same row again": {terms: terms, do: func(tb *Table, _ *Target) {
 			tb.Put(coldRow(0, "a", 2*second, 2), 0)
 			tb.Put(coldRow(0, "a", 2*second, 2), second)
 		}, cold: map[time.Duration]bool{2 * second: false}},
-		"warm by its own word": {terms: terms, do: func(tb *Table, _ *Target) {
+		"reported as warm": {terms: terms, do: func(tb *Table, _ *Target) {
 			tb.Put(coldRow(0, "a", 9*second, 2), 0)
 			tb.Put(coldRow(0, "a", 0, 3), second)
 		}, cold: map[time.Duration]bool{second: false}},
@@ -84,7 +84,7 @@
 			tb.SetEvacuations(evacuation(false, 2), 0)
 			tb.Put(coldRow(0, "a", 6*second, 5), second)
 		}, cold: map[time.Duration]bool{6 * second: true, 7 * second: false}},
-		"ended, then a late word": {terms: terms, do: func(tb *Table, _ *Target) {
+		"ended, then a late report": {terms: terms, do: func(tb *Table, _ *Target) {
 			tb.SetEvacuations(evacuation(false, 2), 0)
 			tb.Put(coldRow(0, "a", 0, 5), second)
 		}, cold: map[time.Duration]bool{2 * second: true}},
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -81,10 +81,10 @@
 	start string
 	// revision is that of the row from which the target was last updated.
 	revision uint64
-	// coldUntil is how long the target is cold by its own word, suspectUntil how long it
-	// counts as cold because that is not known.
+	// coldUntil is until when the target has reported to be cold, suspectUntil until when it
+	// counts as cold because it may have restarted.
 	coldUntil, suspectUntil time.Duration
-	// fillingUntil is how long the target's cache may lack the prefixes that belong to it.
+	// fillingUntil is until when the target's cache may lack the prefixes that belong to it.
 	fillingUntil time.Duration
 	// replaced is set once another target answers at the address, hasAnnouncedEnd once the target
 	// has announced its end.
