models/spread: a target that reports to be warm has no time until which it is cold

The time of the put counted as the end of its being cold, so that the test failed on each machine that had run for longer than an hour. It fails there without this change and passes with it. In a box both times come from one clock.

--- a/models/spread/cold.go
+++ b/models/spread/cold.go
@@ -40,10 +40,12 @@
 
 // RecordCold records for how much longer a target is cold as it has reported.
 func (t *Target) RecordCold(left, now time.Duration) {
-	t.coldUntil = now + left
-	if left > 0 {
-		t.fillingUntil = now + cacheFillTime
+	if left == 0 {
+		t.coldUntil = 0
+		return
 	}
+	t.coldUntil = now + left
+	t.fillingUntil = now + cacheFillTime
 }
 
 // suspectCold lets a target count as cold for as long as its start would take.
