--- a/cmd/havenwinch/command.go
+++ b/cmd/havenwinch/command.go
@@ -66,7 +66,7 @@
 		ArgsUsage:   "TEXT",
 		Description: languageHelp,
 		Flags: []cli.Flag{
-			&cli.Uint64Flag{Name: "number", Usage: "number of the command, the same when it is sent again (default: from the time)"},
+			numberFlag(),
 			&cli.Uint64Flag{Name: "if-revision", Usage: "only take effect at this revision"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
@@ -75,6 +75,11 @@
 	}
 }
 
+// numberFlag returns the flag that sendCommandText reads.
+func numberFlag() cli.Flag {
+	return &cli.Uint64Flag{Name: "number", Usage: "number of the command, the same when it is sent again (default: from the time)"}
+}
+
 // sendCommandText sends a command of the language and prints its result.
 func sendCommandText(c *cli.Command, text string, expectRevision uint64) error {
 	number := c.Uint64("number")
@@ -105,7 +110,7 @@
 		ArgsUsage: "DATA-CENTRE",
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "end", Usage: "end the evacuation: the targets receive requests again"},
-			&cli.Uint64Flag{Name: "number", Usage: "number of the command, the same when it is sent again (default: from the time)"},
+			numberFlag(),
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Args().Len() != 1 {
--- a/services/gateway/client.go
+++ b/services/gateway/client.go
@@ -178,11 +178,8 @@
 func callAny[Q, A any](ctx context.Context, c *Client, r *Q, m method[Q, A]) (*A, error) {
 	for {
 		resp, err := tryAll(ctx, c, r, m)
-		if err == nil {
-			return resp, nil
-		}
-		if refused := refusalOf(err); refused != nil {
-			return nil, refused
+		if err == nil || IsErrRefused(err) {
+			return resp, err
 		}
 		periodic.Sleep(ctx, roundInterval)
 		if ctx.Err() != nil {
@@ -210,8 +207,8 @@
 			return resp, nil
 		}
 		last = err
-		if refusalOf(err) != nil {
-			return nil, err
+		if refused := refusalOf(err); refused != nil {
+			return nil, refused
 		}
 		if leader := leaderOf(err); leader != "" && !asked[leader] {
 			order = append([]string{leader}, order...)
