--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -29,6 +29,8 @@
 	// box is the entry box that received the request.
 	box    string
 	sentAt time.Time
+	// endedAt is when the caller had the answer or gave up.
+	endedAt time.Time
 }
 
 // callerPool is the state shared by all simulated callers. They reuse their
@@ -53,6 +55,9 @@
 	conn   net.Conn
 	reader *observe.Reader
 	count  int
+	// entry is one more than the index of the only entry box that the caller uses, zero if it uses
+	// any of them.
+	entry int
 	// box is the name of the entry box that conn leads to.
 	box string
 }
@@ -102,6 +107,9 @@
 	o := outcome{id: id, route: route}
 	if c.conn == nil {
 		n := c.rng.Intn(len(c.all.entries))
+		if c.entry > 0 {
+			n = c.entry - 1
+		}
 		conn, err := net.DialTimeout("tcp", c.all.entries[n], dialLimit)
 		if err != nil {
 			return o
@@ -128,6 +136,7 @@
 
 func (c *caller) readAnswer(o outcome) outcome {
 	a, err := c.reader.Answer(http.MethodPost)
+	o.endedAt = time.Now()
 	o.status, o.body, o.complete, o.retryAfter, o.signed = a.Status, string(a.Body), err == nil, a.Get("Retry-After"), a.Get("Server-Signature") != ""
 	if observe.IsErrMalformed(err) {
 		c.all.platform.recordViolation("request %s (%s) over %s: %v", o.id, o.route, c.conn.RemoteAddr(), err)
--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -44,8 +44,10 @@
 	name string
 	role string
 	ip   string
-	dir  string
-	env  []string
+	// centre is the name of the box's data centre.
+	centre string
+	dir    string
+	env    []string
 	// bin is the directory of the binary to run from the next start on.
 	bin string
 
@@ -95,9 +97,9 @@
 			b.name, b.role = fmt.Sprintf("entry-%d", i-controls+1), "entry"
 		}
 		b.dir = filepath.Join(f.dir, b.name)
-		centre := "zone-" + string(rune('a'+i%dataCentres))
+		b.centre = "zone-" + string(rune('a'+i%dataCentres))
 		b.env = []string{
-			"HAVENWINCH_BOX=" + b.name, "HAVENWINCH_DATA_CENTRE=" + centre, "HAVENWINCH_IP=" + b.ip,
+			"HAVENWINCH_BOX=" + b.name, "HAVENWINCH_DATA_CENTRE=" + b.centre, "HAVENWINCH_IP=" + b.ip,
 			"HAVENWINCH_BETWEEN_PORT=" + strconv.Itoa(f.ports.between), "HAVENWINCH_SEEDS=" + strings.Join(seeds, ","),
 			"HAVENWINCH_CALLER_LISTEN=" + f.address(b, f.ports.caller), "HAVENWINCH_READY_LISTEN=" + f.address(b, f.ports.ready),
 			"HAVENWINCH_REGISTRY_LISTEN=" + f.address(b, f.ports.registry), "HAVENWINCH_METRICS_LISTEN=" + f.address(b, f.ports.metrics),
--- a/tests/soak/link_test.go
+++ b/tests/soak/link_test.go
@@ -4,11 +4,15 @@
 package soak
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // linkMode is the fault that a link applies to its connections.
@@ -40,19 +44,28 @@
 	muted map[*atomic.Bool]bool
 }
 
-func newLink(target string) (*link, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// plainTCP opens listeners without Multipath TCP, whose sockets take no packet filters.
+var plainTCP = func() *net.ListenConfig {
+	c := &net.ListenConfig{}
+	c.SetMultipathTCP(false)
+	return c
+}()
+
+func newLink(target string) (*link, error) { return newLinkAt("127.0.0.1:0", target) }
+
+func newLinkAt(address, target string) (*link, error) {
+	l, err := plainTCP.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	k := &link{address: l.Addr().String(), target: target, listener: l, conns: map[net.Conn]bool{}, muted: map[*atomic.Bool]bool{}}
-	go k.accept()
+	go k.accept(l)
 	return k, nil
 }
 
-func (l *link) accept() {
+func (l *link) accept(listener net.Listener) {
 	for {
-		c, err := l.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -149,3 +162,80 @@
 	_ = l.listener.Close()
 	l.reset()
 }
+
+// linkFault is how the whole link between a box and a server fails.
+type linkFault int
+
+const (
+	noFault linkFault = iota
+	// silentFault drops all packets, those of new connections included.
+	silentFault
+	// resetFault resets open connections and refuses new ones.
+	resetFault
+	// refusingFault leaves open connections alone and refuses new ones.
+	refusingFault
+)
+
+// apply begins or ends a fault of the link.
+func (l *link) apply(fault linkFault) {
+	if fault == resetFault || fault == refusingFault {
+		_ = l.listener.Close()
+	} else {
+		l.listen()
+	}
+	l.dropPackets(fault == silentFault)
+	if fault == silentFault {
+		l.set(linkSilent)
+	} else {
+		l.set(linkNormal)
+	}
+	if fault == resetFault {
+		l.reset()
+	}
+}
+
+// listen opens the listener again at its address, unless it is open.
+func (l *link) listen() {
+	listener, err := plainTCP.Listen(context.Background(), "tcp", l.address)
+	if err != nil {
+		return
+	}
+	l.mu.Lock()
+	l.listener = listener
+	l.mu.Unlock()
+	go l.accept(listener)
+}
+
+// dropPackets makes the kernel discard all packets that arrive for the link from its callers,
+// or ends that.
+func (l *link) dropPackets(drop bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	setDrop(l.listener.(*net.TCPListener), drop)
+	for c := range l.conns {
+		if c.LocalAddr().String() == l.address {
+			setDrop(c.(*net.TCPConn), drop)
+		}
+	}
+}
+
+// setDrop attaches a socket filter that accepts no packet, or removes it.
+func setDrop(socket syscall.Conn, drop bool) {
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		// The socket is closed.
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		if !drop {
+			// There may be none.
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+			return
+		}
+		none := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
+		err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(none)), Filter: &none[0]})
+	})
+	if err != nil {
+		panic(err)
+	}
+}
