Boxes that have lost their targets reach them through other boxes

Callers at entry boxes that alone had lost their links to all targets were refused or waited in vain, though every other box could serve them: a box knew one way to a target, its own link, and took 'I can't reach it' for 'it is down'.

models/reach tells the two apart: when three different targets of a service (or all) have failed to be dialled and none has been reached since, the box itself is cut off. The first failed dial begins a check that dials three others, so that targets that have crashed are not taken for that. services/relay then opens connections to targets through another entry box, which only carries their bytes: reservation, limits, retries, cold rates, evacuations and the one run of a call stay where it was accepted. The stream between boxes has an end of its own, so that a carrier that dies never makes a cut answer look whole. While a service is lost its targets are dialled every 300 ms, and the first one reached ends the detour. If no box has a path, calls are refused at once.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -23,6 +23,7 @@
 	"havenwinch.dev/havenwinch/services/gateway"
 	"havenwinch.dev/havenwinch/services/overload"
 	"havenwinch.dev/havenwinch/services/quarantine"
+	"havenwinch.dev/havenwinch/services/relay"
 )
 
 const (
@@ -43,6 +44,7 @@
 	shared     *gateway.SharedLeases
 	quarantine *quarantine.Service
 	between    *http.Server
+	relays     *relay.Server
 	meter      *meter.Meter
 	overload   *overload.Watcher
 	forwarder  *forward.Forwarder
@@ -59,7 +61,10 @@
 		Store: b.Store, Client: b.Client, Clock: b.Clock, Logger: b.Logger,
 	})
 	e.shared = &gateway.SharedLeases{Leases: e.leases, Dial: b.Peers.Draws}
-	e.between = b.Peers.Server(between.NewDrawHandler(e.leases, b.Peers.HandlerOptions()))
+	dialer := relay.NewDialer(relay.DialerOptions{
+		Box: b.Settings.Box, DataCentre: b.Settings.DataCentre, Directory: e.leases.Directory, Connect: b.Peers.Relays,
+		Clock: b.Clock, Logger: b.Logger,
+	})
 	registry := &gateway.Registry{Lookup: b.Store.Target, Client: b.Client, Clock: b.Clock}
 	e.quarantine = quarantine.New(quarantine.Options{List: &b.Store.Quarantine, Clock: b.Clock, Logger: b.Logger, Report: b.Client.ReportCalls})
 	e.forwarder = forward.New(forward.Options{
@@ -75,6 +80,7 @@
 		EngineAPI:   platform.EngineAPI{},
 		ReportGone:  registry.Deregister,
 		ReportNow:   e.leases.ReportNow,
+		Relays:      dialer,
 		IsCongested: e.overload.IsCongested,
 		Meter:       e.meter,
 		RetryRatio:  b.Settings.RetryRatio,
@@ -82,6 +88,8 @@
 		RetryWindow: b.Settings.RetryWindow,
 	})
 	e.leases.Placement = e.forwarder
+	e.relays = relay.NewServer(relay.ServerOptions{Targets: e.forwarder, Meter: e.meter, IsCongested: e.overload.IsCongested, Count: b.Metrics.Relay})
+	e.between = b.Peers.Server(between.NewEntryHandler(e.leases, e.relays, b.Peers.HandlerOptions()))
 	e.callers = callers.New(callers.Options{
 		Forwarder:  e.forwarder,
 		Translator: platform.Translator{},
@@ -100,6 +108,9 @@
 		rows, _ := b.Store.Evacuations()
 		return float64(len(state.ActiveEvacuations(rows)))
 	})
+	b.Metrics.Gauge("unreachable_services", "Services to which this box has lost its own links.", func() float64 { return float64(e.forwarder.LostServices()) })
+	b.Metrics.Gauge("relayed_connections", "Open connections of this box to targets that other boxes carry.", func() float64 { return float64(dialer.Open()) })
+	b.Metrics.Gauge("carried_connections", "Open connections to targets that this box carries for others.", func() float64 { return float64(e.relays.Carried()) })
 	e.ready = newReadyServer(platform.ReadyHandler(e.isReady))
 	return e
 }
@@ -151,6 +162,7 @@
 func (e *entryRole) stop(ctx context.Context) {
 	periodic.Sleep(ctx, entryBalancerDelay)
 	e.callers.Stop()
+	e.relays.Stop()
 	_ = e.listener.Close()
 	e.callers.CloseIdle()
 	e.leases.Leave()
@@ -163,5 +175,6 @@
 	e.leases.SendFinalReport(returnCtx)
 	done()
 	e.callers.Wait(ctx)
+	e.relays.Wait(ctx)
 	_ = e.between.Close()
 }
--- a/gen/havenwinch/between/v1/betweenv1connect/between.connect.go
+++ b/gen/havenwinch/between/v1/betweenv1connect/between.connect.go
@@ -36,6 +36,8 @@
 	GatewayServiceName = "havenwinch.between.v1.GatewayService"
 	// DrawServiceName is the fully-qualified name of the DrawService service.
 	DrawServiceName = "havenwinch.between.v1.DrawService"
+	// RelayServiceName is the fully-qualified name of the RelayService service.
+	RelayServiceName = "havenwinch.between.v1.RelayService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -102,6 +104,8 @@
 	DrawServiceDrawProcedure = "/havenwinch.between.v1.DrawService/Draw"
 	// DrawServiceSettleProcedure is the fully-qualified name of the DrawService's Settle RPC.
 	DrawServiceSettleProcedure = "/havenwinch.between.v1.DrawService/Settle"
+	// RelayServiceConnectProcedure is the fully-qualified name of the RelayService's Connect RPC.
+	RelayServiceConnectProcedure = "/havenwinch.between.v1.RelayService/Connect"
 )
 
 // ConsensusServiceClient is a client for the havenwinch.between.v1.ConsensusService service.
@@ -1038,3 +1042,83 @@
 func (UnimplementedDrawServiceHandler) Settle(context.Context, *connect.Request[v1.SettleDrawsRequest]) (*connect.Response[v1.SettleDrawsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.DrawService.Settle is not implemented"))
 }
+
+// RelayServiceClient is a client for the havenwinch.between.v1.RelayService service.
+type RelayServiceClient interface {
+	// Connect opens a connection to a target and carries its bytes until either side closes it.
+	// It ends without an error when the target has closed the connection, with the code Aborted
+	// when the target has reset it. Before the connection is open, FailedPrecondition means that
+	// the target refuses connections, DeadlineExceeded that it does not answer, NotFound that it
+	// is not registered, and Unavailable and ResourceExhausted that this box can't be used.
+	Connect(context.Context) *connect.BidiStreamForClient[v1.ConnectRequest, v1.ConnectResponse]
+}
+
+// NewRelayServiceClient constructs a client for the havenwinch.between.v1.RelayService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewRelayServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) RelayServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	relayServiceMethods := v1.File_havenwinch_between_v1_between_proto.Services().ByName("RelayService").Methods()
+	return &relayServiceClient{
+		connect: connect.NewClient[v1.ConnectRequest, v1.ConnectResponse](
+			httpClient,
+			baseURL+RelayServiceConnectProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("Connect")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// relayServiceClient implements RelayServiceClient.
+type relayServiceClient struct {
+	connect *connect.Client[v1.ConnectRequest, v1.ConnectResponse]
+}
+
+// Connect calls havenwinch.between.v1.RelayService.Connect.
+func (c *relayServiceClient) Connect(ctx context.Context) *connect.BidiStreamForClient[v1.ConnectRequest, v1.ConnectResponse] {
+	return c.connect.CallBidiStream(ctx)
+}
+
+// RelayServiceHandler is an implementation of the havenwinch.between.v1.RelayService service.
+type RelayServiceHandler interface {
+	// Connect opens a connection to a target and carries its bytes until either side closes it.
+	// It ends without an error when the target has closed the connection, with the code Aborted
+	// when the target has reset it. Before the connection is open, FailedPrecondition means that
+	// the target refuses connections, DeadlineExceeded that it does not answer, NotFound that it
+	// is not registered, and Unavailable and ResourceExhausted that this box can't be used.
+	Connect(context.Context, *connect.BidiStream[v1.ConnectRequest, v1.ConnectResponse]) error
+}
+
+// NewRelayServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewRelayServiceHandler(svc RelayServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	relayServiceMethods := v1.File_havenwinch_between_v1_between_proto.Services().ByName("RelayService").Methods()
+	relayServiceConnectHandler := connect.NewBidiStreamHandler(
+		RelayServiceConnectProcedure,
+		svc.Connect,
+		connect.WithSchema(relayServiceMethods.ByName("Connect")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/havenwinch.between.v1.RelayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case RelayServiceConnectProcedure:
+			relayServiceConnectHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedRelayServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedRelayServiceHandler struct{}
+
+func (UnimplementedRelayServiceHandler) Connect(context.Context, *connect.BidiStream[v1.ConnectRequest, v1.ConnectResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.RelayService.Connect is not implemented"))
+}
--- a/models/spread/health.go
+++ b/models/spread/health.go
@@ -4,7 +4,9 @@
 package spread
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -65,6 +67,73 @@
 	}
 }
 
+// EndUnreachable ends the bans of a service's targets that could not be reached, as that was not
+// due to them. They do not count as cold.
+func (tb *Table) EndUnreachable(service string) {
+	for _, t := range tb.services[service] {
+		if t.unreachableBans == 0 {
+			continue
+		}
+		t.unreachableBans = 0
+		if !t.outlier {
+			t.bannedUntil = 0
+		}
+	}
+}
+
+// ByID returns the present start of a target, nil if there is none.
+func (tb *Table) ByID(id string) *Target { return tb.byID[id] }
+
+// isCheckable reports whether a target may be dialled without a call.
+func (tb *Table) isCheckable(t *Target) bool {
+	return !t.Draining && !t.replaced && !tb.IsEvacuated(t)
+}
+
+// CountUsable returns the number of a service's targets that calls may go to, banned ones
+// included.
+func (tb *Table) CountUsable(service string) int {
+	n := 0
+	for _, t := range tb.services[service] {
+		if tb.isCheckable(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// ToCheck returns at most n targets of a service to find out whether the box reaches any: those
+// that are not banned and in the box's data centre come first. from selects where to begin in
+// the list, so that repeated checks include all.
+func (tb *Table) ToCheck(service string, from, n int) []*Target {
+	var list []*Target
+	for _, t := range tb.services[service] {
+		if tb.isCheckable(t) {
+			list = append(list, t)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	from %= len(list)
+	list = append(list[from:], list[:from]...)
+	if from == 0 {
+		slices.SortStableFunc(list, func(a, b *Target) int { return cmp.Compare(tb.checkRank(a), tb.checkRank(b)) })
+	}
+	return list[:min(n, len(list))]
+}
+
+// checkRank orders targets for a check, the first ones having the lowest rank.
+func (tb *Table) checkRank(t *Target) int {
+	switch {
+	case t.unreachableBans > 0:
+		return 2
+	case t.DataCentre != tb.dataCentre:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // RecordOutcome records the outcome of a call that reached its target. It reports whether
 // the target has now been banned as an outlier.
 func (tb *Table) RecordOutcome(t *Target, failed bool, now time.Duration) bool {
--- a/routers/between/draws.go
+++ b/routers/between/entry.go
@@ -12,12 +12,15 @@
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
 	"havenwinch.dev/havenwinch/services/gateway"
+	"havenwinch.dev/havenwinch/services/relay"
 )
 
-// NewDrawHandler returns the handler of an entry box on whose leases other boxes may draw.
-func NewDrawHandler(leases *gateway.Leases, opts []connect.HandlerOption) http.Handler {
+// NewEntryHandler returns the handler of an entry box on whose leases other boxes may draw, and
+// which carries connections to targets for them.
+func NewEntryHandler(leases *gateway.Leases, relays *relay.Server, opts []connect.HandlerOption) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(betweenv1connect.NewDrawServiceHandler(&drawServer{leases}, opts...))
+	mux.Handle(betweenv1connect.NewRelayServiceHandler(&relayServer{relays}, opts...))
 	return mux
 }
 
@@ -31,3 +34,9 @@
 	d.leases.SettleDraws(r.Msg)
 	return connect.NewResponse(&betweenv1.SettleDrawsResponse{}), nil
 }
+
+type relayServer struct{ relays *relay.Server }
+
+func (r *relayServer) Connect(ctx context.Context, stream *connect.BidiStream[betweenv1.ConnectRequest, betweenv1.ConnectResponse]) error {
+	return r.relays.Serve(ctx, stream)
+}
--- a/services/forward/choose.go
+++ b/services/forward/choose.go
@@ -103,13 +103,13 @@
 }
 
 // releaseSlot releases the slot at a target and records the outcome of the attempt.
-func (fl *inflightCall) releaseSlot(t *spread.Target, v verdict) {
+func (fl *inflightCall) releaseSlot(t *spread.Target, a attempt) {
 	f, now := fl.f, fl.tick()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t.RunningCalls--
 	fl.clearWaitingTokens(t)
-	switch v {
+	switch a.verdict {
 	case unreachable:
 		if f.opts.IsCongested() {
 			return
@@ -128,10 +128,14 @@
 		f.targets.MarkReachable(t, now)
 		f.targets.RecordOutcome(t, false, now)
 	case failing:
+		if f.reach.IsLost(t.Service) && !a.relayed {
+			// The connection may have failed with this box's own links.
+			return
+		}
 		if f.targets.RecordOutcome(t, true, now) {
 			f.opts.Logger.Warn("target out", "target", t.ID, "address", t.Address, "reason", "fails calls", "request", fl.call.ID)
 		}
-	case inconclusive:
+	case inconclusive, cutOff:
 	}
 }
 
@@ -159,4 +163,6 @@
 	replaced
 	failing
 	unreachable
+	// cutOff means that the target could not be reached as this box has lost its own links.
+	cutOff
 )
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -13,6 +13,7 @@
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/quarantine"
 	"havenwinch.dev/havenwinch/models/rate"
+	"havenwinch.dev/havenwinch/models/reach"
 	"havenwinch.dev/havenwinch/models/routing"
 	"havenwinch.dev/havenwinch/models/spread"
 	"havenwinch.dev/havenwinch/modules/clock"
@@ -93,6 +94,8 @@
 	IsCongested func() bool
 	// ReportNow makes this box report to control immediately; nil where it doesn't report.
 	ReportNow func()
+	// Relays dials targets through other boxes; nil for never.
+	Relays Relays
 	// EngineAPI encodes the requests by which engines copy the state of running calls; nil where
 	// they can't.
 	EngineAPI EngineAPI
@@ -125,6 +128,10 @@
 	ready chan struct{}
 	// breaks holds the targets that dropped calls recently.
 	breaks map[*spread.Target]*targetBreaks
+	// reach tells which services this box can't dial, and nextProbe, by service, where the next
+	// check begins in the list of its targets.
+	reach     *reach.Tracker
+	nextProbe map[string]int
 	// fleet holds the boxes that send to targets and the fleet's clock, as told by control.
 	// fleetVersion is the version of the box directory it was made from, fleetSet when its
 	// clock was last adjusted.
@@ -148,7 +155,9 @@
 	if opts.IsCongested == nil {
 		opts.IsCongested = func() bool { return false }
 	}
-	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, pool: newPool(opts.Clock.Boot, opts.Meter, opts.IsCongested), targets: spread.NewTable(opts.DataCentre), ready: make(chan struct{}), breaks: map[*spread.Target]*targetBreaks{}}
+	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, pool: newPool(opts.Clock.Boot, opts.Meter, opts.IsCongested), targets: spread.NewTable(opts.DataCentre), ready: make(chan struct{}), breaks: map[*spread.Target]*targetBreaks{},
+		reach: reach.NewTracker(), nextProbe: map[string]int{}}
+	f.pool.isLost, f.pool.relay, f.pool.dialled = f.isLost, f.dialRelay, f.recordDial
 	// Until control sends the fleet's clock, this box's wall clock is a close estimate.
 	f.fleet = rate.NewFleet(opts.Box, nil, time.Duration(opts.Clock.Wall().UnixNano())-f.started)
 	f.targets.SetFleet(f.fleet)
@@ -229,10 +238,15 @@
 func (f *Forwarder) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	checks := time.NewTicker(pathCheckInterval)
+	defer checks.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-checks.C:
+			f.checkLostPaths(ctx)
+			continue
 		case <-ticker.C:
 		}
 		f.pool.sweep(f.isTargetReady)
@@ -301,6 +315,9 @@
 	if refusal := fl.refuseIfEvacuated(); refusal != nil {
 		return refusal
 	}
+	if refusal := fl.refuseIfCutOff(); refusal != nil {
+		return refusal
+	}
 	if refusal := fl.refuseIfLimited(ctx); refusal != nil {
 		return refusal
 	}
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -40,6 +40,9 @@
 	// sends lists the targets that the call was sent to, each with the outcome.
 	sends    []string
 	excluded map[string]bool
+	// unreachedTargets are the starts of the targets that could not be dialled, and carriers the
+	// boxes that carried the call.
+	unreachedTargets, carriers []string
 	// possibleRuns counts the targets that may have run the call.
 	possibleRuns int
 	lastChoice   spread.Choice
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -58,6 +58,9 @@
 	if fl.lastChoice.LimitedTargets > 0 {
 		attrs = append(attrs, slog.Int("limited_targets", fl.lastChoice.LimitedTargets), slog.Int64("waited_ms", fl.limitWait.Milliseconds()))
 	}
+	if len(fl.carriers) > 0 {
+		attrs = append(attrs, slog.Any("carried_by", fl.carriers))
+	}
 	if fl.brokenOff {
 		attrs = append(attrs, slog.String("content", fl.contentDigest().String()), slog.Int("body_bytes", len(fl.call.Body)))
 	}
--- /dev/null
+++ b/services/forward/paths.go
@@ -0,0 +1,204 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package forward
+
+import (
+	"context"
+	"math/rand"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"havenwinch.dev/havenwinch/models/spread"
+	"havenwinch.dev/havenwinch/services/relay"
+	"havenwinch.dev/havenwinch/structs"
+)
+
+// A box that can dial no target of a service has probably lost its own links. It then dials
+// them through another entry box, which only carries the bytes; everything else about a call
+// stays here.
+
+const (
+	// pathCheckInterval is the time between looks at the services that are out of reach.
+	pathCheckInterval = 100 * time.Millisecond
+	// checkedTargets is how many targets are dialled to find out whether the box reaches any.
+	checkedTargets = 3
+	// noPathRetryAfter is the Retry-After time while no box reaches a service; the next checks
+	// have ended by then.
+	noPathRetryAfter = 500 * time.Millisecond
+)
+
+// Relays dials targets through other entry boxes.
+type Relays interface {
+	// Dial opens a connection to a target. The error is a relay.ErrNoPath if no other box reaches
+	// the service, else the error that the target gave the other box.
+	Dial(ctx context.Context, service, target string) (net.Conn, error)
+	// HasPath reports whether another box may reach a service, as far as is known.
+	HasPath(service string) bool
+}
+
+// isLost reports whether this box has lost its own links to a service.
+func (f *Forwarder) isLost(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reach.IsLost(service)
+}
+
+// LostServices returns the number of services to which this box has lost its own links.
+func (f *Forwarder) LostServices() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.reach.Lost())
+}
+
+// dialRelay dials a target through another box.
+func (f *Forwarder) dialRelay(ctx context.Context, t *spread.Target) (net.Conn, error) {
+	if f.opts.Relays == nil {
+		return nil, errors.WithStack(relay.ErrNoPath{Reason: "there are none"})
+	}
+	return f.opts.Relays.Dial(ctx, t.Service, t.ID)
+}
+
+// recordDial records the result of a dial over the box's own links. A congested link says
+// nothing about the targets.
+func (f *Forwarder) recordDial(t *spread.Target, err error) {
+	if err == nil {
+		f.recordReached(t)
+		return
+	}
+	if f.opts.IsCongested() {
+		return
+	}
+	f.mu.Lock()
+	now := f.opts.Clock.Boot()
+	lost := f.reach.RecordUnreached(t.Service, t.StartIdentity(), f.targets.CountUsable(t.Service), now)
+	if lost {
+		// The targets were banned for the loss of this box's own links.
+		f.targets.EndUnreachable(t.Service)
+	}
+	check := f.reach.BeginCheck(t.Service, now)
+	f.mu.Unlock()
+	if lost {
+		f.logLost(t, err)
+	}
+	if check {
+		go f.checkPath(context.Background(), t.Service)
+	}
+}
+
+// logLost logs that a service is out of reach. If that is since nothing answers, open
+// connections are silent, too.
+func (f *Forwarder) logLost(t *spread.Target, err error) {
+	reason := dialFailure(err)
+	f.opts.Logger.Warn("dependency lost", "dependency", "targets", "service", t.Service, "reason", reason, "target", t.ID, "address", t.Address)
+	if reason == dialSilent {
+		f.pool.dropIdle(t.Service, false)
+	}
+}
+
+// recordReached records that the box has dialled a target over its own links.
+func (f *Forwarder) recordReached(t *spread.Target) {
+	f.mu.Lock()
+	regained, lostFor := f.reach.RecordReached(t.Service, f.opts.Clock.Boot())
+	delete(f.nextProbe, t.Service)
+	f.mu.Unlock()
+	if regained {
+		f.opts.Logger.Info("dependency regained", "dependency", "targets", "service", t.Service, "target", t.ID, "lost_ms", lostFor.Milliseconds())
+		f.pool.dropIdle(t.Service, true)
+	}
+}
+
+// checkLostPaths checks the services that are out of reach and due for a check.
+func (f *Forwarder) checkLostPaths(ctx context.Context) {
+	f.mu.Lock()
+	var due []string
+	for _, service := range f.reach.Lost() {
+		if f.reach.BeginCheck(service, f.opts.Clock.Boot()) {
+			due = append(due, service)
+		}
+	}
+	f.mu.Unlock()
+	for _, service := range due {
+		go f.checkPath(ctx, service)
+	}
+}
+
+// checkPath dials some targets of a service over the box's own links; the results are recorded
+// as those of all dials. It returns when all are known.
+func (f *Forwarder) checkPath(ctx context.Context, service string) {
+	f.mu.Lock()
+	list := f.targets.ToCheck(service, f.nextProbe[service], checkedTargets)
+	f.nextProbe[service] += checkedTargets
+	f.mu.Unlock()
+	done := make(chan struct{}, len(list))
+	for _, t := range list {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			if c, err := f.pool.dialDirect(ctx, t); err == nil {
+				f.pool.put(c, 0)
+			}
+		}()
+	}
+	for range list {
+		<-done
+	}
+}
+
+// DialTarget dials a target for another box, over this box's own links. It implements
+// relay.Targets.
+func (f *Forwarder) DialTarget(ctx context.Context, id string) (net.Conn, error) {
+	f.mu.Lock()
+	t := f.targets.ByID(id)
+	f.mu.Unlock()
+	if t == nil {
+		return nil, errors.WithStack(relay.ErrUnknownTarget{Target: id})
+	}
+	if f.isLost(t.Service) {
+		return nil, errors.WithStack(relay.ErrNoPath{Reason: "this box has lost its own links"})
+	}
+	c, err := f.pool.dialTCP(ctx, t)
+	if err != nil && f.isLost(t.Service) {
+		return nil, errors.WithStack(relay.ErrNoPath{Reason: "this box has lost its own links"})
+	}
+	return c, err
+}
+
+// refuseIfCutOff refuses a call at once if neither this box nor any other reaches its service.
+func (fl *inflightCall) refuseIfCutOff() *Refusal {
+	f, service := fl.f, fl.service.GetName()
+	if !f.isLost(service) || f.opts.Relays != nil && f.opts.Relays.HasPath(service) {
+		return nil
+	}
+	return noPathRefusal(service)
+}
+
+// noPathRefusal is the answer to a call whose service no box reaches.
+func noPathRefusal(service string) *Refusal {
+	return &Refusal{Kind: structs.KindNoTarget, Run: structs.RunNo, RetryAfter: noPathRetryAfter + time.Duration(rand.Int63n(int64(retryAfterJitter))),
+		Message: "no target of service " + service + " can be reached, also not through other boxes: ask again after the stated time"}
+}
+
+// unreached returns the result of an attempt whose target could not be dialled.
+func (fl *inflightCall) unreached(ctx context.Context, t *spread.Target, err error) attempt {
+	a := attempt{verdict: unreachable, notRun: true, err: errors.Wrap(errNotSent, err.Error())}
+	if ctx.Err() != nil {
+		a.verdict, a.tooLate = inconclusive, true
+		return a
+	}
+	var relayed relayedDialError
+	switch {
+	case relay.IsErrNoPath(err):
+		a.verdict, a.noPath = cutOff, true
+		fl.recordSend(t, "unreachable no path")
+		return a
+	case errors.As(err, &relayed):
+		fl.recordSend(t, "unreachable "+dialFailure(err)+" through another box")
+		return a
+	case fl.f.isLost(t.Service):
+		a.verdict = cutOff
+	}
+	fl.recordSend(t, "unreachable "+dialFailure(err))
+	return a
+}
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -65,6 +65,21 @@
 	lastCall, previousCall string
 }
 
+// carrier is a connection that another box carries.
+type carrier interface{ Box() string }
+
+// isRelayed reports whether another box carries the connection.
+func (c *conn) isRelayed() bool { return c.carriedBy() != "" }
+
+// carriedBy returns the name of the box that carries the connection, empty for one over this
+// box's own links.
+func (c *conn) carriedBy() string {
+	if other, ok := c.net.(carrier); ok {
+		return other.Box()
+	}
+	return ""
+}
+
 func (c *conn) close() { _ = c.net.Close() }
 
 // Read implements io.Reader.
@@ -91,6 +106,12 @@
 	meter                  *meter.Meter
 	// congested reports whether the box's own link is congested.
 	congested func() bool
+	// isLost reports whether the box has lost its own links to the targets of a service. relay
+	// then dials through another box.
+	isLost func(service string) bool
+	relay  func(ctx context.Context, t *spread.Target) (net.Conn, error)
+	// dialled is called with the result of each dial over the box's own links.
+	dialled func(t *spread.Target, err error)
 
 	mu   sync.Mutex
 	idle map[idleKey][]*conn
@@ -123,6 +144,8 @@
 	}
 	return &pool{
 		congested:     congested,
+		isLost:        func(string) bool { return false },
+		dialled:       func(*spread.Target, error) {},
 		connect:       dialer.DialContext,
 		hedgedConnect: dial.Hedged(dialer.DialContext, secondDialDelay),
 		now:           now,
@@ -164,9 +187,15 @@
 	}
 }
 
+// reusable is a connection that knows itself whether it is open and has no bytes to read.
+type reusable interface{ IsReusable() bool }
+
 // isOpenAndEmpty reports whether a connection is open and has no bytes to read: bytes that
 // arrive without a request belong to no call.
 func isOpenAndEmpty(c net.Conn) bool {
+	if r, ok := c.(reusable); ok {
+		return r.IsReusable()
+	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return true
@@ -184,21 +213,56 @@
 	return err == nil && quiet
 }
 
+// relayedDialError is the error of a dial through another box.
+type relayedDialError struct{ error }
+
+func (e relayedDialError) Unwrap() error { return e.error }
+
+// dial opens a connection to a target: over the box's own links, or through another box while
+// these are lost.
 func (p *pool) dial(ctx context.Context, t *spread.Target) (*conn, error) {
+	if !p.isLost(t.Service) {
+		return p.dialDirect(ctx, t)
+	}
+	c, err := p.relay(ctx, t)
+	if err != nil {
+		return nil, relayedDialError{err}
+	}
+	return p.wrap(c, t), nil
+}
+
+// dialDirect opens a connection to a target over the box's own links.
+func (p *pool) dialDirect(ctx context.Context, t *spread.Target) (*conn, error) {
+	c, err := p.dialTCP(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	return p.wrap(c, t), nil
+}
+
+func (p *pool) wrap(c net.Conn, t *spread.Target) *conn {
+	dialled := &conn{net: c, input: p.meter.WrapReader(c), meter: p.meter, target: t}
+	dialled.reader = bufio.NewReaderSize(dialled, readBuffer)
+	return dialled
+}
+
+// dialTCP dials a target over the box's own links.
+func (p *pool) dialTCP(ctx context.Context, t *spread.Target) (net.Conn, error) {
 	limit, connect := dialTimeout, p.hedgedConnect
 	if p.congested() {
 		limit, connect = congestedDialTimeout, p.connect
 	}
 	c, err := dial.WithTimeout(connect, limit)(ctx, "tcp", t.Address)
+	if err == nil || ctx.Err() == nil {
+		p.dialled(t, err)
+	}
 	if err != nil {
 		return nil, err
 	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		setUserTimeout(tcp)
 	}
-	dialled := &conn{net: c, input: p.meter.WrapReader(c), meter: p.meter, target: t}
-	dialled.reader = bufio.NewReaderSize(dialled, readBuffer)
-	return dialled, nil
+	return c, nil
 }
 
 func setUserTimeout(tcp *net.TCPConn) {
@@ -232,6 +296,28 @@
 
 func (p *pool) drop(c *conn) { c.close() }
 
+// dropIdle closes the idle connections to the targets of a service: those through other boxes, or
+// those over the box's own links.
+func (p *pool) dropIdle(service string, relayed bool) {
+	var dropped []*conn
+	p.mu.Lock()
+	for key, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if c.target.Service == service && c.isRelayed() == relayed {
+				dropped = append(dropped, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		p.idle[key] = kept
+	}
+	p.mu.Unlock()
+	for _, c := range dropped {
+		p.drop(c)
+	}
+}
+
 // sweep closes expired idle connections, and all those to targets for which keep returns false.
 func (p *pool) sweep(keep func(target string) bool) {
 	now := p.now()
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -58,6 +58,8 @@
 	heldFor time.Duration
 	// resumption is set when the run was stopped to continue elsewhere.
 	resumption *resumption
+	// relayed is set when another box carried the call, noPath when no box reaches the service.
+	relayed, noPath bool
 }
 
 // run sends the call to one target after another, within the limits on retries.
@@ -72,7 +74,7 @@
 			return fl.finalAnswer(ctx, last)
 		}
 		last = fl.attempt(ctx, c)
-		fl.releaseSlot(t, last.verdict)
+		fl.releaseSlot(t, last)
 		if last.failure != nil {
 			fl.failure = last.failure
 		}
@@ -81,12 +83,12 @@
 			withheld++
 			continue
 		}
-		fl.excluded[t.StartIdentity()] = true
+		fl.exclude(t, last.verdict)
 		if last.done {
 			fl.recordServed(last)
 			return last.err
 		}
-		if last.tooLate || last.heldFor > 0 {
+		if last.tooLate || last.heldFor > 0 || last.noPath {
 			return fl.finalAnswer(ctx, last)
 		}
 		if fl.resumesFromCopy(ctx, last) {
@@ -94,7 +96,7 @@
 		}
 		// A call that reached no target may go elsewhere without a retry from the budget. One
 		// whose run was stopped to be moved has reached a target.
-		notReached := last.verdict == unreachable && !fl.resumed
+		notReached := (last.verdict == unreachable || last.verdict == cutOff) && !fl.resumed
 		if notReached && ctx.Err() == nil {
 			unreached++
 			if unreached < maxUnreachable {
@@ -111,6 +113,22 @@
 	}
 }
 
+// exclude keeps a target from being chosen again for the call. When it turns out that the box has
+// lost its own links, those that it could not reach may have the call through another box.
+func (fl *inflightCall) exclude(t *spread.Target, v verdict) {
+	switch v {
+	case cutOff:
+		for _, id := range fl.unreachedTargets {
+			delete(fl.excluded, id)
+		}
+		fl.unreachedTargets = nil
+		return
+	case unreachable:
+		fl.unreachedTargets = append(fl.unreachedTargets, t.StartIdentity())
+	}
+	fl.excluded[t.StartIdentity()] = true
+}
+
 // pickTarget acquires a slot at the next target for the call.
 func (fl *inflightCall) pickTarget(ctx context.Context) spread.Choice {
 	if fl.resumption != nil {
@@ -149,6 +167,9 @@
 		fl.failureRelayed = true
 		return fl.sendAnswer(fl.failure)
 	}
+	if fl.possibleRuns == 0 && last.noPath {
+		return noPathRefusal(fl.service.GetName())
+	}
 	if fl.possibleRuns == 0 && last.heldFor > 0 {
 		return quarantinedRefusal(last.heldFor)
 	}
@@ -175,8 +196,7 @@
 	t := choice.Target
 	c, err := fl.f.pool.get(ctx, t, useCalls, fl.call.ID)
 	if err != nil {
-		fl.recordSend(t, "unreachable "+dialFailure(err))
-		return attempt{verdict: unreachable, notRun: true, err: errors.Wrap(errNotSent, err.Error())}
+		return fl.unreached(ctx, t, err)
 	}
 	// The caller may have left, or the deadline may have passed: writing to an idle connection
 	// does not check the context first, and after the box was suspended no timer has fired yet.
@@ -196,6 +216,10 @@
 	wd := fl.startWatchdog(cancel)
 	defer wd.stop()
 	a := fl.attemptOn(ctx, choice, c, wd)
+	a.relayed = c.isRelayed()
+	if a.relayed {
+		fl.carriers = append(fl.carriers, c.carriedBy())
+	}
 	if a.verdict == failing && (c.lost || wd.fired()) {
 		fl.recordBreak(t, fl.events.count == before)
 	}
--- a/services/forward/target_end.go
+++ b/services/forward/target_end.go
@@ -13,6 +13,7 @@
 
 	"havenwinch.dev/havenwinch/models/quarantine"
 	"havenwinch.dev/havenwinch/models/spread"
+	"havenwinch.dev/havenwinch/services/relay"
 	"havenwinch.dev/havenwinch/structs"
 )
 
@@ -105,18 +106,46 @@
 
 // confirmEnd dials a target that dropped a call, to see whether it has ended.
 func (f *Forwarder) confirmEnd(t *spread.Target, e *targetBreaks) {
-	err := f.dialAndKeep(context.Background(), t)
+	alive, refused := f.findEnd(context.Background(), t)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e.probing = false
 	switch {
-	case err == nil:
+	case alive:
 		e.recordAlive(f.opts.Clock.Boot())
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case refused:
 		f.reportEnd(t, e, endRefused)
 	}
 }
 
+// findEnd dials a target. As refused connections may be due to this box's own links, another box
+// has to find them refused as well; where none can be asked, this box has to reach another target
+// of the service.
+func (f *Forwarder) findEnd(ctx context.Context, t *spread.Target) (alive, refused bool) {
+	err := f.dialAndKeep(ctx, t)
+	if err == nil || !errors.Is(err, syscall.ECONNREFUSED) {
+		return err == nil, false
+	}
+	var relayed relayedDialError
+	if errors.As(err, &relayed) {
+		return false, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	c, err := f.dialRelay(ctx, t)
+	switch {
+	case err == nil:
+		_ = c.Close()
+		return true, false
+	case !relay.IsErrNoPath(err):
+		return false, errors.Is(err, syscall.ECONNREFUSED)
+	}
+	f.checkPath(ctx, t.Service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return false, !f.reach.IsDoubtful(t.Service) || f.targets.CountUsable(t.Service) <= 1
+}
+
 // recordAlive records that the target accepted a connection.
 func (e *targetBreaks) recordAlive(now time.Duration) {
 	for i := range e.calls {
@@ -174,14 +203,20 @@
 	}
 }
 
+// Kinds of failed dials in logs and counters.
+const (
+	dialRefused = "refused"
+	dialSilent  = "silent"
+)
+
 // dialFailure classifies the error of a failed dial for logs and counters.
 func dialFailure(err error) string {
 	var timeout net.Error
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return "refused"
+		return dialRefused
 	case errors.As(err, &timeout) && timeout.Timeout():
-		return "silent"
+		return dialSilent
 	default:
 		return "failed"
 	}
--- a/services/metrics/metrics.go
+++ b/services/metrics/metrics.go
@@ -25,6 +25,7 @@
 	entriesRefused prometheus.Counter
 	limits         *prometheus.CounterVec
 	oddAnswers     *prometheus.CounterVec
+	relays         *prometheus.CounterVec
 }
 
 // New returns metrics in a registry of their own, together with those of the Go runtime and
@@ -59,7 +60,10 @@
 	m.oddAnswers = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "odd_answers_total", Help: "Bytes of targets that are not the answer as agreed, by service and form.",
 	}, []string{"service", "form"})
-	m.Registry.MustRegister(m.oddAnswers, m.limits, m.entriesRefused, m.requests, m.firstToken, m.events, m.firstByte, m.sends, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.relays = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "carried_connections_total", Help: "Connections to targets that other boxes asked this one to carry, by outcome.",
+	}, []string{"outcome"})
+	m.Registry.MustRegister(m.relays, m.oddAnswers, m.limits, m.entriesRefused, m.requests, m.firstToken, m.events, m.firstByte, m.sends, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
@@ -69,6 +73,9 @@
 // Odd counts occurrences of bytes from a target that are not a valid answer.
 func (m *Metrics) Odd(service, form string) { m.oddAnswers.WithLabelValues(service, form).Inc() }
 
+// Relay counts a connection that another box asked this one to carry, by outcome.
+func (m *Metrics) Relay(outcome string) { m.relays.WithLabelValues(outcome).Inc() }
+
 // EntryRefused counts an unusable entry of the list of targets.
 func (m *Metrics) EntryRefused() { m.entriesRefused.Inc() }
 
--- a/services/peers/consensus.go
+++ b/services/peers/consensus.go
@@ -53,6 +53,11 @@
 	return betweenv1connect.NewDrawServiceClient(p.client, p.BaseURL(address), p.ClientOptions()...)
 }
 
+// Relays returns the client of the relay service of the entry box at an address.
+func (p *Peers) Relays(address string) betweenv1connect.RelayServiceClient {
+	return betweenv1connect.NewRelayServiceClient(p.client, p.BaseURL(address), p.ClientOptions()...)
+}
+
 // Control returns clients of the control service, keyed by the name of the box.
 func (p *Peers) Control(addresses map[string]string) map[string]betweenv1connect.ControlServiceClient {
 	clients := map[string]betweenv1connect.ControlServiceClient{}
--- /dev/null
+++ b/services/relay/conn.go
@@ -0,0 +1,163 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+)
+
+// maxUnread is how many bytes of a target a Conn keeps until they are read.
+const maxUnread = 64 << 10
+
+// clientStream is a stream of RelayService.Connect.
+type clientStream = connect.BidiStreamForClient[betweenv1.ConnectRequest, betweenv1.ConnectResponse]
+
+// Conn is a connection to a target that another box carries. It implements net.Conn without
+// deadlines.
+type Conn struct {
+	stream *clientStream
+	// cancel ends the stream, so that the other box closes its connection to the target.
+	cancel context.CancelFunc
+	box    string
+	onEnd  func()
+
+	mu     sync.Mutex
+	unread []byte
+	// changed is signalled when unread, err or closing have changed.
+	changed *sync.Cond
+	// err is the end of the stream: io.EOF if the target has closed the connection.
+	err     error
+	closing bool
+}
+
+// newConn returns a connection over a stream that is open.
+func newConn(stream *clientStream, cancel context.CancelFunc, box string, onEnd func()) *Conn {
+	c := &Conn{stream: stream, cancel: cancel, box: box, onEnd: onEnd}
+	c.changed = sync.NewCond(&c.mu)
+	go c.receive()
+	return c
+}
+
+// receive reads the stream to its end.
+func (c *Conn) receive() {
+	defer c.onEnd()
+	for {
+		m, err := c.stream.Receive()
+		if err != nil {
+			c.end(endError(err))
+			return
+		}
+		if !c.take(m) {
+			return
+		}
+	}
+}
+
+// endError converts the end of a stream to the error that a TCP connection would have.
+func endError(err error) error {
+	switch {
+	case errors.Is(err, io.EOF):
+		return io.EOF
+	case connect.CodeOf(err) == connect.CodeAborted:
+		return errors.WithStack(syscall.ECONNRESET)
+	default:
+		return errors.WithMessage(errOtherBox, err.Error())
+	}
+}
+
+// take adds the bytes of a message, and waits while there are too many. It returns false once
+// the connection is closed.
+func (c *Conn) take(m *betweenv1.ConnectResponse) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = c.closing || m.GetClosing()
+	c.unread = append(c.unread, m.GetData()...)
+	c.changed.Broadcast()
+	for len(c.unread) > maxUnread && c.err == nil {
+		c.changed.Wait()
+	}
+	return c.err == nil
+}
+
+// end records the end of the connection, unless it has ended already.
+func (c *Conn) end(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err == nil {
+		c.err = err
+	}
+	c.changed.Broadcast()
+}
+
+// Read implements net.Conn. The error is io.EOF if the target has closed the connection, and a
+// reset if the target has reset it; another error says nothing about the target.
+func (c *Conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.unread) == 0 && c.err == nil {
+		c.changed.Wait()
+	}
+	if len(c.unread) == 0 {
+		return 0, c.err
+	}
+	n := copy(p, c.unread)
+	c.unread = c.unread[n:]
+	if len(c.unread) == 0 {
+		c.unread = nil
+	}
+	c.changed.Broadcast()
+	return n, nil
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	if err := c.stream.Send(&betweenv1.ConnectRequest{Data: p}); err != nil {
+		return 0, errors.WithMessage(errOtherBox, err.Error())
+	}
+	return len(p), nil
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.end(net.ErrClosed)
+	c.cancel()
+	return nil
+}
+
+// IsReusable reports whether the connection can carry another request: it is open, has no bytes
+// to read, and the box that carries it is not stopping.
+func (c *Conn) IsReusable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.unread) == 0 && c.err == nil && !c.closing
+}
+
+// Box returns the name of the box that carries the connection.
+func (c *Conn) Box() string { return c.box }
+
+// LocalAddr implements net.Conn.
+func (c *Conn) LocalAddr() net.Addr { return &net.TCPAddr{} }
+
+// RemoteAddr implements net.Conn.
+func (c *Conn) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(time.Time) error { return os.ErrNoDeadline }
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(time.Time) error { return os.ErrNoDeadline }
+
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(time.Time) error { return os.ErrNoDeadline }
