services/relay, services/forward: a box says what it knows of itself before it speaks of a target

It now dials other targets first, and answers that it has no path unless it reaches one. Boxes that have had a path are asked last in each round, so that a cut box finds one where most of its data centre is cut off.

--- a/services/forward/paths.go
+++ b/services/forward/paths.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -159,12 +160,21 @@
 		return nil, errors.WithStack(relay.ErrNoPath{Reason: "this box has lost its own links"})
 	}
 	c, err := f.pool.dialTCP(ctx, t)
-	if err != nil && f.isLost(t.Service) {
+	if errors.Is(err, syscall.ECONNREFUSED) && !f.reachesOthers(ctx, t.Service) || err != nil && f.isLost(t.Service) {
 		return nil, errors.WithStack(relay.ErrNoPath{Reason: "this box has lost its own links"})
 	}
 	return c, err
 }
 
+// reachesOthers checks whether this box reaches targets of a service after it could not reach one
+// of them. It returns true for a service without other targets.
+func (f *Forwarder) reachesOthers(ctx context.Context, service string) bool {
+	f.checkPath(ctx, service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.reach.IsDoubtful(service) || f.targets.CountUsable(service) <= 1
+}
+
 // refuseIfCutOff refuses a call at once if neither this box nor any other reaches its service.
 func (fl *inflightCall) refuseIfCutOff() *Refusal {
 	f, service := fl.f, fl.service.GetName()
--- a/services/forward/target_end.go
+++ b/services/forward/target_end.go
@@ -140,10 +140,7 @@
 	case !relay.IsErrNoPath(err):
 		return false, errors.Is(err, syscall.ECONNREFUSED)
 	}
-	f.checkPath(ctx, t.Service)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return false, !f.reach.IsDoubtful(t.Service) || f.targets.CountUsable(t.Service) <= 1
+	return false, f.reachesOthers(ctx, t.Service)
 }
 
 // recordAlive records that the target accepted a connection.
--- a/services/relay/dialer.go
+++ b/services/relay/dialer.go
@@ -231,7 +231,7 @@
 	now := d.opts.Clock.Boot()
 	switch {
 	case err == nil:
-		d.peers.recordOpened(b.Name)
+		d.peers.recordOpened(b.Name, now)
 	case targetError(err) != nil:
 		d.peers.recordFailure(b.Name, now)
 	default:
--- a/services/relay/peers.go
+++ b/services/relay/peers.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"time"
 
 	"havenwinch.dev/havenwinch/models/lease"
@@ -23,12 +24,17 @@
 	// for one connection. A fault often strikes a whole data centre.
 	askedNear = 2
 	askedFar  = 3
+	// askedProven is how many boxes that have had a path within provenTime are asked after them.
+	askedProven = 2
+	provenTime  = 10 * time.Second
 )
 
 // peerTable records which boxes have a path to the targets. It is not safe for concurrent use.
 type peerTable struct{ peers map[string]*peer }
 
 type peer struct {
+	// provenUntil is until when the box counts as having a path.
+	provenUntil  time.Duration
 	blockedUntil time.Duration
 	blocks       int
 	failures     int
@@ -46,20 +52,31 @@
 }
 
 // order returns the boxes to ask for one connection, at random, so that the connections of
-// many boxes spread over all others: first some of the own data centre, then some of others.
+// many boxes spread over all others: some of the own data centre, then some of others, then
+// some that have had a path before.
 func (pt *peerTable) order(boxes []lease.Box, self, centre string, now time.Duration, rng *rand.Rand) []lease.Box {
-	var near, far []lease.Box
+	var near, far, proven []lease.Box
 	for _, b := range boxes {
 		p := pt.peers[b.Name]
-		switch {
-		case b.Name == self || b.Address == "" || p != nil && p.blockedUntil > now:
-		case b.DataCentre == centre:
+		if b.Name == self || b.Address == "" || p != nil && p.blockedUntil > now {
+			continue
+		}
+		if b.DataCentre == centre {
 			near = append(near, b)
-		default:
+		} else {
 			far = append(far, b)
 		}
+		if p != nil && p.provenUntil > now {
+			proven = append(proven, b)
+		}
 	}
-	return append(sample(near, askedNear, rng), sample(far, askedFar, rng)...)
+	list := append(sample(near, askedNear, rng), sample(far, askedFar, rng)...)
+	for _, b := range sample(proven, askedProven, rng) {
+		if !slices.Contains(list, b) {
+			list = append(list, b)
+		}
+	}
+	return list
 }
 
 // sample returns n of the boxes, or all if there are fewer, in random order.
@@ -69,7 +86,9 @@
 }
 
 // recordOpened records that a box has opened a connection.
-func (pt *peerTable) recordOpened(name string) { delete(pt.peers, name) }
+func (pt *peerTable) recordOpened(name string, now time.Duration) {
+	*pt.peer(name) = peer{provenUntil: now + provenTime}
+}
 
 // recordFailure records that a box could not reach a target or has not answered in time. When it
 // reaches none, it may be cut off without knowing yet.
