models/reach: only a check decides that a service is out of reach

Of the targets that are dialled to see whether others are reached one could be the ended target itself, whose refusal may be recorded after the others' answers. It is left out now, and what counts is how many of the others were reached.

Likewise a service no longer counts as out of reach by three failed dials alone, which several targets that end at once would cause, but by a check that reached none.

--- a/models/reach/reach.go
+++ b/models/reach/reach.go
@@ -10,23 +10,15 @@
 import "time"
 
 const (
-	// lostAfter is how many different targets in a row must have been out of reach before a
-	// service counts as out of reach. A service with fewer targets needs all of them.
+	// lostAfter is how many different targets must have been out of reach, and none reached in
+	// between, before a service counts as out of reach. A service with fewer targets needs all.
 	lostAfter = 3
 	// streakTime is how old a failed dial may be and still count.
 	streakTime = 3 * time.Second
-	// checkInterval is the time between two checks of one service.
-	checkInterval = 300 * time.Millisecond
-)
-
-// Failure is the way in which a target could not be dialled.
-type Failure int
-
-const (
-	// Refused means that the connection was refused or reset at once.
-	Refused Failure = iota
-	// Silent means that nothing answered in time. Open connections are likely to be silent, too.
-	Silent
+	// checkInterval is the time between two checks of a service that is out of reach,
+	// minCheckInterval that of any other.
+	checkInterval    = 300 * time.Millisecond
+	minCheckInterval = 50 * time.Millisecond
 )
 
 // Tracker records which services a box can dial. Only dials count: connections that are open
@@ -41,9 +33,9 @@
 	lost   bool
 	// lostAt is when the service was lost.
 	lostAt time.Duration
-	// checkedAt is when the last check began; isChecked is set from the first one on.
+	// checkedAt is when the last check began, checking is set until it has ended.
 	checkedAt time.Duration
-	isChecked bool
+	checking  bool
 }
 
 // NewTracker returns a tracker to which no dial has failed yet.
@@ -64,12 +56,11 @@
 	return true, now - s.lostAt
 }
 
-// RecordUnreached records a failed dial to one of a service's targets, of which there are
-// count. It reports whether the service is out of reach from now on.
-func (tr *Tracker) RecordUnreached(name, target string, count int, now time.Duration) (lost bool) {
+// RecordUnreached records a failed dial to one of a service's targets.
+func (tr *Tracker) RecordUnreached(name, target string, now time.Duration) {
 	s := tr.services[name]
 	if s == nil {
-		s = &service{failed: map[string]time.Duration{}}
+		s = &service{failed: map[string]time.Duration{}, checkedAt: -minCheckInterval}
 		tr.services[name] = s
 	}
 	for id, at := range s.failed {
@@ -78,11 +69,6 @@
 		}
 	}
 	s.failed[target] = now
-	if s.lost || len(s.failed) < min(lostAfter, max(1, count)) {
-		return false
-	}
-	s.lost, s.lostAt = true, now
-	return true
 }
 
 // IsLost reports whether a service is out of reach.
@@ -91,13 +77,6 @@
 	return s != nil && s.lost
 }
 
-// IsDoubtful reports whether the last dial to a target of a service has failed, so that the box
-// itself may be cut off.
-func (tr *Tracker) IsDoubtful(name string) bool {
-	s := tr.services[name]
-	return s != nil && (s.lost || len(s.failed) > 0)
-}
-
 // Lost returns the names of the services that are out of reach.
 func (tr *Tracker) Lost() []string {
 	var names []string
@@ -109,13 +88,34 @@
 	return names
 }
 
-// BeginCheck reports whether other targets of a doubtful service are to be dialled now, to find
-// out whether the box reaches any. It returns true at most once in checkInterval.
+// BeginCheck reports whether other targets of a service are to be dialled now, to find out
+// whether the box reaches any. It returns false while the last dial to the service was
+// successful, and limits how often there are checks. EndCheck must follow.
 func (tr *Tracker) BeginCheck(name string, now time.Duration) bool {
 	s := tr.services[name]
-	if s == nil || !s.lost && len(s.failed) == 0 || s.isChecked && now-s.checkedAt < checkInterval {
+	if s == nil || s.checking || !s.lost && len(s.failed) == 0 {
 		return false
 	}
-	s.isChecked, s.checkedAt = true, now
+	interval := minCheckInterval
+	if s.lost {
+		interval = checkInterval
+	}
+	if now-s.checkedAt < interval {
+		return false
+	}
+	s.checkedAt, s.checking = now, true
+	return true
+}
+
+// EndCheck records that a check has ended, with the number of targets reached, and how many
+// targets the service has. It reports whether the service is out of reach from now on. Only a
+// check decides that, as several targets may have ended at once.
+func (tr *Tracker) EndCheck(name string, reached, targets int, now time.Duration) (lost bool) {
+	s := tr.services[name]
+	s.checking = false
+	if s.lost || reached > 0 || len(s.failed) < min(lostAfter, max(1, targets)) {
+		return false
+	}
+	s.lost, s.lostAt = true, now
 	return true
 }
--- a/models/spread/health.go
+++ b/models/spread/health.go
@@ -101,13 +101,13 @@
 	return n
 }
 
-// ToCheck returns at most n targets of a service to find out whether the box reaches any: those
-// that are not banned and in the box's data centre come first. from selects where to begin in
+// ToCheck returns at most n targets of a service, other than except, to find out whether the box
+// reaches any: those that are not banned and in the box's data centre come first. from selects where to begin in
 // the list, so that repeated checks include all.
-func (tb *Table) ToCheck(service string, from, n int) []*Target {
+func (tb *Table) ToCheck(service string, except *Target, from, n int) []*Target {
 	var list []*Target
 	for _, t := range tb.services[service] {
-		if tb.isCheckable(t) {
+		if t != except && tb.isCheckable(t) {
 			list = append(list, t)
 		}
 	}
--- a/services/forward/paths.go
+++ b/services/forward/paths.go
@@ -74,28 +74,32 @@
 	}
 	f.mu.Lock()
 	now := f.opts.Clock.Boot()
-	lost := f.reach.RecordUnreached(t.Service, t.StartIdentity(), f.targets.CountUsable(t.Service), now)
-	if lost {
-		// The targets were banned for the loss of this box's own links.
-		f.targets.EndUnreachable(t.Service)
-	}
+	f.reach.RecordUnreached(t.Service, t.StartIdentity(), now)
 	check := f.reach.BeginCheck(t.Service, now)
 	f.mu.Unlock()
-	if lost {
-		f.logLost(t, err)
-	}
 	if check {
-		go f.checkPath(context.Background(), t.Service)
+		go f.checkService(context.Background(), t.Service, dialFailure(err))
 	}
 }
 
-// logLost logs that a service is out of reach. If that is since nothing answers, open
-// connections are silent, too.
-func (f *Forwarder) logLost(t *spread.Target, err error) {
-	reason := dialFailure(err)
-	f.opts.Logger.Warn("dependency lost", "dependency", "targets", "service", t.Service, "reason", reason, "target", t.ID, "address", t.Address)
+// checkService finds out whether this box reaches any target of a service, after a dial that
+// failed in the given way.
+func (f *Forwarder) checkService(ctx context.Context, service, reason string) {
+	reached := f.dialSome(ctx, service, nil)
+	f.mu.Lock()
+	lost := f.reach.EndCheck(service, reached, f.targets.CountUsable(service), f.opts.Clock.Boot())
+	if lost {
+		// The targets were banned for the loss of this box's own links.
+		f.targets.EndUnreachable(service)
+	}
+	f.mu.Unlock()
+	if !lost {
+		return
+	}
+	f.opts.Logger.Warn("dependency lost", "dependency", "targets", "service", service, "reason", reason)
 	if reason == dialSilent {
-		f.pool.dropIdle(t.Service, false)
+		// Open connections are silent, too.
+		f.pool.dropIdle(service, false)
 	}
 }
 
@@ -122,29 +126,34 @@
 	}
 	f.mu.Unlock()
 	for _, service := range due {
-		go f.checkPath(ctx, service)
+		go f.checkService(ctx, service, "")
 	}
 }
 
-// checkPath dials some targets of a service over the box's own links; the results are recorded
-// as those of all dials. It returns when all are known.
-func (f *Forwarder) checkPath(ctx context.Context, service string) {
+// dialSome dials some targets of a service, other than except, over the box's own links; the
+// results are recorded as those of all dials. It returns how many were reached.
+func (f *Forwarder) dialSome(ctx context.Context, service string, except *spread.Target) int {
 	f.mu.Lock()
-	list := f.targets.ToCheck(service, f.nextProbe[service], checkedTargets)
+	list := f.targets.ToCheck(service, except, f.nextProbe[service], checkedTargets)
 	f.nextProbe[service] += checkedTargets
 	f.mu.Unlock()
-	done := make(chan struct{}, len(list))
+	reached := make(chan int, len(list))
 	for _, t := range list {
 		go func() {
-			defer func() { done <- struct{}{} }()
-			if c, err := f.pool.dialDirect(ctx, t); err == nil {
-				f.pool.put(c, 0)
+			c, err := f.pool.dialDirect(ctx, t)
+			if err != nil {
+				reached <- 0
+				return
 			}
+			f.pool.put(c, 0)
+			reached <- 1
 		}()
 	}
+	sum := 0
 	for range list {
-		<-done
+		sum += <-reached
 	}
+	return sum
 }
 
 // DialTarget dials a target for another box, over this box's own links. It implements
@@ -160,19 +169,19 @@
 		return nil, errors.WithStack(relay.ErrNoPath{Reason: "this box has lost its own links"})
 	}
 	c, err := f.pool.dialTCP(ctx, t)
-	if errors.Is(err, syscall.ECONNREFUSED) && !f.reachesOthers(ctx, t.Service) || err != nil && f.isLost(t.Service) {
+	if errors.Is(err, syscall.ECONNREFUSED) && !f.reachesOthers(ctx, t) || err != nil && f.isLost(t.Service) {
 		return nil, errors.WithStack(relay.ErrNoPath{Reason: "this box has lost its own links"})
 	}
 	return c, err
 }
 
-// reachesOthers checks whether this box reaches targets of a service after it could not reach one
-// of them. It returns true for a service without other targets.
-func (f *Forwarder) reachesOthers(ctx context.Context, service string) bool {
-	f.checkPath(ctx, service)
+// reachesOthers checks whether this box reaches other targets of a service after it could not
+// reach the given one. It returns true if there are none.
+func (f *Forwarder) reachesOthers(ctx context.Context, t *spread.Target) bool {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.reach.IsDoubtful(service) || f.targets.CountUsable(service) <= 1
+	alone := f.targets.CountUsable(t.Service) <= 1
+	f.mu.Unlock()
+	return alone || f.dialSome(ctx, t.Service, t) > 0
 }
 
 // refuseIfCutOff refuses a call at once if neither this box nor any other reaches its service.
--- a/services/forward/target_end.go
+++ b/services/forward/target_end.go
@@ -140,7 +140,7 @@
 	case !relay.IsErrNoPath(err):
 		return false, errors.Is(err, syscall.ECONNREFUSED)
 	}
-	return false, f.reachesOthers(ctx, t.Service)
+	return false, f.reachesOthers(ctx, t)
 }
 
 // recordAlive records that the target accepted a connection.
