services/relay: a closed connection ends the stream at once, also while it waits for bytes

The transport does not look at a stream's context while it reads the request's body, so that a connection that was closed after an exchange stayed open at the box that carried it, and its target went on working for a caller that had left. Found by TestStoppingBoxGivesConnectionsUp, which waited without end. Closing now ends the request's body and drops the response's.

Also: connections through other boxes are not kept once the own links are back (they were used again and again while traffic went on, and broke when the box that carried them lost its own links); a call that could reach no target waits for the check that is under way, where it was refused at a service with two targets after 300 ms.

--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -129,9 +129,11 @@
 	// breaks holds the targets that dropped calls recently.
 	breaks map[*spread.Target]*targetBreaks
 	// reach tells which services this box can't dial, and nextProbe, by service, where the next
-	// check begins in the list of its targets.
+	// check begins in the list of its targets. checks has, by service, a channel that is closed at
+	// the end of the check that is under way.
 	reach     *reach.Tracker
 	nextProbe map[string]int
+	checks    map[string]chan struct{}
 	// fleet holds the boxes that send to targets and the fleet's clock, as told by control.
 	// fleetVersion is the version of the box directory it was made from, fleetSet when its
 	// clock was last adjusted.
@@ -156,7 +158,7 @@
 		opts.IsCongested = func() bool { return false }
 	}
 	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, pool: newPool(opts.Clock.Boot, opts.Meter, opts.IsCongested), targets: spread.NewTable(opts.DataCentre), ready: make(chan struct{}), breaks: map[*spread.Target]*targetBreaks{},
-		reach: reach.NewTracker(), nextProbe: map[string]int{}}
+		reach: reach.NewTracker(), nextProbe: map[string]int{}, checks: map[string]chan struct{}{}}
 	f.pool.isLost, f.pool.relay, f.pool.dialled = f.isLost, f.dialRelay, f.recordDial
 	// Until control sends the fleet's clock, this box's wall clock is a close estimate.
 	f.fleet = rate.NewFleet(opts.Box, nil, time.Duration(opts.Clock.Wall().UnixNano())-f.started)
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -43,6 +43,8 @@
 	// unreachedTargets are the starts of the targets that could not be dialled, and carriers the
 	// boxes that carried the call.
 	unreachedTargets, carriers []string
+	// awaitedCheck is set once the call has waited for a check of its service.
+	awaitedCheck bool
 	// possibleRuns counts the targets that may have run the call.
 	possibleRuns int
 	lastChoice   spread.Choice
--- a/services/forward/paths.go
+++ b/services/forward/paths.go
@@ -75,19 +75,31 @@
 	f.mu.Lock()
 	now := f.opts.Clock.Boot()
 	f.reach.RecordUnreached(t.Service, t.StartIdentity(), now)
-	check := f.reach.BeginCheck(t.Service, now)
+	check := f.beginCheck(t.Service, now)
 	f.mu.Unlock()
 	if check {
 		go f.checkService(context.Background(), t.Service, dialFailure(err))
 	}
 }
 
+// beginCheck reports whether a check of a service is to begin. The caller holds f.mu and calls
+// checkService.
+func (f *Forwarder) beginCheck(service string, now time.Duration) bool {
+	if !f.reach.BeginCheck(service, now) {
+		return false
+	}
+	f.checks[service] = make(chan struct{})
+	return true
+}
+
 // checkService finds out whether this box reaches any target of a service, after a dial that
 // failed in the given way.
 func (f *Forwarder) checkService(ctx context.Context, service, reason string) {
 	reached := f.dialSome(ctx, service, nil)
 	f.mu.Lock()
 	lost := f.reach.EndCheck(service, reached, f.targets.CountUsable(service), f.opts.Clock.Boot())
+	close(f.checks[service])
+	delete(f.checks, service)
 	if lost {
 		// The targets were banned for the loss of this box's own links.
 		f.targets.EndUnreachable(service)
@@ -120,7 +132,7 @@
 	f.mu.Lock()
 	var due []string
 	for _, service := range f.reach.Lost() {
-		if f.reach.BeginCheck(service, f.opts.Clock.Boot()) {
+		if f.beginCheck(service, f.opts.Clock.Boot()) {
 			due = append(due, service)
 		}
 	}
@@ -199,6 +211,40 @@
 		Message: "no target of service " + service + " can be reached, also not through other boxes: ask again after the stated time"}
 }
 
+// awaitCheck waits for the end of a check that is under way, for a call that could reach no
+// target. It reports whether the call may go through another box, at most once.
+func (fl *inflightCall) awaitCheck(ctx context.Context) bool {
+	if len(fl.unreachedTargets) == 0 || fl.resumed || fl.awaitedCheck {
+		return false
+	}
+	fl.awaitedCheck = true
+	f, service := fl.f, fl.service.GetName()
+	f.mu.Lock()
+	check := f.checks[service]
+	f.mu.Unlock()
+	if check != nil {
+		select {
+		case <-check:
+		case <-ctx.Done():
+		}
+		fl.tick()
+	}
+	if ctx.Err() != nil || !f.isLost(service) {
+		return false
+	}
+	fl.readmitUnreached()
+	return true
+}
+
+// readmitUnreached lets the targets that this box could not reach have the call through another
+// one.
+func (fl *inflightCall) readmitUnreached() {
+	for _, id := range fl.unreachedTargets {
+		delete(fl.excluded, id)
+	}
+	fl.unreachedTargets = nil
+}
+
 // unreached returns the result of an attempt whose target could not be dialled.
 func (fl *inflightCall) unreached(ctx context.Context, t *spread.Target, err error) attempt {
 	a := attempt{verdict: unreachable, notRun: true, err: errors.Wrap(errNotSent, err.Error())}
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -283,7 +283,9 @@
 	} else {
 		keep = time.Duration(idleTimeoutShare * float64(keep))
 	}
-	if c.reader.Buffered() > 0 || c.use == useOnce || c.strayAnswers > 0 {
+	// Another box's links are used only while this box has lost its own.
+	isDetour := c.isRelayed() && !p.isLost(c.target.Service)
+	if c.reader.Buffered() > 0 || c.use == useOnce || c.strayAnswers > 0 || isDetour {
 		p.drop(c)
 		return
 	}
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -70,6 +70,9 @@
 	for {
 		c := fl.pickTarget(ctx)
 		t := c.Target
+		if t == nil && fl.awaitCheck(ctx) {
+			continue
+		}
 		if t == nil {
 			return fl.finalAnswer(ctx, last)
 		}
@@ -99,7 +102,7 @@
 		notReached := (last.verdict == unreachable || last.verdict == cutOff) && !fl.resumed
 		if notReached && ctx.Err() == nil {
 			unreached++
-			if unreached < maxUnreachable {
+			if unreached < maxUnreachable || fl.awaitCheck(ctx) {
 				continue
 			}
 		}
@@ -118,10 +121,7 @@
 func (fl *inflightCall) exclude(t *spread.Target, v verdict) {
 	switch v {
 	case cutOff:
-		for _, id := range fl.unreachedTargets {
-			delete(fl.excluded, id)
-		}
-		fl.unreachedTargets = nil
+		fl.readmitUnreached()
 		return
 	case unreachable:
 		fl.unreachedTargets = append(fl.unreachedTargets, t.StartIdentity())
--- a/services/relay/conn.go
+++ b/services/relay/conn.go
@@ -133,6 +133,9 @@
 func (c *Conn) Close() error {
 	c.end(net.ErrClosed)
 	c.cancel()
+	// The transport does not look at the context while it waits for bytes to send.
+	_ = c.stream.CloseRequest()
+	_ = c.stream.CloseResponse()
 	return nil
 }
 
--- a/services/relay/dialer.go
+++ b/services/relay/dialer.go
@@ -198,6 +198,7 @@
 	}
 	if !stop() || err != nil {
 		cancel()
+		_ = stream.CloseRequest()
 		if err == nil {
 			err = errors.WithStack(ctx.Err())
 		}
--- /dev/null
+++ b/services/relay/relay_test.go
@@ -0,0 +1,405 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
+	"havenwinch.dev/havenwinch/models/lease"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/hlc"
+	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/services/peers"
+	"havenwinch.dev/havenwinch/services/relay"
+)
+
+// targets dials the target with id "target" at an address; other ids are unknown.
+type targets struct {
+	address string
+	// err is the result of all dials, if it is not nil.
+	err error
+	// silent makes dials hang.
+	silent bool
+	dials  atomic.Int64
+}
+
+func (ts *targets) DialTarget(ctx context.Context, id string) (net.Conn, error) {
+	ts.dials.Add(1)
+	switch {
+	case ts.silent:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case ts.err != nil:
+		return nil, ts.err
+	case id != "target":
+		return nil, relay.ErrUnknownTarget{Target: id}
+	default:
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", ts.address)
+	}
+}
+
+func newPeers(box, secret string) *peers.Peers {
+	return peers.New(peers.Options{Box: box, Secret: []byte(secret), Clock: clock.System{}, Stamps: hlc.New(clock.System{})})
+}
+
+// carrier is a box that carries connections.
+type carrier struct {
+	box    lease.Box
+	server *relay.Server
+	http   *http.Server
+	// conns are the connections from other boxes.
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// newCarrier starts a box that carries connections to the given targets.
+func newCarrier(t testing.TB, name, secret string, ts relay.Targets) *carrier {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &carrier{box: lease.Box{Name: name, DataCentre: "dc", Address: l.Addr().String()}}
+	c.server = relay.NewServer(relay.ServerOptions{Targets: ts, IsCongested: func() bool { return false }, Count: func(string) {}})
+	p := newPeers(name, secret)
+	mux := http.NewServeMux()
+	mux.Handle(betweenv1connect.NewRelayServiceHandler(handler{c.server}, p.HandlerOptions()...))
+	c.http = p.Server(mux)
+	c.http.ConnState = func(conn net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.conns = append(c.conns, conn)
+		}
+	}
+	go func() { _ = c.http.Serve(l) }()
+	t.Cleanup(func() { _ = c.http.Close() })
+	return c
+}
+
+// kill closes all connections of the box at once, as the end of its process does.
+func (c *carrier) kill() {
+	_ = c.http.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+}
+
+type handler struct{ server *relay.Server }
+
+func (h handler) Connect(ctx context.Context, stream *connect.BidiStream[betweenv1.ConnectRequest, betweenv1.ConnectResponse]) error {
+	return h.server.Serve(ctx, stream)
+}
+
+const secret = "a secret for tests on loopback only"
+
+func newDialer(carriers ...*carrier) *relay.Dialer {
+	var boxes []lease.Box
+	for _, c := range carriers {
+		boxes = append(boxes, c.box)
+	}
+	return relay.NewDialer(relay.DialerOptions{
+		Box: "self", DataCentre: "dc", Directory: func() *lease.Directory { return lease.NewDirectory(boxes) },
+		Connect: newPeers("self", secret).Relays, Clock: clock.System{}, Logger: logging.Discard(),
+	})
+}
+
+// listen starts a target that passes each connection to serve.
+func listen(t testing.TB, serve func(c *net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
+
+// readLine reads one line from a connection, byte by byte.
+func readLine(c net.Conn) string {
+	var line []byte
+	one := make([]byte, 1)
+	for {
+		if _, err := c.Read(one); err != nil {
+			return string(line)
+		}
+		if one[0] == '\n' {
+			return string(line)
+		}
+		line = append(line, one[0])
+	}
+}
+
+// Guards against an answer that looks whole because of the box that carried it, and against
+// blaming a target for that box.
+func TestEndOfCarriedConnections(t *testing.T) {
+	const answer = "the answer of the target"
+	tests := map[string]struct {
+		// end is what the target does after its answer.
+		end func(c *net.TCPConn)
+		// during is what happens to the box that carries the connection.
+		during func(c *carrier)
+		want   error
+		// other is set if the error must say nothing about the target.
+		other bool
+	}{
+		"the target closes":       {end: func(c *net.TCPConn) { _ = c.Close() }, want: io.EOF},
+		"the target closes half":  {end: func(c *net.TCPConn) { _ = c.CloseWrite() }, want: io.EOF},
+		"the target resets":       {end: func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }, want: syscall.ECONNRESET},
+		"the box ends":            {during: (*carrier).kill, other: true},
+		"the box stops at once":   {during: func(c *carrier) { _ = c.http.Close() }, other: true},
+		"the target says nothing": {during: func(*carrier) {}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			hangs := make(chan struct{})
+			defer close(hangs)
+			address := listen(t, func(c *net.TCPConn) {
+				_, _ = fmt.Fprintf(c, "%s to %s", answer, readLine(c))
+				if test.end != nil {
+					test.end(c)
+				}
+				<-hangs
+			})
+			box := newCarrier(t, "box", secret, &targets{address: address})
+			c, err := newDialer(box).Dial(context.Background(), "service", "target")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if _, err := io.WriteString(c, "question\n"); err != nil {
+				t.Fatal(err)
+			}
+			want := answer + " to question"
+			got := make([]byte, len(want))
+			if _, err := io.ReadFull(c, got); err != nil || string(got) != want {
+				t.Fatalf("read %q: %v", got, err)
+			}
+			if test.during != nil {
+				test.during(box)
+			}
+			if test.want == nil && !test.other {
+				return
+			}
+			_, err = c.Read(got)
+			if test.other && (err == nil || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)) {
+				t.Fatalf("the end of the box reads as %v", err)
+			}
+			if !test.other && !errors.Is(err, test.want) {
+				t.Fatalf("the connection ended with %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+// Guards against work at a target for a caller that has left.
+func TestClosedConnectionIsClosedAtTheTarget(t *testing.T) {
+	closed := make(chan struct{})
+	address := listen(t, func(c *net.TCPConn) {
+		_, _ = io.Copy(io.Discard, c)
+		close(closed)
+	})
+	c, err := newDialer(newCarrier(t, "box", secret, &targets{address: address})).Dial(context.Background(), "service", "target")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Close()
+	<-closed
+	if _, err := c.Write([]byte("late")); err == nil {
+		t.Fatal("a closed connection takes bytes")
+	}
+}
+
+// Which box opens a connection, and what the caller learns if none does.
+func TestWhichBoxOpensAConnection(t *testing.T) {
+	noPath := errors.WithStack(relay.ErrNoPath{Reason: "test"})
+	refused := errors.WithStack(&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED})
+	tests := map[string]struct {
+		// boxes has what the dials of each box result in.
+		boxes   []*targets
+		secret  string
+		target  string
+		noPath  bool
+		refused bool
+	}{
+		"no box":                        {noPath: true},
+		"one box":                       {boxes: []*targets{{}}},
+		"one without path":              {boxes: []*targets{{err: noPath}, {}}},
+		"all without path":              {boxes: []*targets{{err: noPath}, {err: noPath}}, noPath: true},
+		"one silent":                    {boxes: []*targets{{silent: true}, {}}},
+		"all silent":                    {boxes: []*targets{{silent: true}, {silent: true}}, noPath: true},
+		"busy":                          {boxes: []*targets{{err: relay.ErrBusy{Reason: "test"}}, {}}},
+		"target refused":                {boxes: []*targets{{err: refused}}, refused: true},
+		"unknown target":                {boxes: []*targets{{}}, target: "unknown", noPath: true},
+		"a box that isn't of the fleet": {boxes: []*targets{{}}, secret: "another secret, not of the fleet", noPath: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			address := listen(t, func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) })
+			var carriers []*carrier
+			for n, ts := range test.boxes {
+				ts.address = address
+				s := secret
+				if test.secret != "" {
+					s = test.secret
+				}
+				carriers = append(carriers, newCarrier(t, fmt.Sprint("box-", n), s, ts))
+			}
+			target := "target"
+			if test.target != "" {
+				target = test.target
+			}
+			d := newDialer(carriers...)
+			c, err := d.Dial(context.Background(), "service", target)
+			if c != nil {
+				defer c.Close()
+			}
+			if relay.IsErrNoPath(err) != test.noPath || errors.Is(err, syscall.ECONNREFUSED) != test.refused {
+				t.Fatalf("got %v, want no path %v, refused %v", err, test.noPath, test.refused)
+			}
+			if !test.noPath && !test.refused && err != nil {
+				t.Fatal(err)
+			}
+			if test.noPath && d.HasPath("service") {
+				t.Error("a path is expected right after none was found")
+			}
+			if test.secret != "" && test.boxes[0].dials.Load() > 0 {
+				t.Error("a box that isn't of the fleet dialled a target")
+			}
+		})
+	}
+}
+
+// Guards against requests over a connection whose box is about to stop.
+func TestStoppingBoxGivesConnectionsUp(t *testing.T) {
+	address := listen(t, func(c *net.TCPConn) { _, _ = io.Copy(c, c) })
+	box := newCarrier(t, "box", secret, &targets{address: address})
+	d := newDialer(box)
+	c, err := d.Dial(context.Background(), "service", "target")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := c.(*relay.Conn)
+	if !conn.IsReusable() || conn.Box() != "box" {
+		t.Fatalf("reusable %v, carried by %q", conn.IsReusable(), conn.Box())
+	}
+	box.server.Stop()
+	for conn.IsReusable() {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := d.Dial(context.Background(), "service", "target"); !relay.IsErrNoPath(err) {
+		t.Fatalf("a stopping box opened a connection: %v", err)
+	}
+	// What is in progress goes on.
+	if _, err := io.WriteString(c, "rest\n"); err != nil || readLine(c) != "rest" {
+		t.Fatalf("the connection does not carry its request to the end: %v", err)
+	}
+	_ = c.Close()
+	box.server.Wait(context.Background())
+}
+
+// Guards against a box that buffers what nobody reads.
+func TestUnreadBytesAreBounded(t *testing.T) {
+	const size = 64 << 20
+	var sent atomic.Int64
+	address := listen(t, func(c *net.TCPConn) {
+		piece := make([]byte, 64<<10)
+		for sent.Load() < size {
+			n, err := c.Write(piece)
+			sent.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+		_ = c.Close()
+	})
+	c, err := newDialer(newCarrier(t, "box", secret, &targets{address: address})).Dial(context.Background(), "service", "target")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for last := int64(-1); sent.Load() != last; time.Sleep(200 * time.Millisecond) {
+		last = sent.Load()
+	}
+	if sent.Load() >= size {
+		t.Fatal("the target could send everything although nobody reads")
+	}
+	n, err := io.Copy(io.Discard, c)
+	if err != nil || n < size {
+		t.Fatalf("read %d bytes: %v", n, err)
+	}
+}
+
+// BenchmarkHop measures a request of 400 bytes with an answer of 800 bytes over a connection that
+// another box carries, and directly.
+func BenchmarkHop(b *testing.B) {
+	question, answer := strings.Repeat("q", 399)+"\n", strings.Repeat("a", 799)+"\n"
+	address := listen(b, func(c *net.TCPConn) {
+		for readLine(c) != "" {
+			_, _ = io.WriteString(c, answer)
+		}
+	})
+	dials := map[string]func() (net.Conn, error){
+		"direct": func() (net.Conn, error) { return net.Dial("tcp", address) },
+		"carried": func() (net.Conn, error) {
+			return newDialer(newCarrier(b, "box", secret, &targets{address: address})).Dial(context.Background(), "service", "target")
+		},
+	}
+	for name, dial := range dials {
+		b.Run(name, func(b *testing.B) {
+			c, err := dial()
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer c.Close()
+			buffer := make([]byte, len(answer))
+			for b.Loop() {
+				_, _ = io.WriteString(c, question)
+				if _, err := io.ReadFull(c, buffer); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkOpen measures opening a connection through another box.
+func BenchmarkOpen(b *testing.B) {
+	address := listen(b, func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) })
+	d := newDialer(newCarrier(b, "box", secret, &targets{address: address}))
+	for b.Loop() {
+		c, err := d.Dial(context.Background(), "service", "target")
+		if err != nil {
+			b.Fatal(err)
+		}
+		_ = c.Close()
+	}
+}
