--- a/services/forward/choose.go
+++ b/services/forward/choose.go
@@ -128,7 +128,7 @@
 		f.targets.MarkReachable(t, now)
 		f.targets.RecordOutcome(t, false, now)
 	case failing:
-		if f.reach.IsLost(t.Service) && !a.relayed {
+		if f.reach.IsLost(t.Service) && !a.carried {
 			// The connection may have failed with this box's own links.
 			return
 		}
--- a/services/forward/paths.go
+++ b/services/forward/paths.go
@@ -252,13 +252,13 @@
 		a.verdict, a.tooLate = inconclusive, true
 		return a
 	}
-	var relayed relayedDialError
+	var carried carriedDialError
 	switch {
 	case relay.IsErrNoPath(err):
 		a.verdict, a.noPath = cutOff, true
 		fl.recordSend(t, "unreachable no path")
 		return a
-	case errors.As(err, &relayed):
+	case errors.As(err, &carried):
 		fl.recordSend(t, "unreachable "+dialFailure(err)+" through another box")
 		return a
 	case fl.f.isLost(t.Service):
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -68,8 +68,8 @@
 // carrier is a connection that another box carries.
 type carrier interface{ Box() string }
 
-// isRelayed reports whether another box carries the connection.
-func (c *conn) isRelayed() bool { return c.carriedBy() != "" }
+// isCarried reports whether another box carries the connection.
+func (c *conn) isCarried() bool { return c.carriedBy() != "" }
 
 // carriedBy returns the name of the box that carries the connection, empty for one over this
 // box's own links.
@@ -213,10 +213,10 @@
 	return err == nil && quiet
 }
 
-// relayedDialError is the error of a dial through another box.
-type relayedDialError struct{ error }
+// carriedDialError is the error of a dial through another box.
+type carriedDialError struct{ error }
 
-func (e relayedDialError) Unwrap() error { return e.error }
+func (e carriedDialError) Unwrap() error { return e.error }
 
 // dial opens a connection to a target: over the box's own links, or through another box while
 // these are lost.
@@ -226,7 +226,7 @@
 	}
 	c, err := p.relay(ctx, t)
 	if err != nil {
-		return nil, relayedDialError{err}
+		return nil, carriedDialError{err}
 	}
 	return p.wrap(c, t), nil
 }
@@ -284,7 +284,7 @@
 		keep = time.Duration(idleTimeoutShare * float64(keep))
 	}
 	// Another box's links are used only while this box has lost its own.
-	isDetour := c.isRelayed() && !p.isLost(c.target.Service)
+	isDetour := c.isCarried() && !p.isLost(c.target.Service)
 	if c.reader.Buffered() > 0 || c.use == useOnce || c.strayAnswers > 0 || isDetour {
 		p.drop(c)
 		return
@@ -300,13 +300,13 @@
 
 // dropIdle closes the idle connections to the targets of a service: those through other boxes, or
 // those over the box's own links.
-func (p *pool) dropIdle(service string, relayed bool) {
+func (p *pool) dropIdle(service string, carried bool) {
 	var dropped []*conn
 	p.mu.Lock()
 	for key, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if c.target.Service == service && c.isRelayed() == relayed {
+			if c.target.Service == service && c.isCarried() == carried {
 				dropped = append(dropped, c)
 			} else {
 				kept = append(kept, c)
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -58,8 +58,8 @@
 	heldFor time.Duration
 	// resumption is set when the run was stopped to continue elsewhere.
 	resumption *resumption
-	// relayed is set when another box carried the call, noPath when no box reaches the service.
-	relayed, noPath bool
+	// carried is set when another box carried the call, noPath when no box reaches the service.
+	carried, noPath bool
 }
 
 // run sends the call to one target after another, within the limits on retries.
@@ -216,8 +216,8 @@
 	wd := fl.startWatchdog(cancel)
 	defer wd.stop()
 	a := fl.attemptOn(ctx, choice, c, wd)
-	a.relayed = c.isRelayed()
-	if a.relayed {
+	a.carried = c.isCarried()
+	if a.carried {
 		fl.carriers = append(fl.carriers, c.carriedBy())
 	}
 	if a.verdict == failing && (c.lost || wd.fired()) {
--- a/services/forward/target_end.go
+++ b/services/forward/target_end.go
@@ -126,8 +126,8 @@
 	if err == nil || !errors.Is(err, syscall.ECONNREFUSED) {
 		return err == nil, false
 	}
-	var relayed relayedDialError
-	if errors.As(err, &relayed) {
+	var carried carriedDialError
+	if errors.As(err, &carried) {
 		return false, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
