--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -37,9 +37,11 @@
 	// reserveTime is how long the token reservation took.
 	reserveTime  time.Duration
 	tableVersion uint64
-	// sends lists the targets that the call was sent to, each with the outcome.
-	sends    []string
-	excluded map[string]bool
+	// sends lists the targets that the call was sent to, or that could not be reached, each with the
+	// outcome. sendCount counts only the former.
+	sends     []string
+	sendCount int
+	excluded  map[string]bool
 	// unreachedTargets are the starts of the targets that could not be dialled, and carriers the
 	// boxes that carried the call.
 	unreachedTargets, carriers []string
@@ -218,7 +220,7 @@
 // budget if so.
 func (fl *inflightCall) canRetry(notRun bool) bool {
 	fl.tick()
-	if len(fl.sends) >= maxSends || fl.remaining() <= 0 {
+	if fl.sendCount >= maxSends || fl.remaining() <= 0 {
 		return false
 	}
 	// A target that rejects a resumed run says nothing about whether the call ran before.
--- a/services/forward/paths_test.go
+++ b/services/forward/paths_test.go
@@ -233,6 +233,7 @@
 		t.Fatal("the service does not count as out of reach")
 	}
 	relays.noPath = true
+	awaitChecks(f)
 	reserved, before := 0, l.dialCount()
 	var refusal *Refusal
 	if err := f.Serve(context.Background(), newCall("unsafe"), &collector{}); !errors.As(err, &refusal) || refusal.Run != structs.RunNo || refusal.RetryAfter <= 0 {
@@ -243,6 +244,19 @@
 	}
 }
 
+// awaitChecks waits until no check of a service is under way.
+func awaitChecks(f *Forwarder) {
+	for {
+		f.mu.Lock()
+		n := len(f.checks)
+		f.mu.Unlock()
+		if n == 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Guards against a detour that goes on after the own links are back, and against targets that
 // count as cold or stay banned although nothing was wrong with them.
 func TestOwnLinksAreUsedAgain(t *testing.T) {
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -236,6 +236,7 @@
 		return attempt{verdict: inconclusive, notRun: true, limited: true, err: err}
 	}
 	fl.possibleRuns++
+	fl.sendCount++
 	if err != nil {
 		fl.recordSend(t, "broken")
 		return attempt{verdict: failing, err: err}
