services/peers: HTTP/2 frames of at most 16 KiB

A client keeps a buffer as large as the server's largest frame, up to 512 KiB, for each stream on which it sends.

--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -37,6 +37,9 @@
 
 	// maxMessage is the maximum size of a message between boxes, in bytes.
 	maxMessage = 256 << 20
+	// maxFrame is the maximum size of an HTTP/2 frame, in bytes. A client keeps a buffer of this
+	// size, of up to 512 KiB, for each stream on which it sends.
+	maxFrame = 16 << 10
 	// maxClockSkew is the maximum difference between the clocks of two boxes.
 	maxClockSkew = 10 * time.Minute
 
@@ -156,7 +159,10 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(p.opts.TLS != nil)
 	protocols.SetUnencryptedHTTP2(p.opts.TLS == nil)
-	return &http.Server{Handler: handler, Protocols: &protocols, TLSConfig: p.opts.TLS.Clone(), ReadHeaderTimeout: dialTimeout}
+	return &http.Server{
+		Handler: handler, Protocols: &protocols, TLSConfig: p.opts.TLS.Clone(), ReadHeaderTimeout: dialTimeout,
+		HTTP2: &http.HTTP2Config{MaxReadFrameSize: maxFrame},
+	}
 }
 
 // sign returns "box time MAC". The MAC covers the box, the time and the procedure, but not
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -4,11 +4,13 @@
 package relay_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -363,7 +365,7 @@
 func BenchmarkHop(b *testing.B) {
 	question, answer := strings.Repeat("q", 399)+"\n", strings.Repeat("a", 799)+"\n"
 	address := listen(b, func(c *net.TCPConn) {
-		for readLine(c) != "" {
+		for lines := bufio.NewScanner(c); lines.Scan(); {
 			_, _ = io.WriteString(c, answer)
 		}
 	})
@@ -391,6 +393,28 @@
 	}
 }
 
+// BenchmarkCarriedMemory reports the memory of one open connection, on both boxes together.
+func BenchmarkCarriedMemory(b *testing.B) {
+	address := listen(b, func(c *net.TCPConn) { _, _ = io.Copy(c, c) })
+	d := newDialer(newCarrier(b, "box", secret, &targets{address: address}))
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for b.Loop() {
+		c, err := d.Dial(context.Background(), "service", "target")
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, "question\n"); err != nil || readLine(c) != "question" {
+			b.Fatalf("no answer: %v", err)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc+after.StackInuse-before.HeapAlloc-before.StackInuse)/float64(b.N), "B/conn")
+}
+
 // BenchmarkOpen measures opening a connection through another box.
 func BenchmarkOpen(b *testing.B) {
 	address := listen(b, func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) })
--- a/services/relay/server.go
+++ b/services/relay/server.go
@@ -26,7 +26,7 @@
 	// maxCarried limits the connections that one box carries for others.
 	maxCarried = 1024
 	// bufferSize is the size of the largest message with bytes of a target.
-	bufferSize = 16 << 10
+	bufferSize = 8 << 10
 	// stopPoll is the time between looks at the connections that are left during a stop.
 	stopPoll = 50 * time.Millisecond
 )
