models/reach, services/forward: fewer dials where nothing is new

A target that is known to be out of reach is dialled every 0.5 to 2 s; each of these dials began a check of three others. And a box that is asked about a target that has ended dialled three others for each box that asks. The first is left out, the second when another target was reached within 100 ms, so that the answer is still true after a cut of many boxes.

--- a/models/reach/reach.go
+++ b/models/reach/reach.go
@@ -19,6 +19,8 @@
 	// minCheckInterval that of any other.
 	checkInterval    = 300 * time.Millisecond
 	minCheckInterval = 50 * time.Millisecond
+	// recentTime is for how long a successful dial shows that a service is reached.
+	recentTime = 100 * time.Millisecond
 )
 
 // Tracker records which services a box can dial. Only dials count: connections that are open
@@ -36,18 +38,28 @@
 	// checkedAt is when the last check began, checking is set until it has ended.
 	checkedAt time.Duration
 	checking  bool
+	// reachedTarget is the target of the last successful dial, at reachedAt; empty before it.
+	reachedTarget string
+	reachedAt     time.Duration
 }
 
 // NewTracker returns a tracker to which no dial has failed yet.
 func NewTracker() *Tracker { return &Tracker{services: map[string]*service{}} }
 
-// RecordReached records a successful dial. It reports whether the service had been out of
-// reach, and for how long.
-func (tr *Tracker) RecordReached(name string, now time.Duration) (regained bool, lostFor time.Duration) {
+func (tr *Tracker) service(name string) *service {
 	s := tr.services[name]
 	if s == nil {
-		return false, 0
+		s = &service{failed: map[string]time.Duration{}, checkedAt: -minCheckInterval}
+		tr.services[name] = s
 	}
+	return s
+}
+
+// RecordReached records a successful dial. It reports whether the service had been out of
+// reach, and for how long.
+func (tr *Tracker) RecordReached(name, target string, now time.Duration) (regained bool, lostFor time.Duration) {
+	s := tr.service(name)
+	s.reachedTarget, s.reachedAt = target, now
 	clear(s.failed)
 	if !s.lost {
 		return false, 0
@@ -58,11 +70,7 @@
 
 // RecordUnreached records a failed dial to one of a service's targets.
 func (tr *Tracker) RecordUnreached(name, target string, now time.Duration) {
-	s := tr.services[name]
-	if s == nil {
-		s = &service{failed: map[string]time.Duration{}, checkedAt: -minCheckInterval}
-		tr.services[name] = s
-	}
+	s := tr.service(name)
 	for id, at := range s.failed {
 		if now-at > streakTime {
 			delete(s.failed, id)
@@ -71,6 +79,13 @@
 	s.failed[target] = now
 }
 
+// HasReachedOther reports whether a target of a service other than the given one was reached a
+// short time ago.
+func (tr *Tracker) HasReachedOther(name, target string, now time.Duration) bool {
+	s := tr.services[name]
+	return s != nil && s.reachedTarget != "" && s.reachedTarget != target && now-s.reachedAt < recentTime
+}
+
 // IsLost reports whether a service is out of reach.
 func (tr *Tracker) IsLost(name string) bool {
 	s := tr.services[name]
--- a/models/reach/reach_test.go
+++ b/models/reach/reach_test.go
@@ -53,7 +53,7 @@
 			for _, s := range test.steps {
 				switch {
 				case s.reached != "":
-					tr.RecordReached(name, s.at)
+					tr.RecordReached(name, s.reached, s.at)
 				case s.failed != "":
 					tr.RecordUnreached(name, s.failed, s.at)
 				case s.checked && tr.BeginCheck(name, s.at):
@@ -89,7 +89,7 @@
 	if diff := cmp.Diff(10, checks); diff != "" {
 		t.Fatal(diff)
 	}
-	tr.RecordReached(name, 3*time.Second)
+	tr.RecordReached(name, "a", 3*time.Second)
 	if tr.BeginCheck(name, 4*time.Second) {
 		t.Fatal("a service that was reached is checked")
 	}
@@ -105,11 +105,35 @@
 	if diff := cmp.Diff([]string{name}, tr.Lost()); diff != "" {
 		t.Fatal(diff)
 	}
-	regained, lostFor := tr.RecordReached(name, 12*ms)
+	regained, lostFor := tr.RecordReached(name, "a", 12*ms)
 	if !regained || lostFor != 10*ms {
 		t.Fatalf("regained %v after %s, want true after 10ms", regained, lostFor)
 	}
-	if regained, _ := tr.RecordReached(name, 13*ms); regained {
+	if regained, _ := tr.RecordReached(name, "a", 13*ms); regained {
 		t.Fatal("the service is regained twice")
 	}
 }
+
+func TestHasReachedOther(t *testing.T) {
+	tests := map[string]struct {
+		reached string
+		now     time.Duration
+		want    bool
+	}{
+		"none":        {now: ms},
+		"another one": {reached: "b", now: ms, want: true},
+		"the same":    {reached: "a", now: ms},
+		"long ago":    {reached: "b", now: 2 * time.Second},
+	}
+	for label, test := range tests {
+		t.Run(label, func(t *testing.T) {
+			tr := NewTracker()
+			if test.reached != "" {
+				tr.RecordReached(name, test.reached, 0)
+			}
+			if diff := cmp.Diff(test.want, tr.HasReachedOther(name, "a", test.now)); diff != "" {
+				t.Fatal(diff)
+			}
+		})
+	}
+}
--- a/services/forward/paths.go
+++ b/services/forward/paths.go
@@ -75,7 +75,8 @@
 	f.mu.Lock()
 	now := f.opts.Clock.Boot()
 	f.reach.RecordUnreached(t.Service, t.StartIdentity(), now)
-	check := f.beginCheck(t.Service, now)
+	// A target that was out of reach before says nothing new about this box's links.
+	check := !t.IsUnreachable() && f.beginCheck(t.Service, now)
 	f.mu.Unlock()
 	if check {
 		go f.checkService(context.Background(), t.Service, dialFailure(err))
@@ -118,7 +119,7 @@
 // recordReached records that the box has dialled a target over its own links.
 func (f *Forwarder) recordReached(t *spread.Target) {
 	f.mu.Lock()
-	regained, lostFor := f.reach.RecordReached(t.Service, f.opts.Clock.Boot())
+	regained, lostFor := f.reach.RecordReached(t.Service, t.StartIdentity(), f.opts.Clock.Boot())
 	delete(f.nextProbe, t.Service)
 	f.mu.Unlock()
 	if regained {
@@ -187,13 +188,14 @@
 	return c, err
 }
 
-// reachesOthers checks whether this box reaches other targets of a service after it could not
-// reach the given one. It returns true if there are none.
+// reachesOthers reports whether this box reaches other targets of a service after it could not
+// reach the given one, and dials some unless it has done so just before. It returns true if there
+// are none.
 func (f *Forwarder) reachesOthers(ctx context.Context, t *spread.Target) bool {
 	f.mu.Lock()
-	alone := f.targets.CountUsable(t.Service) <= 1
+	known := f.targets.CountUsable(t.Service) <= 1 || f.reach.HasReachedOther(t.Service, t.StartIdentity(), f.opts.Clock.Boot())
 	f.mu.Unlock()
-	return alone || f.dialSome(ctx, t.Service, t) > 0
+	return known || f.dialSome(ctx, t.Service, t) > 0
 }
 
 // refuseIfCutOff refuses a call at once if neither this box nor any other reaches its service.
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -320,7 +320,8 @@
 	}
 }
 
-// sweep closes expired idle connections, and all those to targets for which keep returns false.
+// sweep closes expired idle connections, all those to targets for which keep returns false, and
+// those that the box that carries them is about to give up.
 func (p *pool) sweep(keep func(target string) bool) {
 	now := p.now()
 	var old []*conn
@@ -329,7 +330,7 @@
 		kept := list[:0]
 		stays := keep(key.target)
 		for _, c := range list {
-			if stays && c.idleUntil > now {
+			if stays && c.idleUntil > now && (!c.isCarried() || isOpenAndEmpty(c.net)) {
 				kept = append(kept, c)
 			} else {
 				old = append(old, c)
