--- a/services/peers/consensus.go
+++ b/services/peers/consensus.go
@@ -55,7 +55,7 @@
 
 // Relays returns the client of the relay service of the entry box at an address.
 func (p *Peers) Relays(address string) betweenv1connect.RelayServiceClient {
-	return betweenv1connect.NewRelayServiceClient(p.client, p.BaseURL(address), p.ClientOptions()...)
+	return betweenv1connect.NewRelayServiceClient(p.carrying, p.BaseURL(address), p.ClientOptions()...)
 }
 
 // Control returns clients of the control service, keyed by the name of the box.
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -50,6 +50,8 @@
 	redialInterval = 200 * time.Millisecond
 	idleTimeout    = 90 * time.Second
 	pingTimeout    = time.Second
+	// carriedPingTimeout is longer, as the end of the connection ends all calls that it carries.
+	carriedPingTimeout = 2500 * time.Millisecond
 )
 
 // Options configure Peers.
@@ -70,6 +72,8 @@
 type Peers struct {
 	opts   Options
 	client *http.Client
+	// carrying is the client for connections to targets, so that their bytes don't delay messages.
+	carrying *http.Client
 
 	mu      sync.Mutex
 	keepers map[string]betweenv1connect.KeeperServiceClient
@@ -77,6 +81,15 @@
 
 // New returns Peers that use HTTP/2, with TLS if it is configured.
 func New(opts Options) *Peers {
+	return &Peers{
+		opts: opts, client: newClient(opts, pingTimeout), carrying: newClient(opts, carriedPingTimeout),
+		keepers: map[string]betweenv1connect.KeeperServiceClient{},
+	}
+}
+
+// newClient returns a client that gives a connection up when a ping has had no answer for the
+// given time.
+func newClient(opts Options, ping time.Duration) *http.Client {
 	var protocols http.Protocols
 	protocols.SetHTTP2(opts.TLS != nil)
 	protocols.SetUnencryptedHTTP2(opts.TLS == nil)
@@ -84,15 +97,14 @@
 	if opts.IP != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: opts.IP}
 	}
-	transport := &http.Transport{
+	return &http.Client{Transport: &http.Transport{
 		Protocols: &protocols,
 		// The client and the server each get a copy, since net/http modifies it.
 		TLSClientConfig: opts.TLS.Clone(),
 		DialContext:     dial.WithTimeout(dial.Hedged(dialer.DialContext, redialInterval), dialTimeout),
 		IdleConnTimeout: idleTimeout,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingTimeout, PingTimeout: pingTimeout},
-	}
-	return &Peers{opts: opts, client: &http.Client{Transport: transport}, keepers: map[string]betweenv1connect.KeeperServiceClient{}}
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingTimeout, PingTimeout: ping},
+	}}
 }
 
 // LoadTLS reads the files for mutual TLS. It returns nil if cert is empty.
