models/spread: checks of a service go through its targets in one order

Repeated checks could leave a target out for some rounds, as only the first one was ordered (TestRepeatedChecksIncludeAllTargets failed 4 of 5 times).

--- a/models/spread/health.go
+++ b/models/spread/health.go
@@ -4,9 +4,7 @@
 package spread
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -102,36 +100,25 @@
 }
 
 // ToCheck returns at most n targets of a service, other than except, to find out whether the box
-// reaches any: those that are not banned and in the box's data centre come first. from selects where to begin in
-// the list, so that repeated checks include all.
+// reaches any. from selects where to begin in the list, in which those of the box's data centre
+// come first, so that repeated checks include all.
 func (tb *Table) ToCheck(service string, except *Target, from, n int) []*Target {
-	var list []*Target
+	var near, far []*Target
 	for _, t := range tb.services[service] {
-		if t != except && tb.isCheckable(t) {
-			list = append(list, t)
+		switch {
+		case t == except || !tb.isCheckable(t):
+		case t.DataCentre == tb.dataCentre:
+			near = append(near, t)
+		default:
+			far = append(far, t)
 		}
 	}
+	list := append(near, far...)
 	if len(list) == 0 {
 		return nil
 	}
 	from %= len(list)
-	list = append(list[from:], list[:from]...)
-	if from == 0 {
-		slices.SortStableFunc(list, func(a, b *Target) int { return cmp.Compare(tb.checkRank(a), tb.checkRank(b)) })
-	}
-	return list[:min(n, len(list))]
-}
-
-// checkRank orders targets for a check, the first ones having the lowest rank.
-func (tb *Table) checkRank(t *Target) int {
-	switch {
-	case t.unreachableBans > 0:
-		return 2
-	case t.DataCentre != tb.dataCentre:
-		return 1
-	default:
-		return 0
-	}
+	return append(list[from:], list[:from]...)[:min(n, len(list))]
 }
 
 // RecordOutcome records the outcome of a call that reached its target. It reports whether
--- a/tests/soak/view_test.go
+++ b/tests/soak/view_test.go
@@ -5,10 +5,10 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,15 +44,13 @@
 func newViewedFleet(t *testing.T, controls, entries int) (*fleet, map[string]*view) {
 	t.Helper()
 	f := newFleet(t, controls, entries)
-	secret, err := os.ReadFile(strings.TrimSuffix(f.boxes[0].dir, f.boxes[0].name) + "secret")
+	secret, err := os.ReadFile(filepath.Join(f.dir, "secret"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	views := map[string]*view{}
 	for i, b := range f.withRole("entry") {
-		network, _, _ := strings.Cut(b.ip[len("127."):], ".")
-		third := strings.Split(b.ip, ".")[2]
-		ip := fmt.Sprintf("127.%s.%s.%d", network, third, firstViewIP+i)
+		ip := b.ip[:strings.LastIndex(b.ip, ".")+1] + strconv.Itoa(firstViewIP+i)
 		v := &view{box: b, ip: ip, controls: f.addresses("control", f.ports.between), links: map[string]*link{}}
 		v.peers = peers.New(peers.Options{Box: b.name, Secret: secret, Clock: clock.System{}, Stamps: hlc.New(clock.System{})})
 		v.serve(t, net.JoinHostPort(ip, strconv.Itoa(f.ports.between)))
@@ -169,16 +167,3 @@
 		k.apply(fault)
 	}
 }
-
-// openConns returns how many connections the box has to servers.
-func (v *view) openConns() int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	n := 0
-	for _, k := range v.links {
-		k.mu.Lock()
-		n += len(k.muted)
-		k.mu.Unlock()
-	}
-	return n
-}
