services/relay: slow boxes are asked last, and one dial without an answer refuses nobody

Slow is not without a path: slow boxes come after the others, a dial may take 500 ms, and only the second one in a row without any answer counts as no path. Tests: what each case charges, a box that starts while it is cut off, carried connections while the own links come back.

--- a/services/forward/paths_test.go
+++ b/services/forward/paths_test.go
@@ -156,17 +156,19 @@
 		refusal structs.Kind
 		run     structs.Run
 		runs    int
+		// spent is what the payer is charged, of 150 tokens that are reserved.
+		spent uint64
 	}{
-		"new connections refused":         {route: "unsafe", fault: linkRefuses, targets: 4, cut: 4, beyond: 4, carried: true, status: http.StatusOK, runs: 1},
-		"silent":                          {route: "unsafe", fault: linkSilent, targets: 4, cut: 4, beyond: 4, carried: true, status: http.StatusOK, runs: 1},
-		"stream":                          {route: "stream", fault: linkRefuses, targets: 4, cut: 4, beyond: 4, then: chunks(true, event(0), event(1)), carried: true, status: http.StatusOK, runs: 1},
-		"a service with one target":       {route: "unsafe", fault: linkRefuses, targets: 1, cut: 1, beyond: 1, carried: true, status: http.StatusOK, runs: 1},
-		"a service with two, silent":      {route: "unsafe", fault: linkSilent, targets: 2, cut: 2, beyond: 2, carried: true, status: http.StatusOK, runs: 1},
-		"some targets only":               {route: "unsafe", fault: linkRefuses, targets: 4, cut: 3, beyond: 4, status: http.StatusOK, runs: 1},
+		"new connections refused":         {route: "unsafe", fault: linkRefuses, targets: 4, cut: 4, beyond: 4, carried: true, status: http.StatusOK, runs: 1, spent: 100},
+		"silent":                          {route: "unsafe", fault: linkSilent, targets: 4, cut: 4, beyond: 4, carried: true, status: http.StatusOK, runs: 1, spent: 100},
+		"stream":                          {route: "stream", fault: linkRefuses, targets: 4, cut: 4, beyond: 4, then: chunks(true, event(0), event(1)), carried: true, status: http.StatusOK, runs: 1, spent: 110},
+		"a service with one target":       {route: "unsafe", fault: linkRefuses, targets: 1, cut: 1, beyond: 1, carried: true, status: http.StatusOK, runs: 1, spent: 100},
+		"a service with two, silent":      {route: "unsafe", fault: linkSilent, targets: 2, cut: 2, beyond: 2, carried: true, status: http.StatusOK, runs: 1, spent: 100},
+		"some targets only":               {route: "unsafe", fault: linkRefuses, targets: 4, cut: 3, beyond: 4, status: http.StatusOK, runs: 1, spent: 100},
 		"no box reaches them":             {route: "unsafe", fault: linkRefuses, targets: 4, cut: 4, refusal: structs.KindNoTarget, run: structs.RunNo},
 		"targets are down for all":        {route: "unsafe", fault: linkRefuses, targets: 4, cut: 4, err: refused, refusal: structs.KindNoTarget, run: structs.RunNo},
-		"another box ends, unsafe":        {route: "unsafe", fault: linkRefuses, targets: 4, cut: 4, beyond: 4, then: closeConn(), carried: true, refusal: structs.KindTargetFailed, run: structs.RunUnknown, runs: 1},
-		"another box ends, safe":          {route: "safe", fault: linkRefuses, targets: 4, cut: 4, beyond: 4, then: closeConn(), carried: true, refusal: structs.KindTargetFailed, run: structs.RunUnknown, runs: 2},
+		"another box ends, unsafe":        {route: "unsafe", fault: linkRefuses, targets: 4, cut: 4, beyond: 4, then: closeConn(), carried: true, refusal: structs.KindTargetFailed, run: structs.RunUnknown, runs: 1, spent: 150},
+		"another box ends, safe":          {route: "safe", fault: linkRefuses, targets: 4, cut: 4, beyond: 4, then: closeConn(), carried: true, refusal: structs.KindTargetFailed, run: structs.RunUnknown, runs: 2, spent: 150},
 		"turned away by all, through one": {route: "unsafe", fault: linkRefuses, targets: 2, cut: 2, beyond: 2, then: rejects(), carried: true, refusal: structs.KindNoTarget, run: structs.RunNo, runs: 2},
 	}
 	for name, test := range tests {
@@ -209,8 +211,8 @@
 			if diff := cmp.Diff(test.runs, runs); diff != "" {
 				t.Errorf("requests at targets: %s", diff)
 			}
-			if len(leases.settled) != 1 {
-				t.Errorf("settled %v, want one reservation", leases.settled)
+			if diff := cmp.Diff([]uint64{test.spent}, leases.settled); diff != "" {
+				t.Errorf("settled: %s", diff)
 			}
 			if len(n.ended) > 0 {
 				t.Errorf("targets were reported as ended: %v", n.ended)
@@ -293,6 +295,44 @@
 	}
 }
 
+// Guards against connections through another box that are used again and again while traffic goes
+// on, though the own links are back.
+func TestCarriedConnectionIsNotKeptWithOwnLinks(t *testing.T) {
+	release := make(chan struct{})
+	answer := respond(http.StatusOK, "yes")
+	tg := newTarget(t, "a", func(c net.Conn, r received) {
+		<-release
+		answer(c, r)
+	})
+	f := newForwarder(t, &fakeLeases{}, tg)
+	f.opts.Relays = newRelays(tg)
+	l := newLinks(f)
+	l.set(linkRefuses, tg)
+	served := make(chan error)
+	go func() { served <- f.Serve(context.Background(), newCall("unsafe"), &collector{}) }()
+	for len(tg.requests()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	l.set(linkWorks, tg)
+	for f.isLost("s") {
+		f.checkLostPaths(context.Background())
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	if err := <-served; err != nil {
+		t.Fatal(err)
+	}
+	f.pool.mu.Lock()
+	defer f.pool.mu.Unlock()
+	for _, list := range f.pool.idle {
+		for _, c := range list {
+			if c.isCarried() {
+				t.Error("a connection through another box is kept")
+			}
+		}
+	}
+}
+
 // Guards against giving up open connections while only new ones are refused.
 func TestOpenConnectionsAreUsedWhileNewOnesAreRefused(t *testing.T) {
 	tg := newTarget(t, "a", answers(respond(http.StatusOK, "yes"))...)
@@ -399,14 +439,17 @@
 				list = append(list, newTarget(t, string(rune('a'+n))))
 			}
 			f := newForwarder(t, &fakeLeases{}, list...)
-			newLinks(f).set(test.fault, list[:test.cut]...)
+			l := newLinks(f)
+			l.set(test.fault, list[:test.cut]...)
 			if test.lost {
 				f.opts.Relays = newRelays()
 				_ = f.Serve(context.Background(), newCall("unsafe"), &collector{})
 				for !f.isLost("s") {
 					time.Sleep(time.Millisecond)
 				}
+				awaitChecks(f)
 			}
+			before := l.dialCount()
 			id := test.id
 			if id == "" {
 				id = "a"
@@ -415,6 +458,9 @@
 			if c != nil {
 				defer c.Close()
 			}
+			if test.lost && l.dialCount() != before {
+				t.Errorf("%d dials over links that are known to be lost", l.dialCount()-before)
+			}
 			if (err == nil) != test.reached || relay.IsErrNoPath(err) != test.noPath || errors.Is(err, syscall.ECONNREFUSED) != test.refused {
 				t.Fatalf("got %v, want reached %v, no path %v, refused %v", err, test.reached, test.noPath, test.refused)
 			}
--- a/services/relay/dialer.go
+++ b/services/relay/dialer.go
@@ -25,9 +25,11 @@
 	// hedgeDelay is how long a box may take before a further one is asked as well.
 	hedgeDelay = 60 * time.Millisecond
 	// openTimeout limits the opening of a connection through one box.
-	openTimeout = 300 * time.Millisecond
-	// noPathTime is how long no box is asked after none had a path.
-	noPathTime = 250 * time.Millisecond
+	openTimeout = 500 * time.Millisecond
+	// noPathTime is how long no box is asked after none had a path, or none has answered in time
+	// silentAfter times in a row.
+	noPathTime  = 250 * time.Millisecond
+	silentAfter = 2
 )
 
 // DialerOptions configure a Dialer.
@@ -50,15 +52,17 @@
 	rng     *rand.Rand
 	peers   *peerTable
 	clients map[string]betweenv1connect.RelayServiceClient
-	// noPathUntil is until when no box is asked for a service, as none had a path to it.
+	// noPathUntil is until when no box is asked for a service, as none had a path to it. silent
+	// counts the dials in a row to which no box has answered in time.
 	noPathUntil map[string]time.Duration
+	silent      map[string]int
 	open        int
 }
 
 // NewDialer returns a dialer without connections.
 func NewDialer(opts DialerOptions) *Dialer {
 	seed := opts.Clock.Wall().UnixNano()
-	return &Dialer{opts: opts, rng: rand.New(rand.NewSource(seed)), peers: newPeerTable(), clients: map[string]betweenv1connect.RelayServiceClient{}, noPathUntil: map[string]time.Duration{}}
+	return &Dialer{opts: opts, rng: rand.New(rand.NewSource(seed)), peers: newPeerTable(), clients: map[string]betweenv1connect.RelayServiceClient{}, noPathUntil: map[string]time.Duration{}, silent: map[string]int{}}
 }
 
 // HasPath reports whether a box may have a path to a service, as far as is known.
@@ -111,20 +115,28 @@
 	c, err := d.dialAny(openCtx, boxes, target)
 	switch {
 	case err == nil:
+		d.recordResult(service, false, false)
 		return c, nil
 	case ctx.Err() != nil:
 		return nil, errors.WithStack(ctx.Err())
-	case IsErrNoPath(err):
-		d.recordNoPath(service)
 	}
+	d.recordResult(service, IsErrNoPath(err), openCtx.Err() != nil)
 	return nil, err
 }
 
-// recordNoPath records that no box had a path to a service.
-func (d *Dialer) recordNoPath(service string) {
+// recordResult records whether no box had a path to a service, and whether that is since none has
+// answered in time.
+func (d *Dialer) recordResult(service string, noPath, silent bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.noPathUntil[service] = d.opts.Clock.Boot() + noPathTime
+	if !silent {
+		d.silent[service] = 0
+	} else {
+		d.silent[service]++
+	}
+	if noPath && (!silent || d.silent[service] >= silentAfter) {
+		d.noPathUntil[service] = d.opts.Clock.Boot() + noPathTime
+	}
 }
 
 // dialAny asks the boxes until one has opened the connection or reports an error of the target.
@@ -246,5 +258,5 @@
 func (d *Dialer) recordSlow(b lease.Box) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.peers.recordFailure(b.Name, d.opts.Clock.Boot())
+	d.peers.recordSlow(b.Name, d.opts.Clock.Boot())
 }
--- a/services/relay/peers.go
+++ b/services/relay/peers.go
@@ -17,8 +17,8 @@
 	minBlock         = 500 * time.Millisecond
 	maxBlock         = 2 * time.Second
 	unsupportedBlock = 30 * time.Second
-	// suspectAfter is how many times in a row a box may fail to reach a target, or to answer in
-	// time, before it counts as without a path itself.
+	// suspectAfter is how many times in a row a box may fail to reach a target before it counts as
+	// without a path itself.
 	suspectAfter = 2
 	// askedNear and askedFar are how many boxes of the own data centre and of others are asked
 	// for one connection. A fault often strikes a whole data centre.
@@ -27,6 +27,9 @@
 	// askedProven is how many boxes that have had a path within provenTime are asked after them.
 	askedProven = 2
 	provenTime  = 10 * time.Second
+	// askedSlow is how many boxes that were slower than others within slowTime are asked last.
+	askedSlow = 2
+	slowTime  = time.Second
 )
 
 // peerTable records which boxes have a path to the targets. It is not safe for concurrent use.
@@ -34,7 +37,9 @@
 
 type peer struct {
 	// provenUntil is until when the box counts as having a path.
-	provenUntil  time.Duration
+	provenUntil time.Duration
+	// slowUntil is until when the box is asked after the others.
+	slowUntil    time.Duration
 	blockedUntil time.Duration
 	blocks       int
 	failures     int
@@ -53,17 +58,20 @@
 
 // order returns the boxes to ask for one connection, at random, so that the connections of
 // many boxes spread over all others: some of the own data centre, then some of others, then
-// some that have had a path before.
+// some that have had a path before, and some slow ones.
 func (pt *peerTable) order(boxes []lease.Box, self, centre string, now time.Duration, rng *rand.Rand) []lease.Box {
-	var near, far, proven []lease.Box
+	var near, far, proven, slow []lease.Box
 	for _, b := range boxes {
 		p := pt.peers[b.Name]
 		if b.Name == self || b.Address == "" || p != nil && p.blockedUntil > now {
 			continue
 		}
-		if b.DataCentre == centre {
+		switch {
+		case p != nil && p.slowUntil > now:
+			slow = append(slow, b)
+		case b.DataCentre == centre:
 			near = append(near, b)
-		} else {
+		default:
 			far = append(far, b)
 		}
 		if p != nil && p.provenUntil > now {
@@ -71,7 +79,7 @@
 		}
 	}
 	list := append(sample(near, askedNear, rng), sample(far, askedFar, rng)...)
-	for _, b := range sample(proven, askedProven, rng) {
+	for _, b := range append(sample(proven, askedProven, rng), sample(slow, askedSlow, rng)...) {
 		if !slices.Contains(list, b) {
 			list = append(list, b)
 		}
@@ -90,8 +98,13 @@
 	*pt.peer(name) = peer{provenUntil: now + provenTime}
 }
 
-// recordFailure records that a box could not reach a target or has not answered in time. When it
-// reaches none, it may be cut off without knowing yet.
+// recordSlow records that a box had not answered when another one had.
+func (pt *peerTable) recordSlow(name string, now time.Duration) {
+	pt.peer(name).slowUntil = now + slowTime
+}
+
+// recordFailure records that a box could not reach a target. When it reaches none, it may be cut
+// off without knowing yet.
 func (pt *peerTable) recordFailure(name string, now time.Duration) {
 	p := pt.peer(name)
 	p.failures++
--- a/services/relay/peers_test.go
+++ b/services/relay/peers_test.go
@@ -65,6 +65,13 @@
 			pt.recordOpened("dc-0-box-1", now)
 			pt.recordFailure("dc-0-box-1", now)
 		}},
+		"slow boxes come last": {boxes: fleetOf(2, 2), want: []string{"dc-1", "dc-1", "dc-0"}, before: func(pt *peerTable) {
+			pt.recordSlow("dc-0-box-1", now)
+		}},
+		"all slow": {boxes: fleetOf(1, 3), want: []string{"dc-0", "dc-0"}, before: func(pt *peerTable) {
+			pt.recordSlow("dc-0-box-1", now)
+			pt.recordSlow("dc-0-box-2", now)
+		}},
 		"without an address": {boxes: []lease.Box{{Name: "dc-0-box-1", DataCentre: "dc-0"}}},
 	}
 	for name, test := range tests {
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -251,13 +251,15 @@
 		target  string
 		noPath  bool
 		refused bool
+		// silent is set if no box answers at all.
+		silent bool
 	}{
 		"no box":                        {noPath: true},
 		"one box":                       {boxes: []*targets{{}}},
 		"one without path":              {boxes: []*targets{{err: noPath}, {}}},
 		"all without path":              {boxes: []*targets{{err: noPath}, {err: noPath}}, noPath: true},
 		"one silent":                    {boxes: []*targets{{silent: true}, {}}},
-		"all silent":                    {boxes: []*targets{{silent: true}, {silent: true}}, noPath: true},
+		"all silent":                    {boxes: []*targets{{silent: true}, {silent: true}}, noPath: true, silent: true},
 		"busy":                          {boxes: []*targets{{err: relay.ErrBusy{Reason: "test"}}, {}}},
 		"target refused":                {boxes: []*targets{{err: refused}}, refused: true},
 		"unknown target":                {boxes: []*targets{{}}, target: "unknown", noPath: true},
@@ -290,6 +292,10 @@
 			if !test.noPath && !test.refused && err != nil {
 				t.Fatal(err)
 			}
+			if test.silent {
+				// Boxes may be slow once.
+				_, _ = d.Dial(context.Background(), "service", target)
+			}
 			if test.noPath && d.HasPath("service") {
 				t.Error("a path is expected right after none was found")
 			}
--- a/tests/soak/unreachable_test.go
+++ b/tests/soak/unreachable_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -58,9 +59,10 @@
 			t.Cleanup(stop)
 			centre := f.entriesOf(f.withRole("entry")[0].centre)
 			outages := []outage{
-				tb.cutFromServers("one box", centre[:1], views, test.fault),
-				tb.cutFromServers("most of a data centre", centre[:len(centre)-1], views, test.fault),
-				tb.cutFromServers("all of a data centre", centre, views, test.fault),
+				tb.cutFromServers(t, "one box", centre[:1], views, test.fault, false),
+				tb.cutFromServers(t, "most of a data centre", centre[:len(centre)-1], views, test.fault, false),
+				tb.cutFromServers(t, "all of a data centre", centre, views, test.fault, false),
+				tb.cutFromServers(t, "a box that starts meanwhile", centre[:1], views, test.fault, true),
 			}
 			stop()
 			for _, o := range outages {
@@ -71,14 +73,27 @@
 	}
 }
 
-// cutFromServers cuts boxes off from all servers and measures what their callers get. It waits
-// for contactTime after it has restored the links.
-func (tb *testbed) cutFromServers(name string, boxes []*box, views map[string]*view, fault linkFault) outage {
+// cutFromServers cuts boxes off from all servers, and kills and starts them if restart is set, and
+// measures what their callers get. It waits for contactTime after it has restored the links.
+func (tb *testbed) cutFromServers(t *testing.T, name string, boxes []*box, views map[string]*view, fault linkFault, restart bool) outage {
+	t.Helper()
 	o := outage{name: name, boxes: map[string]bool{}}
 	for _, b := range boxes {
 		o.boxes[b.name] = true
 		tb.platform.disruptions.recordFault(b.name, contactTime+measuredTime+answerTime)
 		views[b.name].set(fault)
+		if restart {
+			<-b.signal(syscall.SIGKILL)
+			if err := b.start(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if restart {
+		tb.ready(t)
+		for _, b := range boxes {
+			tb.platform.disruptions.recordFault(b.name, contactTime+measuredTime+answerTime)
+		}
 	}
 	time.Sleep(contactTime)
 	o.from = time.Now()
