tests/soak: the fleet knows its entry boxes before the first outage begins

The outage is one of a running fleet, so the test waits for the directory; the same for the box that starts meanwhile.

--- a/tests/soak/unreachable_test.go
+++ b/tests/soak/unreachable_test.go
@@ -8,6 +8,7 @@
 	"math/rand"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -55,6 +56,7 @@
 					tb.saveLogs(t, test.seed)
 				}
 			})
+			tb.awaitDirectory(t, tb.withRole("entry"))
 			stop := tb.startSteadyLoad()
 			t.Cleanup(stop)
 			centre := f.entriesOf(f.withRole("entry")[0].centre)
@@ -91,6 +93,7 @@
 	}
 	if restart {
 		tb.ready(t)
+		tb.awaitDirectory(t, boxes)
 		for _, b := range boxes {
 			tb.platform.disruptions.recordFault(b.name, contactTime+measuredTime+answerTime)
 		}
@@ -108,6 +111,25 @@
 	return o
 }
 
+// awaitDirectory waits until boxes have heard from control of all entry boxes since their last
+// start. A new leader collects reports before it tells of any.
+func (tb *testbed) awaitDirectory(t *testing.T, boxes []*box) {
+	t.Helper()
+	all := fmt.Sprintf(`"boxes":%d`, len(tb.withRole("entry")))
+	for _, b := range boxes {
+		waitFor(t, b.name+" knows all entry boxes", func() bool {
+			log := b.logText()
+			log = log[strings.LastIndex(log, `"msg":"start"`)+1:]
+			for line := range strings.Lines(log) {
+				if strings.Contains(line, "directory of entry boxes in force") && strings.Contains(line, all) {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
+
 // checkShares checks that the callers of the boxes without links were served.
 func (p *callerPool) checkShares(t *testing.T, o outage) {
 	t.Helper()
