--- a/services/relay/server.go
+++ b/services/relay/server.go
@@ -52,9 +52,8 @@
 type Server struct {
 	opts ServerOptions
 
-	mu      sync.Mutex
-	carried map[*carried]bool
-
+	mu         sync.Mutex
+	carried    map[*carried]bool
 	isStopping bool
 }
 
@@ -121,6 +120,10 @@
 	c := &carried{target: conn, stream: stream}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.isStopping {
+		_ = conn.Close()
+		return nil, errors.WithStack(ErrBusy{Reason: "it is stopping"})
+	}
 	s.carried[c] = true
 	return c, nil
 }
