tests/soak: fleets look for free ports at their own address

Each fleet looked for ports by listening on all addresses for a moment, so that another fleet that was about to bind the same port on its own address failed.

--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -81,8 +81,8 @@
 // loopback subnet, derived from the process id and a counter.
 func newFleet(t *testing.T, controls, entries int) *fleet {
 	t.Helper()
-	f := &fleet{dir: t.TempDir(), ports: freePorts(t)}
 	net := fmt.Sprintf("127.%d.%d.", 60+os.Getpid()%150, 1+fleets.Add(1)%250)
+	f := &fleet{dir: t.TempDir(), ports: freePorts(t, net+"10")}
 	var seeds []string
 	for i := range min(3, controls) {
 		seeds = append(seeds, net+strconv.Itoa(10+i))
@@ -112,11 +112,13 @@
 	return f
 }
 
-func freePorts(t *testing.T) ports {
+// freePorts returns ports that are free at the address of the first box, and so in the whole
+// subnet. It must not listen on all addresses: another fleet may bind the same port meanwhile.
+func freePorts(t *testing.T, ip string) ports {
 	t.Helper()
 	var p ports
 	for _, port := range []*int{&p.between, &p.caller, &p.ready, &p.registry, &p.metrics} {
-		l, err := net.Listen("tcp", "0.0.0.0:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		if err != nil {
 			t.Fatal(err)
 		}
