--- a/services/forward/paths_test.go
+++ b/services/forward/paths_test.go
@@ -259,8 +259,8 @@
 	}
 }
 
-// Guards against a detour that goes on after the own links are back, and against targets that
-// count as cold or stay banned although nothing was wrong with them.
+// Guards against calls that go through another box after the own links are back, and against
+// targets that count as cold or stay banned although nothing was wrong with them.
 func TestOwnLinksAreUsedAgain(t *testing.T) {
 	list := []*target{newTarget(t, "a", answers(respond(http.StatusOK, "yes"))...), newTarget(t, "b", answers(respond(http.StatusOK, "yes"))...), newTarget(t, "c", answers(respond(http.StatusOK, "yes"))...)}
 	f := newForwarder(t, &fakeLeases{}, list...)
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -284,8 +284,8 @@
 		keep = time.Duration(idleTimeoutShare * float64(keep))
 	}
 	// Another box's links are used only while this box has lost its own.
-	isDetour := c.isCarried() && !p.isLost(c.target.Service)
-	if c.reader.Buffered() > 0 || c.use == useOnce || c.strayAnswers > 0 || isDetour {
+	isUnneeded := c.isCarried() && !p.isLost(c.target.Service)
+	if c.reader.Buffered() > 0 || c.use == useOnce || c.strayAnswers > 0 || isUnneeded {
 		p.drop(c)
 		return
 	}
--- a/services/relay/errors.go
+++ b/services/relay/errors.go
@@ -32,6 +32,12 @@
 	return "target " + e.Target + " is not registered here: ask a box with a newer list of targets"
 }
 
+// IsErrUnknownTarget reports whether an error is or wraps an ErrUnknownTarget.
+func IsErrUnknownTarget(err error) bool {
+	var e ErrUnknownTarget
+	return errors.As(err, &e)
+}
+
 // ErrBusy is the error for a box that can't carry more connections.
 type ErrBusy struct{ Reason string }
 
@@ -39,18 +45,22 @@
 	return "the box carries no more connections: " + e.Reason + ": ask another one"
 }
 
+// IsErrBusy reports whether an error is or wraps an ErrBusy.
+func IsErrBusy(err error) bool {
+	var e ErrBusy
+	return errors.As(err, &e)
+}
+
 // errOtherBox is the cause of a connection that ended because of the box that carried it, so
 // that nothing is known of the target.
 var errOtherBox = errors.New("the box that carried the connection broke off")
 
 // toConnect converts an error of a dial to one with the code that RelayService documents.
 func toConnect(err error) error {
-	var unknown ErrUnknownTarget
-	var busy ErrBusy
 	switch {
-	case errors.As(err, &unknown):
+	case IsErrUnknownTarget(err):
 		return connect.NewError(connect.CodeNotFound, err)
-	case errors.As(err, &busy):
+	case IsErrBusy(err):
 		return connect.NewError(connect.CodeResourceExhausted, err)
 	case IsErrNoPath(err):
 		return connect.NewError(connect.CodeUnavailable, err)
