services/forward: a target is not banned after the box has found that it is cut off

A call that was refused a connection just before the service counted as lost banned its target just after, when the bans for the loss had been lifted: it stayed banned for up to 2 s, and counted as cold after that, though nothing was wrong with it.

--- a/services/forward/choose.go
+++ b/services/forward/choose.go
@@ -111,7 +111,8 @@
 	fl.clearWaitingTokens(t)
 	switch a.verdict {
 	case unreachable:
-		if f.opts.IsCongested() {
+		lostLinks := f.reach.IsLost(t.Service) && !a.carried
+		if f.opts.IsCongested() || lostLinks {
 			return
 		}
 		ban := f.targets.BanUnreachable(t, now)
--- a/services/forward/paths.go
+++ b/services/forward/paths.go
@@ -261,6 +261,7 @@
 		fl.recordSend(t, "unreachable no path")
 		return a
 	case errors.As(err, &carried):
+		a.carried = true
 		fl.recordSend(t, "unreachable "+dialFailure(err)+" through another box")
 		return a
 	case fl.f.isLost(t.Service):
