--- a/models/spread/health.go
+++ b/models/spread/health.go
@@ -59,6 +59,11 @@
 		return
 	}
 	tb.suspectCold(t, now)
+	t.endUnreachable()
+}
+
+// endUnreachable ends the ban of a target that could not be reached, unless it is an outlier.
+func (t *Target) endUnreachable() {
 	t.unreachableBans = 0
 	if !t.outlier {
 		t.bannedUntil = 0
@@ -69,12 +74,8 @@
 // due to them. They do not count as cold.
 func (tb *Table) EndUnreachable(service string) {
 	for _, t := range tb.services[service] {
-		if t.unreachableBans == 0 {
-			continue
-		}
-		t.unreachableBans = 0
-		if !t.outlier {
-			t.bannedUntil = 0
+		if t.unreachableBans > 0 {
+			t.endUnreachable()
 		}
 	}
 }
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -390,7 +390,7 @@
 
 // isUsable reports whether a target may have a call, apart from bans and limits.
 func (tb *Table) isUsable(t *Target, criteria Criteria) bool {
-	return !t.Draining && !t.replaced && !criteria.Exclude[t.start] && !tb.IsEvacuated(t)
+	return tb.isCheckable(t) && !criteria.Exclude[t.start]
 }
 
 // candidates returns the targets that a call may go to. Banned targets are included
--- a/services/forward/paths.go
+++ b/services/forward/paths.go
@@ -178,12 +178,13 @@
 	if t == nil {
 		return nil, errors.WithStack(relay.ErrUnknownTarget{Target: id})
 	}
+	lostLinks := relay.ErrNoPath{Reason: "this box has lost its own links"}
 	if f.isLost(t.Service) {
-		return nil, errors.WithStack(relay.ErrNoPath{Reason: "this box has lost its own links"})
+		return nil, errors.WithStack(lostLinks)
 	}
 	c, err := f.pool.dialTCP(ctx, t)
 	if errors.Is(err, syscall.ECONNREFUSED) && !f.reachesOthers(ctx, t) || err != nil && f.isLost(t.Service) {
-		return nil, errors.WithStack(relay.ErrNoPath{Reason: "this box has lost its own links"})
+		return nil, errors.WithStack(lostLinks)
 	}
 	return c, err
 }
@@ -254,13 +255,12 @@
 		a.verdict, a.tooLate = inconclusive, true
 		return a
 	}
-	var carried carriedDialError
 	switch {
 	case relay.IsErrNoPath(err):
 		a.verdict, a.noPath = cutOff, true
 		fl.recordSend(t, "unreachable no path")
 		return a
-	case errors.As(err, &carried):
+	case isCarriedDialError(err):
 		a.carried = true
 		fl.recordSend(t, "unreachable "+dialFailure(err)+" through another box")
 		return a
--- a/services/forward/paths_test.go
+++ b/services/forward/paths_test.go
@@ -84,14 +84,14 @@
 	conns []net.Conn
 }
 
-// carriedConn is a connection that the other box carries. Its end says nothing about the target.
-type carriedConn struct{ net.Conn }
+// fakeCarriedConn is a connection that the other box carries. Its end says nothing about the target.
+type fakeCarriedConn struct{ net.Conn }
 
-func (carriedConn) Box() string { return "other" }
+func (fakeCarriedConn) Box() string { return "other" }
 
-func (c carriedConn) IsReusable() bool { return isOpenAndEmpty(c.Conn) }
+func (c fakeCarriedConn) IsReusable() bool { return isOpenAndEmpty(c.Conn) }
 
-func (c carriedConn) Read(p []byte) (int, error) {
+func (c fakeCarriedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != nil {
 		err = errors.New("the other box has ended")
@@ -123,7 +123,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.conns = append(r.conns, c)
-	return carriedConn{c}, nil
+	return fakeCarriedConn{c}, nil
 }
 
 func (r *fakeRelays) HasPath(string) bool { return !r.noPath }
@@ -134,6 +134,24 @@
 	return len(r.conns)
 }
 
+// newTargets returns n targets with the same scripts, named a, b and so on.
+func newTargets(t *testing.T, n int, scripts ...script) []*target {
+	t.Helper()
+	var list []*target
+	for i := range n {
+		list = append(list, newTarget(t, string(rune('a'+i)), scripts...))
+	}
+	return list
+}
+
+// awaitOwnLinks runs checks until the box reaches the service over its own links.
+func awaitOwnLinks(f *Forwarder) {
+	for f.isLost("s") {
+		f.checkLostPaths(context.Background())
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // answers is a script for several requests.
 func answers(s script) []script { return []script{s, s, s, s, s, s, s, s} }
 
@@ -177,10 +195,7 @@
 			if then == nil {
 				then = respond(http.StatusOK, "yes")
 			}
-			var list []*target
-			for n := range test.targets {
-				list = append(list, newTarget(t, string(rune('a'+n)), answers(then)...))
-			}
+			list := newTargets(t, test.targets, answers(then)...)
 			leases := &fakeLeases{}
 			f := newForwarder(t, leases, list...)
 			n := newFakeQuarantine()
@@ -223,7 +238,7 @@
 
 // Guards against calls that wait, and tokens that are reserved, for a service that no box reaches.
 func TestServiceOutOfReachIsRefusedAtOnce(t *testing.T) {
-	list := []*target{newTarget(t, "a"), newTarget(t, "b"), newTarget(t, "c")}
+	list := newTargets(t, 3)
 	reserved := 0
 	f := newForwarder(t, &fakeLeases{onReserve: func() { reserved++ }}, list...)
 	relays := newRelays()
@@ -262,7 +277,7 @@
 // Guards against calls that go through another box after the own links are back, and against
 // targets that count as cold or stay banned although nothing was wrong with them.
 func TestOwnLinksAreUsedAgain(t *testing.T) {
-	list := []*target{newTarget(t, "a", answers(respond(http.StatusOK, "yes"))...), newTarget(t, "b", answers(respond(http.StatusOK, "yes"))...), newTarget(t, "c", answers(respond(http.StatusOK, "yes"))...)}
+	list := newTargets(t, 3, answers(respond(http.StatusOK, "yes"))...)
 	f := newForwarder(t, &fakeLeases{}, list...)
 	relays := newRelays(list...)
 	f.opts.Relays = relays
@@ -272,10 +287,7 @@
 		t.Fatal(err)
 	}
 	l.set(linkWorks, list...)
-	for f.isLost("s") {
-		f.checkLostPaths(context.Background())
-		time.Sleep(time.Millisecond)
-	}
+	awaitOwnLinks(f)
 	carried := relays.dialCount()
 	for range 6 {
 		if err := f.Serve(context.Background(), newCall("unsafe"), &collector{}); err != nil {
@@ -314,10 +326,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	l.set(linkWorks, tg)
-	for f.isLost("s") {
-		f.checkLostPaths(context.Background())
-		time.Sleep(time.Millisecond)
-	}
+	awaitOwnLinks(f)
 	close(release)
 	if err := <-served; err != nil {
 		t.Fatal(err)
@@ -357,7 +366,7 @@
 
 // Guards against banning a target because a caller left while it was dialled.
 func TestCallerLeavesDuringDial(t *testing.T) {
-	list := []*target{newTarget(t, "a"), newTarget(t, "b")}
+	list := newTargets(t, 2)
 	f := newForwarder(t, &fakeLeases{}, list...)
 	newLinks(f).set(linkSilent, list...)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
@@ -391,10 +400,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			var list []*target
-			for n := range test.targets {
-				list = append(list, newTarget(t, string(rune('a'+n))))
-			}
+			list := newTargets(t, test.targets)
 			f := newForwarder(t, &fakeLeases{}, list...)
 			if r := test.relays(list); r != nil {
 				f.opts.Relays = r
@@ -434,10 +440,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			var list []*target
-			for n := range test.targets {
-				list = append(list, newTarget(t, string(rune('a'+n))))
-			}
+			list := newTargets(t, test.targets)
 			f := newForwarder(t, &fakeLeases{}, list...)
 			l := newLinks(f)
 			l.set(test.fault, list[:test.cut]...)
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -65,8 +65,14 @@
 	lastCall, previousCall string
 }
 
-// carrier is a connection that another box carries.
-type carrier interface{ Box() string }
+// carriedConn is a connection that another box carries.
+type carriedConn interface {
+	// Box returns the name of that box.
+	Box() string
+	// IsReusable reports whether the connection can carry another request: it is open and has no
+	// bytes to read.
+	IsReusable() bool
+}
 
 // isCarried reports whether another box carries the connection.
 func (c *conn) isCarried() bool { return c.carriedBy() != "" }
@@ -74,7 +80,7 @@
 // carriedBy returns the name of the box that carries the connection, empty for one over this
 // box's own links.
 func (c *conn) carriedBy() string {
-	if other, ok := c.net.(carrier); ok {
+	if other, ok := c.net.(carriedConn); ok {
 		return other.Box()
 	}
 	return ""
@@ -187,14 +193,11 @@
 	}
 }
 
-// reusable is a connection that knows itself whether it is open and has no bytes to read.
-type reusable interface{ IsReusable() bool }
-
 // isOpenAndEmpty reports whether a connection is open and has no bytes to read: bytes that
 // arrive without a request belong to no call.
 func isOpenAndEmpty(c net.Conn) bool {
-	if r, ok := c.(reusable); ok {
-		return r.IsReusable()
+	if other, ok := c.(carriedConn); ok {
+		return other.IsReusable()
 	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
@@ -218,6 +221,12 @@
 
 func (e carriedDialError) Unwrap() error { return e.error }
 
+// isCarriedDialError reports whether an error is or wraps a carriedDialError.
+func isCarriedDialError(err error) bool {
+	var e carriedDialError
+	return errors.As(err, &e)
+}
+
 // dial opens a connection to a target: over the box's own links, or through another box while
 // these are lost.
 func (p *pool) dial(ctx context.Context, t *spread.Target) (*conn, error) {
@@ -301,39 +310,29 @@
 // dropIdle closes the idle connections to the targets of a service: those through other boxes, or
 // those over the box's own links.
 func (p *pool) dropIdle(service string, carried bool) {
-	var dropped []*conn
-	p.mu.Lock()
-	for key, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if c.target.Service == service && c.isCarried() == carried {
-				dropped = append(dropped, c)
-			} else {
-				kept = append(kept, c)
-			}
-		}
-		p.idle[key] = kept
-	}
-	p.mu.Unlock()
-	for _, c := range dropped {
-		p.drop(c)
-	}
+	p.closeIdle(func(_ idleKey, c *conn) bool { return c.target.Service == service && c.isCarried() == carried })
 }
 
 // sweep closes expired idle connections, all those to targets for which keep returns false, and
 // those that the box that carries them is about to give up.
 func (p *pool) sweep(keep func(target string) bool) {
 	now := p.now()
-	var old []*conn
+	p.closeIdle(func(key idleKey, c *conn) bool {
+		return c.idleUntil <= now || !keep(key.target) || c.isCarried() && !isOpenAndEmpty(c.net)
+	})
+}
+
+// closeIdle closes the idle connections for which old returns true.
+func (p *pool) closeIdle(old func(key idleKey, c *conn) bool) {
+	var closed []*conn
 	p.mu.Lock()
 	for key, list := range p.idle {
 		kept := list[:0]
-		stays := keep(key.target)
 		for _, c := range list {
-			if stays && c.idleUntil > now && (!c.isCarried() || isOpenAndEmpty(c.net)) {
-				kept = append(kept, c)
+			if old(key, c) {
+				closed = append(closed, c)
 			} else {
-				old = append(old, c)
+				kept = append(kept, c)
 			}
 		}
 		p.idle[key] = kept
@@ -342,7 +341,7 @@
 		}
 	}
 	p.mu.Unlock()
-	for _, c := range old {
+	for _, c := range closed {
 		p.drop(c)
 	}
 }
--- a/services/forward/target_end.go
+++ b/services/forward/target_end.go
@@ -126,8 +126,7 @@
 	if err == nil || !errors.Is(err, syscall.ECONNREFUSED) {
 		return err == nil, false
 	}
-	var carried carriedDialError
-	if errors.As(err, &carried) {
+	if isCarriedDialError(err) {
 		return false, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/services/relay/dialer.go
+++ b/services/relay/dialer.go
@@ -24,7 +24,7 @@
 const (
 	// hedgeDelay is how long a box may take before a further one is asked as well.
 	hedgeDelay = 60 * time.Millisecond
-	// openTimeout limits the opening of a connection through one box.
+	// openTimeout limits a dial, over all boxes that are asked.
 	openTimeout = 500 * time.Millisecond
 	// noPathTime is how long no box is asked after none had a path, or none has answered in time
 	// silentAfter times in a row.
