services/forward, platform: the log says which software versions a stream had

Cause: the registration's version was read nowhere, so that no log line could tell whether a stream went on at another version within its answer, when its caller returned, or by a move. Rows of targets now hold the version, and the line of a stream has the versions of its targets, the last event that a returning caller holds and the attempt that it names.

--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -45,7 +45,7 @@
 )
 
 // Target is one start (one run of the process) of a registered target, as this box
-// sees it. Its id, start time, service, address and data centre never change, so that
+// sees it. Its id, start time, service, address, data centre and version never change, so that
 // calls may read them without the table's lock. A target that has moved or restarted gets
 // a new Target, which inherits nothing.
 type Target struct {
@@ -56,6 +56,8 @@
 	Service    string
 	Address    string
 	DataCentre string
+	// Version is the version of the target's software, empty if the target does not know it.
+	Version string
 
 	Draining bool
 	// RunningCalls counts this box's calls at the target.
@@ -145,14 +147,14 @@
 }
 
 // Put adds, updates or removes a target as its registration says. A new start time,
-// service, address or data centre makes it a new target.
+// service, address, data centre or version makes it a new target.
 func (tb *Table) Put(row *statev1.RegisteredTarget, now time.Duration) {
 	t := tb.byID[row.GetId()]
 	if row.GetState() == statev1.RegisteredTarget_STATE_GONE {
 		tb.remove(t)
 		return
 	}
-	if t != nil && (t.Born != row.GetBorn() || t.Service != row.GetService() || t.Address != row.GetAddress() || t.DataCentre != row.GetDataCentre()) {
+	if t != nil && !t.isOf(row) {
 		tb.remove(t)
 		t = nil
 	}
@@ -163,7 +165,7 @@
 			filling = now + cacheFillTime
 		}
 		t = &Target{
-			ID: row.GetId(), Born: row.GetBorn(), Service: row.GetService(), Address: row.GetAddress(), DataCentre: row.GetDataCentre(),
+			ID: row.GetId(), Born: row.GetBorn(), Service: row.GetService(), Address: row.GetAddress(), DataCentre: row.GetDataCentre(), Version: row.GetVersion(),
 			hash: xxhash.Sum64String(row.GetId()), start: startIdentity(row.GetId(), row.GetBorn()), fillingUntil: filling,
 		}
 		tb.byID[t.ID] = t
@@ -177,6 +179,12 @@
 	t.hasAnnouncedEnd = t.hasAnnouncedEnd || t.Draining
 }
 
+// isOf reports whether a row with the target's id is one of this start.
+func (t *Target) isOf(row *statev1.RegisteredTarget) bool {
+	return t.Born == row.GetBorn() && t.Service == row.GetService() && t.Address == row.GetAddress() &&
+		t.DataCentre == row.GetDataCentre() && t.Version == row.GetVersion()
+}
+
 // insert adds a target to its service, in the order of hashes.
 func (tb *Table) insert(t *Target) {
 	list := tb.services[t.Service]
--- a/models/state/starts.go
+++ b/models/state/starts.go
@@ -43,7 +43,7 @@
 		return
 	}
 	if old != nil && t.GetAddress() == "" {
-		t.Address, t.Service, t.DataCentre, t.Slots = old.GetAddress(), old.GetService(), old.GetDataCentre(), old.GetSlots()
+		t.Address, t.Service, t.DataCentre, t.Slots, t.Version = old.GetAddress(), old.GetService(), old.GetDataCentre(), old.GetSlots(), old.GetVersion()
 	}
 	if !gone {
 		r.assignAddress(t)
@@ -109,7 +109,7 @@
 	if former != nil && former.GetId() != t.GetId() && former.GetState() != statev1.RegisteredTarget_STATE_GONE {
 		r.storeTarget(&statev1.RegisteredTarget{
 			Id: former.GetId(), Service: former.GetService(), Address: former.GetAddress(), DataCentre: former.GetDataCentre(),
-			Slots: former.GetSlots(), Sequence: former.GetSequence(), Born: former.GetBorn(), State: statev1.RegisteredTarget_STATE_GONE,
+			Slots: former.GetSlots(), Sequence: former.GetSequence(), Born: former.GetBorn(), Version: former.GetVersion(), State: statev1.RegisteredTarget_STATE_GONE,
 		})
 	}
 	r.idByAddress[t.GetAddress()] = t.GetId()
--- a/services/forward/call.go
+++ b/services/forward/call.go
@@ -66,6 +66,9 @@
 	MaxWait time.Duration
 	// LastEvent is the id of the last event that the caller has received, -1 for none.
 	LastEvent int64
+	// FirstAttempt is the id of the caller's attempt that brought the first event of the stream that
+	// this call takes up again, empty if the caller named none.
+	FirstAttempt string
 	// InputTokens is the number of prompt tokens, MaxOutputTokens the maximum number of
 	// generated tokens.
 	InputTokens     uint64
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -39,7 +39,9 @@
 	tableVersion uint64
 	// sends lists the targets that the call was sent to, or that could not be reached, each with the
 	// outcome. sendCount counts only the former.
-	sends     []string
+	sends []string
+	// versions are the software versions of these targets.
+	versions  []string
 	sendCount int
 	excluded  map[string]bool
 	// unreachedTargets are the starts of the targets that could not be dialled, and carriers the
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -8,6 +8,8 @@
 	"log/slog"
 
 	"github.com/pkg/errors"
+
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 )
 
 // Outcomes in logs and metrics, and log messages.
@@ -52,6 +54,12 @@
 			slog.Uint64("reserved", fl.reserved.Tokens), slog.Int64("reserve_ms", fl.reserveTime.Milliseconds()), slog.String("lease_holder", fl.reserved.Holder), slog.Uint64("lease_free", fl.leaseStatus.Free), slog.Uint64("budget_left", fl.leaseStatus.Left), slog.Uint64("budget_unallotted", fl.leaseStatus.Unallotted), slog.Int64("lease_age_ms", fl.leaseStatus.Age),
 			slog.Uint64("input", fl.call.InputTokens), slog.Uint64("output_limit", fl.call.MaxOutputTokens), slog.Uint64("events", fl.events.count))
 	}
+	if fl.route.GetKind() == statev1.Route_KIND_STREAM {
+		attrs = append(attrs, slog.Any("target_versions", fl.versions))
+	}
+	if fl.call.LastEvent >= 0 {
+		attrs = append(attrs, slog.Int64("last_event", fl.call.LastEvent), slog.String("first_attempt", fl.call.FirstAttempt))
+	}
 	if fl.sink.heads > 0 {
 		attrs = append(attrs, slog.Int("heads", fl.sink.heads), slog.Bool("ended", fl.sink.ended))
 	}
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -281,6 +281,7 @@
 
 func (fl *inflightCall) recordSend(t *spread.Target, outcome string) {
 	fl.sends = append(fl.sends, t.ID+" "+outcome)
+	fl.versions = append(fl.versions, t.Version)
 	fl.f.opts.Counter.Forwarded(t.Service, outcome)
 }
 
--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -258,6 +258,7 @@
 		"late ready":     {call: &statev1.RegisteredTarget{Id: "t", Service: "s", Address: "x", State: ready, Sequence: 9}},
 		"target gone":    {call: &statev1.RegisteredTarget{Id: "t", State: gone}, puts: 1},
 		"new address":    {call: &statev1.RegisteredTarget{Id: "t", Service: "s", Address: "y", State: statev1.RegisteredTarget_STATE_DRAINING, Sequence: 4}, puts: 1},
+		"new version":    {call: &statev1.RegisteredTarget{Id: "t", Service: "s", Address: "x", Version: "v2", State: statev1.RegisteredTarget_STATE_DRAINING, Sequence: 4}, puts: 1},
 		"unknown target": {call: &statev1.RegisteredTarget{Id: "u", Service: "s", Address: "z", State: ready, Sequence: 1}, puts: 1},
 	}
 	for name, c := range cases {
