tests/soak: a test for streams that go on at another software version, red

Callers saw streams that held events of two software versions. The test runs real processes with engines of two to five versions, and lets targets end, boxes be killed, restarted and stopped, alone and together; callers return at another box with Resumes. It has no switch in the product.

--- a/tests/soak/path_test.go
+++ b/tests/soak/path_test.go
@@ -33,12 +33,15 @@
 }
 
 // startTestbed starts a fleet and its simulated platform, and waits until requests are served.
-func startTestbed(t *testing.T, f *fleet, seed int64, engines, plainServers int) *testbed {
+func startTestbed(t *testing.T, f *fleet, seed int64, engines, plainServers int, prepare ...func(*platform)) *testbed {
 	t.Helper()
 	tb := &testbed{fleet: f}
 	tb.startAll(t)
 	tb.platform = newPlatform(tb.addresses("control", tb.ports.registry))
 	t.Cleanup(tb.platform.cleanUp)
+	for _, p := range prepare {
+		p(tb.platform)
+	}
 	tb.all = &callerPool{platform: tb.platform, entries: tb.addresses("entry", tb.ports.caller), names: tb.names("entry"), seed: seed}
 	if !tb.platform.configure(1, waitLimit) {
 		t.Fatal("the first configuration was not acknowledged")
--- a/tests/soak/platform_test.go
+++ b/tests/soak/platform_test.go
@@ -59,6 +59,10 @@
 	// coldRate is how many requests a second a cold engine handles, zero if engines are never
 	// cold. It must be set before the first configuration.
 	coldRate float64
+	// eventPause is the time between two events of a stream, and isVersionShown makes servers write
+	// their version into each event. They must be set before callers send.
+	eventPause     time.Duration
+	isVersionShown bool
 	// evacuated has, by zone, when its evacuation was acknowledged.
 	evacuated map[string]time.Time
 }
@@ -79,7 +83,7 @@
 }
 
 func newPlatform(control []string) *platform {
-	return &platform{control: control, runs: map[string]int{}, tokensUsed: map[string]uint64{}, promptCounted: map[string]bool{}, crashes: map[string]int{}, visits: map[string]*visits{}, failures: map[string]map[int]bool{}, truncated: map[string]bool{}, copies: map[string]int{}, disruptions: newDisruptions(), evacuated: map[string]time.Time{}}
+	return &platform{control: control, eventPause: eventPause, runs: map[string]int{}, tokensUsed: map[string]uint64{}, promptCounted: map[string]bool{}, crashes: map[string]int{}, visits: map[string]*visits{}, failures: map[string]map[int]bool{}, truncated: map[string]bool{}, copies: map[string]int{}, disruptions: newDisruptions(), evacuated: map[string]time.Time{}}
 }
 
 // recordViolation records a violation, which fails the test at its end.
@@ -119,6 +123,7 @@
 	heartbeatInterval = 200 * time.Millisecond
 	callTimeout       = time.Second
 	defaultZone       = "zone-a"
+	defaultVersion    = "v1"
 )
 
 // server simulates one instance of a model engine or of a plain service.
@@ -127,8 +132,10 @@
 	id       string
 	service  string
 	zone     string
-	http     *http.Server
-	link     *link
+	// version is the version of the server's software.
+	version string
+	http    *http.Server
+	link    *link
 
 	mu       sync.Mutex
 	state    string
@@ -177,8 +184,18 @@
 	return p.startServerIn(defaultZone, id, service, time.Time{}, seed)
 }
 
+// startEngine starts an engine whose software has the given version.
+func (p *platform) startEngine(id, version string, seed int64) (*server, error) {
+	return p.launch(&server{id: id, service: engineService, zone: defaultZone, version: version}, seed)
+}
+
 // startServerIn starts a server in a zone, which is cold until the given time.
 func (p *platform) startServerIn(zone, id, service string, coldUntil time.Time, seed int64) (*server, error) {
+	return p.launch(&server{id: id, service: service, zone: zone, version: defaultVersion, coldUntil: coldUntil}, seed)
+}
+
+// launch starts a server that has its names and its version.
+func (p *platform) launch(sv *server, seed int64) (*server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -187,7 +204,8 @@
 	if err != nil {
 		return nil, err
 	}
-	sv := &server{platform: p, id: id, service: service, zone: zone, coldUntil: coldUntil, link: proxy, state: "ready", startedAt: time.Now().UnixMilli(), rng: rand.New(rand.NewSource(seed)), quit: make(chan struct{}), runs: map[string]*run{}}
+	sv.platform, sv.link, sv.state, sv.startedAt = p, proxy, "ready", time.Now().UnixMilli()
+	sv.rng, sv.quit, sv.runs = rand.New(rand.NewSource(seed)), make(chan struct{}), map[string]*run{}
 	sv.http = &http.Server{Handler: sv, ConnContext: withConn}
 	go func() { _ = sv.http.Serve(repeatingListener{l}) }()
 	go sv.sendHeartbeats()
@@ -221,7 +239,7 @@
 	sv.sequence++
 	state := sv.state
 	body, _ := json.Marshal(map[string]any{
-		"service": sv.service, "address": sv.link.address, "zone": sv.zone, "version": "v1", "slots": 8,
+		"service": sv.service, "address": sv.link.address, "zone": sv.zone, "version": sv.version, "slots": 8,
 		"state": state, "cold_remaining_ms": max(0, time.Until(sv.coldUntil).Milliseconds()), "sequence": sv.sequence, "born": sv.startedAt,
 	})
 	sv.mu.Unlock()
@@ -334,6 +352,14 @@
 
 func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
 
+// event returns an event of the server.
+func (sv *server) event(id string, n int) string {
+	if sv.platform.isVersionShown {
+		return event(sv.version, n)
+	}
+	return event(id, n)
+}
+
 // stream sends the events after the one in Last-Event-Id, or all events without it.
 func (sv *server) stream(w http.ResponseWriter, r *http.Request, id string, limit uint64) {
 	first := 0
@@ -362,10 +388,10 @@
 			panic(http.ErrAbortHandler)
 		case <-sv.quit:
 			panic(http.ErrAbortHandler)
-		case <-time.After(eventPause):
+		case <-time.After(sv.platform.eventPause):
 		}
 		sv.platform.recordTokens(r.Header.Get("Tenant"), stride)
-		if _, err := io.WriteString(w, event(id, n)); err != nil {
+		if _, err := io.WriteString(w, sv.event(id, n)); err != nil {
 			return
 		}
 		w.(http.Flusher).Flush()
--- /dev/null
+++ b/tests/soak/software_test.go
@@ -0,0 +1,368 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"havenwinch.dev/havenwinch/tests/observe"
+)
+
+const (
+	// callersPerCase is how many streams run when a fault strikes, and streamEvents the number of
+	// events of each.
+	callersPerCase = 80
+	streamEvents   = 100
+	streamPause    = 25 * time.Millisecond
+	// faultAfter is how long after the first stream the fault strikes.
+	faultAfter = time.Second
+	// streamTime is how long a caller waits for its whole stream.
+	streamTime = 8 * time.Second
+	// maxReturns limits how often a caller takes its stream up again.
+	maxReturns = 4
+	// refusedWithin is how soon a caller that returns must learn that its stream can't go on.
+	refusedWithin = time.Second
+	// fewReturns is the number of streams below which the share that goes on says nothing.
+	fewReturns = 12
+	// leastContinued is the least ratio of the share of streams that go on to the share of new
+	// streams that begin.
+	leastContinued = 0.5
+)
+
+// softwareCase is a fault that strikes while streams of engines with several software versions run.
+type softwareCase struct {
+	seed int64
+	// engines has the number of engines by version.
+	engines map[string]int
+	// strike brings the fault about. It gets the engines by version.
+	strike func(t *testing.T, tb *testbed, engines map[string][]*server)
+	// inTouch is set if callers return to boxes that are not disturbed, and two targets of each
+	// version go on serving.
+	inTouch bool
+	// gone is the version of which no target is left, if any.
+	gone string
+}
+
+// Guards against streams that hold events of two software versions of a service, in one answer or
+// after their callers have returned at another box, and against streams that are given up although
+// targets of their version serve.
+func TestStreamsGoOnAtTheirSoftwareVersion(t *testing.T) {
+	two := map[string]int{"v1": 4, "v1.1": 4}
+	cases := map[string]softwareCase{
+		"targets end": {seed: 71, engines: two, inTouch: true, strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
+			endHalf(engines)
+		}},
+		"boxes are killed": {seed: 72, engines: two, inTouch: true, strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
+			tb.killEntries(0, 1)
+		}},
+		"a data centre's boxes are killed": {seed: 73, engines: two, inTouch: true, strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
+			tb.killEntries(0, 2)
+		}},
+		"all boxes restart": {seed: 74, engines: two, strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
+			tb.killEntries(0, 1, 2, 3)
+			tb.startAll(t)
+		}},
+		"boxes are killed and targets end": {seed: 75, engines: two, inTouch: true, strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
+			endHalf(engines)
+			tb.killEntries(0, 1)
+		}},
+		"boxes are killed and start again as targets end": {seed: 76, engines: two, strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
+			tb.killEntries(1, 2)
+			tb.startAll(t)
+			tb.killEntries(0)
+			endHalf(engines)
+		}},
+		"boxes stop and targets end": {seed: 77, engines: two, strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
+			for _, b := range tb.withRole("entry")[:2] {
+				b.signal(syscall.SIGTERM)
+			}
+			endHalf(engines)
+		}},
+		"the last target of a version ends": {seed: 78, engines: map[string]int{"v1": 4, "v1.1": 1}, gone: "v1.1", strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
+			engines["v1.1"][0].stop()
+		}},
+		"versions whose names differ little": {seed: 79, engines: map[string]int{"v1": 3, "v1.0": 3, "v1.10": 3, "V1": 3, "v01": 3}, inTouch: true, strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
+			for _, list := range engines {
+				list[0].stop()
+			}
+			tb.killEntries(0)
+		}},
+		"targets start again at another version": {seed: 80, engines: two, inTouch: true, strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
+			tb.killEntries(0)
+			for n, sv := range engines["v1"][:2] {
+				sv.stop()
+				tb.startEngine(t, sv.id, "v1.1", int64(90+n))
+			}
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tb, engines := startSoftwareTestbed(t, c)
+			streams := tb.runStreams(t, c, func() { c.strike(t, tb, engines) })
+			checkStreams(t, c, streams)
+			for _, v := range append(tb.platform.violations, tb.unexpectedExits()...) {
+				t.Error(v)
+			}
+		})
+	}
+}
+
+// endHalf ends half of the engines of each version.
+func endHalf(engines map[string][]*server) {
+	for _, list := range engines {
+		for _, sv := range list[:len(list)/2] {
+			sv.stop()
+		}
+	}
+}
+
+// killEntries kills entry boxes and waits for their end.
+func (tb *testbed) killEntries(indexes ...int) {
+	entries := tb.withRole("entry")
+	var ended []<-chan struct{}
+	for _, n := range indexes {
+		ended = append(ended, entries[n].signal(syscall.SIGKILL))
+	}
+	for _, done := range ended {
+		<-done
+	}
+}
+
+// startEngine starts an engine of a version.
+func (tb *testbed) startEngine(t *testing.T, id, version string, seed int64) *server {
+	t.Helper()
+	sv, err := tb.platform.startEngine(id, version, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(sv.stop)
+	return sv
+}
+
+// startSoftwareTestbed starts a fleet and the engines of a case, and waits until each entry box
+// sends to all versions.
+func startSoftwareTestbed(t *testing.T, c softwareCase) (*testbed, map[string][]*server) {
+	t.Helper()
+	f := newFleet(t, 3, 4)
+	tb := startTestbed(t, f, c.seed, 1, 1, func(p *platform) { p.eventPause, p.isVersionShown = streamPause, true })
+	t.Cleanup(func() {
+		if t.Failed() {
+			tb.saveLogs(t, c.seed)
+		}
+	})
+	engines := map[string][]*server{defaultVersion: tb.platform.all()[:1]}
+	for version, n := range c.engines {
+		for i := len(engines[version]); i < n; i++ {
+			engines[version] = append(engines[version], tb.startEngine(t, fmt.Sprintf("i-%s-%d", version, i), version, c.seed+int64(i)))
+		}
+	}
+	tb.awaitDirectory(t, tb.withRole("entry"))
+	for n := range tb.all.entries {
+		waitFor(t, fmt.Sprintf("box %d sends to all versions", n), func() bool {
+			seen := map[string]bool{}
+			for i := range 8 * len(c.engines) {
+				s := tb.newStream(fmt.Sprintf("warm-%d-%d", n, i), n, 1)
+				s.try(tb.all)
+				for version := range s.versions {
+					seen[version] = true
+				}
+			}
+			return len(seen) == len(c.engines)
+		})
+	}
+	return tb, engines
+}
+
+// returningStream is a stream whose caller takes it up again at another box when it breaks off.
+type returningStream struct {
+	id     string
+	entry  int
+	length int
+	rng    *rand.Rand
+	// first is the id of the attempt that brought the first event, last the number of the last
+	// event, -1 for none.
+	first string
+	last  int
+	// versions counts the events by the version of the target that made them.
+	versions map[string]int
+	tries    int
+	// returns counts the tries to take the stream up again, and wentOn those that brought events.
+	returns, wentOn int
+	// refusal is the last answer that was not a stream, refusedAfter the time until it came.
+	refusal      *observe.Answer
+	refusedAfter time.Duration
+	complete     bool
+	faults       []string
+}
+
+func (tb *testbed) newStream(id string, entry, length int) *returningStream {
+	return &returningStream{id: id, entry: entry, length: length, last: -1, versions: map[string]int{}, rng: rand.New(rand.NewSource(tb.all.seed ^ int64(xxhash.Sum64String(id))))}
+}
+
+// runStreams starts streams at all entry boxes, lets the fault strike while they run, and returns
+// when all have ended.
+func (tb *testbed) runStreams(t *testing.T, c softwareCase, strike func()) []*returningStream {
+	t.Helper()
+	var streams []*returningStream
+	var wg sync.WaitGroup
+	for n := range callersPerCase {
+		s := tb.newStream(fmt.Sprintf("s%d", n), n%len(tb.all.entries), streamEvents)
+		streams = append(streams, s)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			time.Sleep(time.Duration(s.rng.Intn(int(faultAfter / 2))))
+			s.run(tb.all)
+		}()
+	}
+	time.Sleep(faultAfter)
+	strike()
+	wg.Wait()
+	return streams
+}
+
+// run reads the stream and takes it up again until it is complete or can't go on.
+func (s *returningStream) run(p *callerPool) {
+	for until := time.Now().Add(streamTime); !s.complete && s.tries <= maxReturns && time.Now().Before(until); {
+		pause, again := s.try(p)
+		if !again {
+			return
+		}
+		time.Sleep(pause)
+		s.entry = (s.entry + 1) % len(p.entries)
+	}
+}
+
+// try sends one attempt to the stream's entry box. It returns how long to wait for the next one,
+// and whether there is to be one.
+func (s *returningStream) try(p *callerPool) (pause time.Duration, again bool) {
+	conn, err := net.DialTimeout("tcp", p.entries[s.entry], dialLimit)
+	if err != nil {
+		return 0, true
+	}
+	defer conn.Close()
+	sentAt := time.Now()
+	_ = conn.SetDeadline(sentAt.Add(streamTime))
+	s.tries++
+	id := fmt.Sprintf("%s-%d", s.id, s.tries)
+	returns := s.last >= 0
+	if _, err := conn.Write(s.request(id)); err != nil {
+		return 0, true
+	}
+	a, err := observe.NewReader(conn).Answer(http.MethodPost)
+	if a.Status == 0 {
+		// The box ended before it answered.
+		return 0, true
+	}
+	if returns {
+		s.returns++
+	}
+	if a.Status != http.StatusOK {
+		s.refusal, s.refusedAfter = a, time.Since(sentAt)
+		seconds, noTime := strconv.ParseFloat(a.Get("Retry-After"), 64)
+		return time.Duration(seconds * float64(time.Second)), noTime == nil
+	}
+	fresh := s.readEvents(id, a.Body)
+	s.complete = err == nil && s.last == s.length-1
+	if returns && (fresh > 0 || s.complete) {
+		s.wentOn++
+	}
+	return 0, true
+}
+
+// request returns an attempt that asks for the stream, or for the rest of it.
+func (s *returningStream) request(id string) []byte {
+	prompt := 200 + s.rng.Intn(400)
+	body := "body of " + id
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "POST /stream/resume/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nApi-Key: key-large\r\n", id, streamTime.Milliseconds())
+	if s.last >= 0 {
+		fmt.Fprintf(&b, "Resumes: %s\r\nLast-Event-Id: %d\r\n", s.first, s.last)
+	}
+	fmt.Fprintf(&b, "Token-Count: %d,%d\r\nPrompt-Prefix: aa:10,bb%x:20,%x:%d\r\nContent-Length: %d\r\n\r\n%s",
+		prompt, s.length*stride, s.rng.Int31(), s.rng.Int31(), prompt-30, len(body), body)
+	return b.Bytes()
+}
+
+// readEvents adds the events of an answer and returns their number.
+func (s *returningStream) readEvents(id string, body []byte) int {
+	n := 0
+	lines := bufio.NewScanner(bytes.NewReader(body))
+	for lines.Scan() {
+		var number int
+		version, text, found := strings.Cut(strings.TrimPrefix(lines.Text(), "data: "), " ")
+		if !strings.HasPrefix(lines.Text(), "data: ") || !found {
+			continue
+		}
+		if _, err := fmt.Sscan(text, &number); err != nil || number != s.last+1 {
+			s.faults = append(s.faults, fmt.Sprintf("event %q of attempt %s after event %d", lines.Text(), id, s.last))
+			continue
+		}
+		if s.last < 0 {
+			s.first = id
+		}
+		s.last = number
+		s.versions[version]++
+		n++
+	}
+	return n
+}
+
+// checkStreams checks what the callers of a case have got.
+func checkStreams(t *testing.T, c softwareCase, streams []*returningStream) {
+	t.Helper()
+	begun, mixed, complete, returned, wentOn := 0, 0, 0, 0, 0
+	refusals := map[string]int{}
+	for _, s := range streams {
+		for _, fault := range s.faults {
+			t.Errorf("stream %s: %s", s.id, fault)
+		}
+		if s.last >= 0 {
+			begun++
+		}
+		if s.complete {
+			complete++
+		}
+		if len(s.versions) > 1 {
+			mixed++
+		}
+		if s.returns > 0 {
+			returned++
+			if s.wentOn > 0 {
+				wentOn++
+			}
+		}
+		if s.refusal != nil {
+			refusals[fmt.Sprintf("%d %s", s.refusal.Status, bytes.TrimSpace(s.refusal.Body))]++
+		}
+		if !s.complete && s.refusal != nil && s.refusedAfter > refusedWithin {
+			t.Errorf("stream %s learned after %s that it can't go on, want within %s", s.id, s.refusedAfter, refusedWithin)
+		}
+		if c.gone != "" && s.versions[c.gone] > 0 && !s.complete && (s.refusal == nil || s.refusal.Status != http.StatusServiceUnavailable) {
+			t.Errorf("stream %s of the version that is gone ended with %+v, want status 503", s.id, s.refusal)
+		}
+	}
+	t.Logf("%d of %d streams began, %d of %d that callers took up again went on, %d were complete, %d of two versions; refusals %v", begun, len(streams), wentOn, returned, complete, mixed, refusals)
+	if mixed > 0 {
+		t.Errorf("%d streams hold events of two software versions, want none", mixed)
+	}
+	share := leastContinued * float64(begun) / float64(len(streams))
+	if c.inTouch && returned >= fewReturns && float64(wentOn) < share*float64(returned) {
+		t.Errorf("%d of %d streams that callers took up again went on, want %.0f%% at least", wentOn, returned, 100*share)
+	}
+}
