--- a/cmd/havenwinchd/forward_control.go
+++ b/cmd/havenwinchd/forward_control.go
@@ -65,7 +65,7 @@
 			}
 		},
 	})
-	r.source = &gateway.MachineSource{Machine: r.machine, GroupSyncAge: r.member.OutOfStep, Members: r.member.Members}
+	r.source = &gateway.MachineSource{Machine: r.machine, Clock: b.Clock, GroupSyncAge: r.member.OutOfStep, Members: r.member.Members}
 	r.gateway = &control.Gateway{
 		Log: r.member, Machine: r.machine, Clock: b.Clock, Logger: b.Logger,
 		Self: b.Settings.BetweenAddress(), Boot: clock.BootID(newIncarnation()), ReadRemoteClock: b.Client.ReadClock, Members: r.member.Members,
--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -24,6 +24,7 @@
 	"havenwinch.dev/havenwinch/services/overload"
 	"havenwinch.dev/havenwinch/services/quarantine"
 	"havenwinch.dev/havenwinch/services/relay"
+	"havenwinch.dev/havenwinch/services/resume"
 )
 
 const (
@@ -45,6 +46,7 @@
 	quarantine *quarantine.Service
 	between    *http.Server
 	relays     *relay.Server
+	streams    *resume.Service
 	meter      *meter.Meter
 	overload   *overload.Watcher
 	forwarder  *forward.Forwarder
@@ -65,6 +67,10 @@
 		Box: b.Settings.Box, DataCentre: b.Settings.DataCentre, Directory: e.leases.Directory, Connect: b.Peers.Relays,
 		Clock: b.Clock, Logger: b.Logger,
 	})
+	e.streams = resume.New(resume.Options{
+		Box: b.Settings.Box, DataCentre: b.Settings.DataCentre, Directory: e.leases.Directory, Connect: b.Peers.Streams,
+		Clock: b.Clock, Logger: b.Logger, Count: b.Metrics.StreamRecord,
+	})
 	registry := &gateway.Registry{Lookup: b.Store.Target, Client: b.Client, Clock: b.Clock}
 	e.quarantine = quarantine.New(quarantine.Options{List: &b.Store.Quarantine, Clock: b.Clock, Logger: b.Logger, Report: b.Client.ReportCalls})
 	e.forwarder = forward.New(forward.Options{
@@ -81,6 +87,7 @@
 		ReportGone:  registry.Deregister,
 		ReportNow:   e.leases.ReportNow,
 		Relays:      dialer,
+		Streams:     e.streams,
 		IsCongested: e.overload.IsCongested,
 		Meter:       e.meter,
 		RetryRatio:  b.Settings.RetryRatio,
@@ -89,7 +96,7 @@
 	})
 	e.leases.Placement = e.forwarder
 	e.relays = relay.NewServer(relay.ServerOptions{Targets: e.forwarder, Meter: e.meter, IsCongested: e.overload.IsCongested, Count: b.Metrics.Relay})
-	e.between = b.Peers.Server(between.NewEntryHandler(e.leases, e.relays, b.Peers.HandlerOptions()))
+	e.between = b.Peers.Server(between.NewEntryHandler(e.leases, e.relays, e.streams, b.Peers.HandlerOptions()))
 	e.callers = callers.New(callers.Options{
 		Forwarder:  e.forwarder,
 		Translator: platform.Translator{},
@@ -111,6 +118,7 @@
 	b.Metrics.Gauge("unreachable_services", "Services to which this box has lost its own links.", func() float64 { return float64(e.forwarder.LostServices()) })
 	b.Metrics.Gauge("relayed_connections", "Open connections of this box to targets that other boxes carry.", func() float64 { return float64(dialer.Open()) })
 	b.Metrics.Gauge("carried_connections", "Open connections to targets that this box carries for others.", func() float64 { return float64(e.relays.Carried()) })
+	b.Metrics.Gauge("stream_records", "Records of the software that began a stream, of this box and of others.", func() float64 { return float64(e.streams.Len()) })
 	e.ready = newReadyServer(platform.ReadyHandler(e.isReady))
 	return e
 }
--- a/gen/havenwinch/between/v1/betweenv1connect/between.connect.go
+++ b/gen/havenwinch/between/v1/betweenv1connect/between.connect.go
@@ -38,6 +38,8 @@
 	DrawServiceName = "havenwinch.between.v1.DrawService"
 	// RelayServiceName is the fully-qualified name of the RelayService service.
 	RelayServiceName = "havenwinch.between.v1.RelayService"
+	// StreamServiceName is the fully-qualified name of the StreamService service.
+	StreamServiceName = "havenwinch.between.v1.StreamService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -106,6 +108,10 @@
 	DrawServiceSettleProcedure = "/havenwinch.between.v1.DrawService/Settle"
 	// RelayServiceConnectProcedure is the fully-qualified name of the RelayService's Connect RPC.
 	RelayServiceConnectProcedure = "/havenwinch.between.v1.RelayService/Connect"
+	// StreamServiceRecordProcedure is the fully-qualified name of the StreamService's Record RPC.
+	StreamServiceRecordProcedure = "/havenwinch.between.v1.StreamService/Record"
+	// StreamServiceFindProcedure is the fully-qualified name of the StreamService's Find RPC.
+	StreamServiceFindProcedure = "/havenwinch.between.v1.StreamService/Find"
 )
 
 // ConsensusServiceClient is a client for the havenwinch.between.v1.ConsensusService service.
@@ -1122,3 +1128,103 @@
 func (UnimplementedRelayServiceHandler) Connect(context.Context, *connect.BidiStream[v1.ConnectRequest, v1.ConnectResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.RelayService.Connect is not implemented"))
 }
+
+// StreamServiceClient is a client for the havenwinch.between.v1.StreamService service.
+type StreamServiceClient interface {
+	// Record stores which software began a stream.
+	Record(context.Context, *connect.Request[v1.RecordRequest]) (*connect.Response[v1.RecordResponse], error)
+	// Find returns which software began a stream.
+	Find(context.Context, *connect.Request[v1.FindRequest]) (*connect.Response[v1.FindResponse], error)
+}
+
+// NewStreamServiceClient constructs a client for the havenwinch.between.v1.StreamService service.
+// By default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped
+// responses, and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewStreamServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) StreamServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	streamServiceMethods := v1.File_havenwinch_between_v1_between_proto.Services().ByName("StreamService").Methods()
+	return &streamServiceClient{
+		record: connect.NewClient[v1.RecordRequest, v1.RecordResponse](
+			httpClient,
+			baseURL+StreamServiceRecordProcedure,
+			connect.WithSchema(streamServiceMethods.ByName("Record")),
+			connect.WithClientOptions(opts...),
+		),
+		find: connect.NewClient[v1.FindRequest, v1.FindResponse](
+			httpClient,
+			baseURL+StreamServiceFindProcedure,
+			connect.WithSchema(streamServiceMethods.ByName("Find")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// streamServiceClient implements StreamServiceClient.
+type streamServiceClient struct {
+	record *connect.Client[v1.RecordRequest, v1.RecordResponse]
+	find   *connect.Client[v1.FindRequest, v1.FindResponse]
+}
+
+// Record calls havenwinch.between.v1.StreamService.Record.
+func (c *streamServiceClient) Record(ctx context.Context, req *connect.Request[v1.RecordRequest]) (*connect.Response[v1.RecordResponse], error) {
+	return c.record.CallUnary(ctx, req)
+}
+
+// Find calls havenwinch.between.v1.StreamService.Find.
+func (c *streamServiceClient) Find(ctx context.Context, req *connect.Request[v1.FindRequest]) (*connect.Response[v1.FindResponse], error) {
+	return c.find.CallUnary(ctx, req)
+}
+
+// StreamServiceHandler is an implementation of the havenwinch.between.v1.StreamService service.
+type StreamServiceHandler interface {
+	// Record stores which software began a stream.
+	Record(context.Context, *connect.Request[v1.RecordRequest]) (*connect.Response[v1.RecordResponse], error)
+	// Find returns which software began a stream.
+	Find(context.Context, *connect.Request[v1.FindRequest]) (*connect.Response[v1.FindResponse], error)
+}
+
+// NewStreamServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewStreamServiceHandler(svc StreamServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	streamServiceMethods := v1.File_havenwinch_between_v1_between_proto.Services().ByName("StreamService").Methods()
+	streamServiceRecordHandler := connect.NewUnaryHandler(
+		StreamServiceRecordProcedure,
+		svc.Record,
+		connect.WithSchema(streamServiceMethods.ByName("Record")),
+		connect.WithHandlerOptions(opts...),
+	)
+	streamServiceFindHandler := connect.NewUnaryHandler(
+		StreamServiceFindProcedure,
+		svc.Find,
+		connect.WithSchema(streamServiceMethods.ByName("Find")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/havenwinch.between.v1.StreamService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case StreamServiceRecordProcedure:
+			streamServiceRecordHandler.ServeHTTP(w, r)
+		case StreamServiceFindProcedure:
+			streamServiceFindHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedStreamServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedStreamServiceHandler struct{}
+
+func (UnimplementedStreamServiceHandler) Record(context.Context, *connect.Request[v1.RecordRequest]) (*connect.Response[v1.RecordResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.StreamService.Record is not implemented"))
+}
+
+func (UnimplementedStreamServiceHandler) Find(context.Context, *connect.Request[v1.FindRequest]) (*connect.Response[v1.FindResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.StreamService.Find is not implemented"))
+}
--- a/models/spread/health.go
+++ b/models/spread/health.go
@@ -5,7 +5,10 @@
 
 import (
 	"math"
+	"slices"
 	"time"
+
+	"havenwinch.dev/havenwinch/models/software"
 )
 
 // A target is banned for a time if it can't be reached or fails far more calls than
@@ -100,6 +103,12 @@
 	return n
 }
 
+// HasSoftware reports whether calls may go to a target of a service with the given software, banned
+// ones included.
+func (tb *Table) HasSoftware(service string, id software.Identity) bool {
+	return slices.ContainsFunc(tb.services[service], func(t *Target) bool { return t.Software == id && tb.isCheckable(t) })
+}
+
 // ToCheck returns at most n targets of a service, other than except, to find out whether the box
 // reaches any. from selects where to begin in the list, in which those of the box's data centre
 // come first, so that repeated checks include all.
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -20,6 +20,7 @@
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/rate"
+	"havenwinch.dev/havenwinch/models/software"
 	"havenwinch.dev/havenwinch/modules/hashing"
 )
 
@@ -56,8 +57,10 @@
 	Service    string
 	Address    string
 	DataCentre string
-	// Version is the version of the target's software, empty if the target does not know it.
-	Version string
+	// Version is the version of the target's software, empty if the target does not know it, and
+	// Software its identity.
+	Version  string
+	Software software.Identity
 
 	Draining bool
 	// RunningCalls counts this box's calls at the target.
@@ -165,7 +168,7 @@
 			filling = now + cacheFillTime
 		}
 		t = &Target{
-			ID: row.GetId(), Born: row.GetBorn(), Service: row.GetService(), Address: row.GetAddress(), DataCentre: row.GetDataCentre(), Version: row.GetVersion(),
+			ID: row.GetId(), Born: row.GetBorn(), Service: row.GetService(), Address: row.GetAddress(), DataCentre: row.GetDataCentre(), Version: row.GetVersion(), Software: software.Of(row),
 			hash: xxhash.Sum64String(row.GetId()), start: startIdentity(row.GetId(), row.GetBorn()), fillingUntil: filling,
 		}
 		tb.byID[t.ID] = t
@@ -232,6 +235,8 @@
 	Boxes int
 	// Exclude names the starts of targets that have had the call.
 	Exclude map[string]bool
+	// Software is that of the only targets that may have the call, empty for any.
+	Software software.Identity
 	// Rank is the urgency of the call, zero being the most urgent.
 	Rank uint32
 	// MaxWait is how long the call may wait for a target whose limit is used up.
@@ -398,7 +403,7 @@
 
 // isUsable reports whether a target may have a call, apart from bans and limits.
 func (tb *Table) isUsable(t *Target, criteria Criteria) bool {
-	return tb.isCheckable(t) && !criteria.Exclude[t.start]
+	return tb.isCheckable(t) && !criteria.Exclude[t.start] && (criteria.Software == "" || t.Software == criteria.Software)
 }
 
 // candidates returns the targets that a call may go to. Banned targets are included
--- a/models/spread/spread_test.go
+++ b/models/spread/spread_test.go
@@ -9,13 +9,14 @@
 	"time"
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/software"
 )
 
 // newTestTable returns a table with n targets of service s, in two data centres by turns.
 func newTestTable(n int) *Table {
 	tb := NewTable("dc-a")
 	for i := range n {
-		tb.Put(&statev1.RegisteredTarget{Id: fmt.Sprintf("t%d", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i), DataCentre: []string{"dc-a", "dc-b"}[i%2], State: statev1.RegisteredTarget_STATE_READY}, 0)
+		tb.Put(&statev1.RegisteredTarget{Id: fmt.Sprintf("t%d", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i), DataCentre: []string{"dc-a", "dc-b"}[i%2], Version: "v1", State: statev1.RegisteredTarget_STATE_READY}, 0)
 	}
 	return tb
 }
@@ -23,7 +24,7 @@
 func TestSameAffinityGoesToTheSameTargetOnAllBoxes(t *testing.T) {
 	a, b := newTestTable(9), NewTable("dc-b")
 	for i := 8; i >= 0; i-- {
-		b.Put(&statev1.RegisteredTarget{Id: fmt.Sprintf("t%d", i), Service: "s", Address: "10.0.0.1:80", DataCentre: "dc-b", State: statev1.RegisteredTarget_STATE_READY}, 0)
+		b.Put(&statev1.RegisteredTarget{Id: fmt.Sprintf("t%d", i), Service: "s", Address: "10.0.0.1:80", DataCentre: "dc-b", Version: "v1", State: statev1.RegisteredTarget_STATE_READY}, 0)
 	}
 	used := map[string]int{}
 	for key := uint64(1); key < 200; key++ {
@@ -241,7 +242,7 @@
 	const affinity = 7
 	criteria := Criteria{Service: "s", Affinity: affinity, Boxes: 1}
 	ready := func(n int, cold uint32, revision uint64) *statev1.RegisteredTarget {
-		return &statev1.RegisteredTarget{Id: fmt.Sprint("t", n), Service: "s", Address: fmt.Sprint("10.0.0.1:", n), DataCentre: "dc-a", State: statev1.RegisteredTarget_STATE_READY, Cold: cold, Revision: revision}
+		return &statev1.RegisteredTarget{Id: fmt.Sprint("t", n), Service: "s", Address: fmt.Sprint("10.0.0.1:", n), DataCentre: "dc-a", Version: "v1", State: statev1.RegisteredTarget_STATE_READY, Cold: cold, Revision: revision}
 	}
 	ranked := newTestTable(0)
 	for n := range 4 {
@@ -295,3 +296,34 @@
 		})
 	}
 }
+
+// Guards against calls that go to another software than the one to which their stream belongs, also
+// where all targets of that one are banned.
+func TestCallsKeepToTheirSoftware(t *testing.T) {
+	row := func(n int, version string) *statev1.RegisteredTarget {
+		return &statev1.RegisteredTarget{Id: fmt.Sprint("t", n), Service: "s", Address: fmt.Sprint("10.0.0.1:", n+1), DataCentre: "dc-a", Version: version, State: statev1.RegisteredTarget_STATE_READY}
+	}
+	tb := newTestTable(0)
+	for n := range 8 {
+		tb.Put(row(n, []string{"v1", "v2"}[n%2]), 0)
+	}
+	v1, v3 := software.Of(row(0, "v1")), software.Of(row(0, "v3"))
+	for n := range 8 {
+		if t1 := tb.ByID(fmt.Sprint("t", n)); t1.Software == v1 {
+			tb.BanUnreachable(t1, 0)
+		}
+	}
+	for affinity := range uint64(100) {
+		criteria := Criteria{Service: "s", Affinity: affinity, Boxes: 1, Software: v1}
+		if got := tb.Choose(criteria, 0).Target; got == nil || got.Software != v1 {
+			t.Fatalf("prefix %d of %s goes to %+v", affinity, v1, got)
+		}
+		criteria.Software = v3
+		if got := tb.Choose(criteria, 0).Target; got != nil {
+			t.Fatalf("prefix %d of %s goes to %s", affinity, v3, got.ID)
+		}
+	}
+	if !tb.HasSoftware("s", v1) || tb.HasSoftware("s", v3) || tb.HasSoftware("t", v1) {
+		t.Error("the table is wrong about the software in use")
+	}
+}
--- a/models/state/routing.go
+++ b/models/state/routing.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/software"
 	"havenwinch.dev/havenwinch/modules/pack"
 )
 
@@ -35,6 +36,8 @@
 	OldestRevision uint64
 	// Evacuations holds the evacuated data centres.
 	Evacuations Evacuations
+	// SoftwareEnds holds when a target of each version last ended.
+	SoftwareEnds *software.Ends
 	// Prepaid holds the prepaid budgets by organisation.
 	Prepaid map[string]*Budget
 	// Holders holds the processes with leases by name.
@@ -55,6 +58,8 @@
 		Prepaid:     map[string]*Budget{},
 		Holders:     map[string]*statev1.LeaseHolder{},
 		idByAddress: map[string]string{},
+
+		SoftwareEnds: software.NewEnds(nil),
 	}
 }
 
@@ -95,9 +100,13 @@
 	}
 }
 
-func (r *Routing) storeTarget(t *statev1.RegisteredTarget) {
+// storeTarget stores the row of a target that changed at the given time of day.
+func (r *Routing) storeTarget(t *statev1.RegisteredTarget, at int64) {
 	r.TargetRevision++
 	t.Revision = r.TargetRevision
+	if old := r.Targets[t.GetId()]; old != nil && (t.GetState() == statev1.RegisteredTarget_STATE_GONE || software.Of(old) != software.Of(t) || old.GetService() != t.GetService()) {
+		r.SoftwareEnds.Record(old, at)
+	}
 	if r.Targets[t.GetId()].GetState() == statev1.RegisteredTarget_STATE_GONE {
 		at := slices.Index(r.goneIDs, t.GetId())
 		r.goneIDs = slices.Delete(r.goneIDs, at, at+1)
@@ -157,6 +166,7 @@
 	}
 	slices.SortFunc(s.Registered, compareRevisions)
 	r.Evacuations.snapshot(s)
+	s.SoftwareEnds = r.SoftwareEnds.Rows()
 	s.Rivals = slices.Clone(r.rivals)
 	s.Holders = SortedByKey(r.Holders)
 	s.Prepaid = nil
@@ -172,6 +182,7 @@
 	r.OldestRevision = s.GetTargetRevision()
 	r.rivals = s.GetRivals()
 	r.Evacuations = evacuationsFromSnapshot(s)
+	r.SoftwareEnds = software.NewEnds(s.GetSoftwareEnds())
 	for _, t := range s.GetRegistered() {
 		r.Targets[t.GetId()] = t
 		if t.GetState() == statev1.RegisteredTarget_STATE_GONE {
--- a/models/state/starts.go
+++ b/models/state/starts.go
@@ -46,9 +46,9 @@
 		t.Address, t.Service, t.DataCentre, t.Slots, t.Version = old.GetAddress(), old.GetService(), old.GetDataCentre(), old.GetSlots(), old.GetVersion()
 	}
 	if !gone {
-		r.assignAddress(t)
+		r.assignAddress(t, at)
 	}
-	r.storeTarget(t)
+	r.storeTarget(t, at)
 }
 
 func isSameStart(a, b *statev1.RegisteredTarget) bool { return a != nil && a.GetBorn() == b.GetBorn() }
@@ -101,7 +101,7 @@
 
 // assignAddress assigns a target its address: it ends the target that had the
 // address before, and releases the former address of this one.
-func (r *Routing) assignAddress(t *statev1.RegisteredTarget) {
+func (r *Routing) assignAddress(t *statev1.RegisteredTarget, at int64) {
 	if old := r.Targets[t.GetId()]; old != nil && old.GetAddress() != t.GetAddress() && r.idByAddress[old.GetAddress()] == t.GetId() {
 		delete(r.idByAddress, old.GetAddress())
 	}
@@ -110,7 +110,7 @@
 		r.storeTarget(&statev1.RegisteredTarget{
 			Id: former.GetId(), Service: former.GetService(), Address: former.GetAddress(), DataCentre: former.GetDataCentre(),
 			Slots: former.GetSlots(), Sequence: former.GetSequence(), Born: former.GetBorn(), Version: former.GetVersion(), State: statev1.RegisteredTarget_STATE_GONE,
-		})
+		}, at)
 	}
 	r.idByAddress[t.GetAddress()] = t.GetId()
 }
--- a/routers/between/entry.go
+++ b/routers/between/entry.go
@@ -13,14 +13,16 @@
 	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
 	"havenwinch.dev/havenwinch/services/gateway"
 	"havenwinch.dev/havenwinch/services/relay"
+	"havenwinch.dev/havenwinch/services/resume"
 )
 
 // NewEntryHandler returns the handler of an entry box on whose leases other boxes may draw, and
-// which carries connections to targets for them.
-func NewEntryHandler(leases *gateway.Leases, relays *relay.Server, opts []connect.HandlerOption) http.Handler {
+// which carries connections to targets and keeps the records of streams for them.
+func NewEntryHandler(leases *gateway.Leases, relays *relay.Server, streams *resume.Service, opts []connect.HandlerOption) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(betweenv1connect.NewDrawServiceHandler(&drawServer{leases}, opts...))
 	mux.Handle(betweenv1connect.NewRelayServiceHandler(&relayServer{relays}, opts...))
+	mux.Handle(betweenv1connect.NewStreamServiceHandler(&streamServer{streams}, opts...))
 	return mux
 }
 
@@ -40,3 +42,20 @@
 func (r *relayServer) Connect(ctx context.Context, stream *connect.BidiStream[betweenv1.ConnectRequest, betweenv1.ConnectResponse]) error {
 	return r.relays.Serve(ctx, stream)
 }
+
+type streamServer struct{ streams *resume.Service }
+
+func (s *streamServer) Record(_ context.Context, r *connect.Request[betweenv1.RecordRequest]) (*connect.Response[betweenv1.RecordResponse], error) {
+	if err := s.streams.StoreRecord(r.Msg); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	return connect.NewResponse(&betweenv1.RecordResponse{}), nil
+}
+
+func (s *streamServer) Find(_ context.Context, r *connect.Request[betweenv1.FindRequest]) (*connect.Response[betweenv1.FindResponse], error) {
+	resp, err := s.streams.LookUp(r.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	return connect.NewResponse(resp), nil
+}
--- a/routers/gateway/answer.go
+++ b/routers/gateway/answer.go
@@ -33,6 +33,8 @@
 	structs.KindBudgetExhausted:     http.StatusPaymentRequired,
 	structs.KindBudgetUnreachable:   http.StatusServiceUnavailable,
 	structs.KindNoTarget:            http.StatusServiceUnavailable,
+	structs.KindVersionUnknown:      http.StatusServiceUnavailable,
+	structs.KindVersionGone:         http.StatusServiceUnavailable,
 	structs.KindOverloaded:          http.StatusTooManyRequests,
 	structs.KindDeadlinePast:        http.StatusServiceUnavailable,
 	structs.KindDeadlineCannotBeMet: http.StatusGatewayTimeout,
--- a/services/forward/choose.go
+++ b/services/forward/choose.go
@@ -43,7 +43,7 @@
 // criteria returns the call's criteria for a target.
 func (fl *inflightCall) criteria() spread.Criteria {
 	return spread.Criteria{
-		Service: fl.service.GetName(), Affinity: fl.call.Affinity, UnsharedTokens: int(fl.call.UnsharedTokens), Boxes: fl.f.opts.Leases.Boxes(), Exclude: fl.excluded,
+		Service: fl.service.GetName(), Affinity: fl.call.Affinity, UnsharedTokens: int(fl.call.UnsharedTokens), Boxes: fl.f.opts.Leases.Boxes(), Exclude: fl.excluded, Software: fl.software,
 		MaxPause: time.Duration(fl.route.GetPause()) * time.Millisecond, Rank: fl.rank(), MaxWait: fl.limitWaitLeft(),
 	}
 }
--- a/services/forward/evacuation_test.go
+++ b/services/forward/evacuation_test.go
@@ -179,7 +179,7 @@
 	}
 	putCold := func(f *Forwarder, cold uint32, revision uint64) {
 		row := f.opts.Store.Target("t0")
-		next := &statev1.RegisteredTarget{Id: row.GetId(), Service: row.GetService(), Address: row.GetAddress(), DataCentre: row.GetDataCentre(), State: row.GetState(), Cold: cold, Revision: revision}
+		next := &statev1.RegisteredTarget{Id: row.GetId(), Service: row.GetService(), Address: row.GetAddress(), DataCentre: row.GetDataCentre(), Version: row.GetVersion(), State: row.GetState(), Cold: cold, Revision: revision}
 		if _, err := f.opts.Store.Apply(&betweenv1.FollowResponse{Targets: []*statev1.RegisteredTarget{next}, TargetRevision: revision}); err != nil {
 			t.Fatal(err)
 		}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -96,6 +96,8 @@
 	ReportNow func()
 	// Relays dials targets through other boxes; nil for never.
 	Relays Relays
+	// Streams keeps which software began each stream; nil to keep it nowhere.
+	Streams Streams
 	// EngineAPI encodes the requests by which engines copy the state of running calls; nil where
 	// they can't.
 	EngineAPI EngineAPI
@@ -320,6 +322,9 @@
 	if refusal := fl.refuseIfCutOff(); refusal != nil {
 		return refusal
 	}
+	if refusal := fl.resolveSoftware(ctx); refusal != nil {
+		return refusal
+	}
 	if refusal := fl.refuseIfLimited(ctx); refusal != nil {
 		return refusal
 	}
--- a/services/forward/helpers_test.go
+++ b/services/forward/helpers_test.go
@@ -252,7 +252,7 @@
 		TargetRevision: uint64(len(targets)),
 	}
 	for i, tg := range targets {
-		message.Targets = append(message.Targets, &statev1.RegisteredTarget{Id: tg.name, Service: "s", Address: tg.l.Addr().String(), DataCentre: []string{"dc", "far"}[min(i, 1)], State: statev1.RegisteredTarget_STATE_READY, Revision: uint64(i + 1)})
+		message.Targets = append(message.Targets, &statev1.RegisteredTarget{Id: tg.name, Service: "s", Address: tg.l.Addr().String(), DataCentre: []string{"dc", "far"}[min(i, 1)], Version: "v1", State: statev1.RegisteredTarget_STATE_READY, Revision: uint64(i + 1)})
 	}
 	store := gateway.NewStore(clock.System{})
 	store.Apply(message)
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -14,6 +14,7 @@
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/quarantine"
 	"havenwinch.dev/havenwinch/models/routing"
+	"havenwinch.dev/havenwinch/models/software"
 	"havenwinch.dev/havenwinch/models/spread"
 	"havenwinch.dev/havenwinch/modules/reply"
 	"havenwinch.dev/havenwinch/services/gateway"
@@ -72,6 +73,10 @@
 	// continue elsewhere.
 	resumption *resumption
 	resumed    bool
+	// software is that of the targets that may have the stream, empty before one has begun it.
+	// softwareSource tells how it was found for a caller that has returned.
+	software       software.Identity
+	softwareSource string
 	// limitWait is how long the call has waited for rate-limited targets.
 	limitWait time.Duration
 }
@@ -158,7 +163,7 @@
 			return &Refusal{Kind: structs.KindWrongKey, Run: structs.RunNo, Message: "the access key is not known: use a key of an organisation"}
 		}
 	}
-	draw := float64(xxhash.Sum64String(fl.call.ID)>>11) / (1 << 53)
+	draw := float64(xxhash.Sum64String(fl.serviceDraw())>>11) / (1 << 53)
 	fl.service = index.Service(routing.PickService(fl.route, draw))
 	fl.deadline = fl.call.Arrived + time.Duration(fl.route.GetTimeout())*time.Millisecond
 	if fl.call.MaxWait > 0 {
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -58,7 +58,8 @@
 		attrs = append(attrs, slog.Any("target_versions", fl.versions))
 	}
 	if fl.call.LastEvent >= 0 {
-		attrs = append(attrs, slog.Int64("last_event", fl.call.LastEvent), slog.String("first_attempt", fl.call.FirstAttempt))
+		attrs = append(attrs, slog.Int64("last_event", fl.call.LastEvent), slog.String("first_attempt", fl.call.FirstAttempt),
+			slog.String("software", string(fl.software)), slog.String("software_from", fl.softwareSource))
 	}
 	if fl.sink.heads > 0 {
 		attrs = append(attrs, slog.Int("heads", fl.sink.heads), slog.Bool("ended", fl.sink.ended))
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -173,6 +173,9 @@
 	if fl.possibleRuns == 0 && last.heldFor > 0 {
 		return quarantinedRefusal(last.heldFor)
 	}
+	if fl.possibleRuns == 0 && fl.software != "" && !fl.hasSoftware() {
+		return fl.goneSoftwareRefusal()
+	}
 	if fl.possibleRuns == 0 && fl.lastChoice.LimitedTargets > 0 && fl.lastChoice.Target == nil {
 		return overloadedRefusal(fl.service.GetName(), fl.lastChoice.Backoff)
 	}
--- /dev/null
+++ b/services/forward/software.go
@@ -0,0 +1,176 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/resume"
+	"havenwinch.dev/havenwinch/models/routing"
+	"havenwinch.dev/havenwinch/models/software"
+	"havenwinch.dev/havenwinch/models/spread"
+	resumes "havenwinch.dev/havenwinch/services/resume"
+	"havenwinch.dev/havenwinch/structs"
+)
+
+// A stream belongs to the software of the target whose output reached the caller first. Whatever
+// continues it, within its answer or when its caller returns, goes to that software only.
+
+const (
+	// recordMargin is how much longer than its caller waits the record of a stream is kept.
+	recordMargin = 5 * time.Second
+	// minSoleTime is how long a service must have run one software at least for a stream without a
+	// record to belong to it.
+	minSoleTime = 30 * time.Second
+	// maxSoleAge is how old this box's copy of the targets may be when a caller returns.
+	maxSoleAge = time.Second
+	// confirmWait limits how long a returning caller waits for news from control, which come every
+	// 400 ms at least, and confirmPoll is the time between looks.
+	confirmWait = 600 * time.Millisecond
+	confirmPoll = 20 * time.Millisecond
+)
+
+// Streams keeps which software began each stream, for all entry boxes.
+type Streams interface {
+	// Record stores which software began a stream.
+	Record(ctx context.Context, k resume.Key, id software.Identity, lifetime time.Duration)
+	// Find returns the software that began a stream. The error is an ErrUnknown of services/resume.
+	Find(ctx context.Context, k resume.Key) (software.Identity, error)
+}
+
+// isReturn reports whether the caller takes up a stream of which it has events.
+func (fl *inflightCall) isReturn() bool {
+	return fl.call.LastEvent >= 0 && fl.route.GetKind() == statev1.Route_KIND_STREAM
+}
+
+// serviceDraw returns the id that selects the service among those of the route. A caller that returns
+// has to reach the service that began its stream.
+func (fl *inflightCall) serviceDraw() string {
+	if fl.isReturn() && fl.call.FirstAttempt != "" {
+		return fl.call.FirstAttempt
+	}
+	return fl.call.ID
+}
+
+func (fl *inflightCall) streamKey(attempt string) resume.Key {
+	return resume.KeyOf(fl.payer.GetOrganisation(), fl.service.GetName(), attempt)
+}
+
+// bindSoftware ties the stream to the software of the target whose output is about to be relayed
+// first, and records it for the caller's return.
+func (fl *inflightCall) bindSoftware(ctx context.Context, t *spread.Target) {
+	if fl.software != "" {
+		return
+	}
+	fl.software = t.Software
+	if fl.f.opts.Streams == nil || !routing.IsRepeatable(fl.route) {
+		return
+	}
+	wait := max(fl.call.MaxWait, time.Duration(fl.route.GetTimeout())*time.Millisecond)
+	fl.f.opts.Streams.Record(ctx, fl.streamKey(fl.call.ID), t.Software, wait+recordMargin)
+}
+
+// resolveSoftware finds out which software began the stream that the caller takes up. It refuses the
+// call if nobody knows, or if no target runs that software any more.
+func (fl *inflightCall) resolveSoftware(ctx context.Context) *Refusal {
+	if !fl.isReturn() {
+		return nil
+	}
+	id, err := fl.findSoftware(ctx)
+	fl.tick()
+	if err != nil {
+		return unknownSoftwareRefusal(err)
+	}
+	fl.software = id
+	if !fl.hasSoftware() {
+		return fl.goneSoftwareRefusal()
+	}
+	return nil
+}
+
+// findSoftware returns the software that began the stream: that of its record, or the only one that
+// the service has run for longer than any stream takes.
+func (fl *inflightCall) findSoftware(ctx context.Context) (software.Identity, error) {
+	err := errors.WithStack(error(resumes.ErrUnknown{Reason: "the caller did not name the attempt that began it"}))
+	if fl.call.FirstAttempt != "" && fl.f.opts.Streams != nil {
+		var id software.Identity
+		if id, err = fl.f.opts.Streams.Find(ctx, fl.streamKey(fl.call.FirstAttempt)); err == nil {
+			fl.softwareSource = sourceRecord
+			return id, nil
+		}
+	}
+	if id, ok := fl.soleSoftware(ctx); ok {
+		fl.softwareSource = sourceSole
+		return id, nil
+	}
+	return "", err
+}
+
+// Sources of the software that began a stream, in logs.
+const (
+	sourceRecord = "record"
+	sourceSole   = "only one in use"
+)
+
+// soleSoftware returns the software of the service if it has run no other one for longer than any
+// stream takes. The box must know all targets at which the stream may have begun, so it must have
+// heard from control just before the call arrived, and after that if the caller has named its
+// attempt. A box that is cut off from control does not know.
+func (fl *inflightCall) soleSoftware(ctx context.Context) (software.Identity, bool) {
+	window := max(minSoleTime, 2*time.Duration(fl.route.GetTimeout())*time.Millisecond)
+	for waited := time.Duration(0); waited <= confirmWait; waited += confirmPoll {
+		id, confirmedAt, ok := fl.f.opts.Store.SoleSoftware(fl.service.GetName(), window)
+		if !ok || confirmedAt < fl.call.Arrived-maxSoleAge {
+			return "", false
+		}
+		if confirmedAt >= fl.call.Arrived || fl.call.FirstAttempt == "" {
+			return id, true
+		}
+		if !sleep(ctx, confirmPoll) {
+			return "", false
+		}
+	}
+	return "", false
+}
+
+// sleep waits for some time. It reports whether the context is still in force.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// hasSoftware reports whether a target that may have calls runs the software of the stream.
+func (fl *inflightCall) hasSoftware() bool {
+	fl.f.mu.Lock()
+	defer fl.f.mu.Unlock()
+	return fl.f.targets.HasSoftware(fl.service.GetName(), fl.software)
+}
+
+// unknownSoftwareRefusal is the answer to a caller whose stream can't go on as nobody knows which
+// software began it. It may come back if boxes that did not answer may know.
+func unknownSoftwareRefusal(err error) *Refusal {
+	r := &Refusal{Kind: structs.KindVersionUnknown, Run: structs.RunNo, Message: err.Error()}
+	var unknown resumes.ErrUnknown
+	if errors.As(err, &unknown) && unknown.Unanswered > 0 {
+		r.RetryAfter = retrySoon
+	}
+	return r
+}
+
+// goneSoftwareRefusal is the answer to a caller whose stream can't go on.
+func (fl *inflightCall) goneSoftwareRefusal() *Refusal {
+	return &Refusal{Kind: structs.KindVersionGone, Run: structs.RunNo,
+		Message: fmt.Sprintf("no target of service %s runs the software that began the stream: begin it anew", fl.service.GetName())}
+}
--- /dev/null
+++ b/services/forward/software_test.go
@@ -0,0 +1,255 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/resume"
+	"havenwinch.dev/havenwinch/models/software"
+	resumes "havenwinch.dev/havenwinch/services/resume"
+	"havenwinch.dev/havenwinch/structs"
+)
+
+// memory is a Streams that holds its records in one place.
+type memory struct {
+	mu      sync.Mutex
+	records map[resume.Key]software.Identity
+	// unanswered is the number of boxes that may know what is not held here.
+	unanswered int
+	// onRecord is called by Record; may be nil.
+	onRecord func()
+}
+
+func (m *memory) Record(_ context.Context, k resume.Key, id software.Identity, _ time.Duration) {
+	if m.onRecord != nil {
+		m.onRecord()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.records == nil {
+		m.records = map[resume.Key]software.Identity{}
+	}
+	m.records[k] = id
+}
+
+func (m *memory) Find(_ context.Context, k resume.Key) (software.Identity, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if id, known := m.records[k]; known {
+		return id, nil
+	}
+	return "", errors.WithStack(resumes.ErrUnknown{Reason: "no record", Unanswered: m.unanswered})
+}
+
+// setVersions registers the targets of a forwarder again, each with its version. Those without one
+// have ended.
+func setVersions(f *Forwarder, versions map[string]string) {
+	rows, revision := f.opts.Store.Targets()
+	message := &betweenv1.FollowResponse{HasSoftwareEnds: true, TargetRevision: revision + uint64(len(rows))}
+	for i, row := range rows {
+		next := &statev1.RegisteredTarget{Id: row.GetId(), Service: row.GetService(), Address: row.GetAddress(), DataCentre: row.GetDataCentre(), State: row.GetState(), Revision: revision + uint64(i) + 1}
+		version, runs := versions[row.GetId()]
+		if next.Version = version; !runs {
+			next.State = statev1.RegisteredTarget_STATE_GONE
+		}
+		message.Targets = append(message.Targets, next)
+	}
+	_, _ = f.opts.Store.Apply(message)
+	f.Refresh()
+}
+
+// Guards against an answer that holds events of two software versions: a stream that broke off went
+// on at any target.
+func TestStreamGoesOnAtItsSoftwareWithinItsAnswer(t *testing.T) {
+	begun, rest := chunks(false, event(0), event(1)), chunks(true, event(2))
+	cases := map[string]struct {
+		versions map[string]string
+		// first is what the first target answers, others the rest.
+		first script
+		want  string
+		ended bool
+	}{
+		"one version":                {versions: map[string]string{"a": "v1", "b": "v1"}, first: begun, want: event(0) + event(1) + event(2), ended: true},
+		"another version":            {versions: map[string]string{"a": "v1", "b": "v2"}, first: begun, want: event(0) + event(1)},
+		"version not known":          {versions: map[string]string{"a": "", "b": ""}, first: begun, want: event(0) + event(1)},
+		"nothing had been relayed":   {versions: map[string]string{"a": "v1", "b": "v2"}, first: chunks(false), want: event(0) + event(1) + event(2), ended: true},
+		"a comment had been relayed": {versions: map[string]string{"a": "v1", "b": "v2"}, first: chunks(false, ": c\n\n"), want: ": c\n\n"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			other := rest
+			if name == "nothing had been relayed" {
+				other = chunks(true, event(0), event(1), event(2))
+			}
+			one, two := newTarget(t, "a", c.first), newTarget(t, "b", other)
+			f := newForwarder(t, &fakeLeases{}, one, two)
+			setVersions(f, c.versions)
+			got := &collector{}
+			_ = f.Serve(context.Background(), newCall("resume"), got)
+			if got.body.String() != c.want || got.ended != c.ended {
+				t.Fatalf("got %q, ended %v", got.body.String(), got.ended)
+			}
+		})
+	}
+}
+
+// Guards against a stream that its caller takes up at another software version, and against refusals
+// of streams that can go on.
+func TestCallerTakesItsStreamUp(t *testing.T) {
+	const first = "first-attempt"
+	record := func(version string) *memory {
+		return &memory{records: map[resume.Key]software.Identity{resume.KeyOf("o", "s", first): software.Of(&statev1.RegisteredTarget{Version: version})}}
+	}
+	two := map[string]string{"a": "v1", "b": "v2"}
+	cases := map[string]struct {
+		versions map[string]string
+		streams  *memory
+		attempt  string
+		// target is the one that gets the call, kind that of the refusal.
+		target     string
+		kind       structs.Kind
+		retryAfter bool
+	}{
+		"the one version":                      {versions: two, streams: record("v1"), attempt: first, target: "a"},
+		"the other version":                    {versions: two, streams: record("v2"), attempt: first, target: "b"},
+		"a version that is gone":               {versions: two, streams: record("v3"), attempt: first, kind: structs.KindVersionGone},
+		"no record":                            {versions: two, streams: &memory{}, attempt: first, kind: structs.KindVersionUnknown},
+		"a box that may know does not answer":  {versions: two, streams: &memory{unanswered: 1}, attempt: first, kind: structs.KindVersionUnknown, retryAfter: true},
+		"no record, one version":               {versions: map[string]string{"b": "v2"}, streams: &memory{}, attempt: first, target: "b"},
+		"no attempt named, one version":        {versions: map[string]string{"b": "v2"}, streams: record("v1"), target: "b"},
+		"no attempt named, two versions":       {versions: two, streams: record("v1"), kind: structs.KindVersionUnknown},
+		"another attempt named":                {versions: two, streams: record("v1"), attempt: "other", kind: structs.KindVersionUnknown},
+		"no record, version not known":         {versions: map[string]string{"a": ""}, streams: &memory{}, attempt: first, kind: structs.KindVersionUnknown},
+		"a record, and versions not known now": {versions: map[string]string{"a": "", "b": ""}, streams: record("v1"), attempt: first, kind: structs.KindVersionGone},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			targets := map[string]*target{"a": newTarget(t, "a", chunks(true, event(3))), "b": newTarget(t, "b", chunks(true, event(3)))}
+			f := newForwarder(t, &fakeLeases{}, targets["a"], targets["b"])
+			f.opts.Streams = c.streams
+			setVersions(f, c.versions)
+			call := newCall("resume")
+			call.LastEvent, call.FirstAttempt = 2, c.attempt
+			stop := make(chan struct{})
+			defer close(stop)
+			go confirm(f, stop)
+			err := f.Serve(context.Background(), call, &collector{})
+			var refusal *Refusal
+			switch {
+			case c.kind == "" && err != nil:
+				t.Fatal(err)
+			case c.kind != "" && (!errors.As(err, &refusal) || refusal.Kind != c.kind || refusal.Run != structs.RunNo || (refusal.RetryAfter > 0) != c.retryAfter):
+				t.Fatalf("got %+v, want %s", err, c.kind)
+			}
+			for id, tg := range targets {
+				if got := len(tg.requests()); got > 0 != (id == c.target) {
+					t.Errorf("target %s got %d requests", id, got)
+				}
+			}
+		})
+	}
+}
+
+// confirm tells a box every few milliseconds that its copy is up to date.
+func confirm(f *Forwarder, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(5 * time.Millisecond):
+			_, _ = f.opts.Store.Apply(&betweenv1.FollowResponse{})
+		}
+	}
+}
+
+// Guards against a stream that goes on at the only version that a box knows while it is cut off from
+// control, and so from news of others.
+func TestBoxThatIsCutOffKnowsNoSoleSoftware(t *testing.T) {
+	f := newForwarder(t, &fakeLeases{}, newTarget(t, "a", chunks(true, event(3))))
+	f.opts.Streams = &memory{}
+	setVersions(f, map[string]string{"a": "v1"})
+	_, _ = f.opts.Store.Apply(&betweenv1.FollowResponse{Confirmed: (2 * maxSoleAge).Milliseconds()})
+	for _, attempt := range []string{"", "first-attempt"} {
+		call := newCall("resume")
+		call.LastEvent, call.FirstAttempt = 2, attempt
+		start := time.Now()
+		var refusal *Refusal
+		if err := f.Serve(context.Background(), call, &collector{}); !errors.As(err, &refusal) || refusal.Kind != structs.KindVersionUnknown {
+			t.Fatalf("attempt %q: got %v", attempt, err)
+		}
+		if took := time.Since(start); took >= confirmWait {
+			t.Errorf("attempt %q: refused after %s although the box hears nothing", attempt, took)
+		}
+	}
+}
+
+// Guards against a caller that holds the first event of a stream before any record of it exists, and
+// against records of streams that can't be taken up.
+func TestStreamIsRecordedBeforeItsFirstEvent(t *testing.T) {
+	for route, want := range map[string]int{"resume": 1, "stream": 0} {
+		f := newForwarder(t, &fakeLeases{}, newTarget(t, "a", chunks(true, event(0), event(1))))
+		setVersions(f, map[string]string{"a": "v1"})
+		sink := &collector{}
+		m := &memory{onRecord: func() {
+			if sink.heads > 0 {
+				t.Error("the answer began before its stream was recorded")
+			}
+		}}
+		f.opts.Streams = m
+		if err := f.Serve(context.Background(), newCall(route), sink); err != nil {
+			t.Fatal(err)
+		}
+		if len(m.records) != want {
+			t.Errorf("route %s: %d records, want %d", route, len(m.records), want)
+		}
+		if id, known := m.records[resume.KeyOf("o", "s", "id-1")]; want > 0 && (!known || id != "version v1") {
+			t.Errorf("route %s: recorded %v", route, m.records)
+		}
+	}
+}
+
+// Guards against a returning caller that is sent to another service of a split route than the one
+// that began its stream.
+func TestReturnGoesToTheServiceThatBeganTheStream(t *testing.T) {
+	f := newForwarder(t, &fakeLeases{}, newTarget(t, "a"))
+	index := f.opts.Store.Index()
+	table := &statev1.RoutingTable{Version: 2, Payers: index.Table.GetPayers(), Services: []*statev1.Service{{Name: "s"}, {Name: "t"}}, Routes: []*statev1.Route{{
+		Name: "r", Host: "h", PathPrefix: "/resume/", Kind: statev1.Route_KIND_STREAM, Resumable: true, Timeout: 1000,
+		Splits: []*statev1.Split{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}},
+	}}}
+	if _, err := f.opts.Store.Apply(&betweenv1.FollowResponse{Routing: table}); err != nil {
+		t.Fatal(err)
+	}
+	service := func(call *Call) string {
+		fl := &inflightCall{f: f, call: call}
+		if refusal := fl.resolve(); refusal != nil {
+			t.Fatal(refusal)
+		}
+		return fl.service.GetName()
+	}
+	used := map[string]int{}
+	for n := range 40 {
+		first := newCall("resume")
+		first.ID = fmt.Sprint("first-", n)
+		want := service(first)
+		used[want]++
+		back := newCall("resume")
+		back.ID, back.FirstAttempt, back.LastEvent = fmt.Sprint("second-", n), first.ID, 3
+		if got := service(back); got != want {
+			t.Fatalf("attempt %d began at %s and returned to %s", n, want, got)
+		}
+	}
+	if len(used) != 2 {
+		t.Fatalf("all calls go to %v", used)
+	}
+}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -28,7 +28,7 @@
 		if n > 0 {
 			wd.restart(stallLimit)
 			fl.recordPrefill(t, sent)
-			if sinkErr := fl.forwardEvents(x, fl.events.split(buffer[:n])); sinkErr != nil {
+			if sinkErr := fl.forwardEvents(ctx, x, fl.events.split(buffer[:n])); sinkErr != nil {
 				x.abandon()
 				fl.missedTail = true
 				fl.recordSend(t, "caller left")
@@ -69,10 +69,11 @@
 }
 
 // forwardEvents relays complete events, preceded by the header of the first target.
-func (fl *inflightCall) forwardEvents(x *exchange, p []byte) error {
+func (fl *inflightCall) forwardEvents(ctx context.Context, x *exchange, p []byte) error {
 	if len(p) == 0 {
 		return nil
 	}
+	fl.bindSoftware(ctx, x.conn.target)
 	fl.sink.recordEvents()
 	if !fl.sink.started() {
 		if err := fl.sink.Begin(x.head.StatusCode(), x.fields(), -1); err != nil {
--- a/services/forward/target_end_test.go
+++ b/services/forward/target_end_test.go
@@ -86,7 +86,7 @@
 // connection or a new instance has taken its place.
 func TestTargetEndsDuringCall(t *testing.T) {
 	row := func(f *Forwarder, id string, born int64, address string, state statev1.RegisteredTarget_State, revision uint64) {
-		r := &statev1.RegisteredTarget{Id: id, Born: born, Service: "s", Address: address, DataCentre: "dc", State: state, Revision: revision}
+		r := &statev1.RegisteredTarget{Id: id, Born: born, Service: "s", Address: address, DataCentre: "dc", Version: "v1", State: state, Revision: revision}
 		_, _ = f.opts.Store.Apply(&betweenv1.FollowResponse{Targets: []*statev1.RegisteredTarget{r}, TargetRevision: revision})
 		f.Refresh()
 	}
--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -69,7 +69,7 @@
 func TestSourcesAgree(t *testing.T) {
 	machine := control.NewMachine()
 	c := clock.NewFake()
-	source := &MachineSource{Machine: machine, GroupSyncAge: func() time.Duration { return 0 }, Members: func() []string { return nil }}
+	source := &MachineSource{Machine: machine, Clock: clock.NewFake(), GroupSyncAge: func() time.Duration { return 0 }, Members: func() []string { return nil }}
 	g := &control.Gateway{Log: controltest.Log{Machine: machine}, Machine: machine, Clock: c, Logger: logging.Discard()}
 	for _, e := range []*statev1.Entry{
 		{Kind: &statev1.Entry_PutRouting{PutRouting: &statev1.PutRouting{Table: &statev1.RoutingTable{Version: 2, Source: []byte("doc")}}}},
@@ -352,7 +352,7 @@
 func TestFollowersLearnEvacuations(t *testing.T) {
 	machine := control.NewMachine()
 	c := clock.NewFake()
-	source := &MachineSource{Machine: machine, GroupSyncAge: func() time.Duration { return 0 }, Members: func() []string { return nil }}
+	source := &MachineSource{Machine: machine, Clock: clock.NewFake(), GroupSyncAge: func() time.Duration { return 0 }, Members: func() []string { return nil }}
 	g := &control.Gateway{Log: controltest.Log{Machine: machine}, Machine: machine, Clock: c, Logger: logging.Discard()}
 	order := func(dataCentre string, active bool, base uint64) {
 		t.Helper()
--- a/services/gateway/history_test.go
+++ b/services/gateway/history_test.go
@@ -41,7 +41,7 @@
 	return &feed{
 		t:       t,
 		gateway: &control.Gateway{Log: controltest.Log{Machine: machine}, Machine: machine, Clock: clock.NewFake(), Logger: logging.Discard()},
-		source:  &MachineSource{Machine: machine, GroupSyncAge: func() time.Duration { return 0 }, Members: func() []string { return nil }},
+		source:  &MachineSource{Machine: machine, Clock: clock.NewFake(), GroupSyncAge: func() time.Duration { return 0 }, Members: func() []string { return nil }},
 	}
 }
 
--- a/services/gateway/store.go
+++ b/services/gateway/store.go
@@ -47,6 +47,7 @@
 // MachineSource is the Source of a control box: its replicated state.
 type MachineSource struct {
 	Machine *control.Machine
+	Clock   clock.Clock
 	// GroupSyncAge returns how long ago this box was last in sync with the control group.
 	GroupSyncAge func() time.Duration
 	// Members returns the addresses of the control group's members.
@@ -64,6 +65,7 @@
 		if s.Routing.TargetRevision > has.Targets {
 			changes := m.history.targetsAfter(s.Routing, has.Targets)
 			resp.Targets, resp.AllTargets = changes.rows, changes.all
+			resp.HasSoftwareEnds, resp.SoftwareEnds, resp.SoftwareEndsNow = true, s.Routing.SoftwareEnds.Rows(), m.Clock.Wall().UnixMilli()
 		}
 		resp.Quarantine, resp.QuarantineRevision = s.Quarantine.ListedSince(has.Quarantine)
 		resp.QuarantineReports = s.Quarantine.Reports()
@@ -103,6 +105,9 @@
 	evacuations        []*statev1.Evacuation
 	evacuationRevision uint64
 	changed            chan struct{}
+	// softwareEnds has when a target of each version last ended, as boot times of this box; nil if
+	// control has not told.
+	softwareEnds []softwareEnd
 	// confirmedAt is the boot time at which the copy was last in sync with the control
 	// group, everConfirmed whether it ever was.
 	confirmedAt   time.Duration
@@ -264,6 +269,10 @@
 		s.targets[t.GetId()] = t
 	}
 	s.revision = r.GetTargetRevision()
+	s.softwareEnds = nil
+	if r.GetHasSoftwareEnds() {
+		s.softwareEnds = s.endsOf(r)
+	}
 }
 
 // unique returns the addresses without empty ones and duplicates, in order of their
--- a/services/metrics/metrics.go
+++ b/services/metrics/metrics.go
@@ -26,6 +26,7 @@
 	limits         *prometheus.CounterVec
 	oddAnswers     *prometheus.CounterVec
 	relays         *prometheus.CounterVec
+	streamRecords  *prometheus.CounterVec
 }
 
 // New returns metrics in a registry of their own, together with those of the Go runtime and
@@ -63,7 +64,10 @@
 	m.relays = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "carried_connections_total", Help: "Connections to targets that other boxes asked this one to carry, by outcome.",
 	}, []string{"outcome"})
-	m.Registry.MustRegister(m.relays, m.oddAnswers, m.limits, m.entriesRefused, m.requests, m.firstToken, m.events, m.firstByte, m.sends, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.streamRecords = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "stream_records_total", Help: "Records of the software that began a stream, sent to other boxes, by outcome.",
+	}, []string{"outcome"})
+	m.Registry.MustRegister(m.streamRecords, m.relays, m.oddAnswers, m.limits, m.entriesRefused, m.requests, m.firstToken, m.events, m.firstByte, m.sends, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
@@ -76,6 +80,9 @@
 // Relay counts a connection that another box asked this one to carry, by outcome.
 func (m *Metrics) Relay(outcome string) { m.relays.WithLabelValues(outcome).Inc() }
 
+// StreamRecord counts a record of a stream that was sent to another box, by outcome.
+func (m *Metrics) StreamRecord(outcome string) { m.streamRecords.WithLabelValues(outcome).Inc() }
+
 // EntryRefused counts an unusable entry of the list of targets.
 func (m *Metrics) EntryRefused() { m.entriesRefused.Inc() }
 
--- a/services/peers/consensus.go
+++ b/services/peers/consensus.go
@@ -58,6 +58,11 @@
 	return betweenv1connect.NewRelayServiceClient(p.carrying, p.BaseURL(address), p.ClientOptions()...)
 }
 
+// Streams returns the client of the stream service of the entry box at an address.
+func (p *Peers) Streams(address string) betweenv1connect.StreamServiceClient {
+	return betweenv1connect.NewStreamServiceClient(p.client, p.BaseURL(address), p.ClientOptions()...)
+}
+
 // Control returns clients of the control service, keyed by the name of the box.
 func (p *Peers) Control(addresses map[string]string) map[string]betweenv1connect.ControlServiceClient {
 	clients := map[string]betweenv1connect.ControlServiceClient{}
--- a/services/quarantine/orders_test.go
+++ b/services/quarantine/orders_test.go
@@ -14,13 +14,14 @@
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/quarantine"
+	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/services/control"
 	"havenwinch.dev/havenwinch/services/gateway"
 )
 
 // followSource returns the source of the messages that boxes follow.
 func (w *testCluster) followSource() *gateway.MachineSource {
-	return &gateway.MachineSource{Machine: w.machine, GroupSyncAge: func() time.Duration { return 0 }, Members: func() []string { return nil }}
+	return &gateway.MachineSource{Machine: w.machine, Clock: clock.NewFake(), GroupSyncAge: func() time.Duration { return 0 }, Members: func() []string { return nil }}
 }
 
 // listFor returns the message that control sends to a box now.
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -87,7 +87,7 @@
 		if w.isCut {
 			continue
 		}
-		source := &gateway.MachineSource{Machine: w.machine, GroupSyncAge: func() time.Duration { return 0 }, Members: func() []string { return nil }}
+		source := &gateway.MachineSource{Machine: w.machine, Clock: clock.NewFake(), GroupSyncAge: func() time.Duration { return 0 }, Members: func() []string { return nil }}
 		for i, q := range w.boxes {
 			if _, err := w.stores[i].Apply(source.After(w.stores[i].Position())); err != nil {
 				w.t.Fatal(err)
--- /dev/null
+++ b/services/resume/resume.go
@@ -0,0 +1,263 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package resume replicates which software began each stream to a few entry boxes, and finds it when
+// the caller of a stream returns at any box. See models/resume for where the records are held.
+package resume
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
+	"havenwinch.dev/havenwinch/models/lease"
+	"havenwinch.dev/havenwinch/models/resume"
+	"havenwinch.dev/havenwinch/models/software"
+	"havenwinch.dev/havenwinch/modules/clock"
+)
+
+const (
+	// ackWait limits how long the first event of a stream waits for another box to have its record.
+	ackWait = 25 * time.Millisecond
+	// recordTimeout limits a request to record a stream, findTimeout a search over all boxes.
+	recordTimeout = 400 * time.Millisecond
+	findTimeout   = 300 * time.Millisecond
+	// silenceBlock is how long a box that has not answered is no holder of new records.
+	silenceBlock = time.Second
+	// maxSoftware limits the identity of a software, in bytes.
+	maxSoftware = 1024
+)
+
+// Options configure a Service.
+type Options struct {
+	Box        string
+	DataCentre string
+	// Directory returns the entry boxes of the fleet, nil while they are not known.
+	Directory func() *lease.Directory
+	// Connect returns a client of the box at an address.
+	Connect func(address string) betweenv1connect.StreamServiceClient
+	Clock   clock.Clock
+	Logger  *slog.Logger
+	// Count counts records that were sent to other boxes, by outcome.
+	Count func(outcome string)
+}
+
+// Outcomes of records in metrics.
+const (
+	outcomeHeld   = "held"
+	outcomeFailed = "failed"
+)
+
+// Service keeps the records of streams, of this box and of others.
+type Service struct {
+	opts Options
+
+	mu        sync.Mutex
+	table     *resume.Table
+	placement *resume.Placement
+	// version is that of the directory from which placement was made.
+	version uint64
+	clients map[string]betweenv1connect.StreamServiceClient
+	// blockedUntil has, by name, until when a box is no holder of new records.
+	blockedUntil map[string]time.Duration
+}
+
+// New returns a service without records.
+func New(opts Options) *Service {
+	return &Service{opts: opts, table: resume.NewTable(), clients: map[string]betweenv1connect.StreamServiceClient{}, blockedUntil: map[string]time.Duration{}}
+}
+
+// Len returns the number of records that this box holds.
+func (s *Service) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Len()
+}
+
+// StoreRecord stores the record of a stream of another box. The error is an ErrInvalidRecord.
+func (s *Service) StoreRecord(r *betweenv1.RecordRequest) error {
+	k, err := keyOf(r.GetStream())
+	if err != nil {
+		return err
+	}
+	if r.GetSoftware() == "" || len(r.GetSoftware()) > maxSoftware {
+		return errors.WithStack(ErrInvalidRecord{Field: "software", Remedy: "must be given, in at most 1024 bytes"})
+	}
+	s.put(k, software.Identity(r.GetSoftware()), time.Duration(r.GetLifetime())*time.Millisecond)
+	return nil
+}
+
+// LookUp answers another box from the records of this one. The error is an ErrInvalidRecord.
+func (s *Service) LookUp(r *betweenv1.FindRequest) (*betweenv1.FindResponse, error) {
+	k, err := keyOf(r.GetStream())
+	if err != nil {
+		return nil, err
+	}
+	id, known := s.get(k)
+	return &betweenv1.FindResponse{Found: known, Software: string(id)}, nil
+}
+
+func keyOf(stream []byte) (k resume.Key, err error) {
+	if copy(k[:], stream) != len(stream) || len(stream) != len(k) {
+		return k, errors.WithStack(ErrInvalidRecord{Field: "stream", Remedy: "must have 16 bytes"})
+	}
+	return k, nil
+}
+
+func (s *Service) put(k resume.Key, id software.Identity, lifetime time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Put(k, id, lifetime, s.opts.Clock.Boot())
+}
+
+func (s *Service) get(k resume.Key) (id software.Identity, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Get(k, s.opts.Clock.Boot())
+}
+
+// currentPlacement returns the placement for the directory in force, nil while there is none.
+func (s *Service) currentPlacement() *resume.Placement {
+	directory := s.opts.Directory()
+	if directory == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.placement == nil || s.version != directory.Version {
+		s.placement, s.version = resume.NewPlacement(directory.Boxes, s.opts.Box, s.opts.DataCentre), directory.Version
+	}
+	return s.placement
+}
+
+func (s *Service) client(address string) betweenv1connect.StreamServiceClient {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	client := s.clients[address]
+	if client == nil {
+		client = s.opts.Connect(address)
+		s.clients[address] = client
+	}
+	return client
+}
+
+// Record stores which software began a stream, here and at other boxes. It returns as soon as one of
+// these has it; the others are written in the background. If none answers in time, the stream goes on
+// all the same: should this box be lost then, its caller has to begin anew.
+func (s *Service) Record(ctx context.Context, k resume.Key, id software.Identity, lifetime time.Duration) {
+	s.put(k, id, lifetime)
+	p := s.currentPlacement()
+	if p == nil {
+		return
+	}
+	near, far := p.Holders(k)
+	r := &betweenv1.RecordRequest{Stream: k[:], Software: string(id), Lifetime: lifetime.Milliseconds()}
+	held := make(chan bool, 2)
+	for _, boxes := range [][]lease.Box{near, far} {
+		// The caller may leave now and return elsewhere.
+		go func() { held <- s.recordAtOne(context.WithoutCancel(ctx), boxes, r) }()
+	}
+	timer := time.NewTimer(ackWait)
+	defer timer.Stop()
+	for range 2 {
+		select {
+		case ok := <-held:
+			if ok {
+				return
+			}
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// recordAtOne sends a record to the first of the boxes that takes it, and reports whether one did.
+func (s *Service) recordAtOne(ctx context.Context, boxes []lease.Box, r *betweenv1.RecordRequest) bool {
+	for _, b := range boxes {
+		if s.isBlocked(b) {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
+		_, err := s.client(b.Address).Record(callCtx, connect.NewRequest(r))
+		cancel()
+		if err == nil {
+			s.opts.Count(outcomeHeld)
+			return true
+		}
+		s.opts.Count(outcomeFailed)
+		s.block(b, err)
+	}
+	return false
+}
+
+func (s *Service) isBlocked(b lease.Box) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.blockedUntil[b.Name] > s.opts.Clock.Boot()
+}
+
+// block keeps a box from being asked to hold records for some time.
+func (s *Service) block(b lease.Box, err error) {
+	s.mu.Lock()
+	now := s.opts.Clock.Boot()
+	known := s.blockedUntil[b.Name] > now
+	s.blockedUntil[b.Name] = now + silenceBlock
+	s.mu.Unlock()
+	if !known {
+		s.opts.Logger.Info("box takes no records of streams", "peer", b.Name, "ms", silenceBlock.Milliseconds(), "reason", err.Error())
+	}
+}
+
+// Find returns the software that began a stream. It asks the boxes that may hold the record all at
+// once and takes the first one found. The error is an ErrUnknown.
+func (s *Service) Find(ctx context.Context, k resume.Key) (software.Identity, error) {
+	if id, known := s.get(k); known {
+		return checkFound(id)
+	}
+	p := s.currentPlacement()
+	if p == nil {
+		return "", errors.WithStack(ErrUnknown{Reason: "the other boxes are not known yet", Unanswered: 1})
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	boxes := p.Candidates(k)
+	answers := make(chan *betweenv1.FindResponse, len(boxes))
+	for _, b := range boxes {
+		go func() { answers <- s.ask(ctx, b, k) }()
+	}
+	unanswered := 0
+	for range boxes {
+		resp := <-answers
+		switch {
+		case resp == nil:
+			unanswered++
+		case resp.GetFound():
+			return checkFound(software.Identity(resp.GetSoftware()))
+		}
+	}
+	return "", errors.WithStack(ErrUnknown{Reason: "no box that answers has a record of it", Unanswered: unanswered})
+}
+
+// ask asks one box for a stream. It returns nil if the box does not answer.
+func (s *Service) ask(ctx context.Context, b lease.Box, k resume.Key) *betweenv1.FindResponse {
+	resp, err := s.client(b.Address).Find(ctx, connect.NewRequest(&betweenv1.FindRequest{Stream: k[:]}))
+	if err != nil {
+		return nil
+	}
+	return resp.Msg
+}
+
+func checkFound(id software.Identity) (software.Identity, error) {
+	if id == "" {
+		return "", errors.WithStack(ErrUnknown{Reason: "its attempt id was used for streams of different software"})
+	}
+	return id, nil
+}
--- /dev/null
+++ b/services/resume/resume_test.go
@@ -0,0 +1,269 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package resume
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
+	"havenwinch.dev/havenwinch/models/lease"
+	"havenwinch.dev/havenwinch/models/resume"
+	"havenwinch.dev/havenwinch/models/software"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/logging"
+)
+
+// network connects the services of a fleet without processes.
+type network struct {
+	mu       sync.Mutex
+	services map[string]*Service
+	// dead boxes refuse requests, silent ones don't answer.
+	dead, silent map[string]bool
+	asked        map[string]int
+}
+
+// peer is the client of one box.
+type peer struct {
+	n    *network
+	name string
+}
+
+func (p *peer) reach(ctx context.Context) (*Service, error) {
+	p.n.mu.Lock()
+	p.n.asked[p.name]++
+	dead, silent, s := p.n.dead[p.name], p.n.silent[p.name], p.n.services[p.name]
+	p.n.mu.Unlock()
+	switch {
+	case dead:
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("connection refused"))
+	case silent:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	default:
+		return s, nil
+	}
+}
+
+func (p *peer) Record(ctx context.Context, r *connect.Request[betweenv1.RecordRequest]) (*connect.Response[betweenv1.RecordResponse], error) {
+	s, err := p.reach(ctx)
+	if err == nil {
+		err = s.StoreRecord(r.Msg)
+	}
+	return connect.NewResponse(&betweenv1.RecordResponse{}), err
+}
+
+func (p *peer) Find(ctx context.Context, r *connect.Request[betweenv1.FindRequest]) (*connect.Response[betweenv1.FindResponse], error) {
+	s, err := p.reach(ctx)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := s.LookUp(r.Msg)
+	return connect.NewResponse(resp), err
+}
+
+// newNetwork returns a fleet with boxes dc-0-box-0 and so on.
+func newNetwork(centres, perCentre int) *network {
+	n := &network{services: map[string]*Service{}, dead: map[string]bool{}, silent: map[string]bool{}, asked: map[string]int{}}
+	var boxes []lease.Box
+	for c := range centres {
+		for i := range perCentre {
+			name := fmt.Sprintf("dc-%d-box-%d", c, i)
+			boxes = append(boxes, lease.Box{Name: name, DataCentre: fmt.Sprintf("dc-%d", c), Address: name})
+		}
+	}
+	directory := lease.NewDirectory(boxes)
+	for _, b := range boxes {
+		n.services[b.Name] = New(Options{
+			Box: b.Name, DataCentre: b.DataCentre, Directory: func() *lease.Directory { return directory }, Clock: clock.System{}, Logger: logging.Discard(), Count: func(string) {},
+			Connect: func(address string) betweenv1connect.StreamServiceClient { return &peer{n: n, name: address} },
+		})
+	}
+	return n
+}
+
+func (n *network) set(kind map[string]bool, names ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, name := range names {
+		kind[name] = true
+	}
+}
+
+// holders returns how many boxes other than one have a record.
+func (n *network) holders(k resume.Key, except string) int {
+	count := 0
+	for name, s := range n.services {
+		if _, known := s.get(k); known && name != except {
+			count++
+		}
+	}
+	return count
+}
+
+const (
+	writer   = "dc-0-box-0"
+	lifetime = time.Minute
+)
+
+// Guards against callers that can't take their streams up at other boxes after the box that began
+// them was lost, alone, with its data centre, or with the first box that should have a record.
+func TestStreamsAreFoundAfterTheirBoxWasLost(t *testing.T) {
+	cases := map[string]struct {
+		// silent are lost before the stream begins, lost after it.
+		silent, lost []string
+		reader       string
+	}{
+		"at a box of the data centre":              {lost: []string{writer}, reader: "dc-0-box-2"},
+		"at a box of another data centre":          {lost: []string{writer}, reader: "dc-2-box-1"},
+		"with its data centre":                     {lost: []string{writer, "dc-0-box-1", "dc-0-box-2"}, reader: "dc-1-box-0"},
+		"with all other data centres":              {lost: []string{writer, "dc-1-box-0", "dc-1-box-1", "dc-1-box-2", "dc-2-box-0", "dc-2-box-1", "dc-2-box-2"}, reader: "dc-0-box-1"},
+		"the own box has the record":               {reader: writer},
+		"another box of its data centre is silent": {silent: []string{"dc-0-box-1"}, lost: []string{writer}, reader: "dc-0-box-2"},
+		"a box of another data centre is silent":   {silent: []string{"dc-1-box-0"}, lost: []string{writer}, reader: "dc-1-box-1"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := newNetwork(3, 3)
+			n.set(n.silent, c.silent...)
+			keys := map[resume.Key]software.Identity{}
+			for i := range 40 {
+				k, id := resume.KeyOf("o", "s", fmt.Sprint(i)), software.Identity(fmt.Sprint("version ", i%3))
+				keys[k] = id
+				n.services[writer].Record(context.Background(), k, id, lifetime)
+			}
+			waitUntil(t, func() bool {
+				for k := range keys {
+					if n.holders(k, writer) < 2 {
+						return false
+					}
+				}
+				return true
+			})
+			n.set(n.dead, c.lost...)
+			for k, want := range keys {
+				if got, err := n.services[c.reader].Find(context.Background(), k); err != nil || got != want {
+					t.Fatalf("found %q (%v), want %q", got, err, want)
+				}
+			}
+		})
+	}
+}
+
+func waitUntil(t *testing.T, condition func() bool) {
+	t.Helper()
+	for range 2000 {
+		if condition() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("timed out")
+}
+
+// Guards against a stream that goes on at a guess: what nobody knows, or what boxes disagree on.
+func TestUnknownStreams(t *testing.T) {
+	k := resume.KeyOf("o", "s", "a")
+	record := func(n *network, box string, id software.Identity) { n.services[box].put(k, id, lifetime) }
+	cases := map[string]struct {
+		prepare    func(n *network)
+		unanswered bool
+	}{
+		"no record":                               {prepare: func(*network) {}},
+		"other organisation":                      {prepare: func(n *network) { n.services[writer].put(resume.KeyOf("p", "s", "a"), "v1", lifetime) }},
+		"a box does not answer":                   {prepare: func(n *network) { n.set(n.dead, "dc-0-box-0", "dc-1-box-0", "dc-1-box-1") }, unanswered: true},
+		"all boxes are silent":                    {prepare: func(n *network) { n.set(n.silent, "dc-0-box-0", "dc-0-box-1", "dc-1-box-0", "dc-1-box-1") }, unanswered: true},
+		"this box was told of two":                {prepare: func(n *network) { record(n, "dc-0-box-1", "v1"); record(n, "dc-0-box-1", "v2") }},
+		"the holder was told of two":              {prepare: func(n *network) { record(n, writer, "v1"); record(n, writer, "v2") }},
+		"the record has expired":                  {prepare: func(n *network) { n.services[writer].put(k, "v1", 0) }},
+		"the directory of boxes is not known yet": {prepare: func(n *network) { n.services["dc-0-box-1"].opts.Directory = func() *lease.Directory { return nil } }, unanswered: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := newNetwork(2, 2)
+			c.prepare(n)
+			id, err := n.services["dc-0-box-1"].Find(context.Background(), k)
+			var unknown ErrUnknown
+			if id != "" || !errors.As(err, &unknown) {
+				t.Fatalf("found %q (%v)", id, err)
+			}
+			if (unknown.Unanswered > 0) != c.unanswered {
+				t.Fatalf("%d boxes have not answered", unknown.Unanswered)
+			}
+		})
+	}
+}
+
+// Guards against first events that wait for boxes that are lost.
+func TestRecordDoesNotWaitForLostBoxes(t *testing.T) {
+	n := newNetwork(2, 2)
+	n.set(n.silent, "dc-0-box-1", "dc-1-box-0", "dc-1-box-1")
+	k := resume.KeyOf("o", "s", "a")
+	done := make(chan struct{})
+	go func() {
+		n.services[writer].Record(context.Background(), k, "v1", lifetime)
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(recordTimeout):
+		t.Fatal("the first event waits until the requests to silent boxes have timed out")
+	}
+	waitUntil(t, func() bool {
+		s := n.services[writer]
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.blockedUntil) == 3
+	})
+	n.mu.Lock()
+	n.asked = map[string]int{}
+	n.mu.Unlock()
+	n.services[writer].Record(context.Background(), resume.KeyOf("o", "s", "b"), "v1", lifetime)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.asked) != 0 {
+		t.Fatalf("silent boxes were asked again at once: %v", n.asked)
+	}
+}
+
+func TestInvalidRecordsOfOtherBoxes(t *testing.T) {
+	s := newNetwork(1, 1).services[writer]
+	k := resume.KeyOf("o", "s", "a")
+	cases := map[string]struct {
+		stream   []byte
+		software string
+		field    string
+	}{
+		"no stream":            {software: "v1", field: "stream"},
+		"short stream":         {stream: k[:5], software: "v1", field: "stream"},
+		"long stream":          {stream: append(k[:], 1), software: "v1", field: "stream"},
+		"no software":          {stream: k[:], field: "software"},
+		"very long software":   {stream: k[:], software: string(make([]byte, maxSoftware+1)), field: "software"},
+		"a valid one is taken": {stream: k[:], software: "v1"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			err := s.StoreRecord(&betweenv1.RecordRequest{Stream: c.stream, Software: c.software, Lifetime: 1000})
+			var invalid ErrInvalidRecord
+			if c.field == "" {
+				if err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			if !errors.As(err, &invalid) || invalid.Field != c.field {
+				t.Fatalf("got %v, want field %s", err, c.field)
+			}
+		})
+	}
+}
--- a/structs/structs.go
+++ b/structs/structs.go
@@ -40,6 +40,8 @@
 	KindInProgress          Kind = "request_in_progress"
 	KindAnswerNotKept       Kind = "answer_not_kept"
 	KindNoTarget            Kind = "no_target"
+	KindVersionUnknown      Kind = "version_unknown"
+	KindVersionGone         Kind = "version_gone"
 	KindOverloaded          Kind = "overloaded"
 	KindTargetFailed        Kind = "target_failed"
 	KindQuarantined         Kind = "quarantined"
