services/forward, models/spread: runs and caches stay within their software

The same cause at two more places: a run was moved with its memory to the target that caches its prefix, and a cache was fetched from another target, whatever software they ran.

Evidence: TestRunsMoveWithinTheirSoftware and TestCallsKeepToTheirSoftware fail without the two conditions (a prefix was fetched by t5, of v2, from t0, of v1).

--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -303,10 +303,10 @@
 }
 
 // cacheSource returns the target from which another one can copy the cache of a shared
-// prefix: the first by the prefix that has had the time to fill its cache. It returns nil if
-// that is the target itself or there is none.
+// prefix: the first by the prefix, among those of its software, that has had the time to fill its
+// cache. It returns nil if that is the target itself or there is none.
 func cacheSource(target *Target, candidates []*Target, affinity uint64, now time.Duration) *Target {
-	filled := func(t *Target) bool { return t.fillingUntil <= now }
+	filled := func(t *Target) bool { return t.fillingUntil <= now && t.Software == target.Software }
 	source := highestScore(candidates, affinity, filled)
 	if source == target {
 		return nil
--- a/models/spread/spread_test.go
+++ b/models/spread/spread_test.go
@@ -298,7 +298,7 @@
 }
 
 // Guards against calls that go to another software than the one to which their stream belongs, also
-// where all targets of that one are banned.
+// where all targets of that one are banned, and against caches fetched from another software.
 func TestCallsKeepToTheirSoftware(t *testing.T) {
 	row := func(n int, version string) *statev1.RegisteredTarget {
 		return &statev1.RegisteredTarget{Id: fmt.Sprint("t", n), Service: "s", Address: fmt.Sprint("10.0.0.1:", n+1), DataCentre: "dc-a", Version: version, State: statev1.RegisteredTarget_STATE_READY}
@@ -322,6 +322,13 @@
 		if got := tb.Choose(criteria, 0).Target; got != nil {
 			t.Fatalf("prefix %d of %s goes to %s", affinity, v3, got.ID)
 		}
+		criteria.Software = ""
+		first := tb.Choose(criteria, time.Minute).Target
+		first.RunningCalls += 50
+		if c := tb.Choose(criteria, time.Minute); c.CacheSource != nil && c.CacheSource.Software != c.Target.Software {
+			t.Fatalf("prefix %d: %s fetches its cache from %s", affinity, c.Target.ID, c.CacheSource.ID)
+		}
+		first.RunningCalls -= 50
 	}
 	if !tb.HasSoftware("s", v1) || tb.HasSoftware("s", v3) || tb.HasSoftware("t", v1) {
 		t.Error("the table is wrong about the software in use")
--- a/services/forward/move.go
+++ b/services/forward/move.go
@@ -76,6 +76,10 @@
 	if !c.IsDedicated || c.AffinityTarget == nil || fl.f.opts.EngineAPI == nil || !fl.service.GetEngine().GetMoves() {
 		return nil
 	}
+	// The other software can't read the copy.
+	if c.Target.Software != c.AffinityTarget.Software {
+		return nil
+	}
 	// A move costs at least three requests, too many for targets with a rate limit.
 	if fl.f.isLimited(c.Target) || fl.f.isLimited(c.AffinityTarget) || fl.f.isEvacuated(c.Target, c.AffinityTarget) {
 		return nil
--- a/services/forward/software_test.go
+++ b/services/forward/software_test.go
@@ -10,12 +10,14 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/resume"
 	"havenwinch.dev/havenwinch/models/software"
+	"havenwinch.dev/havenwinch/models/spread"
 	resumes "havenwinch.dev/havenwinch/services/resume"
 	"havenwinch.dev/havenwinch/structs"
 )
@@ -253,3 +255,21 @@
 		t.Fatalf("all calls go to %v", used)
 	}
 }
+
+// Guards against runs that are moved to another software version with their memory.
+func TestRunsMoveWithinTheirSoftware(t *testing.T) {
+	for name, c := range map[string]struct {
+		to    software.Identity
+		moves bool
+	}{"same": {to: "v1", moves: true}, "other": {to: "v2"}} {
+		t.Run(name, func(t *testing.T) {
+			f := newForwarder(t, &fakeLeases{}, newTarget(t, "a"))
+			f.opts.EngineAPI = testEngineAPI{}
+			fl := &inflightCall{f: f, call: newCall("resume"), service: &statev1.Service{Name: "s", Engine: &statev1.EngineLimits{Moves: true}}}
+			choice := spread.Choice{IsDedicated: true, Target: &spread.Target{ID: "a", Software: "v1"}, AffinityTarget: &spread.Target{ID: "b", Software: c.to}}
+			if diff := cmp.Diff(c.moves, fl.mover(choice) != nil); diff != "" {
+				t.Fatal(diff)
+			}
+		})
+	}
+}
