services/forward: a stream does not go on at an unregistered start of a target

Callers saw streams of two software versions after targets had started again under their id and address with other software: for as long as the new registration was on its way, the box took the new start for the registered one.

A stream that continues over a connection that may be newer than what control has told is sent only if the engine tells the registered start in its report: at most one query for each continuation, none for new streams. A stream that goes on flowing after a later start of its target was registered belongs to that start: the box binds it anew and the records at other boxes count as unknown. A target that tells no start in its report, as on older platforms, is trusted.

--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -14,6 +14,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -91,6 +92,8 @@
 	coldUntil, suspectUntil time.Duration
 	// fillingUntil is until when the target's cache may lack the prefixes that belong to it.
 	fillingUntil time.Duration
+	// successor is the target that took the place of this one under its id, nil for none.
+	successor atomic.Pointer[Target]
 	// replaced is set once another target answers at the address, hasAnnouncedEnd once the target
 	// has announced its end.
 	replaced        bool
@@ -111,6 +114,10 @@
 // alone if the start time is not known.
 func (t *Target) StartIdentity() string { return t.start }
 
+// Successor returns the target that has taken the place of this one under its id, nil for none. It
+// may be called without the table's lock.
+func (t *Target) Successor() *Target { return t.successor.Load() }
+
 func startIdentity(id string, born int64) string {
 	if born == 0 {
 		return id
@@ -157,9 +164,10 @@
 		tb.remove(t)
 		return
 	}
+	var former *Target
 	if t != nil && !t.isOf(row) {
 		tb.remove(t)
-		t = nil
+		former, t = t, nil
 	}
 	if t == nil {
 		// The first targets of a box have run for some time as far as it knows.
@@ -173,6 +181,9 @@
 		}
 		tb.byID[t.ID] = t
 		tb.insert(t)
+		if former != nil {
+			former.successor.Store(t)
+		}
 	}
 	if row.GetRevision() != t.revision {
 		t.revision = row.GetRevision()
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -54,6 +54,8 @@
 	input  io.Reader
 	closed bool
 	lost   bool
+	// dialledAt is when the connection was dialled.
+	dialledAt time.Duration
 	// idleUntil is when an idle connection expires.
 	idleUntil time.Duration
 	reused    bool
@@ -250,7 +252,7 @@
 }
 
 func (p *pool) wrap(c net.Conn, t *spread.Target) *conn {
-	dialled := &conn{net: c, input: p.meter.WrapReader(c), meter: p.meter, target: t}
+	dialled := &conn{net: c, input: p.meter.WrapReader(c), meter: p.meter, target: t, dialledAt: p.now()}
 	dialled.reader = bufio.NewReaderSize(dialled, readBuffer)
 	return dialled
 }
--- a/services/forward/reports.go
+++ b/services/forward/reports.go
@@ -28,6 +28,8 @@
 	Prefilling int
 	// Running is the number of calls that generate output.
 	Running int
+	// Born is when the engine started, in Unix milliseconds by its own clock, zero if it doesn't say.
+	Born int64
 }
 
 type targetReport struct {
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -58,6 +58,9 @@
 	heldFor time.Duration
 	// resumption is set when the run was stopped to continue elsewhere.
 	resumption *resumption
+	// notSent is set when the call was not sent as it is not certain which start of the target would
+	// have got it.
+	notSent bool
 	// carried is set when another box carried the call, noPath when no box reaches the service.
 	carried, noPath bool
 }
@@ -99,7 +102,7 @@
 		}
 		// A call that reached no target may go elsewhere without a retry from the budget. One
 		// whose run was stopped to be moved has reached a target.
-		notReached := (last.verdict == unreachable || last.verdict == cutOff) && !fl.resumed
+		notReached := (last.verdict == unreachable || last.verdict == cutOff || last.notSent) && !fl.resumed
 		if notReached && ctx.Err() == nil {
 			unreached++
 			if unreached < maxUnreachable || fl.awaitCheck(ctx) {
@@ -213,6 +216,10 @@
 		fl.f.pool.put(c, 0)
 		return attempt{verdict: inconclusive, notRun: true, heldFor: left, err: errQuarantined}
 	}
+	if a := fl.verifyStart(ctx, c); a != nil {
+		fl.f.pool.drop(c)
+		return *a
+	}
 	before := fl.events.count
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/services/forward/software.go
+++ b/services/forward/software.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,6 +35,10 @@
 	// 400 ms at least, and confirmPoll is the time between looks.
 	confirmWait = 600 * time.Millisecond
 	confirmPoll = 20 * time.Millisecond
+	// registrationTime is how long after its start a target is registered at the latest while control
+	// can be reached, and verifyTimeout limits the query for a target's start.
+	registrationTime = 1500 * time.Millisecond
+	verifyTimeout    = 150 * time.Millisecond
 )
 
 // Streams keeps which software began each stream, for all entry boxes.
@@ -44,6 +49,37 @@
 	Find(ctx context.Context, k resume.Key) (software.Identity, error)
 }
 
+// verifyStart finds out whether a stream that continues would reach the start of the target that is
+// registered. A target that has started again under its id may run other software, and its new
+// registration is on its way for some time. It returns nil if the stream may be sent. Only engines
+// tell their start.
+func (fl *inflightCall) verifyStart(ctx context.Context, c *conn) *attempt {
+	f, t := fl.f, c.target
+	if fl.software == "" || fl.resumption != nil || t.Born == 0 || f.opts.EngineAPI == nil || fl.service.GetEngine() == nil {
+		return nil
+	}
+	if confirmedAt := fl.now - f.opts.Store.Confirmed(); c.dialledAt+registrationTime <= confirmedAt {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	status, body, err := f.request(ctx, t, useReports, http.MethodGet, f.opts.EngineAPI.ReportPath(), nil)
+	fl.tick()
+	if err == nil && status == http.StatusOK {
+		var report EngineReport
+		if report, err = f.opts.EngineAPI.Report(body); err == nil && (report.Born == t.Born || report.Born == 0) {
+			return nil
+		}
+	}
+	a := &attempt{verdict: inconclusive, notRun: true, notSent: true, err: errNotSent}
+	outcome := "unverified"
+	if err == nil && status == http.StatusOK {
+		a.verdict, outcome = replaced, "started again"
+	}
+	fl.recordSend(t, outcome)
+	return a
+}
+
 // isReturn reports whether the caller takes up a stream of which it has events.
 func (fl *inflightCall) isReturn() bool {
 	return fl.call.LastEvent >= 0 && fl.route.GetKind() == statev1.Route_KIND_STREAM
@@ -69,11 +105,29 @@
 		return
 	}
 	fl.software = t.Software
+	fl.recordSoftware(ctx)
+}
+
+// rebindSoftware ties a stream to the software of a later start of its target if it goes on after that
+// start has been registered: the former one would have ended with its connections. The record at
+// other boxes, which can't be corrected for sure, then counts as unknown.
+func (fl *inflightCall) rebindSoftware(ctx context.Context, t *spread.Target) {
+	next := t.Successor()
+	if next == nil || next.Service != t.Service || next.Software == t.Software || fl.software != t.Software {
+		return
+	}
+	fl.f.opts.Logger.Warn("stream is of a later start of its target", "request", fl.call.ID, "target", t.ID, "born", next.Born, "software", next.Software, "recorded", fl.software)
+	fl.software = next.Software
+	fl.recordSoftware(ctx)
+}
+
+// recordSoftware records the software of the stream for the caller's return.
+func (fl *inflightCall) recordSoftware(ctx context.Context) {
 	if fl.f.opts.Streams == nil || !routing.IsRepeatable(fl.route) {
 		return
 	}
 	wait := max(fl.call.MaxWait, time.Duration(fl.route.GetTimeout())*time.Millisecond)
-	fl.f.opts.Streams.Record(ctx, fl.streamKey(fl.call.ID), t.Software, wait+recordMargin)
+	fl.f.opts.Streams.Record(ctx, fl.streamKey(fl.call.ID), fl.software, wait+recordMargin)
 }
 
 // resolveSoftware finds out which software began the stream that the caller takes up. It refuses the
@@ -119,18 +173,12 @@
 )
 
 // soleSoftware returns the software of the service if it has run no other one for longer than any
-// stream takes. The box must know all targets at which the stream may have begun, so it must have
-// heard from control just before the call arrived, and after that if the caller has named its
-// attempt. A box that is cut off from control does not know.
+// stream takes.
 func (fl *inflightCall) soleSoftware(ctx context.Context) (software.Identity, bool) {
-	window := max(minSoleTime, 2*time.Duration(fl.route.GetTimeout())*time.Millisecond)
 	for waited := time.Duration(0); waited <= confirmWait; waited += confirmPoll {
-		id, confirmedAt, ok := fl.f.opts.Store.SoleSoftware(fl.service.GetName(), window)
-		if !ok || confirmedAt < fl.call.Arrived-maxSoleAge {
-			return "", false
-		}
-		if confirmedAt >= fl.call.Arrived || fl.call.FirstAttempt == "" {
-			return id, true
+		id, ok, wait := fl.checkSole()
+		if !wait {
+			return id, ok
 		}
 		if !sleep(ctx, confirmPoll) {
 			return "", false
@@ -139,6 +187,22 @@
 	return "", false
 }
 
+// checkSole returns the only software of the service if ok is set. The box must know all targets at
+// which the stream may have begun, so it must have heard from control just before the call arrived,
+// and after that if the caller has named its attempt; wait is set until then. A box that is cut off
+// from control does not know.
+func (fl *inflightCall) checkSole() (id software.Identity, ok, wait bool) {
+	window := max(minSoleTime, 2*time.Duration(fl.route.GetTimeout())*time.Millisecond)
+	id, confirmedAt, ok := fl.f.opts.Store.SoleSoftware(fl.service.GetName(), window)
+	if !ok || confirmedAt < fl.call.Arrived-maxSoleAge {
+		return "", false, false
+	}
+	if confirmedAt < fl.call.Arrived && fl.call.FirstAttempt != "" {
+		return "", false, true
+	}
+	return id, true, false
+}
+
 // sleep waits for some time. It reports whether the context is still in force.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -74,6 +74,7 @@
 		return nil
 	}
 	fl.bindSoftware(ctx, x.conn.target)
+	fl.rebindSoftware(ctx, x.conn.target)
 	fl.sink.recordEvents()
 	if !fl.sink.started() {
 		if err := fl.sink.Begin(x.head.StatusCode(), x.fields(), -1); err != nil {
