models/resume: records are replicated by the boxes that own their slot

Any box sent records to any other one, so that a fleet of 352 boxes had connections from each to all others, each pinged every second.

Streams are divided into 128 slots. A holder that does not answer within 200 ms is replaced.

--- a/models/resume/key.go
+++ b/models/resume/key.go
@@ -3,8 +3,8 @@
 
 // Package resume keeps which software began each stream, so that a caller that has lost its box
 // can take its stream up at any other one. A record is held by the box that has the stream, by one
-// more box of its data centre and by two of others. Rendezvous hashing over the
-// directory of entry boxes tells where, so that no box has to ask all others.
+// more box of its data centre and by two of others. Rendezvous hashing over the directory of entry
+// boxes tells where, so that no box has to ask all others.
 package resume
 
 import (
--- a/models/resume/placement.go
+++ b/models/resume/placement.go
@@ -14,111 +14,130 @@
 )
 
 const (
-	// nearHolders is how many boxes of the own data centre may hold the record of one stream: the
-	// first of them that can be reached does.
-	nearHolders = 2
-	// farHolders is how many boxes of all other data centres may hold it: two of them do.
-	farHolders = 3
+	// slots is the number of parts into which all streams are divided. The boxes that own a part in
+	// their data centres replicate its records to each other, so that a box has connections to the
+	// other boxes of its data centre and to a few elsewhere, not to all.
+	slots = 128
+	// ownersTried is how many boxes of a data centre may own the records of a slot: the first of them
+	// that can be reached does.
+	ownersTried = 2
+	// farCentres is the number of other data centres to which records are replicated.
+	farCentres = 2
 )
 
 // Placement tells one box where the records of streams are held. Boxes with the same directory
 // agree on it. It is immutable.
 type Placement struct {
 	self, centre string
-	boxes        []rankedBox
-	// nearCandidates is how many boxes of the own data centre may hold the record of a stream that
-	// began there, the box that began it included.
-	nearCandidates int
+	centres      []rankedCentre
+}
+
+type rankedCentre struct {
+	name        string
+	boxes       []rankedBox
+	hash, score uint64
 }
 
 type rankedBox struct {
 	lease.Box
-	// hash is that of the name, score the one for a stream.
+	// hash is that of the name, score the one for a slot.
 	hash, score uint64
 }
 
 // NewPlacement returns the placement for a box in a data centre, over all entry boxes.
 func NewPlacement(boxes []lease.Box, self, centre string) *Placement {
-	p := &Placement{self: self, centre: centre, nearCandidates: nearHolders + farHolders + 1}
+	p := &Placement{self: self, centre: centre}
+	index := map[string]int{}
 	for _, b := range boxes {
-		if b.DataCentre != centre {
-			p.nearCandidates = nearHolders + 1
+		if b.Address == "" {
+			continue
 		}
-		if b.Address != "" {
-			p.boxes = append(p.boxes, rankedBox{Box: b, hash: xxhash.Sum64String(b.Name)})
+		i, known := index[b.DataCentre]
+		if !known {
+			i = len(p.centres)
+			index[b.DataCentre] = i
+			p.centres = append(p.centres, rankedCentre{name: b.DataCentre, hash: xxhash.Sum64String(b.DataCentre)})
 		}
+		p.centres[i].boxes = append(p.centres[i].boxes, rankedBox{Box: b, hash: xxhash.Sum64String(b.Name)})
 	}
 	return p
 }
 
-// ranked returns all boxes, the highest score for a stream first.
-func (p *Placement) ranked(k Key) []rankedBox {
-	list := slices.Clone(p.boxes)
+// slotHash returns the hash of the slot of a stream.
+func slotHash(k Key) uint64 { return hashing.Mix(k.hash()%slots + 1) }
+
+// rankedCentres returns all data centres, the highest score for a slot first.
+func (p *Placement) rankedCentres(slot uint64) []rankedCentre {
+	list := slices.Clone(p.centres)
 	for i := range list {
-		list[i].score = hashing.Mix(list[i].hash ^ k.hash())
+		list[i].score = hashing.Mix(list[i].hash ^ slot)
 	}
-	slices.SortFunc(list, func(a, b rankedBox) int { return cmp.Compare(b.score, a.score) })
+	slices.SortFunc(list, func(a, b rankedCentre) int { return cmp.Compare(b.score, a.score) })
 	return list
 }
 
-// Holders returns where this box is to record a stream: at one box of each list, the first that can
-// be reached. The first list is of its own data centre, the others of other ones. Where there is only
-// one data centre, they have further boxes of it.
-func (p *Placement) Holders(k Key) [][]lease.Box {
-	var own, far []lease.Box
-	for _, b := range p.ranked(k) {
-		switch {
-		case b.Name == p.self:
-		case b.DataCentre == p.centre:
-			own = append(own, b.Box)
-		case len(far) < farHolders:
-			far = append(far, b.Box)
+// owners returns at most n boxes of a data centre other than this one, the highest score for a slot
+// first.
+func (p *Placement) owners(c rankedCentre, slot uint64, n int) []lease.Box {
+	ranked := slices.Clone(c.boxes)
+	for i := range ranked {
+		ranked[i].score = hashing.Mix(ranked[i].hash ^ slot)
+	}
+	slices.SortFunc(ranked, func(a, b rankedBox) int { return cmp.Compare(b.score, a.score) })
+	var list []lease.Box
+	for _, b := range ranked {
+		if b.Name != p.self && len(list) < n {
+			list = append(list, b.Box)
 		}
 	}
-	near := own[:min(nearHolders, len(own))]
-	if len(far) == 0 {
-		far = own[len(near):min(nearHolders+farHolders, len(own))]
+	return list
+}
+
+// own returns the data centre of this box.
+func (p *Placement) own() rankedCentre {
+	i := slices.IndexFunc(p.centres, func(c rankedCentre) bool { return c.name == p.centre })
+	if i < 0 {
+		return rankedCentre{}
 	}
-	lists := [][]lease.Box{near}
-	for i := range min(2, len(far)) {
-		list := []lease.Box{far[i]}
-		if len(far) == farHolders {
-			list = append(list, far[farHolders-1])
+	return p.centres[i]
+}
+
+// Near returns where in its own data centre this box is to record a stream: at the first of the boxes
+// that can be reached. That box replicates the record.
+func (p *Placement) Near(k Key) []lease.Box { return p.owners(p.own(), slotHash(k), ownersTried) }
+
+// Far returns where the record of a stream that began in the data centre of this box is replicated to:
+// from each list to the first box that can be reached. The lists are of other data centres, or of
+// further boxes of the own one if there is no other.
+func (p *Placement) Far(k Key) [][]lease.Box {
+	slot := slotHash(k)
+	var lists [][]lease.Box
+	for _, c := range p.rankedCentres(slot) {
+		if c.name != p.centre && len(lists) < farCentres {
+			lists = append(lists, p.owners(c, slot, ownersTried))
 		}
-		lists = append(lists, list)
+	}
+	if len(lists) > 0 {
+		return lists
+	}
+	for _, b := range p.owners(p.own(), slot, ownersTried) {
+		lists = append(lists, []lease.Box{b})
 	}
 	return lists
 }
 
 // Candidates returns the boxes that may hold the record of a stream which any other box has begun,
-// beginning with the own data centre.
+// beginning with the own data centre. For a stream of that one they include one more box than own its
+// slot, as the box that began it does not count.
 func (p *Placement) Candidates(k Key) []lease.Box {
-	var near, far []lease.Box
-	// earlier counts the boxes with a higher score by data centre. A box is a holder of streams that
-	// began in another data centre if fewer than farHolders outside of that one come before it.
-	earlier := map[string]int{}
-	total := 0
-	for _, b := range p.ranked(k) {
-		switch {
-		case b.Name == p.self:
-		case b.DataCentre == p.centre && len(near) < p.nearCandidates:
-			near = append(near, b.Box)
-		case total-mostExcept(earlier, b.DataCentre) < farHolders:
-			far = append(far, b.Box)
+	slot := slotHash(k)
+	list := p.owners(p.own(), slot, ownersTried+1)
+	// The far data centres of any data centre are the first ones other than itself.
+	ranked := p.rankedCentres(slot)
+	for _, c := range ranked[:min(farCentres+1, len(ranked))] {
+		if c.name != p.centre {
+			list = append(list, p.owners(c, slot, ownersTried)...)
 		}
-		earlier[b.DataCentre]++
-		total++
 	}
-	return append(near, far...)
-}
-
-// mostExcept returns the largest count of all data centres but one.
-func mostExcept(counts map[string]int, except string) int {
-	most := 0
-	for centre, n := range counts {
-		if centre != except {
-			most = max(most, n)
-		}
-	}
-	return most
+	return list
 }
--- a/models/resume/resume_test.go
+++ b/models/resume/resume_test.go
@@ -102,13 +102,19 @@
 	for name, size := range map[string][2]int{"one box": {1, 1}, "one data centre": {1, 7}, "two data centres": {2, 2}, "a box in each": {5, 1}, "6 boxes": {3, 2}, "86 boxes": {6, 14}, "360 boxes": {22, 16}} {
 		t.Run(name, func(t *testing.T) {
 			boxes := fleetOf(size[0], size[1])
+			all := placementsOf(boxes)
 			rng := rand.New(rand.NewSource(5))
 			for n := range 300 {
 				k := KeyOf("o", "s", fmt.Sprint(n))
 				writer, reader := boxes[rng.Intn(len(boxes))], boxes[rng.Intn(len(boxes))]
-				holders := NewPlacement(boxes, writer.Name, writer.DataCentre).Holders(k)
-				near, far := holders[0], slices.Concat(holders[1:]...)
-				candidates := NewPlacement(boxes, reader.Name, reader.DataCentre).Candidates(k)
+				p := all[writer.Name]
+				near := p.Near(k)
+				// The record is replicated by the box that has it, or by the one that began the stream.
+				far := slices.Concat(p.Far(k)...)
+				for _, b := range near {
+					far = append(far, slices.Concat(all[b.Name].Far(k)...)...)
+				}
+				candidates := all[reader.Name].Candidates(k)
 				if len(candidates) > maxCandidates {
 					t.Fatalf("%d boxes are asked", len(candidates))
 				}
@@ -147,6 +153,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			boxes := fleetOf(c.centres, c.perCentre)
+			all := placementsOf(boxes)
 			rng := rand.New(rand.NewSource(9))
 			const rounds = 3000
 			found := 0
@@ -154,11 +161,8 @@
 				rng.Shuffle(len(boxes), func(i, j int) { boxes[i], boxes[j] = boxes[j], boxes[i] })
 				alive := boxes[c.dead:]
 				writer := boxes[0]
-				for _, list := range NewPlacement(boxes, writer.Name, writer.DataCentre).Holders(KeyOf("o", "s", fmt.Sprint(n))) {
-					if len(list) > 0 && slices.Contains(alive, list[0]) {
-						found++
-						break
-					}
+				if slices.ContainsFunc(all.copiesOf(writer, KeyOf("o", "s", fmt.Sprint(n))), func(b lease.Box) bool { return slices.Contains(alive, b) }) {
+					found++
 				}
 			}
 			if share := float64(found) / rounds; share < c.least {
@@ -170,32 +174,82 @@
 	}
 }
 
-// Guards against boxes that hold many more records than others.
+// placements holds those of all boxes of a fleet, by name.
+type placements map[string]*Placement
+
+func placementsOf(boxes []lease.Box) placements {
+	all := placements{}
+	for _, b := range boxes {
+		all[b.Name] = NewPlacement(boxes, b.Name, b.DataCentre)
+	}
+	return all
+}
+
+// copiesOf returns the boxes that get the record of a stream while all can be reached.
+func (all placements) copiesOf(writer lease.Box, k Key) []lease.Box {
+	p := all[writer.Name]
+	var copies []lease.Box
+	if near := p.Near(k); len(near) > 0 {
+		copies = append(copies, near[0])
+		p = all[near[0].Name]
+	}
+	for _, list := range p.Far(k) {
+		copies = append(copies, list[0])
+	}
+	return copies
+}
+
+// Guards against boxes that hold many more records than others, and against a fleet in which each box
+// has connections to all others.
 func TestRecordsOfStreamsSpreadOverBoxes(t *testing.T) {
 	boxes := fleetOf(22, 16)
-	held := map[string]int{}
-	const perBox, copies = 40, 3
+	all := placementsOf(boxes)
+	const perBox, copies, maxShare = 40, 3, 5
+	maxPeers := len(boxes) / 2
+	held, peers := map[string]int{}, map[string]map[string]bool{}
+	connect := func(a, b string) {
+		if peers[a] == nil {
+			peers[a] = map[string]bool{}
+		}
+		peers[a][b] = true
+	}
 	for _, b := range boxes {
-		p := NewPlacement(boxes, b.Name, b.DataCentre)
 		for n := range perBox {
-			for _, list := range p.Holders(KeyOf("o", "s", fmt.Sprint(b.Name, n))) {
-				held[list[0].Name]++
+			list := all.copiesOf(b, KeyOf("o", "s", fmt.Sprint(b.Name, n)))
+			from := b.Name
+			for i, c := range list {
+				held[c.Name]++
+				connect(from, c.Name)
+				connect(c.Name, from)
+				if i == 0 {
+					from = c.Name
+				}
 			}
 		}
 	}
-	for name, n := range held {
-		if n > 2*copies*perBox {
-			t.Errorf("%s holds %d records, %d on average", name, n, copies*perBox)
+	for _, b := range boxes {
+		if n := held[b.Name]; n > maxShare*copies*perBox {
+			t.Errorf("%s holds %d records, %d on average", b.Name, n, copies*perBox)
+		}
+		if n := len(peers[b.Name]); n > maxPeers {
+			t.Errorf("%s has connections with %d boxes", b.Name, n)
 		}
 	}
+	most, mostPeers, sum := 0, 0, 0
+	for _, b := range boxes {
+		most, mostPeers = max(most, held[b.Name]), max(mostPeers, len(peers[b.Name]))
+		sum += len(peers[b.Name])
+	}
+	t.Logf("a box holds %d records at most, %d on average, and has connections with %d boxes at most, %d on average", most, copies*perBox, mostPeers, sum/len(boxes))
 }
 
-// BenchmarkHolders measures where a stream is recorded, at 352 boxes.
+// BenchmarkHolders measures where a stream is recorded and replicated, at 352 boxes.
 func BenchmarkHolders(b *testing.B) {
 	boxes := fleetOf(22, 16)
 	p := NewPlacement(boxes, boxes[0].Name, boxes[0].DataCentre)
 	k := KeyOf("o", "s", "a")
 	for b.Loop() {
-		p.Holders(k)
+		p.Near(k)
+		p.Far(k)
 	}
 }
--- a/models/state/routing.go
+++ b/models/state/routing.go
@@ -58,7 +58,7 @@
 		Prepaid:     map[string]*Budget{},
 		Holders:     map[string]*statev1.LeaseHolder{},
 		idByAddress: map[string]string{},
-
+		// Snapshots of earlier versions have no ends.
 		SoftwareEnds: software.NewEnds(nil),
 	}
 }
@@ -104,12 +104,12 @@
 func (r *Routing) storeTarget(t *statev1.RegisteredTarget, at int64) {
 	r.TargetRevision++
 	t.Revision = r.TargetRevision
-	if old := r.Targets[t.GetId()]; old != nil && (t.GetState() == statev1.RegisteredTarget_STATE_GONE || software.Of(old) != software.Of(t) || old.GetService() != t.GetService()) {
+	if old := r.Targets[t.GetId()]; old != nil && endsSoftware(old, t) {
 		r.SoftwareEnds.Record(old, at)
 	}
 	if r.Targets[t.GetId()].GetState() == statev1.RegisteredTarget_STATE_GONE {
-		at := slices.Index(r.goneIDs, t.GetId())
-		r.goneIDs = slices.Delete(r.goneIDs, at, at+1)
+		i := slices.Index(r.goneIDs, t.GetId())
+		r.goneIDs = slices.Delete(r.goneIDs, i, i+1)
 	}
 	r.Targets[t.GetId()] = t
 	if t.GetState() != statev1.RegisteredTarget_STATE_GONE {
@@ -121,6 +121,11 @@
 	}
 }
 
+// endsSoftware reports whether a target runs its software no more after its row has changed.
+func endsSoftware(old, t *statev1.RegisteredTarget) bool {
+	return t.GetState() == statev1.RegisteredTarget_STATE_GONE || software.Of(old) != software.Of(t) || old.GetService() != t.GetService()
+}
+
 // removeOldestGone removes the row of the target that ended first.
 func (r *Routing) removeOldestGone() {
 	oldest := r.Targets[r.goneIDs[0]]
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -163,7 +163,7 @@
 			return &Refusal{Kind: structs.KindWrongKey, Run: structs.RunNo, Message: "the access key is not known: use a key of an organisation"}
 		}
 	}
-	draw := float64(xxhash.Sum64String(fl.serviceDraw())>>11) / (1 << 53)
+	draw := float64(xxhash.Sum64String(fl.firstAttempt())>>11) / (1 << 53)
 	fl.service = index.Service(routing.PickService(fl.route, draw))
 	fl.deadline = fl.call.Arrived + time.Duration(fl.route.GetTimeout())*time.Millisecond
 	if fl.call.MaxWait > 0 {
--- a/services/forward/software.go
+++ b/services/forward/software.go
@@ -16,6 +16,7 @@
 	"havenwinch.dev/havenwinch/models/routing"
 	"havenwinch.dev/havenwinch/models/software"
 	"havenwinch.dev/havenwinch/models/spread"
+	"havenwinch.dev/havenwinch/modules/periodic"
 	resumes "havenwinch.dev/havenwinch/services/resume"
 	"havenwinch.dev/havenwinch/structs"
 )
@@ -85,17 +86,19 @@
 	return fl.call.LastEvent >= 0 && fl.route.GetKind() == statev1.Route_KIND_STREAM
 }
 
-// serviceDraw returns the id that selects the service among those of the route. A caller that returns
-// has to reach the service that began its stream.
-func (fl *inflightCall) serviceDraw() string {
+// firstAttempt returns the id of the attempt that began the stream: the one that a returning caller
+// names, else this one. It selects the service among those of the route, so that a caller that returns
+// reaches the service that began its stream.
+func (fl *inflightCall) firstAttempt() string {
 	if fl.isReturn() && fl.call.FirstAttempt != "" {
 		return fl.call.FirstAttempt
 	}
 	return fl.call.ID
 }
 
-func (fl *inflightCall) streamKey(attempt string) resume.Key {
-	return resume.KeyOf(fl.payer.GetOrganisation(), fl.service.GetName(), attempt)
+// streamKey returns the key of the stream.
+func (fl *inflightCall) streamKey() resume.Key {
+	return resume.KeyOf(fl.payer.GetOrganisation(), fl.service.GetName(), fl.firstAttempt())
 }
 
 // bindSoftware ties the stream to the software of the target whose output is about to be relayed
@@ -127,7 +130,7 @@
 		return
 	}
 	wait := max(fl.call.MaxWait, time.Duration(fl.route.GetTimeout())*time.Millisecond)
-	fl.f.opts.Streams.Record(ctx, fl.streamKey(fl.call.ID), fl.software, wait+recordMargin)
+	fl.f.opts.Streams.Record(ctx, fl.streamKey(), fl.software, wait+recordMargin)
 }
 
 // resolveSoftware finds out which software began the stream that the caller takes up. It refuses the
@@ -151,10 +154,10 @@
 // findSoftware returns the software that began the stream: that of its record, or the only one that
 // the service has run for longer than any stream takes.
 func (fl *inflightCall) findSoftware(ctx context.Context) (software.Identity, error) {
-	err := errors.WithStack(error(resumes.ErrUnknown{Reason: "the caller did not name the attempt that began it"}))
+	var err error = resumes.ErrUnknown{Reason: "the caller did not name the attempt that began it"}
 	if fl.call.FirstAttempt != "" && fl.f.opts.Streams != nil {
 		var id software.Identity
-		if id, err = fl.f.opts.Streams.Find(ctx, fl.streamKey(fl.call.FirstAttempt)); err == nil {
+		if id, err = fl.f.opts.Streams.Find(ctx, fl.streamKey()); err == nil {
 			fl.softwareSource = sourceRecord
 			return id, nil
 		}
@@ -180,8 +183,8 @@
 		if !wait {
 			return id, ok
 		}
-		if !sleep(ctx, confirmPoll) {
-			return "", false
+		if periodic.Sleep(ctx, confirmPoll); ctx.Err() != nil {
+			break
 		}
 	}
 	return "", false
@@ -203,18 +206,6 @@
 	return id, true, false
 }
 
-// sleep waits for some time. It reports whether the context is still in force.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // hasSoftware reports whether a target that may have calls runs the software of the stream.
 func (fl *inflightCall) hasSoftware() bool {
 	fl.f.mu.Lock()
--- a/services/peers/consensus.go
+++ b/services/peers/consensus.go
@@ -60,7 +60,7 @@
 
 // Streams returns the client of the stream service of the entry box at an address.
 func (p *Peers) Streams(address string) betweenv1connect.StreamServiceClient {
-	return betweenv1connect.NewStreamServiceClient(p.client, p.BaseURL(address), p.ClientOptions()...)
+	return betweenv1connect.NewStreamServiceClient(p.recording, p.BaseURL(address), p.ClientOptions()...)
 }
 
 // Control returns clients of the control service, keyed by the name of the box.
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -52,6 +52,11 @@
 	pingTimeout    = time.Second
 	// carriedPingTimeout is longer, as the end of the connection ends all calls that it carries.
 	carriedPingTimeout = 2500 * time.Millisecond
+	// restPing is the time without a frame after which a connection is pinged, recordRestPing that of
+	// the connections for records of streams: a box has many of them, and a holder that does not
+	// answer is replaced at once.
+	restPing       = time.Second
+	recordRestPing = 5 * time.Second
 )
 
 // Options configure Peers.
@@ -74,6 +79,8 @@
 	client *http.Client
 	// carrying is the client for connections to targets, so that their bytes don't delay messages.
 	carrying *http.Client
+	// recording is the client for records of streams.
+	recording *http.Client
 
 	mu      sync.Mutex
 	keepers map[string]betweenv1connect.KeeperServiceClient
@@ -82,14 +89,15 @@
 // New returns Peers that use HTTP/2, with TLS if it is configured.
 func New(opts Options) *Peers {
 	return &Peers{
-		opts: opts, client: newClient(opts, pingTimeout), carrying: newClient(opts, carriedPingTimeout),
-		keepers: map[string]betweenv1connect.KeeperServiceClient{},
+		opts: opts, client: newClient(opts, restPing, pingTimeout), carrying: newClient(opts, restPing, carriedPingTimeout),
+		recording: newClient(opts, recordRestPing, pingTimeout),
+		keepers:   map[string]betweenv1connect.KeeperServiceClient{},
 	}
 }
 
-// newClient returns a client that gives a connection up when a ping has had no answer for the
-// given time.
-func newClient(opts Options, ping time.Duration) *http.Client {
+// newClient returns a client that pings a connection after the time rest without a frame, and gives
+// it up when a ping has had no answer for the time ping.
+func newClient(opts Options, rest, ping time.Duration) *http.Client {
 	var protocols http.Protocols
 	protocols.SetHTTP2(opts.TLS != nil)
 	protocols.SetUnencryptedHTTP2(opts.TLS == nil)
@@ -103,7 +111,7 @@
 		TLSClientConfig: opts.TLS.Clone(),
 		DialContext:     dial.WithTimeout(dial.Hedged(dialer.DialContext, redialInterval), dialTimeout),
 		IdleConnTimeout: idleTimeout,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingTimeout, PingTimeout: ping},
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: rest, PingTimeout: ping},
 	}}
 }
 
--- a/services/resume/resume.go
+++ b/services/resume/resume.go
@@ -26,7 +26,7 @@
 	// ackWait limits how long the first event of a stream waits for another box to have its record.
 	ackWait = 25 * time.Millisecond
 	// recordTimeout limits a request to record a stream, findTimeout a search over all boxes.
-	recordTimeout = 400 * time.Millisecond
+	recordTimeout = 200 * time.Millisecond
 	findTimeout   = 300 * time.Millisecond
 	// silenceBlock is how long a box that has not answered is no holder of new records.
 	silenceBlock = time.Second
@@ -90,6 +90,9 @@
 		return errors.WithStack(ErrInvalidRecord{Field: "software", Remedy: "must be given, in at most 1024 bytes"})
 	}
 	s.put(k, software.Identity(r.GetSoftware()), time.Duration(r.GetLifetime())*time.Millisecond)
+	if p := s.currentPlacement(); p != nil && r.GetReplicate() {
+		s.replicate(p, k, r)
+	}
 	return nil
 }
 
@@ -147,35 +150,38 @@
 	return client
 }
 
-// Record stores which software began a stream, here and at other boxes. It returns as soon as one of
-// these has it; the others are written in the background. If none answers in time, the stream goes on
-// all the same: should this box be lost then, its caller has to begin anew.
+// Record stores which software began a stream, here and at another box of the data centre, which
+// replicates it to others. It returns as soon as that box has it. If none answers in time, the stream
+// goes on all the same: should this box be lost then, its caller may have to begin anew.
 func (s *Service) Record(ctx context.Context, k resume.Key, id software.Identity, lifetime time.Duration) {
 	s.put(k, id, lifetime)
 	p := s.currentPlacement()
 	if p == nil {
 		return
 	}
-	lists := p.Holders(k)
-	r := &betweenv1.RecordRequest{Stream: k[:], Software: string(id), Lifetime: lifetime.Milliseconds()}
-	held := make(chan bool, len(lists))
-	for _, boxes := range lists {
+	r := &betweenv1.RecordRequest{Stream: k[:], Software: string(id), Lifetime: lifetime.Milliseconds(), Replicate: true}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
 		// The caller may leave now and return elsewhere.
-		go func() { held <- s.recordAtOne(context.WithoutCancel(ctx), boxes, r) }()
-	}
+		if !s.recordAtOne(context.WithoutCancel(ctx), p.Near(k), r) {
+			s.replicate(p, k, r)
+		}
+	}()
 	timer := time.NewTimer(ackWait)
 	defer timer.Stop()
-	for range lists {
-		select {
-		case ok := <-held:
-			if ok {
-				return
-			}
-		case <-timer.C:
-			return
-		case <-ctx.Done():
-			return
-		}
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// replicate sends a record to other data centres in the background.
+func (s *Service) replicate(p *resume.Placement, k resume.Key, r *betweenv1.RecordRequest) {
+	r = &betweenv1.RecordRequest{Stream: r.GetStream(), Software: r.GetSoftware(), Lifetime: r.GetLifetime()}
+	for _, boxes := range p.Far(k) {
+		go s.recordAtOne(context.Background(), boxes, r)
 	}
 }
 
