--- a/services/forward/software.go
+++ b/services/forward/software.go
@@ -39,7 +39,7 @@
 	// registrationTime is how long after its start a target is registered at the latest while control
 	// can be reached, and verifyTimeout limits the query for a target's start.
 	registrationTime = 1500 * time.Millisecond
-	verifyTimeout    = 150 * time.Millisecond
+	verifyTimeout    = time.Second
 )
 
 // Streams keeps which software began each stream, for all entry boxes.
