--- a/services/resume/resume.go
+++ b/services/resume/resume.go
@@ -57,6 +57,8 @@
 // Service keeps the records of streams, of this box and of others.
 type Service struct {
 	opts Options
+	// searchTime limits a search.
+	searchTime time.Duration
 
 	mu        sync.Mutex
 	table     *resume.Table
@@ -70,7 +72,7 @@
 
 // New returns a service without records.
 func New(opts Options) *Service {
-	return &Service{opts: opts, table: resume.NewTable(), clients: map[string]betweenv1connect.StreamServiceClient{}, blockedUntil: map[string]time.Duration{}}
+	return &Service{opts: opts, searchTime: findTimeout, table: resume.NewTable(), clients: map[string]betweenv1connect.StreamServiceClient{}, blockedUntil: map[string]time.Duration{}}
 }
 
 // Len returns the number of records that this box holds.
@@ -107,9 +109,10 @@
 }
 
 func keyOf(stream []byte) (k resume.Key, err error) {
-	if copy(k[:], stream) != len(stream) || len(stream) != len(k) {
+	if len(stream) != len(k) {
 		return k, errors.WithStack(ErrInvalidRecord{Field: "stream", Remedy: "must have 16 bytes"})
 	}
+	copy(k[:], stream)
 	return k, nil
 }
 
@@ -232,7 +235,7 @@
 	if p == nil {
 		return "", errors.WithStack(ErrUnknown{Reason: "the other boxes are not known yet", Unanswered: 1})
 	}
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.searchTime)
 	defer cancel()
 	boxes := p.Candidates(k)
 	answers := make(chan *betweenv1.FindResponse, len(boxes))
--- a/services/resume/resume_test.go
+++ b/services/resume/resume_test.go
@@ -28,7 +28,9 @@
 	services map[string]*Service
 	// dead boxes refuse requests, silent ones don't answer.
 	dead, silent map[string]bool
-	asked        map[string]int
+	// held, if not nil, keeps requests to silent boxes until it is closed, however long they may take.
+	held  chan struct{}
+	asked map[string]int
 }
 
 // peer is the client of one box.
@@ -45,6 +47,9 @@
 	switch {
 	case dead:
 		return nil, connect.NewError(connect.CodeUnavailable, errors.New("connection refused"))
+	case silent && p.n.held != nil:
+		<-p.n.held
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, errors.New("no answer"))
 	case silent:
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -150,6 +155,7 @@
 				return true
 			})
 			n.set(n.dead, c.lost...)
+			n.services[c.reader].searchTime = time.Minute
 			for k, want := range keys {
 				if got, err := n.services[c.reader].Find(context.Background(), k); err != nil || got != want {
 					t.Fatalf("found %q (%v), want %q", got, err, want)
@@ -209,16 +215,10 @@
 	n := newNetwork(2, 2)
 	n.set(n.silent, "dc-0-box-1", "dc-1-box-0", "dc-1-box-1")
 	k := resume.KeyOf("o", "s", "a")
-	done := make(chan struct{})
-	go func() {
-		n.services[writer].Record(context.Background(), k, "v1", lifetime)
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-time.After(recordTimeout):
-		t.Fatal("the first event waits until the requests to silent boxes have timed out")
-	}
+	n.held = make(chan struct{})
+	n.services[writer].opts.Clock = clock.NewFake()
+	n.services[writer].Record(context.Background(), k, "v1", lifetime)
+	close(n.held)
 	waitUntil(t, func() bool {
 		s := n.services[writer]
 		s.mu.Lock()
