services/forward: ends of targets are confirmed once another target is reached

Cause: a box that sees a connection break asks once whether the target has ended. Now an undecided end is asked again every 300 ms, while the end would still count, once the box reaches the service. TestEndIsConfirmedOnceAnotherTargetIsReached fails without it.

--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -250,6 +250,7 @@
 			return
 		case <-checks.C:
 			f.checkLostPaths(ctx)
+			f.confirmEnds(f.opts.Clock.Boot())
 			continue
 		case <-ticker.C:
 		}
--- a/services/forward/paths_test.go
+++ b/services/forward/paths_test.go
@@ -36,11 +36,13 @@
 
 // newLinks replaces the dials of a forwarder.
 func newLinks(f *Forwarder) *links {
-	l := &links{cut: map[string]linkFault{}}
-	f.pool.connect, f.pool.hedgedConnect = l.dial, l.dial
+	l := &links{}
+	l.replaceDials(f)
 	return l
 }
 
+func (l *links) replaceDials(f *Forwarder) { f.pool.connect, f.pool.hedgedConnect = l.dial, l.dial }
+
 func (l *links) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	l.mu.Lock()
 	l.dials++
@@ -62,6 +64,9 @@
 func (l *links) set(fault linkFault, targets ...*target) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.cut == nil {
+		l.cut = map[string]linkFault{}
+	}
 	for _, tg := range targets {
 		l.cut[tg.l.Addr().String()] = fault
 	}
--- a/services/forward/target_end.go
+++ b/services/forward/target_end.go
@@ -31,6 +31,10 @@
 	aliveReplacedWithin = 2 * time.Second
 	// maxBrokenCalls limits the dropped calls remembered for one target.
 	maxBrokenCalls = 128
+	// confirmInterval is the time between two dials to a target whose end is not decided.
+	confirmInterval = 300 * time.Millisecond
+	// maxConfirmations limits the targets that are dialled again at a time.
+	maxConfirmations = 8
 	// maxLoggedContents limits the content digests in one log line.
 	maxLoggedContents = 8
 )
@@ -56,7 +60,9 @@
 	ended bool
 	// probing is set while a trial connection to the target is open.
 	probing bool
-	calls   []brokenCall
+	// undecidedAt is when the last trial connection decided nothing, zero if none did.
+	undecidedAt time.Duration
+	calls       []brokenCall
 }
 
 // quarantinedRefusal is the answer to a call that is not sent because targets crashed while
@@ -109,15 +115,44 @@
 	alive, refused := f.findEnd(context.Background(), t)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e.probing = false
+	now := f.opts.Clock.Boot()
+	e.probing, e.undecidedAt = false, 0
 	switch {
 	case alive:
-		e.recordAlive(f.opts.Clock.Boot())
+		e.recordAlive(now)
 	case refused:
 		f.reportEnd(t, e, endRefused)
+	default:
+		e.undecidedAt = now
 	}
 }
 
+// confirmEnds dials targets again whose end was not decided, if this box reaches their service
+// now. Several targets that end at once look like the loss of this box's own links until another
+// target is reached.
+func (f *Forwarder) confirmEnds(now time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	started := 0
+	for t, e := range f.breaks {
+		if started == maxConfirmations {
+			return
+		}
+		if !e.isUndecided(now) || f.reach.IsLost(t.Service) || f.targets.EndOf(t) != spread.EndUnknown {
+			continue
+		}
+		started++
+		e.probing = true
+		go f.confirmEnd(t, e)
+	}
+}
+
+// isUndecided reports whether it is time to dial the target again, as the end of the target would
+// still count against a call.
+func (e *targetBreaks) isUndecided(now time.Duration) bool {
+	return !e.ended && !e.probing && len(e.calls) > 0 && e.undecidedAt != 0 && now-e.undecidedAt >= confirmInterval
+}
+
 // findEnd dials a target. As refused connections may be due to this box's own links, another box
 // has to find them refused as well; where none can be asked, this box has to reach another target
 // of the service.
--- a/services/forward/target_end_test.go
+++ b/services/forward/target_end_test.go
@@ -171,6 +171,80 @@
 	}
 }
 
+// Guards against ends of targets that are never counted: while no other target is reached, a box
+// can't tell a target that has ended from the loss of its own links.
+func TestEndIsConfirmedOnceAnotherTargetIsReached(t *testing.T) {
+	tests := map[string]struct {
+		// then is what the target does, after closing its listener if ends is set.
+		then script
+		ends bool
+		// leaves is set if the target announces its end before the links work again.
+		leaves bool
+		want   []string
+	}{
+		"the target has ended":         {then: closeConn(), ends: true, want: []string{"early a"}},
+		"it has ended within a stream": {then: chunks(false, event(0)), ends: true, want: []string{"late a"}},
+		"the target runs":              {then: closeConn()},
+		"it has announced its end":     {then: closeConn(), ends: true, leaves: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var a *target
+			links := &links{}
+			a = newTarget(t, "a", func(c net.Conn, r received) {
+				if test.ends {
+					_ = a.l.Close()
+				}
+				links.set(linkRefuses, a)
+				test.then(c, r)
+			})
+			b := newTarget(t, "b")
+			f, n := newForwarder(t, &fakeLeases{}, a, b), newFakeQuarantine()
+			f.opts.Quarantine = n
+			links.replaceDials(f)
+			links.set(linkRefuses, b)
+			_ = f.Serve(context.Background(), newCall("stream"), &collector{})
+			awaitConfirmations(f)
+			if len(n.ended) > 0 {
+				t.Fatalf("counted while no target was reached: %v", n.ended)
+			}
+			if test.leaves {
+				row := &statev1.RegisteredTarget{Id: "a", Service: "s", Address: a.l.Addr().String(), DataCentre: "dc", Version: "v1", State: statev1.RegisteredTarget_STATE_GONE, Revision: 9}
+				_, _ = f.opts.Store.Apply(&betweenv1.FollowResponse{Targets: []*statev1.RegisteredTarget{row}, TargetRevision: 9})
+				f.Refresh()
+			}
+			links.set(linkWorks, a, b)
+			awaitOwnLinks(f)
+			confirmPending(f)
+			if diff := cmp.Diff(test.want, n.ended); diff != "" {
+				t.Fatal(diff)
+			}
+		})
+	}
+}
+
+// awaitConfirmations waits until no target that dropped a call is being dialled.
+func awaitConfirmations(f *Forwarder) {
+	for {
+		probing := false
+		f.mu.Lock()
+		for _, e := range f.breaks {
+			probing = probing || e.probing
+		}
+		f.mu.Unlock()
+		if !probing {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// confirmPending dials all targets whose end is not decided once more.
+func confirmPending(f *Forwarder) {
+	f.confirmEnds(f.opts.Clock.Boot() + confirmInterval)
+	awaitConfirmations(f)
+}
+
 // A quarantined call is refused as not run, also when the quarantine begins while it waits; a
 // call that may have run is not reported as not run.
 func TestQuarantinedCallsAreRefused(t *testing.T) {
