models/spread, services/forward: a check of a service includes the target reached last

Cause: a check dials three targets in turn, and all three may be registrations of targets that have ended. Now it dials the target that was reached last too: if that one is reached, the own links are not lost. One dial more a check. TestEndedTargetsAreNoLossOfOwnLinks fails without it.

--- a/models/reach/reach.go
+++ b/models/reach/reach.go
@@ -86,6 +86,14 @@
 	return s != nil && s.reachedTarget != "" && s.reachedTarget != target && now-s.reachedAt < recentTime
 }
 
+// LastReached returns the target of the last successful dial to a service, empty if there was none.
+func (tr *Tracker) LastReached(name string) string {
+	if s := tr.services[name]; s != nil {
+		return s.reachedTarget
+	}
+	return ""
+}
+
 // IsLost reports whether a service is out of reach.
 func (tr *Tracker) IsLost(name string) bool {
 	s := tr.services[name]
--- a/models/spread/health.go
+++ b/models/spread/health.go
@@ -110,13 +110,15 @@
 }
 
 // ToCheck returns at most n targets of a service, other than except, to find out whether the box
-// reaches any. from selects where to begin in the list, in which those of the box's data centre
-// come first, so that repeated checks include all.
-func (tb *Table) ToCheck(service string, except *Target, from, n int) []*Target {
-	var near, far []*Target
+// reaches any, and the one whose start was reached last, if any. from selects where to begin in
+// the list, in which those of the box's data centre come first, so that repeated checks include all.
+func (tb *Table) ToCheck(service string, except *Target, reached string, from, n int) []*Target {
+	var last, near, far []*Target
 	for _, t := range tb.services[service] {
 		switch {
 		case t == except || !tb.isCheckable(t):
+		case t.start == reached:
+			last = append(last, t)
 		case t.DataCentre == tb.dataCentre:
 			near = append(near, t)
 		default:
@@ -125,10 +127,10 @@
 	}
 	list := append(near, far...)
 	if len(list) == 0 {
-		return nil
+		return last
 	}
 	from %= len(list)
-	return append(list[from:], list[:from]...)[:min(n, len(list))]
+	return append(last, append(list[from:], list[:from]...)[:min(n, len(list))]...)
 }
 
 // RecordOutcome records the outcome of a call that reached its target. It reports whether
--- a/services/forward/paths.go
+++ b/services/forward/paths.go
@@ -147,7 +147,7 @@
 // results are recorded as those of all dials. It returns how many were reached.
 func (f *Forwarder) dialSome(ctx context.Context, service string, except *spread.Target) int {
 	f.mu.Lock()
-	list := f.targets.ToCheck(service, except, f.nextProbe[service], checkedTargets)
+	list := f.targets.ToCheck(service, except, f.reach.LastReached(service), f.nextProbe[service], checkedTargets)
 	f.nextProbe[service] += checkedTargets
 	f.mu.Unlock()
 	reached := make(chan int, len(list))
--- a/services/forward/paths_test.go
+++ b/services/forward/paths_test.go
@@ -279,6 +279,37 @@
 	}
 }
 
+// Guards against a service that counts as out of reach for targets that have ended although others
+// are reached: its calls would go through another box or be refused.
+func TestEndedTargetsAreNoLossOfOwnLinks(t *testing.T) {
+	list := newTargets(t, 9, answers(respond(http.StatusOK, "yes"))...)
+	f := newForwarder(t, &fakeLeases{}, list...)
+	relays := newRelays()
+	relays.noPath = true
+	f.opts.Relays = relays
+	l := newLinks(f)
+	l.set(linkRefuses, list[:8]...)
+	f.mu.Lock()
+	last := f.targets.ByID(list[8].name)
+	f.mu.Unlock()
+	if err := f.dialAndKeep(context.Background(), last); err != nil {
+		t.Fatal(err)
+	}
+	for range 40 {
+		_ = f.Serve(context.Background(), newCall("unsafe"), &collector{})
+		awaitChecks(f)
+		if f.isLost("s") {
+			t.Fatal("the service counts as out of reach although a target is reached")
+		}
+		f.pool.dropIdle("s", true)
+		f.mu.Lock()
+		for _, tg := range list[:8] {
+			f.targets.MarkReachable(f.targets.ByID(tg.name), f.opts.Clock.Boot())
+		}
+		f.mu.Unlock()
+	}
+}
+
 // Guards against calls that go through another box after the own links are back, and against
 // targets that count as cold or stay banned although nothing was wrong with them.
 func TestOwnLinksAreUsedAgain(t *testing.T) {
