tests/soak: two software versions and callers that return in the random mix

From seed 10000 on half of the engines run another version, engines restart in place at the other one or end for good, and callers take their streams up at other boxes while all other faults go on. No stream may hold events of two versions and no attempt that is refused as not run may have run. After the faults a box is killed under 28 streams, and half of those that return must go on.

--- a/tests/soak/crash_test.go
+++ b/tests/soak/crash_test.go
@@ -58,7 +58,8 @@
 	sv.platform.disruptions.recordFault(sv.id, serverRestartDelay)
 	sv.stop()
 	time.AfterFunc(serverRestartDelay, func() {
-		if fresh, err := sv.platform.startServer(id, sv.service, 0); err == nil {
+		next := &server{id: id, service: sv.service, zone: defaultZone, version: sv.platform.nextVersion(sv)}
+		if fresh, err := sv.platform.launch(next, 0); err == nil {
 			sv.platform.addCleanup(fresh.stop)
 		}
 	})
--- a/tests/soak/engine_test.go
+++ b/tests/soak/engine_test.go
@@ -46,6 +46,21 @@
 	delete(sv.runs, id)
 }
 
+// startEngine starts an engine whose software has the given version.
+func (p *platform) startEngine(id, version string, seed int64) (*server, error) {
+	return p.launch(&server{id: id, service: engineService, zone: defaultZone, version: version}, seed)
+}
+
+// restartEngine ends an engine and starts it again under its id and address, with software of the
+// given version. Its first registration is on its way for some time.
+func (p *platform) restartEngine(old *server, version string, registerAfter time.Duration, seed int64) (*server, error) {
+	old.stopping.Do(func() {
+		close(old.quit)
+		_ = old.http.Close()
+	})
+	return p.launch(&server{id: old.id, service: old.service, zone: old.zone, version: version, link: old.link, registerAfter: registerAfter}, seed)
+}
+
 // prefill processes a prompt; a long one stalls all streams of the engine.
 func (sv *server) prefill(tokens uint64) {
 	if tokens < longPromptTokens {
--- a/tests/soak/faulty_test.go
+++ b/tests/soak/faulty_test.go
@@ -195,7 +195,7 @@
 func (sv *server) faultyAnswer(id string, form int, stream bool, first int) string {
 	head := "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Signature: " + sv.id + "\r\n"
 	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
-	one, two := event(id, first), event(id, first+1)
+	one, two := sv.event(id, first), sv.event(id, first+1)
 	if !stream {
 		one, two = "answer ", "to "+id
 	}
@@ -212,7 +212,7 @@
 	case formTruncatedEvent:
 		return chunked + chunk(two)[:8]
 	case formNoID, formGap:
-		lost := map[int]string{formNoID: "data: lost\n\n", formGap: event(id, first+5)}[form]
+		lost := map[int]string{formNoID: "data: lost\n\n", formGap: sv.event(id, first+5)}[form]
 		if !stream {
 			return chunked
 		}
--- a/tests/soak/platform_test.go
+++ b/tests/soak/platform_test.go
@@ -63,6 +63,10 @@
 	// their version into each event. They must be set before callers send.
 	eventPause     time.Duration
 	isVersionShown bool
+	// versions are those that engines may be started with, empty for defaultVersion only, and
+	// versionsDrawn counts the starts for which one was drawn.
+	versions      []string
+	versionsDrawn int
 	// evacuated has, by zone, when its evacuation was acknowledged.
 	evacuated map[string]time.Time
 }
@@ -186,21 +190,6 @@
 	return p.startServerIn(defaultZone, id, service, time.Time{}, seed)
 }
 
-// startEngine starts an engine whose software has the given version.
-func (p *platform) startEngine(id, version string, seed int64) (*server, error) {
-	return p.launch(&server{id: id, service: engineService, zone: defaultZone, version: version}, seed)
-}
-
-// restartEngine ends an engine and starts it again under its id and address, with software of the
-// given version. Its first registration is on its way for some time.
-func (p *platform) restartEngine(old *server, version string, registerAfter time.Duration, seed int64) (*server, error) {
-	old.stopping.Do(func() {
-		close(old.quit)
-		_ = old.http.Close()
-	})
-	return p.launch(&server{id: old.id, service: old.service, zone: old.zone, version: version, link: old.link, registerAfter: registerAfter}, seed)
-}
-
 // startServerIn starts a server in a zone, which is cold until the given time.
 func (p *platform) startServerIn(zone, id, service string, coldUntil time.Time, seed int64) (*server, error) {
 	return p.launch(&server{id: id, service: service, zone: zone, version: defaultVersion, coldUntil: coldUntil}, seed)
@@ -369,9 +358,9 @@
 
 func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
 
-// event returns an event of the server.
+// event returns an event of the server. Those of streams that callers take up tell its version.
 func (sv *server) event(id string, n int) string {
-	if sv.platform.isVersionShown {
+	if sv.platform.isVersionShown || strings.HasPrefix(id, returningID) {
 		return event(sv.version, n)
 	}
 	return event(id, n)
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -36,7 +36,7 @@
 // TestSoak injects random faults, with the seeds of SOAK_SEEDS ("first,count") or with a
 // few fixed seeds and the regressions.
 func TestSoak(t *testing.T) {
-	seeds := []int64{11, 7007, 8008}
+	seeds := []int64{11, 7007, 8008, 10_001}
 	for seed := range regressions {
 		seeds = append(seeds, seed)
 	}
@@ -76,8 +76,12 @@
 			tb.saveLogs(t, seed)
 		}
 	})
+	if seed >= softwareFrom {
+		tb.startSecondVersion(t)
+	}
 	stop := make(chan struct{})
 	wg := tb.startCallers(stop)
+	returning := tb.startReturningCallers(stop, wg)
 	wg.Add(1)
 	go func() {
 		defer wg.Done()
@@ -108,6 +112,10 @@
 	if crashed > maxCrashesUnderFaults {
 		t.Errorf("one call crashed %d servers, want at most %d", crashed, maxCrashesUnderFaults)
 	}
+	tb.checkReturned(t, returning())
+	if seed >= softwareFrom {
+		tb.checkStreamsGoOn(t)
+	}
 	tb.platform.mu.Lock()
 	t.Logf("%d runs were stopped to move them", tb.platform.moved)
 	tb.platform.mu.Unlock()
@@ -144,7 +152,7 @@
 // faultKinds are the kinds of faults, in the order in which they were added. Seeds below
 // crashKindsFrom use the first kinds only, those below limitKindsFrom and faultyAnswersFrom
 // correspondingly more, so that old seeds keep their schedules.
-var faultKinds = []string{"kill", "term", "hup", "pause", "kill all", "wipe disk", "delay", "silent", "one way", "reset", "dropped answers", "replace server", "crash", "mute", "rate limit", "faulty answers", "faulty answers"}
+var faultKinds = []string{"kill", "term", "hup", "pause", "kill all", "wipe disk", "delay", "silent", "one way", "reset", "dropped answers", "replace server", "crash", "mute", "rate limit", "faulty answers", "faulty answers", "restart engine", "restart engine", "end engine", "end engine"}
 
 const (
 	kindsBefore7000   = 12
@@ -153,6 +161,9 @@
 	limitKindsFrom    = 8000
 	kindsBefore9000   = 15
 	faultyAnswersFrom = 9000
+	kindsBefore10000  = 17
+	// From softwareFrom on engines run two versions of their software, and callers take their streams up.
+	softwareFrom = 10_000
 )
 
 // injectFault injects one random fault. Faults may overlap.
@@ -171,6 +182,8 @@
 		kinds = faultKinds[:kindsBefore8000]
 	case tb.all.seed < faultyAnswersFrom:
 		kinds = faultKinds[:kindsBefore9000]
+	case tb.all.seed < softwareFrom:
+		kinds = faultKinds[:kindsBefore10000]
 	}
 	kind := kinds[rng.Intn(len(kinds))]
 	t.Logf("%s on %s and %s for %s", kind, b.name, sv.id, duration)
@@ -236,6 +249,10 @@
 				other.setFaultyShare(0)
 			}
 		})
+	case "restart engine":
+		tb.restartEngine(t, rng)
+	case "end engine":
+		tb.endEngine(t, rng)
 	case "dropped answers":
 		sv.setFailShare(0.5)
 		afterwards(func() { sv.setFailShare(0) })
@@ -259,7 +276,8 @@
 	count := len(tb.platform.servers)
 	old := tb.platform.servers[rng.Intn(count)]
 	tb.platform.mu.Unlock()
-	replacement, err := tb.platform.startServer(fmt.Sprintf("i-%d", count), old.service, tb.all.seed+int64(count))
+	next := &server{id: fmt.Sprintf("i-%d", count), service: old.service, zone: defaultZone, version: tb.platform.nextVersion(old)}
+	replacement, err := tb.platform.launch(next, tb.all.seed+int64(count))
 	if err != nil {
 		t.Error(err)
 		return
--- a/tests/soak/software_test.go
+++ b/tests/soak/software_test.go
@@ -32,6 +32,8 @@
 	faultAfter = time.Second
 	// streamTime is how long a caller waits for its whole stream.
 	streamTime = 8 * time.Second
+	// redialPause is the pause after a connection that was refused.
+	redialPause = 20 * time.Millisecond
 	// maxReturns limits how often a caller takes its stream up again.
 	maxReturns = 4
 	// registrationDelay is how long the registration of an engine that has started again is on its
@@ -185,21 +187,27 @@
 	}
 	tb.awaitDirectory(t, tb.withRole("entry"))
 	for n := range tb.all.entries {
-		waitFor(t, fmt.Sprintf("box %d sends to all versions", n), func() bool {
-			seen := map[string]bool{}
-			for i := range 8 * len(c.engines) {
-				s := tb.newStream(fmt.Sprintf("warm-%d-%d", n, i), n, 1)
-				s.try(tb.all)
-				for version := range s.versions {
-					seen[version] = true
-				}
-			}
-			return len(seen) == len(c.engines)
-		})
+		tb.awaitVersions(t, n, len(c.engines))
 	}
 	return tb, engines
 }
 
+// awaitVersions waits until an entry box sends streams to a number of versions.
+func (tb *testbed) awaitVersions(t *testing.T, entry, versions int) {
+	t.Helper()
+	waitFor(t, fmt.Sprintf("box %d sends to all versions", entry), func() bool {
+		seen := map[string]bool{}
+		for i := range 8 * versions {
+			s := tb.newStream(fmt.Sprintf("%swarm-%d-%d", returningID, entry, i), entry, 1)
+			s.try(tb.all)
+			for version := range s.versions {
+				seen[version] = true
+			}
+		}
+		return len(seen) == versions
+	})
+}
+
 // returningStream is a stream whose caller takes it up again at another box when it breaks off.
 type returningStream struct {
 	id     string
@@ -266,7 +274,7 @@
 func (s *returningStream) try(p *callerPool) (pause time.Duration, again bool) {
 	conn, err := net.DialTimeout("tcp", p.entries[s.entry], dialLimit)
 	if err != nil {
-		return 0, true
+		return redialPause, true
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(streamTime))
