models/software: the last two ends of each service are kept, and others are not forgotten silently

Cause: control kept the last 1,024 ends of all services. Where each start has a version of its own, 2,900 targets that start again push out the end of a service's former version, and a returning caller without a record went on at the new one as the only one in use; and up to 1,024 rows, some 40 KB, went with each change of targets to each box. The last two versions of a service that ended are enough to see another one than the present. What a limit pushes out all the same is kept as one row for any service.

--- a/services/gateway/software_test.go
+++ b/services/gateway/software_test.go
@@ -9,6 +9,7 @@
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/software"
 	"havenwinch.dev/havenwinch/modules/clock"
 )
 
@@ -36,6 +37,8 @@
 		"another one ended long ago":         {message: &betweenv1.FollowResponse{Targets: one, HasSoftwareEnds: true, SoftwareEnds: []*statev1.SoftwareEnd{end("v2", now-31000)}}, ok: true},
 		"others of this one have ended":      {message: &betweenv1.FollowResponse{Targets: one, HasSoftwareEnds: true, SoftwareEnds: []*statev1.SoftwareEnd{end("v1", now-5000)}}, ok: true},
 		"control does not remember ends":     {message: &betweenv1.FollowResponse{Targets: one}},
+		"ends were forgotten just now":       {message: &betweenv1.FollowResponse{Targets: one, HasSoftwareEnds: true, SoftwareEnds: []*statev1.SoftwareEnd{{Service: software.AnyService, At: now - 5000}}}},
+		"ends were forgotten long ago":       {message: &betweenv1.FollowResponse{Targets: one, HasSoftwareEnds: true, SoftwareEnds: []*statev1.SoftwareEnd{{Service: software.AnyService, At: now - 31000}}}, ok: true},
 		"the last target has ended just now": {message: &betweenv1.FollowResponse{Targets: one[2:], HasSoftwareEnds: true, SoftwareEnds: []*statev1.SoftwareEnd{end("v1", now-5000)}}, ok: true},
 	}
 	for name, c := range cases {
