services/forward: a new stream is of its target's registered start only if the target says so

An engine had started again in place at another version, got a stream before its new registration was known, and ended before it: the stream counted as one of the former version and went on there. Now the target is asked for its start while a new stream begins, over connections that are younger than a registration takes, once for each connection; the first event waits up to 100 ms for the answer. Without it the stream counts as one of unknown software and does not go on. TestStreamOfAStartThatIsNotRegistered fails without it in three of five cases.

services/resume: if no box of the data centre takes a record, the first event waits for one elsewhere (25 ms at most as before).

--- a/models/software/identity.go
+++ b/models/software/identity.go
@@ -15,6 +15,10 @@
 // identity stands for software that is not known.
 type Identity string
 
+// Unverified is the identity of a stream whose target may have started again, with other software,
+// before it got the call. No target has it.
+const Unverified Identity = "unverified"
+
 // Of returns the identity of the software of a registered target. A target that does not know its
 // version shares its software with no other start.
 func Of(row *statev1.RegisteredTarget) Identity {
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -77,6 +77,9 @@
 	// softwareSource tells how it was found for a caller that has returned.
 	software       software.Identity
 	softwareSource string
+	// startCheck brings the answer of the present target to the query for its start; nil if it isn't
+	// asked.
+	startCheck <-chan startAnswer
 	// limitWait is how long the call has waited for rate-limited targets.
 	limitWait time.Duration
 }
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -56,6 +56,9 @@
 	lost   bool
 	// dialledAt is when the connection was dialled.
 	dialledAt time.Duration
+	// startVerified is set once the target has told, after the dial, that it runs in its registered
+	// start.
+	startVerified bool
 	// idleUntil is when an idle connection expires.
 	idleUntil time.Duration
 	reused    bool
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -223,6 +223,7 @@
 	before := fl.events.count
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	fl.startCheck = fl.checkStart(ctx, c)
 	wd := fl.startWatchdog(cancel)
 	defer wd.stop()
 	a := fl.attemptOn(ctx, choice, c, wd)
--- a/services/forward/software.go
+++ b/services/forward/software.go
@@ -40,6 +40,9 @@
 	// can be reached, and verifyTimeout limits the query for a target's start.
 	registrationTime = 1500 * time.Millisecond
 	verifyTimeout    = time.Second
+	// bindWait limits how long the first event of a new stream waits for the start of its target. The
+	// stream can't be taken up if the target is slower.
+	bindWait = 100 * time.Millisecond
 )
 
 // Streams keeps which software began each stream, for all entry boxes.
@@ -50,37 +53,103 @@
 	Find(ctx context.Context, k resume.Key) (software.Identity, error)
 }
 
+// Answers of a target that is asked for its start.
+type startAnswer int
+
+const (
+	// startUnknown means that the target has not answered.
+	startUnknown startAnswer = iota
+	// startRegistered means that the target runs in its registered start or does not tell its start.
+	startRegistered
+	startLater
+)
+
+// queryStart asks a target for its start, which is the one that took any connection made before.
+func (f *Forwarder) queryStart(ctx context.Context, t *spread.Target) startAnswer {
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	status, body, err := f.request(ctx, t, useReports, http.MethodGet, f.opts.EngineAPI.ReportPath(), nil)
+	if err != nil || status != http.StatusOK {
+		return startUnknown
+	}
+	report, err := f.opts.EngineAPI.Report(body)
+	switch {
+	case err != nil:
+		return startUnknown
+	case report.Born == t.Born || report.Born == 0:
+		return startRegistered
+	default:
+		return startLater
+	}
+}
+
+// mayBeLaterStart reports whether a start of the target that is not registered yet may have taken a
+// connection. Only engines tell their start.
+func (fl *inflightCall) mayBeLaterStart(c *conn) bool {
+	f := fl.f
+	if c.target.Born == 0 || f.opts.EngineAPI == nil || fl.service.GetEngine() == nil || c.startVerified {
+		return false
+	}
+	return c.dialledAt+registrationTime > fl.now-f.opts.Store.Confirmed()
+}
+
 // verifyStart finds out whether a stream that continues would reach the start of the target that is
 // registered. A target that has started again under its id may run other software, and its new
-// registration is on its way for some time. It returns nil if the stream may be sent. Only engines
-// tell their start.
+// registration is on its way for some time. It returns nil if the stream may be sent.
 func (fl *inflightCall) verifyStart(ctx context.Context, c *conn) *attempt {
-	f, t := fl.f, c.target
-	if fl.software == "" || fl.resumption != nil || t.Born == 0 || f.opts.EngineAPI == nil || fl.service.GetEngine() == nil {
-		return nil
-	}
-	if confirmedAt := fl.now - f.opts.Store.Confirmed(); c.dialledAt+registrationTime <= confirmedAt {
+	if fl.software == "" || fl.resumption != nil || !fl.mayBeLaterStart(c) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
-	defer cancel()
-	status, body, err := f.request(ctx, t, useReports, http.MethodGet, f.opts.EngineAPI.ReportPath(), nil)
+	answer := fl.f.queryStart(ctx, c.target)
 	fl.tick()
-	if err == nil && status == http.StatusOK {
-		var report EngineReport
-		if report, err = f.opts.EngineAPI.Report(body); err == nil && (report.Born == t.Born || report.Born == 0) {
-			return nil
-		}
-	}
 	a := &attempt{verdict: inconclusive, notRun: true, notSent: true, err: errNotSent}
 	outcome := "unverified"
-	if err == nil && status == http.StatusOK {
+	switch answer {
+	case startRegistered:
+		c.startVerified = true
+		return nil
+	case startLater:
 		a.verdict, outcome = replaced, "started again"
 	}
-	fl.recordSend(t, outcome)
+	fl.recordSend(c.target, outcome)
 	return a
 }
 
+// checkStart asks the target of a new stream for its start while the stream begins. The channel is nil
+// if the stream can't be taken up, or if its start is known.
+func (fl *inflightCall) checkStart(ctx context.Context, c *conn) <-chan startAnswer {
+	if fl.software != "" || !routing.IsRepeatable(fl.route) || fl.route.GetKind() != statev1.Route_KIND_STREAM || !fl.mayBeLaterStart(c) {
+		return nil
+	}
+	answer := make(chan startAnswer, 1)
+	if fl.f.isLimited(c.target) {
+		// The query would take the place of a call.
+		answer <- startUnknown
+		return answer
+	}
+	go func() { answer <- fl.f.queryStart(ctx, c.target) }()
+	return answer
+}
+
+// softwareOf returns the software of a new stream from the target at the other end of a connection.
+func (fl *inflightCall) softwareOf(ctx context.Context, c *conn) software.Identity {
+	if fl.startCheck == nil {
+		return c.target.Software
+	}
+	timer := time.NewTimer(bindWait)
+	defer timer.Stop()
+	select {
+	case answer := <-fl.startCheck:
+		if answer == startRegistered {
+			c.startVerified = true
+			return c.target.Software
+		}
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return software.Unverified
+}
+
 // isReturn reports whether the caller takes up a stream of which it has events.
 func (fl *inflightCall) isReturn() bool {
 	return fl.call.LastEvent >= 0 && fl.route.GetKind() == statev1.Route_KIND_STREAM
@@ -103,11 +172,11 @@
 
 // bindSoftware ties the stream to the software of the target whose output is about to be relayed
 // first, and records it for the caller's return.
-func (fl *inflightCall) bindSoftware(ctx context.Context, t *spread.Target) {
+func (fl *inflightCall) bindSoftware(ctx context.Context, c *conn) {
 	if fl.software != "" {
 		return
 	}
-	fl.software = t.Software
+	fl.software = fl.softwareOf(ctx, c)
 	fl.recordSoftware(ctx)
 }
 
@@ -116,7 +185,7 @@
 // other boxes, which can't be corrected for sure, then counts as unknown.
 func (fl *inflightCall) rebindSoftware(ctx context.Context, t *spread.Target) {
 	next := t.Successor()
-	if next == nil || next.Service != t.Service || next.Software == t.Software || fl.software != t.Software {
+	if next == nil || next.Service != t.Service || next.Software == fl.software || fl.software != t.Software && fl.software != software.Unverified {
 		return
 	}
 	fl.f.opts.Logger.Warn("stream is of a later start of its target", "request", fl.call.ID, "target", t.ID, "born", next.Born, "software", next.Software, "recorded", fl.software)
@@ -159,6 +228,9 @@
 		var id software.Identity
 		if id, err = fl.f.opts.Streams.Find(ctx, fl.streamKey()); err == nil {
 			fl.softwareSource = sourceRecord
+			if id == software.Unverified {
+				return "", errors.WithStack(resumes.ErrUnknown{Reason: "its target may have started again just before it began"})
+			}
 			return id, nil
 		}
 	}
--- a/services/forward/software_test.go
+++ b/services/forward/software_test.go
@@ -144,6 +144,7 @@
 		"no attempt named, two versions":       {versions: two, streams: record("v1"), kind: structs.KindVersionUnknown},
 		"another attempt named":                {versions: two, streams: record("v1"), attempt: "other", kind: structs.KindVersionUnknown},
 		"no record, version not known":         {versions: map[string]string{"a": ""}, streams: &memory{}, attempt: first, kind: structs.KindVersionUnknown},
+		"a target whose start was not known":   {versions: map[string]string{"a": "v1", "b": "v1"}, streams: &memory{records: map[resume.Key]software.Identity{resume.KeyOf("o", "s", first): software.Unverified}}, attempt: first, kind: structs.KindVersionUnknown},
 		"a record, and versions not known now": {versions: map[string]string{"a": "", "b": ""}, streams: record("v1"), attempt: first, kind: structs.KindVersionGone},
 	}
 	for name, c := range cases {
@@ -364,6 +365,57 @@
 	}
 }
 
+// Guards against a new stream that counts as one of the registered start of its target although a later
+// start, with other software, has begun it: it went on at the former software when that start ended
+// before it was registered.
+func TestStreamOfAStartThatIsNotRegistered(t *testing.T) {
+	begun, whole := event(0)+event(1), event(0)+event(1)+event(2)
+	registered := respond(200, "0 0 10")
+	cases := map[string]struct {
+		// report is what the near target answers to a query of its report.
+		report script
+		want   string
+		record software.Identity
+	}{
+		"the start that is registered": {report: registered, want: whole, record: "version v1"},
+		"a later start":                {report: respond(200, "0 0 20"), want: begun, record: software.Unverified},
+		"it does not tell its start":   {report: respond(200, "0 0"), want: whole, record: "version v1"},
+		"it tells nothing":             {report: closeConn(), want: begun, record: software.Unverified},
+		"it tells nothing in time":     {report: func(net.Conn, received) { time.Sleep(3 * bindWait) }, want: begun, record: software.Unverified},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			near := func(conn net.Conn, r received) {
+				if r.path == "/report" {
+					c.report(conn, r)
+					return
+				}
+				chunks(false, event(0), event(1))(conn, r)
+			}
+			far := func(conn net.Conn, r received) {
+				if r.path == "/report" {
+					registered(conn, r)
+					return
+				}
+				chunks(true, event(2))(conn, r)
+			}
+			f := newForwarder(t, &fakeLeases{}, newTarget(t, "a", near, near), newTarget(t, "b", far, far))
+			f.opts.EngineAPI = testEngineAPI{}
+			m := &memory{}
+			f.opts.Streams = m
+			starts(f, map[string]string{"a": "v1", "b": "v1"}, 10)
+			got := &collector{}
+			_ = f.Serve(context.Background(), newCall("resume"), got)
+			if got.body.String() != c.want {
+				t.Errorf("got %q, want %q", got.body.String(), c.want)
+			}
+			if diff := cmp.Diff([]software.Identity{c.record}, m.all()); diff != "" {
+				t.Errorf("recorded: %s", diff)
+			}
+		})
+	}
+}
+
 // Guards against a stream that counts as one of a target's former start, as the target had started
 // again with other software before it got the call.
 func TestStreamOfATargetThatHadStartedAgain(t *testing.T) {
--- a/services/resume/resume.go
+++ b/services/resume/resume.go
@@ -154,8 +154,9 @@
 }
 
 // Record stores which software began a stream, here and at another box of the data centre, which
-// replicates it to others. It returns as soon as that box has it. If none answers in time, the stream
-// goes on all the same: should this box be lost then, its caller may have to begin anew.
+// replicates it to others. It returns as soon as that box has it, or one elsewhere if none takes it in
+// the data centre. If none answers in time, the stream goes on all the same: should this box be lost
+// then, its caller may have to begin anew.
 func (s *Service) Record(ctx context.Context, k resume.Key, id software.Identity, lifetime time.Duration) {
 	s.put(k, id, lifetime)
 	p := s.currentPlacement()
@@ -168,7 +169,7 @@
 		defer close(done)
 		// The caller may leave now and return elsewhere.
 		if !s.recordAtOne(context.WithoutCancel(ctx), p.Near(k), r) {
-			s.replicate(p, k, r)
+			<-s.replicate(p, k, r)
 		}
 	}()
 	timer := time.NewTimer(ackWait)
@@ -180,12 +181,24 @@
 	}
 }
 
-// replicate sends a record to other data centres in the background.
-func (s *Service) replicate(p *resume.Placement, k resume.Key, r *betweenv1.RecordRequest) {
+// replicate sends a record to other data centres in the background. The channel is closed as soon as a
+// box has it or none takes it.
+func (s *Service) replicate(p *resume.Placement, k resume.Key, r *betweenv1.RecordRequest) <-chan struct{} {
 	r = &betweenv1.RecordRequest{Stream: r.GetStream(), Software: r.GetSoftware(), Lifetime: r.GetLifetime()}
-	for _, boxes := range p.Far(k) {
-		go s.recordAtOne(context.Background(), boxes, r)
+	lists := p.Far(k)
+	answers, done := make(chan bool, len(lists)), make(chan struct{})
+	for _, boxes := range lists {
+		go func() { answers <- s.recordAtOne(context.Background(), boxes, r) }()
 	}
+	go func() {
+		defer close(done)
+		for range lists {
+			if <-answers {
+				return
+			}
+		}
+	}()
+	return done
 }
 
 // recordAtOne sends a record to the first of the boxes that takes it, and reports whether one did.
