tests/soak, services/gateway: mixed streams and seen targets tell their versions

A mixed stream's report names the attempts in which each version begins; 'target seen' has the start and the version.

--- a/services/gateway/follow.go
+++ b/services/gateway/follow.go
@@ -198,7 +198,7 @@
 	if changes.Targets {
 		f.Logger.Info("targets known", "revision", r.GetTargetRevision(), "whole", r.GetAllTargets(), "rows", len(r.GetTargets()))
 		for _, t := range targetsToLog(r) {
-			f.Logger.Info("target seen", "target", t.GetId(), "service", t.GetService(), "address", t.GetAddress(), "state", t.GetState().String(), "cold_ms", t.GetCold(), "revision", t.GetRevision())
+			f.Logger.Info("target seen", "target", t.GetId(), "service", t.GetService(), "address", t.GetAddress(), "born", t.GetBorn(), "software_version", t.GetVersion(), "state", t.GetState().String(), "cold_ms", t.GetCold(), "revision", t.GetRevision())
 		}
 	}
 	if changes.Evacuations {
--- a/tests/soak/engine_test.go
+++ b/tests/soak/engine_test.go
@@ -58,6 +58,10 @@
 		close(old.quit)
 		_ = old.http.Close()
 	})
+	for time.Now().UnixMilli() <= old.startedAt {
+		// A start is known by its id and its time of day in milliseconds.
+		time.Sleep(time.Millisecond)
+	}
 	return p.launch(&server{id: old.id, service: old.service, zone: old.zone, version: version, link: old.link, registerAfter: registerAfter}, seed)
 }
 
--- a/tests/soak/software_test.go
+++ b/tests/soak/software_test.go
@@ -220,7 +220,9 @@
 	last  int
 	// versions counts the events by the version of the target that made them.
 	versions map[string]int
-	tries    int
+	// begins tells where the events of each version begin.
+	begins []string
+	tries  int
 	// returns counts the tries to take the stream up again, and wentOn those that brought events.
 	returns, wentOn int
 	// refusal is the last answer that was not a stream.
@@ -339,6 +341,9 @@
 		if s.last < 0 {
 			s.first = id
 		}
+		if s.versions[version] == 0 {
+			s.begins = append(s.begins, fmt.Sprintf("%s from event %d in attempt %s", version, number, id))
+		}
 		s.last = number
 		s.versions[version]++
 		n++
@@ -374,6 +379,7 @@
 		}
 		if len(s.versions) > 1 {
 			mixed++
+			t.Logf("stream %s holds %s", s.id, strings.Join(s.begins, ", "))
 		}
 		if s.returns > 0 {
 			returned++
