--- a/cmd/havenwinch/command.go
+++ b/cmd/havenwinch/command.go
@@ -33,7 +33,8 @@
 
 Queries:
   show organisations|groups|budgets|allotments|keepers|drains|rollouts|
-       revision|commands|keys|orders
+       revision|commands|keys|orders|
+       targets|software
        [where COLUMN = VALUE [and ...]] [by COLUMN] [limit N]
 
 Exit codes: 0 done, 1 wrong use, 2 refused, 3 outcome unknown (send it again
--- a/cmd/havenwinch/timeline.go
+++ b/cmd/havenwinch/timeline.go
@@ -27,7 +27,8 @@
 		Usage: "show the events of all boxes in causal order",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "request", Usage: "show only events of the request with this ID"},
-			&cli.StringSliceFlag{Name: "logs", Usage: "read saved logs instead of asking the boxes: files or patterns; needs --request"},
+			&cli.StringFlag{Name: "stream", Usage: "show only events of the stream that the attempt with this ID began or took up, over all its attempts; needs --logs"},
+			&cli.StringSliceFlag{Name: "logs", Usage: "read saved logs instead of asking the boxes: files or patterns; needs --request or --stream"},
 			&cli.DurationFlag{Name: "around", Value: defaultAround, Usage: "with --logs: also show lines about the request's boxes and targets within this time of the request"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
@@ -59,16 +60,19 @@
 // missing.
 func readTimeline(c *cli.Command) (events []structs.Event, missing []error, err error) {
 	if patterns := c.StringSlice("logs"); len(patterns) > 0 {
-		return eventsFromLogs(patterns, c.String("request"), c.Duration("around"))
+		return eventsFromLogs(patterns, c.String("request"), c.String("stream"), c.Duration("around"))
+	}
+	if c.String("stream") != "" {
+		return nil, nil, errors.New("--stream needs --logs: name the saved logs of the boxes")
 	}
 	events, missing = collectEvents(newClient(c), c.String("request"))
 	return events, missing, nil
 }
 
-// eventsFromLogs merges the lines of saved logs that concern a request.
-func eventsFromLogs(patterns []string, request string, around time.Duration) (events []structs.Event, missing []error, err error) {
-	if request == "" {
-		return nil, nil, errors.New("--logs needs --request: name the id of a request")
+// eventsFromLogs merges the lines of saved logs that concern a request, or the stream of an attempt.
+func eventsFromLogs(patterns []string, request, stream string, around time.Duration) (events []structs.Event, missing []error, err error) {
+	if (request == "") == (stream == "") {
+		return nil, nil, errors.New("--logs needs --request or --stream: name the id of a request or of an attempt at a stream")
 	}
 	logs := &timeline.Logs{}
 	for _, pattern := range patterns {
@@ -85,9 +89,13 @@
 	if logs.Unparsed > 0 {
 		missing = append(missing, errors.Errorf("%d lines are no log lines of a box", logs.Unparsed))
 	}
-	events = logs.Request(request, around)
+	if stream != "" {
+		events = logs.Stream(stream, around)
+	} else {
+		events = logs.Request(request, around)
+	}
 	if len(events) == 0 {
-		return nil, missing, errors.Errorf("no line of the logs names request %s: check the id, and whether lines were left out", request)
+		return nil, missing, errors.Errorf("no line of the logs names request %s: check the id, and whether lines were left out", request+stream)
 	}
 	return events, missing, nil
 }
--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -119,6 +119,11 @@
 	b.Metrics.Gauge("relayed_connections", "Open connections of this box to targets that other boxes carry.", func() float64 { return float64(dialer.Open()) })
 	b.Metrics.Gauge("carried_connections", "Open connections to targets that this box carries for others.", func() float64 { return float64(e.relays.Carried()) })
 	b.Metrics.Gauge("stream_records", "Records of the software that began a stream, of this box and of others.", func() float64 { return float64(e.streams.Len()) })
+	b.Metrics.GaugeVec("running_calls", "Calls of this box at targets, by service and version of the target's software.", []string{"service", "version"}, func(set func(float64, ...string)) {
+		for k, n := range e.forwarder.RunningCalls() {
+			set(float64(n), k.Service, k.Version)
+		}
+	})
 	e.ready = newReadyServer(platform.ReadyHandler(e.isReady))
 	return e
 }
--- a/models/language/language.go
+++ b/models/language/language.go
@@ -100,7 +100,7 @@
 
 // Query is a parsed query.
 type Query struct {
-	Subject string   `parser:"'show' @( 'organisations' | 'groups' | 'budgets' | 'allotments' | 'keepers' | 'drains' | 'rollouts' | 'revision' | 'commands' | 'keys' | 'orders' )"`
+	Subject string   `parser:"'show' @( 'organisations' | 'groups' | 'budgets' | 'allotments' | 'keepers' | 'drains' | 'rollouts' | 'revision' | 'commands' | 'keys' | 'orders' | 'targets' | 'software' )"`
 	Filters []Filter `parser:"( 'where' @@ ( 'and' @@ )* )?"`
 	Order   string   `parser:"( 'by' @Word )?"`
 	Limit   int      `parser:"( 'limit' @Number )?"`
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -233,6 +233,20 @@
 
 func (tb *Table) Len() int { return len(tb.byID) }
 
+// ServiceVersion is a version of the software of a service.
+type ServiceVersion struct{ Service, Version string }
+
+// RunningCalls returns how many calls of this box run at the targets of each version.
+func (tb *Table) RunningCalls() map[ServiceVersion]int {
+	running := map[ServiceVersion]int{}
+	for service, list := range tb.services {
+		for _, t := range list {
+			running[ServiceVersion{service, t.Version}] += t.RunningCalls
+		}
+	}
+	return running
+}
+
 // Criteria describes a call for the choice of its target.
 type Criteria struct {
 	Service string
--- a/routers/gateway/server_test.go
+++ b/routers/gateway/server_test.go
@@ -58,6 +58,7 @@
 type noCounter struct{}
 
 func (noCounter) Done(string, string)             {}
+func (noCounter) Returned(string, string)         {}
 func (noCounter) FirstByte(string, time.Duration) {}
 func (noCounter) Forwarded(string, string)        {}
 func (noCounter) Limit(string)                    {}
--- a/services/control/query.go
+++ b/services/control/query.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -80,6 +81,8 @@
 	"commands":      commands,
 	"keys":          keys,
 	"orders":        orders,
+	"targets":       targets,
+	"software":      softwareVersions,
 }
 
 func organisations(st *state.State) *table {
@@ -214,6 +217,50 @@
 	return t
 }
 
+func targets(st *state.State) *table {
+	t := &table{columns: []string{"target", "service", "version", "born", "state", "data_centre", "address"}}
+	for _, row := range state.SortedByKey(st.Routing.Targets) {
+		t.add(row.GetId(), row.GetService(), row.GetVersion(), strconv.FormatInt(row.GetBorn(), 10), targetStateName(row.GetState()), row.GetDataCentre(), row.GetAddress())
+	}
+	return t
+}
+
+// targetStateName returns the name of a target's state in tables.
+func targetStateName(s statev1.RegisteredTarget_State) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "STATE_"))
+}
+
+// softwareVersions lists the versions of each service that its targets run, or ran until a short time
+// ago, with the time of the last end in milliseconds of Unix time; empty if none has ended.
+func softwareVersions(st *state.State) *table {
+	type key struct{ service, version string }
+	type counts struct{ ready, draining uint64 }
+	found, ends := map[key]counts{}, map[key]string{}
+	for _, row := range st.Routing.Targets {
+		k := key{row.GetService(), row.GetVersion()}
+		n := found[k]
+		switch row.GetState() {
+		case statev1.RegisteredTarget_STATE_READY:
+			n.ready++
+		case statev1.RegisteredTarget_STATE_DRAINING:
+			n.draining++
+		default:
+			continue
+		}
+		found[k] = n
+	}
+	for _, end := range st.Routing.SoftwareEnds.Rows() {
+		k := key{end.GetService(), end.GetVersion()}
+		ends[k], found[k] = strconv.FormatInt(end.GetAt(), 10), found[k]
+	}
+	t := &table{columns: []string{"service", "version", "ready", "draining", "last_end"}}
+	for k, n := range found {
+		t.add(k.service, k.version, number(n.ready), number(n.draining), ends[k])
+	}
+	slices.SortFunc(t.rows, slices.Compare)
+	return t
+}
+
 func keys(st *state.State) *table {
 	t := &table{columns: []string{"group", "digest"}}
 	for _, k := range state.SortedByKey(st.Keys) {
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -69,6 +69,8 @@
 // Counter receives the metrics of forwarded calls.
 type Counter interface {
 	Done(organisation, outcome string)
+	// Returned counts a call that takes up a stream, by its outcome.
+	Returned(service, outcome string)
 	FirstByte(kind string, d time.Duration)
 	Forwarded(service, outcome string)
 	// Limit counts an event of a rate-limited target.
--- a/services/forward/helpers_test.go
+++ b/services/forward/helpers_test.go
@@ -224,6 +224,7 @@
 type noCounter struct{}
 
 func (noCounter) Done(string, string)             {}
+func (noCounter) Returned(string, string)         {}
 func (noCounter) FirstByte(string, time.Duration) {}
 func (noCounter) Forwarded(string, string)        {}
 func (noCounter) Limit(string)                    {}
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -38,6 +38,9 @@
 		outcome = outcomeLeft
 	}
 	fl.f.opts.Counter.Done(organisation, outcome)
+	if fl.isReturn() {
+		fl.f.opts.Counter.Returned(fl.service.GetName(), outcome)
+	}
 	now := fl.tick()
 	attrs := []slog.Attr{
 		slog.String("request", fl.call.ID),
--- a/services/forward/paths.go
+++ b/services/forward/paths.go
@@ -54,6 +54,13 @@
 	return len(f.reach.Lost())
 }
 
+// RunningCalls returns how many calls of this box run at the targets of each version.
+func (f *Forwarder) RunningCalls() map[spread.ServiceVersion]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.targets.RunningCalls()
+}
+
 // dialRelay dials a target through another box.
 func (f *Forwarder) dialRelay(ctx context.Context, t *spread.Target) (net.Conn, error) {
 	if f.opts.Relays == nil {
--- a/services/metrics/metrics.go
+++ b/services/metrics/metrics.go
@@ -27,6 +27,8 @@
 	oddAnswers     *prometheus.CounterVec
 	relays         *prometheus.CounterVec
 	streamRecords  *prometheus.CounterVec
+	// returns counts calls that take up a stream.
+	returns *prometheus.CounterVec
 }
 
 // New returns metrics in a registry of their own, together with those of the Go runtime and
@@ -67,7 +69,10 @@
 	m.streamRecords = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "stream_records_total", Help: "Records of the software that began a stream, sent to other boxes, by outcome.",
 	}, []string{"outcome"})
-	m.Registry.MustRegister(m.streamRecords, m.relays, m.oddAnswers, m.limits, m.entriesRefused, m.requests, m.firstToken, m.events, m.firstByte, m.sends, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.returns = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "returns_total", Help: "Calls that took up a stream which had begun before, by service and outcome.",
+	}, []string{"service", "outcome"})
+	m.Registry.MustRegister(m.returns, m.streamRecords, m.relays, m.oddAnswers, m.limits, m.entriesRefused, m.requests, m.firstToken, m.events, m.firstByte, m.sends, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
@@ -91,11 +96,38 @@
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
 }
 
+// gaugeVec is a gauge with labels whose values are read whenever the metrics are collected.
+type gaugeVec struct {
+	desc *prometheus.Desc
+	read func(set func(value float64, labels ...string))
+}
+
+// Describe implements prometheus.Collector.
+func (g *gaugeVec) Describe(descs chan<- *prometheus.Desc) { descs <- g.desc }
+
+// Collect implements prometheus.Collector.
+func (g *gaugeVec) Collect(metrics chan<- prometheus.Metric) {
+	g.read(func(value float64, labels ...string) {
+		metrics <- prometheus.MustNewConstMetric(g.desc, prometheus.GaugeValue, value, labels...)
+	})
+}
+
+// GaugeVec registers a gauge with labels. read is called whenever the metrics are collected, and
+// passes each value on.
+func (m *Metrics) GaugeVec(name, help string, labels []string, read func(set func(value float64, labels ...string))) {
+	m.Registry.MustRegister(&gaugeVec{desc: prometheus.NewDesc(namespace+"_"+name, help, labels, nil), read: read})
+}
+
 // Done counts a request by its outcome.
 func (m *Metrics) Done(organisation, outcome string) {
 	m.requests.WithLabelValues(organisation, outcome).Inc()
 }
 
+// Returned counts a call that takes up a stream, by its outcome.
+func (m *Metrics) Returned(service, outcome string) {
+	m.returns.WithLabelValues(service, outcome).Inc()
+}
+
 // FirstToken records the time from the admission of a request to its first token.
 func (m *Metrics) FirstToken(interactive bool, d time.Duration) {
 	priority := "batch"
--- a/services/timeline/logs.go
+++ b/services/timeline/logs.go
@@ -76,11 +76,33 @@
 // box or a target of these and lie at most the duration around before its first or
 // after its last line. They are sorted by time.
 func (l *Logs) Request(request string, around time.Duration) []structs.Event {
+	return eventsOf(l.linesOf(func(line logLine) bool { return line.stringField("request") == request }, around), "request")
+}
+
+// Stream returns the same of all attempts at the stream to which an attempt belongs: the one that
+// began it, and those of callers that took it up again.
+func (l *Logs) Stream(attempt string, around time.Duration) []structs.Event {
+	first := attempt
+	for _, line := range l.lines {
+		if began := line.stringField(firstAttempt); began != "" && line.stringField("request") == attempt {
+			first = began
+		}
+	}
+	return eventsOf(l.linesOf(func(line logLine) bool {
+		return line.stringField("request") == first || line.stringField(firstAttempt) == first
+	}, around), firstAttempt)
+}
+
+// firstAttempt is the field of a line that names the attempt which began the stream.
+const firstAttempt = "first_attempt"
+
+// linesOf returns the lines of some requests and those around them, sorted by time.
+func (l *Logs) linesOf(isOwn func(logLine) bool, around time.Duration) []logLine {
 	var own []logLine
 	var first, last time.Time
 	met := map[string]bool{}
 	for _, line := range l.lines {
-		if line.stringField("request") != request {
+		if !isOwn(line) {
 			continue
 		}
 		own = append(own, line)
@@ -103,9 +125,14 @@
 		}
 	}
 	sort.SliceStable(own, func(i, j int) bool { return own[i].at.Before(own[j].at) })
-	events := make([]structs.Event, 0, len(own))
-	for _, line := range own {
-		events = append(events, line.event())
+	return own
+}
+
+// eventsOf converts lines to timeline events without the field that all of them are about.
+func eventsOf(lines []logLine, subject string) []structs.Event {
+	events := make([]structs.Event, 0, len(lines))
+	for _, line := range lines {
+		events = append(events, line.event(subject))
 	}
 	return events
 }
@@ -124,12 +151,12 @@
 	return names
 }
 
-// event converts a line to a timeline event.
-func (l logLine) event() structs.Event {
+// event converts a line to a timeline event without the field that names its subject.
+func (l logLine) event(subject string) structs.Event {
 	var detail []string
 	for field, value := range l.fields {
 		switch field {
-		case "time", "msg", "box", "data_centre", "request":
+		case "time", "msg", "box", "data_centre", subject:
 		default:
 			detail = append(detail, fmt.Sprintf("%s=%v", field, value))
 		}
