--- a/services/forward/software_test.go
+++ b/services/forward/software_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -144,6 +145,10 @@
 		"no attempt named, two versions":       {versions: two, streams: record("v1"), kind: structs.KindVersionUnknown},
 		"another attempt named":                {versions: two, streams: record("v1"), attempt: "other", kind: structs.KindVersionUnknown},
 		"no record, version not known":         {versions: map[string]string{"a": ""}, streams: &memory{}, attempt: first, kind: structs.KindVersionUnknown},
+		"an attempt of another organisation":   {versions: two, streams: &memory{records: map[resume.Key]software.Identity{resume.KeyOf("other", "s", first): "version v1"}}, attempt: first, kind: structs.KindVersionUnknown},
+		"an attempt at another service":        {versions: two, streams: &memory{records: map[resume.Key]software.Identity{resume.KeyOf("o", "t", first): "version v1"}}, attempt: first, kind: structs.KindVersionUnknown},
+		"an attempt that took the stream up":   {versions: two, streams: record("v1"), attempt: "second-attempt", kind: structs.KindVersionUnknown},
+		"an attempt that can't be one":         {versions: two, streams: record("v1"), attempt: strings.Repeat("\x00%s/../", 800), kind: structs.KindVersionUnknown},
 		"a target whose start was not known":   {versions: map[string]string{"a": "v1", "b": "v1"}, streams: &memory{records: map[resume.Key]software.Identity{resume.KeyOf("o", "s", first): software.Unverified}}, attempt: first, kind: structs.KindVersionUnknown},
 		"a record, and versions not known now": {versions: map[string]string{"a": "", "b": ""}, streams: record("v1"), attempt: first, kind: structs.KindVersionGone},
 	}
@@ -175,6 +180,47 @@
 	}
 }
 
+// Guards against a caller that returns twice at once and whose stream is then joined from two versions,
+// or charged other than each attempt by itself.
+func TestCallerReturnsTwiceAtOnce(t *testing.T) {
+	leases := &fakeLeases{}
+	hold := make(chan struct{})
+	rest := func(c net.Conn, r received) {
+		<-hold
+		chunks(true, event(3), event(4))(c, r)
+	}
+	one, two := newTarget(t, "a", rest, rest), newTarget(t, "b", rest, rest)
+	f := newForwarder(t, leases, one, two)
+	setVersions(f, map[string]string{"a": "v1", "b": "v2"})
+	f.opts.Streams = &memory{records: map[resume.Key]software.Identity{resume.KeyOf("o", "s", "first"): "version v2"}}
+	answers := map[string]*collector{"second": {}, "third": {}}
+	var wg sync.WaitGroup
+	for id, sink := range answers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			call := newCall("resume")
+			call.ID, call.Fields, call.LastEvent, call.FirstAttempt = id, []Field{{Name: "X-Id", Value: id}}, 2, "first"
+			if err := f.Serve(context.Background(), call, sink); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	for len(two.requests()) < len(answers) {
+		time.Sleep(time.Millisecond)
+	}
+	close(hold)
+	wg.Wait()
+	for id, sink := range answers {
+		if got := sink.body.String(); got != event(3)+event(4) || !sink.ended {
+			t.Errorf("%s got %q", id, got)
+		}
+	}
+	if len(one.requests()) > 0 || len(leases.settled) != len(answers) {
+		t.Errorf("%d requests at the other version, %d settlements", len(one.requests()), len(leases.settled))
+	}
+}
+
 // confirm tells a box every few milliseconds that its copy is up to date.
 func confirm(f *Forwarder, stop <-chan struct{}) {
 	for {
--- a/services/gateway/software.go
+++ b/services/gateway/software.go
@@ -42,7 +42,7 @@
 		}
 	}
 	for _, e := range s.softwareEnds {
-		if (e.service == service || e.service == software.AnyService) && e.at > s.clock.Boot()-window {
+		if (e.service == service || e.service == software.AnyService) && e.at > s.confirmedAt-window {
 			versions = append(versions, e.version)
 		}
 	}
--- /dev/null
+++ b/services/gateway/software_schedule_test.go
@@ -0,0 +1,196 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/software"
+	"havenwinch.dev/havenwinch/models/state"
+	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/services/control"
+	"havenwinch.dev/havenwinch/services/control/controltest"
+	"havenwinch.dev/havenwinch/tests/seeded"
+)
+
+const (
+	softwareSchedules = 2000
+	softwareSteps     = 60
+	softwareWindow    = 30 * time.Second
+)
+
+// softwareSchedule plays targets of several versions that register, restart, change, drain and end, in
+// any order, to control and to boxes that follow it.
+type softwareSchedule struct {
+	t       *testing.T
+	rng     *rand.Rand
+	clock   *clock.Fake
+	machine *control.Machine
+	gateway *control.Gateway
+	source  *MachineSource
+	stores  []*Store
+	// lastSeen has when a target of each version of the service was last in control's state and took
+	// calls, a boot time.
+	lastSeen map[string]time.Duration
+	sequence uint64
+	// late are registrations that are on their way.
+	late []*statev1.RegisteredTarget
+}
+
+func newSoftwareSchedule(t *testing.T, seed int64) *softwareSchedule {
+	fake := clock.NewFake()
+	fake.Advance(time.Hour)
+	machine := control.NewMachine()
+	s := &softwareSchedule{
+		t: t, rng: rand.New(rand.NewSource(seed)), clock: fake, machine: machine, lastSeen: map[string]time.Duration{},
+		gateway: &control.Gateway{Log: controltest.Log{Machine: machine}, Machine: machine, Clock: fake, Logger: logging.Discard()},
+		source:  &MachineSource{Machine: machine, Clock: fake, GroupSyncAge: func() time.Duration { return 0 }, Members: func() []string { return nil }},
+	}
+	for range 3 {
+		s.stores = append(s.stores, NewStore(fake))
+	}
+	return s
+}
+
+// target returns a registration of one of a few targets, at one of a few addresses.
+func (s *softwareSchedule) target() *statev1.RegisteredTarget {
+	s.sequence++
+	n := s.rng.Intn(5)
+	service := "s"
+	if s.rng.Intn(8) == 0 {
+		service = "other"
+	}
+	return &statev1.RegisteredTarget{
+		Id: fmt.Sprint("i-", n), Service: service, Address: fmt.Sprintf("h-%d:1", (n+s.rng.Intn(2))%5), Born: s.clock.Wall().UnixMilli() - int64(s.rng.Intn(3))*1000,
+		Version: []string{"v1", "v1", "v1", "v1", "v1.1", "v2", ""}[s.rng.Intn(7)], State: ready, Sequence: s.sequence,
+	}
+}
+
+// step lets something happen to the targets.
+func (s *softwareSchedule) step() {
+	switch s.rng.Intn(8) {
+	case 0, 1:
+		s.put(s.target())
+	case 2:
+		s.late = append(s.late, s.target())
+	case 3:
+		if n := len(s.late); n > 0 {
+			i := s.rng.Intn(n)
+			s.put(s.late[i])
+			s.late = append(s.late[:i], s.late[i+1:]...)
+		}
+	case 4, 5:
+		s.putState(gone)
+	case 6:
+		s.putState(statev1.RegisteredTarget_STATE_DRAINING)
+	case 7:
+		s.restoreControl()
+	}
+}
+
+// put registers targets at control.
+func (s *softwareSchedule) put(rows ...*statev1.RegisteredTarget) {
+	s.see()
+	_ = s.gateway.Submit(context.Background(), &statev1.Entry{Kind: &statev1.Entry_PutTargets{PutTargets: &statev1.PutTargets{Targets: rows}}})
+	s.see()
+}
+
+// putState tells control of another state of a target that it knows.
+func (s *softwareSchedule) putState(next statev1.RegisteredTarget_State) {
+	var known *statev1.RegisteredTarget
+	id := fmt.Sprint("i-", s.rng.Intn(5))
+	s.machine.Read(func(st *state.State) { known = st.Routing.Targets[id] })
+	if known == nil {
+		return
+	}
+	s.sequence++
+	row := &statev1.RegisteredTarget{Id: id, Service: known.GetService(), Address: known.GetAddress(), Born: known.GetBorn(), Version: known.GetVersion(), State: next, Sequence: s.sequence}
+	s.put(row)
+}
+
+// restoreControl starts control again from its snapshot.
+func (s *softwareSchedule) restoreControl() {
+	data, err := s.machine.Capture()()
+	if err == nil {
+		err = s.machine.Restore(data)
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// see notes which versions are in control's state now.
+func (s *softwareSchedule) see() {
+	s.machine.Read(func(st *state.State) {
+		for _, row := range st.Routing.Targets {
+			if row.GetService() == "s" && row.GetState() != gone {
+				s.lastSeen[row.GetVersion()] = s.clock.Boot()
+			}
+		}
+	})
+}
+
+// check checks that a box takes the service to run one software only if no target of another one has
+// been known to control since the window began.
+func (s *softwareSchedule) check(box *Store) (sole bool) {
+	id, confirmedAt, ok := box.SoleSoftware("s", softwareWindow)
+	if !ok || confirmedAt < s.clock.Boot()-time.Second {
+		return false
+	}
+	for version, at := range s.lastSeen {
+		if other := software.Of(&statev1.RegisteredTarget{Version: version}); other != id && at > confirmedAt-softwareWindow && at <= confirmedAt {
+			s.t.Fatalf("a box takes %q for the only software although %q ran %s before it heard from control", id, version, confirmedAt-at)
+		}
+	}
+	return true
+}
+
+// Guards against a service that is taken to have run one software only although another one ran within
+// the window, over random orders of registrations, ends, changes and news of them.
+func TestRandomSchedulesOfVersions(t *testing.T) {
+	checks, sole := 0, 0
+	for seed := range seeded.Schedules(t, softwareSchedules) {
+		s := newSoftwareSchedule(t, int64(seed))
+		for range softwareSteps {
+			if s.rng.Intn(3) > 0 {
+				s.step()
+			}
+			s.see()
+			s.clock.Advance(time.Duration(s.rng.Intn(4000)) * time.Millisecond)
+			s.see()
+			n := s.rng.Intn(len(s.stores))
+			if s.rng.Intn(20) == 0 {
+				s.stores[n] = NewStore(s.clock)
+			}
+			if s.rng.Intn(4) > 0 {
+				s.follow(s.stores[n])
+			}
+			checks++
+			if s.check(s.stores[n]) {
+				sole++
+			}
+		}
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+	t.Logf("%d of %d times a box took the service to run one software only", sole, checks)
+	if sole == 0 {
+		t.Error("no box ever did: the schedules show nothing")
+	}
+}
+
+// follow passes control's changes on to a box.
+func (s *softwareSchedule) follow(box *Store) {
+	resp := s.source.After(box.Position())
+	if _, err := box.Apply(resp); err != nil {
+		s.t.Fatal(err)
+	}
+}
--- a/services/resume/schedule_test.go
+++ b/services/resume/schedule_test.go
@@ -7,9 +7,7 @@
 	"context"
 	"fmt"
 	"math/rand"
-	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -24,10 +22,11 @@
 	"havenwinch.dev/havenwinch/models/resume"
 	"havenwinch.dev/havenwinch/models/software"
 	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/tests/seeded"
 )
 
 const (
-	// defaultSchedules is the number of random schedules; HAVENWINCH_SCHEDULES overrides it.
+	// defaultSchedules is the number of random schedules.
 	defaultSchedules = 400
 	// scheduleStreams is how many streams begin in a schedule.
 	scheduleStreams = 16
@@ -355,14 +354,7 @@
 // or whose first event waits, over random schedules of boxes that end and start again, cuts, and
 // records that are lost, late and doubled.
 func TestRandomSchedulesOfRecords(t *testing.T) {
-	n := defaultSchedules
-	if text := os.Getenv("HAVENWINCH_SCHEDULES"); text != "" {
-		var err error
-		if n, err = strconv.Atoi(text); err != nil || n < 1 {
-			t.Fatalf("HAVENWINCH_SCHEDULES=%q: want a positive number of schedules", text)
-		}
-	}
-	for seed := range n {
+	for seed := range seeded.Schedules(t, defaultSchedules) {
 		synctest.Test(t, func(t *testing.T) {
 			defer func() {
 				if t.Failed() {
--- a/tests/seeded/seeded.go
+++ b/tests/seeded/seeded.go
@@ -8,6 +8,7 @@
 import (
 	"flag"
 	"os"
+	"strconv"
 	"testing"
 )
 
@@ -21,6 +22,20 @@
 	os.Exit(m.Run())
 }
 
+// Schedules returns how many random schedules a test plays: HAVENWINCH_SCHEDULES if it is set, else n.
+func Schedules(t *testing.T, n int) int {
+	t.Helper()
+	text := os.Getenv("HAVENWINCH_SCHEDULES")
+	if text == "" {
+		return n
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 {
+		t.Fatalf("HAVENWINCH_SCHEDULES=%q: want a positive number of schedules", text)
+	}
+	return n
+}
+
 func set(name, value string) {
 	if err := flag.Set(name, value); err != nil {
 		panic(err)
