tests/integration: the operators' session waits until the copies have what control accepted

A status tells the revision of a box's own copy, which follows control and may lag; the golden file wanted the accepted revision at once. Under a load average of 20 to 37 it was one behind once. The test now waits until each copy has that revision, within the usual limit, and then compares the whole session as before.

--- a/tests/integration/golden_test.go
+++ b/tests/integration/golden_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -105,6 +106,9 @@
 		"status",
 		"--output json query show organisations where organisation = south",
 	} {
+		if line == "status" {
+			tb.awaitCopies()
+		}
 		session.WriteString("$ havenwinch " + line + "\n")
 		out, err := tb.fleet.Tool(context.Background(), strings.Fields(line)...)
 		session.WriteString(out)
@@ -115,3 +119,16 @@
 	}
 	checkGolden(t, "operators", normalise(session.String()))
 }
+
+// awaitCopies waits until the copies of all boxes have everything that control has accepted. A status
+// tells the revision of the box's copy, which follows control.
+func (tb *testbed) awaitCopies() {
+	tb.t.Helper()
+	accepted := tb.query("show revision")[0]["revision"]
+	for _, name := range tb.fleet.Names() {
+		tb.waitFor(name+" has revision "+accepted, func() bool {
+			s, err := tb.status(name)
+			return err == nil && fmt.Sprint(s.Revision) == accepted
+		})
+	}
+}
