services/forward: a target that does not tell its start is asked once

Each new connection to an engine cost a query for its start, also where the engine's reports have none. Now a report without a start is remembered. TestTargetThatTellsNoStartIsAskedOnce: 3 queries for 3 connections before, 1 now.

--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -64,6 +64,8 @@
 	Software software.Identity
 
 	Draining bool
+	// TellsNoStart is set once a report of the target did not tell its start.
+	TellsNoStart bool
 	// RunningCalls counts this box's calls at the target.
 	RunningCalls int
 	// WaitingTokens counts the prompt tokens of this box's calls that have had no event yet.
--- a/services/forward/software.go
+++ b/services/forward/software.go
@@ -76,7 +76,12 @@
 	switch {
 	case err != nil:
 		return startUnknown
-	case report.Born == t.Born || report.Born == 0:
+	case report.Born == 0:
+		f.mu.Lock()
+		t.TellsNoStart = true
+		f.mu.Unlock()
+		return startRegistered
+	case report.Born == t.Born:
 		return startRegistered
 	default:
 		return startLater
@@ -90,7 +95,10 @@
 	if c.target.Born == 0 || f.opts.EngineAPI == nil || fl.service.GetEngine() == nil || c.startVerified {
 		return false
 	}
-	return c.dialledAt+registrationTime > fl.now-f.opts.Store.Confirmed()
+	f.mu.Lock()
+	tellsNone := c.target.TellsNoStart
+	f.mu.Unlock()
+	return !tellsNone && c.dialledAt+registrationTime > fl.now-f.opts.Store.Confirmed()
 }
 
 // verifyStart finds out whether a stream that continues would reach the start of the target that is
--- a/services/forward/software_test.go
+++ b/services/forward/software_test.go
@@ -462,6 +462,37 @@
 	}
 }
 
+// Guards against a query for each new connection to a target that does not tell its start.
+func TestTargetThatTellsNoStartIsAskedOnce(t *testing.T) {
+	answer := func(c net.Conn, r received) {
+		if r.path == "/report" {
+			respond(200, "0 0")(c, r)
+			return
+		}
+		chunks(true, event(0))(c, r)
+	}
+	one := newTarget(t, "a", answer, answer, answer, answer, answer, answer, answer, answer)
+	f := newForwarder(t, &fakeLeases{}, one)
+	f.opts.EngineAPI = testEngineAPI{}
+	starts(f, map[string]string{"a": "v1"}, 10)
+	for range 3 {
+		if err := f.Serve(context.Background(), newCall("resume"), &collector{}); err != nil {
+			t.Fatal(err)
+		}
+		f.pool.dropIdle("s", true)
+		f.pool.dropIdle("s", false)
+	}
+	queries := 0
+	for _, r := range one.requests() {
+		if r.path == "/report" {
+			queries++
+		}
+	}
+	if queries != 1 {
+		t.Errorf("%d queries for the start of a target that does not tell it, want 1", queries)
+	}
+}
+
 // Guards against a stream that counts as one of a target's former start, as the target had started
 // again with other software before it got the call.
 func TestStreamOfATargetThatHadStartedAgain(t *testing.T) {
