services/forward: a stream that continues always asks for its target's start

A target whose reports have no start may start again with software that tells it: a stream that continues asks each time, as before; only new streams pass a target over that has told none.

--- a/cmd/havenwinch/timeline.go
+++ b/cmd/havenwinch/timeline.go
@@ -89,13 +89,12 @@
 	if logs.Unparsed > 0 {
 		missing = append(missing, errors.Errorf("%d lines are no log lines of a box", logs.Unparsed))
 	}
+	id, find := request, logs.Request
 	if stream != "" {
-		events = logs.Stream(stream, around)
-	} else {
-		events = logs.Request(request, around)
+		id, find = stream, logs.Stream
 	}
-	if len(events) == 0 {
-		return nil, missing, errors.Errorf("no line of the logs names request %s: check the id, and whether lines were left out", request+stream)
+	if events = find(id, around); len(events) == 0 {
+		return nil, missing, errors.Errorf("no line of the logs names request %s: check the id, and whether lines were left out", id)
 	}
 	return events, missing, nil
 }
--- a/services/forward/software.go
+++ b/services/forward/software.go
@@ -95,10 +95,7 @@
 	if c.target.Born == 0 || f.opts.EngineAPI == nil || fl.service.GetEngine() == nil || c.startVerified {
 		return false
 	}
-	f.mu.Lock()
-	tellsNone := c.target.TellsNoStart
-	f.mu.Unlock()
-	return !tellsNone && c.dialledAt+registrationTime > fl.now-f.opts.Store.Confirmed()
+	return c.dialledAt+registrationTime > fl.now-f.opts.Store.Confirmed()
 }
 
 // verifyStart finds out whether a stream that continues would reach the start of the target that is
@@ -129,6 +126,12 @@
 	if fl.software != "" || !routing.IsRepeatable(fl.route) || fl.route.GetKind() != statev1.Route_KIND_STREAM || !fl.mayBeLaterStart(c) {
 		return nil
 	}
+	fl.f.mu.Lock()
+	tellsNone := c.target.TellsNoStart
+	fl.f.mu.Unlock()
+	if tellsNone {
+		return nil
+	}
 	answer := make(chan startAnswer, 1)
 	if fl.f.isLimited(c.target) {
 		// The query would take the place of a call.
