--- a/services/control/query.go
+++ b/services/control/query.go
@@ -251,7 +251,10 @@
 	}
 	for _, end := range st.Routing.SoftwareEnds.Rows() {
 		k := key{end.GetService(), end.GetVersion()}
-		ends[k], found[k] = strconv.FormatInt(end.GetAt(), 10), found[k]
+		ends[k] = strconv.FormatInt(end.GetAt(), 10)
+		if _, runs := found[k]; !runs {
+			found[k] = counts{}
+		}
 	}
 	t := &table{columns: []string{"service", "version", "ready", "draining", "last_end"}}
 	for k, n := range found {
