services/forward, platform: rejections of targets and the limits that they name on them are logged

No line told which target turned a call away for want of room, how often, or whether it named a number of rejections that it can bear. Each box now writes one line a second and target for both. No decision changes.

--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -84,6 +84,12 @@
 	// CallsSent counts this box's calls to the target, InternalSent the requests that the
 	// box made on its own behalf: load reports, copies and releases.
 	CallsSent, InternalSent uint64
+	// Rejected counts this box's calls that the target rejected for want of room, and
+	// RejectionLogged is when one of them was last logged.
+	Rejected        uint64
+	RejectionLogged time.Duration
+	// RejectionLimitLogged is when the rejection limit of the target was last logged.
+	RejectionLimitLogged time.Duration
 
 	hash  uint64
 	start string
--- a/services/forward/call.go
+++ b/services/forward/call.go
@@ -44,6 +44,12 @@
 	Limit string
 	// ReadLimit parses the value of the Limit field; nil where targets announce no limits.
 	ReadLimit func(text string) (perSecond float64, err error)
+	// RejectionLimit holds how many calls a second a target can reject for want of room, from all
+	// boxes together, before it fails.
+	RejectionLimit string
+	// ReadRejectionLimit parses the value of the RejectionLimit field; nil where targets announce
+	// none.
+	ReadRejectionLimit func(text string) (perSecond float64, err error)
 	// Resume names the copy of a stopped run's KV cache from which the target continues the
 	// run.
 	Resume string
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -132,6 +132,7 @@
 		echoed := string(x.head.Peek(x.f.opts.Dialect.RequestID))
 		if echoed == id {
 			x.readLimit()
+			x.readRejectionLimit()
 			return nil
 		}
 		if echoed == "" {
@@ -142,6 +143,7 @@
 				return errors.Wrap(errNoAnswer, "received an answer without the id of its call")
 			}
 			x.readLimit()
+			x.readRejectionLimit()
 			return nil
 		}
 		x.conn.strayAnswers++
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -337,6 +337,7 @@
 		// Another target has the address now.
 		return attempt{verdict: replaced, notRun: true, err: errNotSent}
 	}
+	fl.f.recordRejection(t, fl.call, status)
 	return attempt{verdict: rejected, notRun: true, err: errNotSent}
 }
 
