tests/soak: servers that fail under the calls that they have to reject, red first

A stand-in of a plain service with 4 slots, one waiting call, 150 ms a call, that names a rejection limit of 4 a second, counts its rejections and fails above them.

--- a/tests/soak/platform_test.go
+++ b/tests/soak/platform_test.go
@@ -67,6 +67,8 @@
 	// versionsDrawn counts the starts for which one was drawn.
 	versions      []string
 	versionsDrawn int
+	// failedUnderRejections counts the servers that failed as they had to reject too many calls.
+	failedUnderRejections int
 	// evacuated has, by zone, when its evacuation was acknowledged.
 	evacuated map[string]time.Time
 }
@@ -166,6 +168,8 @@
 	limits []announcedLimit
 	// arrivals are the times of the requests received under a rate limit, oldest first.
 	arrivals []time.Time
+	// room limits the requests that the server works on at once; nil for no limit.
+	room     *room
 	rng      *rand.Rand
 	quit     chan struct{}
 	stopping sync.Once
@@ -245,7 +249,7 @@
 	sv.sequence++
 	state := sv.state
 	body, _ := json.Marshal(map[string]any{
-		"service": sv.service, "address": sv.link.address, "zone": sv.zone, "version": sv.version, "slots": 8,
+		"service": sv.service, "address": sv.link.address, "zone": sv.zone, "version": sv.version, "slots": sv.slots(),
 		"state": state, "cold_remaining_ms": max(0, time.Until(sv.coldUntil).Milliseconds()), "sequence": sv.sequence, "born": sv.startedAt,
 	})
 	sv.mu.Unlock()
@@ -261,6 +265,17 @@
 	}
 }
 
+// defaultSlots is how many slots a server without a limited room announces.
+const defaultSlots = 8
+
+// slots returns how many slots the server announces. The caller holds sv.mu.
+func (sv *server) slots() int {
+	if sv.room != nil {
+		return sv.room.slots
+	}
+	return defaultSlots
+}
+
 func (sv *server) drain() {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
@@ -320,6 +335,9 @@
 	if want := "body of " + id; string(body) != want {
 		sv.platform.recordViolation("request %s arrived with an unexpected body %q", id, body)
 	}
+	if !sv.workInRoom(w, id) {
+		return
+	}
 	sv.platform.recordArrival(id)
 	defer sv.platform.recordCompletion(id)
 	prompt, limit := tokensOf(r.Header.Get("Token-Count"))
--- /dev/null
+++ b/tests/soak/rejection_test.go
@@ -0,0 +1,262 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"fmt"
+	"math/rand"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// rejectionHeader is the response header with the number of requests a second that a server
+	// can reject for want of room before it fails.
+	rejectionHeader = "Server-Brittle"
+	// failureTime is how long a server that has failed under its rejections is away.
+	failureTime = 2 * time.Second
+)
+
+// room makes a server work on a limited number of requests at once, let some wait, and reject the
+// others. Once it has announced a rejection limit for contactTime, it fails when it has to reject
+// more requests in a second.
+type room struct {
+	slots, queue int
+	work         time.Duration
+	// limit is the rejection limit, announced since announcedAt; zero for none.
+	limit       int
+	announcedAt time.Time
+
+	running, waiting int
+	rejections       []time.Time
+	free             *sync.Cond
+}
+
+func (sv *server) setRoom(slots, queue int, work time.Duration) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.room = &room{slots: slots, queue: queue, work: work, free: sync.NewCond(&sv.mu)}
+}
+
+// announceRejectionLimit makes the server announce a rejection limit from now on.
+func (sv *server) announceRejectionLimit(perSecond int) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.room.limit, sv.room.announcedAt = perSecond, time.Now()
+}
+
+// workInRoom occupies a slot for the time that a request needs. It returns false if the request was
+// rejected.
+func (sv *server) workInRoom(w http.ResponseWriter, id string) bool {
+	sv.mu.Lock()
+	r := sv.room
+	if r == nil {
+		sv.mu.Unlock()
+		return true
+	}
+	if r.limit > 0 {
+		w.Header().Set(rejectionHeader, strconv.Itoa(r.limit))
+	}
+	if r.running == r.slots && r.waiting >= r.queue {
+		fails := sv.recordRejection()
+		sv.mu.Unlock()
+		if fails {
+			sv.failUnderRejections()
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Attempt-Id", id)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return false
+	}
+	r.waiting++
+	for r.running == r.slots {
+		r.free.Wait()
+	}
+	r.waiting--
+	r.running++
+	sv.mu.Unlock()
+	time.Sleep(r.work)
+	sv.mu.Lock()
+	r.running--
+	r.free.Signal()
+	sv.mu.Unlock()
+	return true
+}
+
+// recordRejection records a rejection and reports whether the server fails under it. The caller
+// holds sv.mu.
+func (sv *server) recordRejection() (fails bool) {
+	r, now := sv.room, time.Now()
+	r.rejections = append(r.rejections, now)
+	recent := 0
+	for i := len(r.rejections) - 1; i >= 0 && now.Sub(r.rejections[i]) < time.Second; i-- {
+		recent++
+	}
+	return r.limit > 0 && now.Sub(r.announcedAt) > contactTime && recent > r.limit
+}
+
+// failUnderRejections ends the server and starts one with the same room later.
+func (sv *server) failUnderRejections() {
+	p := sv.platform
+	sv.stopping.Do(func() {
+		p.mu.Lock()
+		p.failedUnderRejections++
+		p.mu.Unlock()
+		close(sv.quit)
+		_ = sv.http.Close()
+		sv.link.close()
+		time.AfterFunc(failureTime, func() {
+			next := &server{id: p.newServerID(), service: sv.service, zone: sv.zone, version: sv.version}
+			next.setRoom(sv.room.slots, sv.room.queue, sv.room.work)
+			next.room.limit, next.room.announcedAt = sv.room.limit, sv.room.announcedAt
+			if fresh, err := p.launch(next, 0); err == nil {
+				p.addCleanup(fresh.stop)
+			}
+		})
+	})
+}
+
+// sendAtRate sends plain calls to random entry boxes at a rate that may change, until stop is
+// closed, whether or not the earlier ones were answered.
+func (p *callerPool) sendAtRate(perSecond func(elapsed time.Duration) float64, stop <-chan struct{}) {
+	idle := make(chan *caller, maxIdleCallers)
+	rng := rand.New(rand.NewSource(p.seed))
+	began := time.Now()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for n := 0; ; n++ {
+		pause := time.Duration(rng.ExpFloat64() / perSecond(time.Since(began)) * float64(time.Second))
+		select {
+		case <-stop:
+			return
+		case <-time.After(pause):
+		}
+		c := p.takeIdle(idle, rng.Intn(len(p.entries)), n)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			p.record(c.send(fmt.Sprintf("rate-%d-%d", p.seed, n), "plain/unsafe", "key-large"))
+			select {
+			case idle <- c:
+			default:
+				c.disconnect()
+			}
+		}()
+	}
+}
+
+// Guards against servers with a rejection limit that fail under the calls that they have to reject.
+func TestServersWithARejectionLimitStayUp(t *testing.T) {
+	const (
+		servers, slots, queue = 4, 4, 1
+		work                  = 150 * time.Millisecond
+		limit                 = 4
+		length                = 9 * time.Second
+	)
+	// capacity is how many calls a second the servers can run.
+	capacity := servers * slots / work.Seconds()
+	constant := func(factor float64) func(time.Duration) float64 {
+		return func(time.Duration) float64 { return factor * capacity }
+	}
+	tests := map[string]struct {
+		rate func(elapsed time.Duration) float64
+		// disturb disturbs the fleet until stop is closed.
+		disturb func(tb *testbed, stop <-chan struct{})
+	}{
+		"light load": {rate: constant(0.25)},
+		"overload":   {rate: constant(2.5)},
+		"bursts": {rate: func(elapsed time.Duration) float64 {
+			if elapsed%(1500*time.Millisecond) < 500*time.Millisecond {
+				return 4 * capacity
+			}
+			return 0.25 * capacity
+		}},
+		"boxes that restart": {rate: constant(2.5), disturb: restartEntries},
+		"boxes that are cut off from control": {rate: constant(2.5), disturb: func(tb *testbed, stop <-chan struct{}) {
+			for _, b := range tb.withRole("control") {
+				b.signal(syscall.SIGSTOP)
+			}
+			<-stop
+			for _, b := range tb.withRole("control") {
+				b.signal(syscall.SIGCONT)
+			}
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tb := newTestbed(t, 71, 3, 8, 1, servers)
+			t.Cleanup(func() {
+				if t.Failed() {
+					tb.saveLogs(t, 71)
+				}
+			})
+			tb.awaitDirectory(t, tb.withRole("entry"))
+			for _, sv := range tb.platform.all() {
+				if sv.service == plainService {
+					sv.setRoom(slots, queue, work)
+					sv.announceRejectionLimit(limit)
+				}
+			}
+			stop := make(chan struct{})
+			var wg sync.WaitGroup
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				tb.all.sendAtRate(test.rate, stop)
+			}()
+			if test.disturb != nil {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					test.disturb(tb, stop)
+				}()
+			}
+			time.Sleep(length)
+			close(stop)
+			wg.Wait()
+			tb.checkResults(t)
+			tb.checkNoneFailed(t)
+		})
+	}
+}
+
+// restartEntries kills and starts one entry box after the other until stop is closed.
+func restartEntries(tb *testbed, stop <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(800 * time.Millisecond):
+		}
+		entries := tb.withRole("entry")
+		b := entries[n%len(entries)]
+		tb.platform.disruptions.recordFault(b.name, time.Second)
+		<-b.signal(syscall.SIGKILL)
+		_ = b.start()
+	}
+}
+
+// checkNoneFailed checks that no server has failed under its rejections.
+func (tb *testbed) checkNoneFailed(t *testing.T) {
+	t.Helper()
+	all := 0
+	for _, sv := range tb.platform.all() {
+		sv.mu.Lock()
+		if sv.room != nil {
+			all += len(sv.room.rejections)
+		}
+		sv.mu.Unlock()
+	}
+	tb.platform.mu.Lock()
+	defer tb.platform.mu.Unlock()
+	t.Logf("%d calls rejected by servers, %d servers failed under them", all, tb.platform.failedUnderRejections)
+	if n := tb.platform.failedUnderRejections; n > 0 {
+		t.Errorf("%d servers failed under the calls that they had to reject", n)
+	}
+}
