models/spread, services/forward: the slots of targets with a rejection limit are divided among the boxes

Callers of a service whose targets can reject only a few calls a second lost all calls at one target after the other: boxes did not read the limit, nothing bounded what they sent to a full target, and each rejected call was sent on to the next full one.

Boxes with less than two seats take turns. What finds no seat waits if it can expect one in time, else it is refused at once.

--- a/models/rate/rate.go
+++ b/models/rate/rate.go
@@ -127,18 +127,24 @@
 // share returns how many of a window's sends are assigned to this box. key identifies the
 // target, so that the remainder goes to other boxes for other targets.
 func (f Fleet) share(perSecond float64, key uint64, w window) int64 {
-	sends := w.sends(perSecond)
-	draw := hashing.Mix(key ^ hashing.Mix(uint64(w.index)))
+	return f.Part(w.sends(perSecond), key, w.index)
+}
+
+// Part returns how many of n units are assigned to this box in the period with the given index.
+// The parts of all boxes differ by at most one and add up to n. key identifies what is divided, so
+// that the remainder goes to other boxes for other keys.
+func (f Fleet) Part(n int64, key uint64, index int64) int64 {
+	draw := hashing.Mix(key ^ hashing.Mix(uint64(index)))
 	own := hashing.Mix(f.self ^ draw)
 	if len(f.boxes) == 0 {
-		rest := sends % unknownBoxes
+		rest := n % unknownBoxes
 		if own%unknownBoxes < uint64(rest) {
-			return sends/unknownBoxes + 1
+			return n/unknownBoxes + 1
 		}
-		return sends / unknownBoxes
+		return n / unknownBoxes
 	}
 	boxes := int64(len(f.boxes))
-	part, rest := sends/boxes, sends%boxes
+	part, rest := n/boxes, n%boxes
 	if rest == 0 {
 		return part
 	}
@@ -154,6 +160,32 @@
 	return part
 }
 
+// Divisor returns by how many boxes this one divides: all boxes or, while they aren't known, an
+// assumed number.
+func (f Fleet) Divisor() int {
+	if len(f.boxes) == 0 {
+		return unknownBoxes
+	}
+	return len(f.boxes)
+}
+
+// Rank returns the position of this box in an order of all boxes that is the same at each of them.
+func (f Fleet) Rank() int {
+	if len(f.boxes) == 0 {
+		return int(f.self % unknownBoxes)
+	}
+	rank := 0
+	for _, box := range f.boxes {
+		if box < f.self {
+			rank++
+		}
+	}
+	return rank
+}
+
+// HasSameBoxes reports whether another Fleet knows the same boxes.
+func (f Fleet) HasSameBoxes(other Fleet) bool { return slices.Equal(f.boxes, other.boxes) }
+
 // Meter counts a box's sends to one target against the box's share of the target's limit.
 // The zero value has counted none. It is not safe for concurrent use.
 type Meter struct {
--- a/models/spread/limits.go
+++ b/models/spread/limits.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"havenwinch.dev/havenwinch/models/rate"
@@ -48,26 +49,36 @@
 // Backoff says what to do with a call while the limits of all targets of its service keep
 // this box from sending.
 type Backoff struct {
-	// Wait is how long the call is to wait for its place in the next window; the caller
-	// must call EndWait after it. Zero means that the call is refused.
+	// Wait is how long the call is to wait for its place in the next window or for a seat. Zero
+	// means that the call is refused.
 	Wait time.Duration
+	// Ticket is the call's place among those that wait for a seat: the caller must call LeaveQueue
+	// once the call has been sent or refused. It is zero for a call that waits for the next window:
+	// the caller must call EndWait after the wait.
+	Ticket int64
 	// A refused call may be retried after the first of these times. Retries of several
 	// calls are to be spread over the second one, which follows the first.
 	RetryAfter, RetrySpread time.Duration
 }
 
 // SetFleet sets the boxes that share the limits, and the fleet's time.
-func (tb *Table) SetFleet(f rate.Fleet) { tb.fleet = f }
+func (tb *Table) SetFleet(f rate.Fleet) {
+	if !f.HasSameBoxes(tb.fleet) || tb.fleetRevision == 0 {
+		tb.fleetRevision++
+		tb.rank = f.Rank()
+	}
+	tb.fleet = f
+}
 
 // HasLimit reports whether a target has a limit at now.
 func (tb *Table) HasLimit(t *Target, now time.Duration) bool {
 	return tb.CurrentLimit(t, now) != rate.Unlimited
 }
 
-// sendable reports whether this box may send a request to a target at now.
-func (tb *Table) sendable(t *Target, now time.Duration) bool {
+// sendable reports whether this box may send a call to a target at now.
+func (tb *Table) sendable(t *Target, criteria Criteria, now time.Duration) bool {
 	limit := tb.CurrentLimit(t, now)
-	return limit == rate.Unlimited || t.meter.CanSend(tb.fleet, limit, t.hash, now)
+	return (limit == rate.Unlimited || t.meter.CanSend(tb.fleet, limit, t.hash, now)) && tb.canSeat(t, criteria, now)
 }
 
 // AcquireSend counts a request that is about to be sent to a target and reports whether it
@@ -196,7 +207,7 @@
 // waiting until EndWait.
 func (tb *Table) IsExhausted(criteria Criteria, now time.Duration) (Backoff, bool) {
 	for _, t := range tb.services[criteria.Service] {
-		if tb.isUsable(t, criteria) && t.bannedUntil <= now && !tb.HasLimit(t, now) {
+		if tb.isUsable(t, criteria) && t.bannedUntil <= now && !tb.HasLimit(t, now) && !tb.HasRejectionLimit(t, now) {
 			return Backoff{}, false
 		}
 	}
@@ -217,8 +228,14 @@
 		s = &limitPressure{}
 		tb.pressure[criteria.Service] = s
 	}
+	seated := slices.ContainsFunc(exhausted, func(t *Target) bool { return tb.HasRejectionLimit(t, now) })
+	if seated {
+		if b, ok := tb.waitForSeat(criteria, now); ok {
+			return b
+		}
+	}
 	opens, share := tb.nextShare(exhausted, now)
-	if share > s.waiting && opens-now <= criteria.MaxWait {
+	if !seated && share > s.waiting && opens-now <= criteria.MaxWait {
 		s.waiting++
 		return Backoff{Wait: opens - now}
 	}
@@ -229,7 +246,7 @@
 	}
 	perSecond := 0.0
 	for _, t := range exhausted {
-		perSecond += tb.CurrentLimit(t, now)
+		perSecond += tb.acceptedRate(t, now)
 	}
 	seconds := s.refused * float64(max(1, criteria.Boxes)) / max(rate.MinRate, perSecond)
 	at, length := tb.fleet.Phase(now)
@@ -238,6 +255,16 @@
 	return b
 }
 
+// acceptedRate returns how many calls a second a target with a limit of either kind accepts from all
+// boxes.
+func (tb *Table) acceptedRate(t *Target, now time.Duration) float64 {
+	limit := tb.CurrentLimit(t, now)
+	if !tb.HasRejectionLimit(t, now) {
+		return limit
+	}
+	return min(limit, float64(tb.slotsOf(t, now))/tb.roomOf(t.Service).holdTime.Seconds())
+}
+
 // nextShare returns when the next window begins in which this box may send to any of the
 // targets, and how many requests it may then send to them.
 func (tb *Table) nextShare(exhausted []*Target, now time.Duration) (opens time.Duration, share int64) {
--- /dev/null
+++ b/models/spread/seats_test.go
@@ -0,0 +1,575 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package spread
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/rate"
+	"havenwinch.dev/havenwinch/tests/seeded"
+)
+
+// The users' platform lets a target fail that has to reject more calls in a second than it has
+// named, from rejectionGrace after it has begun to name a limit.
+const (
+	rejectionGrace = 3 * time.Second
+	targetDowntime = 3 * time.Second
+	// simReport is the time between two reports of a box to control.
+	simReport = 300 * time.Millisecond
+	simLength = 9 * time.Second
+	// noticingShare is the share of calls that their targets drop when the connection closes.
+	noticingShare = 0.8
+)
+
+// seatOmission is a part of the mechanism that is left out.
+type seatOmission int
+
+const (
+	nothingOmitted seatOmission = iota
+	// undividedSeats: each box takes all slots for its own.
+	undividedSeats
+	// ignoredLimit: rejection limits are not heard.
+	ignoredLimit
+	// alone: a box that has just started takes itself for the only one.
+	alone
+)
+
+// seatSim is a fleet of boxes that send calls to the targets of one service, in virtual time.
+type seatSim struct {
+	rng     *rand.Rand
+	now     time.Duration
+	events  eventQueue
+	boxes   []*simBox
+	targets []*simTarget
+	omit    seatOmission
+	// work is the mean time that a call needs, and limit the rejection limit.
+	work  time.Duration
+	limit float64
+	// engines is set if the targets are engines.
+	engines bool
+	told    map[string]rate.Statement
+	// hold is the mean hold time as control reckons it, toldHold what boxes are told.
+	hold, toldHold time.Duration
+
+	offered, served, refused, refusedLate, rejected, failures int
+	waited                                                    time.Duration
+}
+
+type simBox struct {
+	name  string
+	table *Table
+	// start increases when the box restarts.
+	start int
+	// cut is set while the box doesn't reach control, known once it knows the other boxes.
+	cut, known bool
+	weight     float64
+	// cancels end the calls of the box at targets that notice that their connections have closed.
+	cancels []func()
+	// waiters wake the calls that wait for a seat, by ticket.
+	waiters map[int64]func()
+}
+
+type simTarget struct {
+	id               string
+	slots, queue     int
+	running, waiting int
+	waiters          []func()
+	rejections       []time.Duration
+	downUntil        time.Duration
+	start            int64
+}
+
+type simEvent struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type eventQueue struct {
+	list []simEvent
+	seq  int
+}
+
+func (q *eventQueue) Len() int { return len(q.list) }
+func (q *eventQueue) Less(i, j int) bool {
+	return q.list[i].at < q.list[j].at || q.list[i].at == q.list[j].at && q.list[i].seq < q.list[j].seq
+}
+func (q *eventQueue) Swap(i, j int) { q.list[i], q.list[j] = q.list[j], q.list[i] }
+func (q *eventQueue) Push(x any)    { q.list = append(q.list, x.(simEvent)) }
+func (q *eventQueue) Pop() any {
+	last := q.list[len(q.list)-1]
+	q.list = q.list[:len(q.list)-1]
+	return last
+}
+
+func (s *seatSim) after(d time.Duration, do func()) {
+	s.events.seq++
+	heap.Push(&s.events, simEvent{at: s.now + d, seq: s.events.seq, do: do})
+}
+
+func (s *seatSim) latency() time.Duration {
+	return time.Duration(500+s.rng.Intn(2000)) * time.Microsecond
+}
+
+// seatFleet describes a fleet and the targets of its service.
+type seatFleet struct {
+	boxes, targets, slots, queue int
+	work                         time.Duration
+	engines                      bool
+}
+
+func newSeatSim(seed int64, f seatFleet, limit float64, omit seatOmission) *seatSim {
+	s := &seatSim{rng: rand.New(rand.NewSource(seed)), omit: omit, work: f.work, engines: f.engines, limit: limit, told: map[string]rate.Statement{}}
+	for i := range f.targets {
+		s.targets = append(s.targets, &simTarget{id: fmt.Sprintf("t%d", i), slots: f.slots, queue: f.queue})
+	}
+	for i := range f.boxes {
+		b := &simBox{name: fmt.Sprintf("box-%d", i), weight: 0.4 + 1.2*s.rng.Float64(), known: true}
+		s.boxes = append(s.boxes, b)
+	}
+	for _, b := range s.boxes {
+		s.startBox(b)
+	}
+	return s
+}
+
+// startBox gives a box an empty table.
+func (s *seatSim) startBox(b *simBox) {
+	b.start++
+	for _, cancel := range b.cancels {
+		cancel()
+	}
+	b.cancels, b.waiters = nil, map[int64]func(){}
+	b.table = NewTable("dc")
+	for _, t := range s.targets {
+		b.table.Put(s.rowOf(t), s.now)
+	}
+	b.table.RetainOnly(s.ids())
+	if s.engines {
+		b.table.SetEngineTerms(map[string]EngineTerms{"s": {Slots: s.targets[0].slots}})
+	}
+	s.setFleet(b)
+	s.report(b, b.start)
+}
+
+func (s *seatSim) ids() map[string]bool {
+	ids := map[string]bool{}
+	for _, t := range s.targets {
+		ids[t.id] = true
+	}
+	return ids
+}
+
+func (s *seatSim) rowOf(t *simTarget) *statev1.RegisteredTarget {
+	return &statev1.RegisteredTarget{Id: t.id, Service: "s", Address: t.id + ":1", DataCentre: "dc", State: statev1.RegisteredTarget_STATE_READY, Slots: uint32(t.slots), Born: t.start}
+}
+
+func (s *seatSim) setFleet(b *simBox) {
+	var names []string
+	for _, other := range s.boxes {
+		names = append(names, other.name)
+	}
+	switch {
+	case s.omit == undividedSeats || s.omit == alone && !b.known:
+		names = []string{b.name}
+	case !b.known:
+		names = nil
+	}
+	b.table.SetFleet(rate.NewFleet(b.name, names, time.Hour))
+}
+
+// report exchanges rejection limits with control.
+func (s *seatSim) report(b *simBox, start int) {
+	if b.start != start {
+		return
+	}
+	s.after(simReport, func() { s.report(b, start) })
+	if b.cut {
+		return
+	}
+	if !b.known {
+		b.known = true
+		s.setFleet(b)
+	}
+	for _, l := range b.table.RejectionLimitsToTell(s.now) {
+		s.told[l.Service] = rate.Statement{Limit: l.PerSecond, Received: s.now - l.Age}
+		switch {
+		case s.hold == 0:
+			s.hold = l.HoldTime
+		case l.HoldTime > 0:
+			s.hold += (l.HoldTime - s.hold) / 10
+		}
+		if ratio := float64(s.hold) / float64(max(1, s.toldHold)); ratio > 1.2 || ratio < 1/1.2 {
+			s.toldHold = s.hold
+		}
+	}
+	for service, l := range s.told {
+		b.table.RecordPeerRejectionLimit(RejectionLimit{Service: service, PerSecond: l.Limit, Age: s.now - l.Received, HoldTime: s.toldHold}, s.now)
+	}
+}
+
+// arrive lets calls arrive at a rate that may change, as long as the simulation lasts.
+func (s *seatSim) arrive(perSecond func(at time.Duration) float64) {
+	total := 0.0
+	for _, b := range s.boxes {
+		total += b.weight
+	}
+	s.after(time.Duration(s.rng.ExpFloat64()/perSecond(s.now)*float64(time.Second)), func() {
+		draw := s.rng.Float64() * total
+		b := s.boxes[len(s.boxes)-1]
+		for _, other := range s.boxes {
+			if draw -= other.weight; draw < 0 {
+				b = other
+				break
+			}
+		}
+		if s.now < simLength {
+			if s.now >= rejectionGrace {
+				s.offered++
+			}
+			s.place(b, &simCall{maxWait: time.Second, excluded: map[string]bool{}, counts: s.now >= rejectionGrace})
+			s.arrive(perSecond)
+		}
+	})
+}
+
+type simCall struct {
+	maxWait  time.Duration
+	excluded map[string]bool
+	withheld int
+	ticket   int64
+	retried  bool
+	counts   bool
+}
+
+func (s *seatSim) refuse(c *simCall) {
+	if c.counts {
+		s.refused++
+	}
+}
+
+// place chooses a target for a call at a box and sends it there.
+func (s *seatSim) place(b *simBox, c *simCall) {
+	start := b.start
+	choice := b.table.Choose(Criteria{Service: "s", Boxes: len(s.boxes), Exclude: c.excluded, MaxSeatWait: c.maxWait, Ticket: c.ticket}, s.now)
+	t := choice.Target
+	if t == nil {
+		if choice.Backoff.Wait <= 0 {
+			b.table.LeaveQueue("s", c.ticket)
+			s.refuse(c)
+			if c.ticket != 0 && c.counts {
+				s.refusedLate++
+			}
+			return
+		}
+		c.ticket = choice.Backoff.Ticket
+		began, woken := s.now, false
+		wake := func() {
+			if woken || b.start != start {
+				return
+			}
+			woken = true
+			c.maxWait -= s.now - began
+			s.waited += s.now - began
+			delete(b.waiters, c.ticket)
+			if c.ticket == 0 {
+				b.table.EndWait("s")
+			}
+			s.place(b, c)
+		}
+		if c.ticket != 0 {
+			b.waiters[c.ticket] = wake
+		}
+		s.after(choice.Backoff.Wait, wake)
+		return
+	}
+	b.table.LeaveQueue("s", c.ticket)
+	c.ticket = 0
+	t.RunningCalls++
+	if !b.table.AcquireSeat(t, s.now) {
+		t.RunningCalls--
+		if c.withheld++; c.withheld < 5 {
+			s.place(b, c)
+		} else {
+			s.refuse(c)
+		}
+		return
+	}
+	sent := s.now
+	s.after(s.latency(), func() {
+		s.reach(b, s.targetOf(t.ID), func(ok, full, gone bool) {
+			s.after(s.latency(), func() { s.answered(b, start, t, c, sent, ok, full, gone) })
+		})
+	})
+}
+
+func (s *seatSim) targetOf(id string) *simTarget {
+	for _, t := range s.targets {
+		if t.id == id {
+			return t
+		}
+	}
+	return nil
+}
+
+// reach handles a call that reaches a target, and answers it when it has ended.
+func (s *seatSim) reach(b *simBox, t *simTarget, answer func(ok, full, gone bool)) {
+	if s.now < t.downUntil {
+		answer(false, false, true)
+		return
+	}
+	start := t.start
+	run := func() {
+		t.running++
+		ended := false
+		end := func(ok bool) {
+			if ended {
+				return
+			}
+			ended = true
+			if t.start != start {
+				answer(false, false, true)
+				return
+			}
+			t.running--
+			answer(ok, false, false)
+			if len(t.waiters) > 0 {
+				next := t.waiters[0]
+				t.waiters = t.waiters[1:]
+				next()
+			}
+		}
+		s.after(time.Duration(float64(s.work)*(0.5+s.rng.ExpFloat64()/2)), func() { end(true) })
+		if s.rng.Float64() < noticingShare {
+			b.cancels = append(b.cancels, func() { end(false) })
+		}
+	}
+	switch {
+	case t.running < t.slots:
+		run()
+	case len(t.waiters) < t.queue:
+		t.waiters = append(t.waiters, run)
+	default:
+		s.reject(t)
+		answer(false, true, false)
+	}
+}
+
+// reject counts a rejection; the target fails if there are too many.
+func (s *seatSim) reject(t *simTarget) {
+	t.rejections = append(t.rejections, s.now)
+	recent := 0
+	for i := len(t.rejections) - 1; i >= 0 && s.now-t.rejections[i] < time.Second; i-- {
+		recent++
+	}
+	if s.now < rejectionGrace {
+		return
+	}
+	s.rejected++
+	if float64(recent) > s.limit {
+		s.failures++
+		t.start++
+		t.running, t.waiters, t.downUntil = 0, nil, s.now+targetDowntime
+	}
+}
+
+// answered handles the answer to a call at its box.
+func (s *seatSim) answered(b *simBox, start int, t *Target, c *simCall, sent time.Duration, ok, full, gone bool) {
+	if b.start != start {
+		return
+	}
+	t.RunningCalls--
+	for _, ticket := range b.table.FirstWaiting("s", s.now) {
+		if wake := b.waiters[ticket]; wake != nil {
+			s.after(0, wake)
+		}
+	}
+	if !gone && s.omit != ignoredLimit {
+		b.table.RecordRejectionLimit(t, rate.Statement{Limit: s.limit, Sent: sent, Received: s.now})
+	}
+	switch {
+	case ok:
+		b.table.MarkReachable(t, s.now)
+		b.table.RecordAcceptance(t)
+		b.table.RecordHoldTime(t, s.now-sent)
+		if c.counts {
+			s.served++
+		}
+		return
+	case full:
+		b.table.RecordRejection(t, s.now)
+	case gone:
+		b.table.BanUnreachable(t, s.now)
+	}
+	c.excluded[t.StartIdentity()] = true
+	if c.retried {
+		s.refuse(c)
+		return
+	}
+	c.retried = true
+	s.place(b, c)
+}
+
+func (s *seatSim) run() {
+	for s.events.Len() > 0 {
+		e := heap.Pop(&s.events).(simEvent)
+		if e.at > simLength+2*time.Second {
+			return
+		}
+		s.now = e.at
+		e.do()
+	}
+}
+
+// restartBoxes restarts a box every interval.
+func (s *seatSim) restartBoxes(interval time.Duration) {
+	s.after(interval, func() {
+		b := s.boxes[s.rng.Intn(len(s.boxes))]
+		b.known = false
+		s.startBox(b)
+		s.restartBoxes(interval)
+	})
+}
+
+// seatLoad is a load of a fleet in multiples of what its targets can run.
+type seatLoad struct {
+	perSecond func(at time.Duration) float64
+	restarts  time.Duration
+	cut       float64
+}
+
+func (s *seatSim) play(l seatLoad) {
+	capacity := 0.0
+	for _, t := range s.targets {
+		capacity += float64(t.slots) / s.work.Seconds()
+	}
+	for _, b := range s.boxes {
+		b.cut = s.rng.Float64() < l.cut
+	}
+	if l.restarts > 0 {
+		s.restartBoxes(l.restarts)
+	}
+	s.arrive(func(at time.Duration) float64 { return capacity * l.perSecond(at) })
+	s.run()
+}
+
+func steadyLoad(factor float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return factor }
+}
+
+// burstyLoad is base, and peak for half a second of each 3.5 s.
+func burstyLoad(base, peak float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at%(3500*time.Millisecond) < 500*time.Millisecond {
+			return peak
+		}
+		return base
+	}
+}
+
+// seatFleets are fleets of the users' sizes.
+var seatFleets = map[string]seatFleet{
+	"6 boxes, no waiting calls": {boxes: 6, targets: 3, slots: 6, queue: 0, work: 60 * time.Millisecond},
+	"8 boxes, plain service":    {boxes: 8, targets: 4, slots: 6, queue: 1, work: 60 * time.Millisecond},
+	"8 boxes, engines":          {boxes: 8, targets: 12, slots: 64, queue: 2, work: 1500 * time.Millisecond, engines: true},
+	"86 boxes, plain service":   {boxes: 86, targets: 5, slots: 6, queue: 1, work: 60 * time.Millisecond},
+	"86 boxes, engines":         {boxes: 86, targets: 40, slots: 12, queue: 1, work: 1500 * time.Millisecond, engines: true},
+	"300 boxes, plain service":  {boxes: 300, targets: 5, slots: 6, queue: 1, work: 60 * time.Millisecond},
+}
+
+var seatLoads = map[string]seatLoad{
+	"light":              {perSecond: steadyLoad(0.25)},
+	"overload":           {perSecond: steadyLoad(2.5)},
+	"bursts":             {perSecond: burstyLoad(0.25, 4)},
+	"boxes that restart": {perSecond: steadyLoad(2.5), restarts: 300 * time.Millisecond},
+	"cut from control":   {perSecond: steadyLoad(2.5), cut: 0.5},
+}
+
+// allowedFailures is how many targets of a service the users' platform lets fail in one time in
+// which they name rejection limits.
+func allowedFailures(targets int) int { return 2 + targets/10 }
+
+// Guards against boxes that together send more to a full target than it can reject.
+func TestTargetsWithARejectionLimitStayUp(t *testing.T) {
+	for name, f := range seatFleets {
+		for load, l := range seatLoads {
+			t.Run(name+", "+load, func(t *testing.T) {
+				t.Parallel()
+				const limit = 4
+				s := newSeatSim(1, f, limit, nothingOmitted)
+				s.play(l)
+				t.Log(s.result())
+				if s.failures > allowedFailures(f.targets) {
+					t.Errorf("%d targets failed, want at most %d", s.failures, allowedFailures(f.targets))
+				}
+			})
+		}
+	}
+}
+
+// randomSeatSim returns a fleet of 6 to 360 boxes and a load, both random.
+func randomSeatSim(seed int64, omit seatOmission) (*seatSim, seatLoad) {
+	rng := rand.New(rand.NewSource(seed))
+	f := seatFleet{boxes: 6 + rng.Intn(10), targets: 3 + rng.Intn(6), slots: 4 + rng.Intn(12), queue: rng.Intn(3), work: time.Duration(20+rng.Intn(180)) * time.Millisecond}
+	if rng.Intn(4) == 0 {
+		f.boxes = 16 + rng.Intn(345)
+	}
+	l := seatLoad{perSecond: steadyLoad(0.1 + 3*rng.Float64())}
+	if rng.Intn(2) == 0 {
+		l.perSecond = burstyLoad(0.1+rng.Float64(), 1+3*rng.Float64())
+	}
+	if rng.Intn(2) == 0 {
+		l.restarts = time.Duration(300+rng.Intn(1500)) * time.Millisecond
+	}
+	if rng.Intn(2) == 0 {
+		l.cut = rng.Float64()
+	}
+	return newSeatSim(seed, f, float64(4+rng.Intn(20)), omit), l
+}
+
+// Random fleets and loads; HAVENWINCH_SCHEDULES sets how many.
+func TestRandomRejectionLimits(t *testing.T) {
+	for seed := range seeded.Schedules(t, 40) {
+		s, l := randomSeatSim(int64(seed), nothingOmitted)
+		s.play(l)
+		if most := allowedFailures(len(s.targets)); s.failures > most {
+			t.Errorf("seed %d, %d boxes, %d targets of %d slots: %d failed, want at most %d; %s", seed, len(s.boxes), len(s.targets), s.targets[0].slots, s.failures, most, s.result())
+		}
+	}
+}
+
+// Without any part of the mechanism targets fail.
+func TestEachPartOfSeatsIsNeeded(t *testing.T) {
+	tests := map[string]struct {
+		omit seatOmission
+		load seatLoad
+	}{
+		"each box takes all slots":                 {omit: undividedSeats, load: seatLoads["overload"]},
+		"rejection limits are not heard":           {omit: ignoredLimit, load: seatLoads["overload"]},
+		"a box that starts takes itself for alone": {omit: alone, load: seatLoad{perSecond: steadyLoad(2.5), restarts: 300 * time.Millisecond, cut: 1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := seatFleets["8 boxes, plain service"]
+			s := newSeatSim(1, f, 4, test.omit)
+			s.play(test.load)
+			t.Log(s.result())
+			if s.failures <= allowedFailures(f.targets) {
+				t.Error("no more targets failed than allowed")
+			}
+		})
+	}
+}
+
+// result tells what became of the calls that came once the limit counted.
+func (s *seatSim) result() string {
+	capacity := float64(len(s.targets)*s.targets[0].slots) / s.work.Seconds() * (simLength - rejectionGrace).Seconds()
+	return fmt.Sprintf("limit %g: %d offered, %d served (%.2f of capacity), %d refused (%d after a wait), %d rejected, %d failures, %.1f ms waited", s.limit, s.offered, s.served, float64(s.served)/capacity,
+		s.refused, s.refusedLate, s.rejected, s.failures, s.waited.Seconds()*1000/float64(max(1, s.offered)))
+}
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -68,8 +68,12 @@
 	TellsNoStart bool
 	// RunningCalls counts this box's calls at the target.
 	RunningCalls int
-	// WaitingTokens counts the prompt tokens of this box's calls that have had no event yet.
-	WaitingTokens int
+	// WaitingTokens counts the prompt tokens of this box's calls that have had no event yet, and
+	// HeldTokens the most that all its calls may hold in the target's memory.
+	WaitingTokens, HeldTokens int
+	// Slots is how many calls the target works on at once.
+	Slots int
+	room  targetRoom
 	// limit is what the target accepts from all boxes, meter what this box has sent.
 	limit rate.Limit
 	meter rate.Meter
@@ -150,8 +154,18 @@
 	// evacuations has the last known row of each data centre that was ever evacuated.
 	evacuations map[string]*statev1.Evacuation
 
-	fleet    rate.Fleet
-	pressure map[string]*limitPressure
+	fleet rate.Fleet
+	// fleetRevision increases when the boxes of the fleet change. rank is this box's position
+	// among them.
+	fleetRevision uint64
+	rank          int
+	// listRevision increases when a service gets or loses a target.
+	listRevision uint64
+	rooms        map[string]*roomStats
+	// hasRejectionLimits is set once any target has named a rejection limit.
+	hasRejectionLimits bool
+	engineTerms        map[string]EngineTerms
+	pressure           map[string]*limitPressure
 	// unannounced are the targets whose limits are to be announced to the other boxes.
 	unannounced []*Target
 }
@@ -161,6 +175,7 @@
 	return &Table{
 		dataCentre: dataCentre, byID: map[string]*Target{}, services: map[string][]*Target{},
 		prefill: map[string]*prefillStats{}, evacuations: map[string]*statev1.Evacuation{}, pressure: map[string]*limitPressure{},
+		rooms: map[string]*roomStats{},
 	}
 }
 
@@ -197,6 +212,7 @@
 		t.revision = row.GetRevision()
 		t.RecordCold(time.Duration(row.GetCold())*time.Millisecond, now)
 	}
+	t.Slots = int(row.GetSlots())
 	t.Draining = row.GetState() == statev1.RegisteredTarget_STATE_DRAINING
 	t.hasAnnouncedEnd = t.hasAnnouncedEnd || t.Draining
 }
@@ -212,6 +228,7 @@
 	list := tb.services[t.Service]
 	at, _ := slices.BinarySearchFunc(list, t, func(a, b *Target) int { return cmp.Compare(a.hash, b.hash) })
 	tb.services[t.Service] = slices.Insert(list, at, t)
+	tb.listRevision++
 }
 
 func (tb *Table) remove(t *Target) {
@@ -220,6 +237,7 @@
 	}
 	t.Draining = true
 	delete(tb.byID, t.ID)
+	tb.listRevision++
 	list := tb.services[t.Service]
 	for i, other := range list {
 		if other == t {
@@ -260,8 +278,9 @@
 	Service string
 	// Affinity is the hash of the shared prefix of the prompt, zero without one.
 	Affinity uint64
-	// UnsharedTokens counts the prompt tokens that are not shared with other calls.
-	UnsharedTokens int
+	// UnsharedTokens counts the prompt tokens that are not shared with other calls, and Tokens the
+	// most that the call may hold in the memory of its target.
+	UnsharedTokens, Tokens int
 	// MaxPause is the longest pause that the route allows a stream, zero for no bound.
 	MaxPause time.Duration
 	// Boxes is how many boxes send calls. Each sees only its own.
@@ -272,8 +291,10 @@
 	Software software.Identity
 	// Rank is the urgency of the call, zero being the most urgent.
 	Rank uint32
-	// MaxWait is how long the call may wait for a target whose limit is used up.
-	MaxWait time.Duration
+	// MaxWait is how long the call may wait for a target whose limit is used up, and MaxSeatWait
+	// how long for one at which this box has no seat. Ticket is that of its last Backoff.
+	MaxWait, MaxSeatWait time.Duration
+	Ticket               int64
 }
 
 // Choice is the result of Choose.
@@ -323,7 +344,7 @@
 	// would use up the limits.
 	n := min(r.dedicatedTargets(len(candidates), criteria.Boxes, now), found.unlimited)
 	dedicated, others := candidates[:n], candidates[n:]
-	c.Target = tb.pick(criteria, others, now)
+	c.Target = tb.pick(criteria, others, found.unlimited == 0, now)
 	if long && len(dedicated) > 0 {
 		c.IsDedicated = true
 		c.AffinityTarget, c.Target = c.Target, leastWaiting(dedicated, criteria.Affinity)
@@ -383,7 +404,12 @@
 
 // pick chooses among the candidates for a call: by the shared prefix as far as their
 // loads allow, otherwise the least loaded.
-func (tb *Table) pick(criteria Criteria, candidates []*Target, now time.Duration) *Target {
+func (tb *Table) pick(criteria Criteria, candidates []*Target, allLimited bool, now time.Duration) *Target {
+	if allLimited && tb.HasRejectionLimit(candidates[0], now) {
+		if tb.takesTurns(criteria.Service, now) {
+			return tb.inTurn(criteria.Service, candidates, now)
+		}
+	}
 	if criteria.Affinity == 0 {
 		return tb.leastLoaded(candidates)
 	}
@@ -430,7 +456,7 @@
 	// without a limit, unlimited in number, then those with one.
 	sendable  []*Target
 	unlimited int
-	// exhausted are the targets whose limits keep this box from sending to them now.
+	// exhausted are the targets whose limits, or missing seats, keep this box from sending to them now.
 	exhausted []*Target
 }
 
@@ -449,9 +475,9 @@
 		case !tb.isUsable(t, criteria):
 		case t.bannedUntil > now:
 			banned = append(banned, t)
-		case !tb.HasLimit(t, now):
+		case !tb.HasLimit(t, now) && !tb.HasRejectionLimit(t, now):
 			found.sendable = append(found.sendable, t)
-		case tb.sendable(t, now):
+		case tb.sendable(t, criteria, now):
 			limited = append(limited, t)
 		default:
 			found.exhausted = append(found.exhausted, t)
@@ -467,7 +493,7 @@
 		return found
 	}
 	for _, t := range banned {
-		if tb.sendable(t, now) {
+		if tb.sendable(t, criteria, now) {
 			found.sendable = append(found.sendable, t)
 		}
 	}
--- a/services/control/gateway.go
+++ b/services/control/gateway.go
@@ -42,6 +42,7 @@
 	entryBoxes directory
 	readings   readings
 	limits     limits
+	rejections rejectionLimits
 	wallClocks map[string]wallClockReading
 	throttle   sweepThrottle
 	// loggedHolders holds the holders for which a failed reclaim has been logged.
--- a/services/control/limits.go
+++ b/services/control/limits.go
@@ -141,6 +141,11 @@
 		g.limits.compact(registered)
 		resp.Limits, resp.LimitsRevision = g.limits.changedAfter(r.GetLimitsList(), r.GetLimitsRevision(), now)
 		resp.LimitsList = g.limits.listID
+		if g.rejections == nil {
+			g.rejections = rejectionLimits{}
+		}
+		g.rejections.put(r.GetRejectionLimits(), now)
+		resp.RejectionLimits = g.rejections.list(now)
 	})
 	resp.FleetTime = g.Clock.Wall().UnixMilli()
 }
--- a/services/forward/choose.go
+++ b/services/forward/choose.go
@@ -32,6 +32,7 @@
 // choose selects a target and acquires a slot there. If all are at their rate limit it waits
 // for the next window where that is near enough.
 func (fl *inflightCall) choose(ctx context.Context) spread.Choice {
+	defer fl.leaveQueue()
 	for {
 		c := fl.chooseNow(ctx)
 		if c.Target != nil || c.LimitedTargets == 0 || !fl.waitLimited(ctx, c.Backoff) {
@@ -43,8 +44,8 @@
 // criteria returns the call's criteria for a target.
 func (fl *inflightCall) criteria() spread.Criteria {
 	return spread.Criteria{
-		Service: fl.service.GetName(), Affinity: fl.call.Affinity, UnsharedTokens: int(fl.call.UnsharedTokens), Boxes: fl.f.opts.Leases.Boxes(), Exclude: fl.excluded, Software: fl.software,
-		MaxPause: time.Duration(fl.route.GetPause()) * time.Millisecond, Rank: fl.rank(), MaxWait: fl.limitWaitLeft(),
+		Service: fl.service.GetName(), Affinity: fl.call.Affinity, UnsharedTokens: int(fl.call.UnsharedTokens), Tokens: fl.mostTokens(), Boxes: fl.f.opts.Leases.Boxes(), Exclude: fl.excluded, Software: fl.software,
+		MaxPause: time.Duration(fl.route.GetPause()) * time.Millisecond, Rank: fl.rank(), MaxWait: fl.limitWaitLeft(maxLimitWait), MaxSeatWait: fl.limitWaitLeft(maxSeatWait), Ticket: fl.ticket,
 	}
 }
 
@@ -70,6 +71,7 @@
 	fl.f.mu.Lock()
 	defer fl.f.mu.Unlock()
 	t.RunningCalls++
+	t.HeldTokens += fl.mostTokens()
 	fl.waitingTokens = int(fl.call.InputTokens)
 	t.WaitingTokens += fl.waitingTokens
 }
@@ -108,7 +110,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t.RunningCalls--
+	t.HeldTokens -= fl.mostTokens()
 	fl.clearWaitingTokens(t)
+	fl.recordRoom(t, a, now)
+	f.wakeSeatWaiters(t.Service, now)
 	switch a.verdict {
 	case unreachable:
 		lostLinks := f.reach.IsLost(t.Service) && !a.carried
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -150,6 +150,10 @@
 	limitsList     string
 	limitsRevision uint64
 	limitsInReport []*spread.Target
+	// controlHeard is set once control has answered a report, and with it told the limits of targets.
+	controlHeard bool
+	// seatWaiters has, for each call that waits for a seat, a channel that wakes it.
+	seatWaiters map[seatWaiter]chan struct{}
 	// limitsReported is when a limit was last reported ahead of schedule.
 	limitsReported time.Duration
 	// loggedDedicated is the last logged number of dedicated targets, by service.
@@ -162,7 +166,7 @@
 		opts.IsCongested = func() bool { return false }
 	}
 	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, pool: newPool(opts.Clock.Boot, opts.Meter, opts.IsCongested), targets: spread.NewTable(opts.DataCentre), ready: make(chan struct{}), breaks: map[*spread.Target]*targetBreaks{},
-		reach: reach.NewTracker(), nextProbe: map[string]int{}, checks: map[string]chan struct{}{}}
+		reach: reach.NewTracker(), nextProbe: map[string]int{}, checks: map[string]chan struct{}{}, seatWaiters: map[seatWaiter]chan struct{}{}}
 	f.pool.isLost, f.pool.relay, f.pool.dialled = f.isLost, f.dialRelay, f.recordDial
 	// Until control sends the fleet's clock, this box's wall clock is a close estimate.
 	f.fleet = rate.NewFleet(opts.Box, nil, time.Duration(opts.Clock.Wall().UnixNano())-f.started)
@@ -184,7 +188,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opts.Clock.Boot()
-	f.refreshColdTerms(index)
+	f.refreshTerms(index)
 	if revision != f.targetRevision {
 		f.targetRevision = revision
 		f.refreshTargets(rows, now)
@@ -193,9 +197,7 @@
 		f.evacuationRevision = evacuationRevision
 		f.targets.SetEvacuations(evacuations, now)
 	}
-	if f.targets.Len() > 0 && index != nil {
-		f.markReady()
-	}
+	f.markReady(index)
 }
 
 // refreshTargets replaces the targets by those of all rows. The caller holds f.mu.
@@ -209,22 +211,35 @@
 	f.reportReplaced()
 }
 
-// refreshColdTerms sets the terms of cold targets from a routing table, unless they are
-// known; index is nil before the first table. The caller holds f.mu.
-func (f *Forwarder) refreshColdTerms(index *routing.Index) {
+// refreshTerms sets the terms of cold targets and of engines from a routing table, unless they
+// are known; index is nil before the first table. The caller holds f.mu.
+func (f *Forwarder) refreshTerms(index *routing.Index) {
 	if index == nil || index.Table.GetVersion() == f.tableVersion {
 		return
 	}
 	f.tableVersion = index.Table.GetVersion()
 	terms := make(map[string]spread.ColdTerms, len(index.Table.GetServices()))
+	engines := map[string]spread.EngineTerms{}
 	for _, s := range index.Table.GetServices() {
 		terms[s.GetName()] = spread.ColdTerms{Rate: s.GetColdRate(), Start: time.Duration(s.GetColdStart()) * time.Millisecond}
+		if e := s.GetEngine(); e != nil {
+			engines[s.GetName()] = spread.EngineTerms{Slots: int(e.GetSlots()), Capacity: int(e.GetCapacity())}
+		}
 	}
+	f.targets.SetEngineTerms(engines)
 	f.targets.SetColdTerms(terms)
 }
 
-// markReady releases the calls that wait for the first table. The caller holds f.mu.
-func (f *Forwarder) markReady() {
+// markReady releases the calls that wait for the first table, once it has arrived and control has
+// told what limits the targets have. The caller holds f.mu.
+func (f *Forwarder) markReady(index *routing.Index) {
+	if f.targets.Len() == 0 || index == nil {
+		return
+	}
+	if !f.controlHeard && f.opts.ReportNow != nil {
+		f.opts.ReportNow()
+		return
+	}
 	select {
 	case <-f.ready:
 	default:
@@ -328,6 +343,7 @@
 	if refusal := fl.resolveSoftware(ctx); refusal != nil {
 		return refusal
 	}
+	defer fl.leaveQueue()
 	if refusal := fl.refuseIfLimited(ctx); refusal != nil {
 		return refusal
 	}
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -80,8 +80,12 @@
 	// startCheck brings the answer of the present target to the query for its start; nil if it isn't
 	// asked.
 	startCheck <-chan startAnswer
+	// sentAt is when the call was last sent, zero if it has not been sent to the present target.
+	sentAt time.Duration
 	// limitWait is how long the call has waited for rate-limited targets.
 	limitWait time.Duration
+	// ticket is the call's place among those that wait for a seat, zero for none.
+	ticket int64
 }
 
 // trackingSink records how much of the answer was sent, when the caller got its first byte, and
--- a/services/forward/limits.go
+++ b/services/forward/limits.go
@@ -35,9 +35,11 @@
 	// maxLoggedLimit limits the text of a limit in a log line, in bytes.
 	maxLoggedLimit = 40
 	// maxLimitWait limits how long a call waits for the next window of rate-limited targets:
-	// the shortest window and a margin. limitWaitShare limits it to a share of the call's
+	// the shortest window and a margin. maxSeatWait limits how long it waits for a seat at a
+	// target with a rejection limit. limitWaitShare limits both to a share of the call's
 	// remaining time.
 	maxLimitWait   = 600 * time.Millisecond
+	maxSeatWait    = time.Second
 	limitWaitShare = 0.25
 )
 
@@ -52,14 +54,16 @@
 	limitWaited     = "waited"
 	limitRefused    = "refused"
 	limitEvacuated  = "evacuated"
+	limitNoSeat     = "no seat"
+	limitRejected   = "rejected"
 )
 
 // errLimited means that a request was not sent because this box's share of the target's rate
-// limit is used up.
-var errLimited = errors.New("this box's share of the target's rate limit is used up")
+// limit, or of its slots, is used up.
+var errLimited = errors.New("this box's share of what the target accepts is used up")
 
-// countRequest counts a request to a target against its rate limit. It returns errLimited if
-// this box's share is used up, and errEvacuated if the target's data centre is evacuated.
+// countRequest counts a request to a target against its rate limit, and a call against its slots
+// while it has a rejection limit. It returns errLimited if this box's share of either is used up, and errEvacuated if the target's data centre is evacuated.
 func (f *Forwarder) countRequest(t *spread.Target, call *Call, now time.Duration) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -68,6 +72,10 @@
 		return errors.WithStack(errEvacuated)
 	}
 	limited := f.targets.HasLimit(t, now)
+	if !call.Internal && !call.Resumes && !f.targets.AcquireSeat(t, now) {
+		f.opts.Counter.Limit(limitNoSeat)
+		return errors.WithStack(errLimited)
+	}
 	if !f.targets.AcquireSend(t, call.Resumes, now) {
 		f.opts.Counter.Limit(limitWithheld)
 		return errors.WithStack(errLimited)
@@ -86,11 +94,12 @@
 	return nil
 }
 
-// isLimited reports whether a target has a rate limit at present.
+// isLimited reports whether a target has a rate limit or a rejection limit at present.
 func (f *Forwarder) isLimited(t *spread.Target) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.targets.HasLimit(t, f.opts.Clock.Boot())
+	now := f.opts.Clock.Boot()
+	return f.targets.HasLimit(t, now) || f.targets.HasRejectionLimit(t, now)
 }
 
 // readLimit reads the rate limit from the header of an answer.
@@ -155,7 +164,7 @@
 
 // reportLimitsSoon makes this box report to control ahead of schedule. The caller holds f.mu.
 func (f *Forwarder) reportLimitsSoon(now time.Duration) {
-	if f.opts.ReportNow == nil || !f.targets.HasAnnouncements() || now-f.limitsReported < limitReportInterval {
+	if f.opts.ReportNow == nil || !f.targets.HasAnnouncements() && !f.targets.HasRejectionLimitsToTell(now) || now-f.limitsReported < limitReportInterval {
 		return
 	}
 	f.limitsReported = now
@@ -168,7 +177,7 @@
 func (f *Forwarder) HasLimits() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.targets.HasAnnouncements()
+	return f.targets.HasAnnouncements() || f.targets.HasRejectionLimitsToTell(f.opts.Clock.Boot())
 }
 
 // TellLimits implements the Placement interface of the leases.
@@ -178,6 +187,7 @@
 	r.LimitsList, r.LimitsRevision = f.limitsList, f.limitsRevision
 	f.limitsInReport = f.targets.TakeAnnouncements(max(1, fleetLimitsPerRound/max(1, f.fleet.Boxes())))
 	now := f.opts.Clock.Boot()
+	r.RejectionLimits = f.tellRejectionLimits(now)
 	for _, t := range f.limitsInReport {
 		r.Limits = append(r.Limits, t.Statement().Message(t.ID, t.Born, t.Service, now))
 	}
@@ -194,6 +204,9 @@
 		return
 	}
 	f.limitsInReport = nil
+	f.controlHeard = true
+	f.learnRejectionLimits(resp)
+	f.markReady(f.opts.Store.Index())
 	if resp.GetLimitsList() == "" {
 		// Control boxes of an earlier version have no list and send no clock.
 		return
@@ -259,24 +272,72 @@
 		return false
 	}
 	fl.f.opts.Counter.Limit(limitWaited)
-	fl.limitWait += w.Wait
+	fl.ticket = w.Ticket
 	timer := time.NewTimer(w.Wait)
 	defer timer.Stop()
+	began := fl.now
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+	case <-fl.seatFreed():
 	}
-	fl.tick()
+	fl.limitWait += fl.tick() - began
 	fl.f.mu.Lock()
 	defer fl.f.mu.Unlock()
-	fl.f.targets.EndWait(fl.service.GetName())
+	if w.Ticket == 0 {
+		fl.f.targets.EndWait(fl.service.GetName())
+	}
 	return ctx.Err() == nil
 }
 
-// limitWaitLeft returns how long the call may still wait for a next window.
-func (fl *inflightCall) limitWaitLeft() time.Duration {
+// limitWaitLeft returns how long the call may still wait for a target, of at most the given time.
+func (fl *inflightCall) limitWaitLeft(most time.Duration) time.Duration {
 	share := time.Duration(limitWaitShare * float64(fl.remaining()))
-	return min(maxLimitWait, share) - fl.limitWait
+	return min(most, share) - fl.limitWait
+}
+
+// leaveQueue ends the call's wait for a seat.
+func (fl *inflightCall) leaveQueue() {
+	if fl.ticket == 0 {
+		return
+	}
+	fl.f.mu.Lock()
+	defer fl.f.mu.Unlock()
+	fl.f.targets.LeaveQueue(fl.service.GetName(), fl.ticket)
+	delete(fl.f.seatWaiters, seatWaiter{fl.service.GetName(), fl.ticket})
+	fl.ticket = 0
+}
+
+// seatWaiter is a call that waits for a seat of a service.
+type seatWaiter struct {
+	service string
+	ticket  int64
+}
+
+// seatFreed returns a channel that wakes the call when a seat may be free; nil if it does not wait for
+// one.
+func (fl *inflightCall) seatFreed() <-chan struct{} {
+	if fl.ticket == 0 {
+		return nil
+	}
+	f, key := fl.f, seatWaiter{fl.service.GetName(), fl.ticket}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.seatWaiters[key] == nil {
+		f.seatWaiters[key] = make(chan struct{}, 1)
+	}
+	return f.seatWaiters[key]
+}
+
+// wakeSeatWaiters wakes the calls that have waited longest for a seat of a service. The caller holds
+// f.mu.
+func (f *Forwarder) wakeSeatWaiters(service string, now time.Duration) {
+	for _, ticket := range f.targets.FirstWaiting(service, now) {
+		select {
+		case f.seatWaiters[seatWaiter{service, ticket}] <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // overloadedRefusal is the answer to a call whose targets accept no more requests from this box
--- a/services/forward/move.go
+++ b/services/forward/move.go
@@ -217,5 +217,6 @@
 	fl.f.mu.Lock()
 	defer fl.f.mu.Unlock()
 	t.RunningCalls++
+	t.HeldTokens += fl.mostTokens()
 	return spread.Choice{Target: t}
 }
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -200,6 +200,7 @@
 // in the meantime.
 func (fl *inflightCall) attempt(ctx context.Context, choice spread.Choice) attempt {
 	t := choice.Target
+	fl.sentAt = 0
 	c, err := fl.f.pool.get(ctx, t, useCalls, fl.call.ID)
 	if err != nil {
 		return fl.unreached(ctx, t, err)
@@ -246,6 +247,7 @@
 	if errors.Is(err, errLimited) || errors.Is(err, errEvacuated) {
 		return attempt{verdict: inconclusive, notRun: true, limited: true, err: err}
 	}
+	fl.sentAt = sent
 	fl.possibleRuns++
 	fl.sendCount++
 	if err != nil {
