--- a/models/quarantine/content.go
+++ b/models/quarantine/content.go
@@ -34,6 +34,20 @@
 	return c
 }
 
+// DigestOfPart returns the digest of a part of a prompt for the targets of a service. It differs from
+// that of any call.
+func DigestOfPart(service, part string) Digest {
+	b := make([]byte, 0, len(partLabel)+len(service)+1+len(part))
+	b = append(append(b, partLabel...), service...)
+	b = append(append(b, 0), part...)
+	sum := sha256.Sum256(b)
+	return Digest(sum[:len(Digest{})])
+}
+
+// partLabel begins what is digested of a part. No call begins so: its first bytes are the length of
+// its payer's name.
+const partLabel = "part of a prompt\x00"
+
 // ParseDigest returns the digest in data; ok is false if data has the wrong length.
 func ParseDigest(data []byte) (c Digest, ok bool) {
 	if len(data) != len(c) {
--- a/services/forward/call.go
+++ b/services/forward/call.go
@@ -82,6 +82,9 @@
 	// UnsharedTokens is the number of prompt tokens after the shared prefix; only
 	// calls of the same session share them.
 	UnsharedTokens uint64
+	// SharedParts are the ids of the parts of the prompt that calls of others may have, too, each
+	// once.
+	SharedParts []string
 	// Affinity is the hash of the prompt prefix that is shared with other calls.
 	Affinity uint64
 	// Arrived is when the call was read, on the boot clock.
--- a/services/forward/digest.go
+++ b/services/forward/digest.go
@@ -15,6 +15,17 @@
 	return fl.digest
 }
 
+// partDigests returns the digests of the parts of the prompt that other calls may share.
+func (fl *inflightCall) partDigests() []quarantine.Digest {
+	if fl.parts == nil && len(fl.call.SharedParts) > 0 {
+		fl.parts = make([]quarantine.Digest, 0, len(fl.call.SharedParts))
+		for _, part := range fl.call.SharedParts {
+			fl.parts = append(fl.parts, quarantine.DigestOfPart(fl.service.GetName(), part))
+		}
+	}
+	return fl.parts
+}
+
 func contentDigestOf(organisation string, call *Call) quarantine.Digest {
 	return quarantine.DigestOf(organisation, call.Method, call.URI, call.Body)
 }
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -69,6 +69,8 @@
 	// digest caches contentDigest. brokenOff is set when a target dropped the call.
 	digest    quarantine.Digest
 	brokenOff bool
+	// parts caches partDigests.
+	parts []quarantine.Digest
 	// resumption is where a stopped run continues. resumed is set once a run was stopped to
 	// continue elsewhere.
 	resumption *resumption
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -22,6 +22,17 @@
 	messageFailed  = "request failed"
 )
 
+// loggedParts returns the digests of the first parts of the prompt, for the log.
+func (fl *inflightCall) loggedParts() (list []string) {
+	for _, d := range fl.partDigests() {
+		if len(list) == maxLoggedContents {
+			break
+		}
+		list = append(list, d.String())
+	}
+	return list
+}
+
 // log writes the one log line of a call: what was decided, on what grounds, and the outcome.
 func (fl *inflightCall) log(ctx context.Context, err error) {
 	organisation := fl.payer.GetOrganisation()
@@ -74,7 +85,7 @@
 		attrs = append(attrs, slog.Any("carried_by", fl.carriers))
 	}
 	if fl.brokenOff {
-		attrs = append(attrs, slog.String("content", fl.contentDigest().String()), slog.Int("body_bytes", len(fl.call.Body)))
+		attrs = append(attrs, slog.String("content", fl.contentDigest().String()), slog.Int("body_bytes", len(fl.call.Body)), slog.Any("parts", fl.loggedParts()))
 	}
 	if fl.call.UnsharedTokens > 0 {
 		attrs = append(attrs, slog.Uint64("own_tokens", fl.call.UnsharedTokens), slog.Int64("expected_reading_ms", fl.lastChoice.PrefillTime.Milliseconds()), slog.Bool("apart", fl.lastChoice.IsDedicated), slog.Int("readers_asked", len(fl.lastChoice.Dedicated)))
