--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -58,6 +58,8 @@
 	// entry is one more than the index of the only entry box that the caller uses, zero if it uses
 	// any of them.
 	entry int
+	// prefix is the Prompt-Prefix of the caller's streams, empty for one of the usual ones.
+	prefix string
 	// box is the name of the entry box that conn leads to.
 	box string
 }
@@ -124,7 +126,11 @@
 		if c.all.seed >= faultyAnswersFrom && key == "key-large" && c.rng.Intn(4) == 0 {
 			prompt += 2 * longPromptTokens
 		}
-		tokens = fmt.Sprintf("Token-Count: %d,%d\r\nPrompt-Prefix: aa:10,bb%d:20,%x:%d\r\n", prompt, outputLimit, c.rng.Intn(5), c.rng.Int31(), max(5, prompt-1000))
+		prefix := fmt.Sprintf("aa:10,bb%d:20,%x:%d", c.rng.Intn(5), c.rng.Int31(), max(5, prompt-1000))
+		if c.prefix != "" {
+			prefix = c.prefix
+		}
+		tokens = fmt.Sprintf("Token-Count: %d,%d\r\nPrompt-Prefix: %s\r\n", prompt, outputLimit, prefix)
 	}
 	_, err := fmt.Fprintf(c.conn, "POST /%s/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 8000\r\nApi-Key: %s\r\nTenant: forged\r\n%sContent-Length: %d\r\n\r\n%s", route, id, key, tokens, len(body), body)
 	if err != nil {
--- a/tests/soak/platform_test.go
+++ b/tests/soak/platform_test.go
@@ -67,6 +67,8 @@
 	// versionsDrawn counts the starts for which one was drawn.
 	versions      []string
 	versionsDrawn int
+	// fatalPart is the part of prompts that crashes servers, nil for none.
+	fatalPart *fatalPart
 	// failedUnderRejections counts the servers that failed as they had to reject too many calls.
 	failedUnderRejections int
 	// evacuated has, by zone, when its evacuation was acknowledged.
@@ -88,6 +90,18 @@
 	}
 }
 
+func (p *platform) setFatalPart(f *fatalPart) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fatalPart = f
+}
+
+func (p *platform) fatal() *fatalPart {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fatalPart
+}
+
 func newPlatform(control []string) *platform {
 	return &platform{control: control, eventPause: eventPause, runs: map[string]int{}, tokensUsed: map[string]uint64{}, promptCounted: map[string]bool{}, crashes: map[string]int{}, visits: map[string]*visits{}, failures: map[string]map[int]bool{}, truncated: map[string]bool{}, copies: map[string]int{}, disruptions: newDisruptions(), evacuated: map[string]time.Time{}}
 }
@@ -332,6 +346,10 @@
 	if strings.HasPrefix(string(body), crashBody) {
 		sv.crashDuring(w, r, string(body))
 	}
+	if part := sv.platform.fatal(); part.handle(r) {
+		part.recordCrash()
+		sv.crashDuring(w, r, "a fatal part")
+	}
 	if want := "body of " + id; string(body) != want {
 		sv.platform.recordViolation("request %s arrived with an unexpected body %q", id, body)
 	}
