models/quarantine, services/quarantine, services/forward: parts of prompts under which targets end are held back

Callers of sound prompts lost their streams at one target after the other: prompts that share one part, and nothing else, ended each target that began to answer one. A call was known by the digest of its payer, method, path and body alone, so each of these was new.

Ends before the first event are now counted for each part but the last, over all boxes, in the replicated table of calls under which targets end; a call that begins to be answered clears its parts everywhere. Three ends at different moments hold a part back, eight one that has been sound.

--- a/models/quarantine/content.go
+++ b/models/quarantine/content.go
@@ -37,8 +37,8 @@
 // DigestOfPart returns the digest of a part of a prompt for the targets of a service. It differs from
 // that of any call.
 func DigestOfPart(service, part string) Digest {
-	b := make([]byte, 0, len(partLabel)+len(service)+1+len(part))
-	b = append(append(b, partLabel...), service...)
+	var buffer [128]byte
+	b := append(append(buffer[:0], partLabel...), service...)
 	b = append(append(b, 0), part...)
 	sum := sha256.Sum256(b)
 	return Digest(sum[:len(Digest{})])
--- a/models/quarantine/table.go
+++ b/models/quarantine/table.go
@@ -28,6 +28,31 @@
 	listThreshold = 2
 )
 
+// Parts that prompts share are counted like calls, by ends before the first event only: a part that
+// crashes targets does so as soon as they begin to answer. A call that begins to be answered clears
+// all its parts.
+const (
+	// partThreshold is the total weight from which on a part is held back, and knownPartThreshold
+	// that of a part with which calls have succeeded before.
+	partThreshold      = 3 * EarlyEnd
+	knownPartThreshold = 8 * EarlyEnd
+	// minEndGap is the minimum time between two ends that count against a part. Targets that crash
+	// together crash for another reason.
+	minEndGap = 250 * time.Millisecond
+)
+
+// thresholdOf returns the total weight from which on the content of a row is held back.
+func thresholdOf(row *statev1.QuarantinedCall) uint32 {
+	switch {
+	case !row.GetPart():
+		return holdThreshold
+	case row.GetKnownGood():
+		return knownPartThreshold
+	default:
+		return partThreshold
+	}
+}
+
 // Weight returns the weight of a target's end, which is early if no part of the answer
 // had arrived.
 func Weight(early bool) uint32 {
@@ -116,7 +141,7 @@
 		if !ok {
 			continue
 		}
-		if row := tb.addEnd(c, e.GetTarget(), e.GetWeight()); row != nil {
+		if row := tb.addEnd(c, e); row != nil {
 			verdicts = append(verdicts, Transition{Content: c, Row: row, IsHeld: true})
 		}
 	}
@@ -132,17 +157,24 @@
 	return verdicts
 }
 
-// addEnd counts the end of a target during a call. It returns the row if the call is
+// addEnd counts the end of a target during a call. It returns the row if the call, or the part, is
 // held back from now on, nil otherwise.
-func (tb *Table) addEnd(c Digest, target string, weight uint32) *statev1.QuarantinedCall {
+func (tb *Table) addEnd(c Digest, e *statev1.EndedUnder) *statev1.QuarantinedCall {
 	old := tb.rows[c]
-	if slices.Contains(old.GetTargets(), target) {
+	if slices.Contains(old.GetTargets(), e.GetTarget()) {
 		return nil
 	}
 	row := &statev1.QuarantinedCall{
-		Content: c[:], Targets: append(slices.Clone(old.GetTargets()), target),
-		Weight: old.GetWeight() + min(weight, EarlyEnd), Held: old.GetHeld(), Rounds: old.GetRounds(),
+		Content: c[:], Targets: append(slices.Clone(old.GetTargets()), e.GetTarget()),
+		Weight: old.GetWeight(), Held: old.GetHeld(), Rounds: old.GetRounds(),
 		Due: tb.now + suspicionPeriod.Milliseconds(), Cleared: old.GetCleared(),
+		Part: e.GetPart(), KnownGood: old.GetKnownGood(), LastEnd: old.GetLastEnd(),
+	}
+	if !row.GetPart() || old.GetLastEnd() == 0 || tb.now-old.GetLastEnd() >= minEndGap.Milliseconds() {
+		row.Weight += min(e.GetWeight(), EarlyEnd)
+		if row.GetPart() {
+			row.LastEnd = tb.now
+		}
 	}
 	if len(row.GetTargets()) > maxTargetsPerCall {
 		row.Targets = row.Targets[1:]
@@ -157,7 +189,7 @@
 	if row.GetRounds() > 0 {
 		row.Due = max(old.GetDue(), row.GetDue())
 	}
-	if row.GetWeight() < holdThreshold {
+	if row.GetWeight() < thresholdOf(row) {
 		tb.put(c, row)
 		return nil
 	}
@@ -178,6 +210,7 @@
 	tb.remove(c)
 	tb.put(c, &statev1.QuarantinedCall{
 		Content: c[:], Targets: row.GetTargets(), Cleared: uint32(len(row.GetTargets())), Due: tb.now + suspicionPeriod.Milliseconds(),
+		Part: row.GetPart(), KnownGood: row.GetPart(), LastEnd: row.GetLastEnd(),
 	})
 	return row
 }
@@ -206,8 +239,9 @@
 			continue
 		}
 		trial := &statev1.QuarantinedCall{
-			Content: c[:], Targets: row.GetTargets(), Weight: holdThreshold - EarlyEnd, Rounds: row.GetRounds(),
-			Due: tb.now + holdPeriod(row.GetRounds()).Milliseconds(),
+			Content: c[:], Targets: row.GetTargets(), Weight: thresholdOf(row) - EarlyEnd, Rounds: row.GetRounds(),
+			Due:  tb.now + holdPeriod(row.GetRounds()).Milliseconds(),
+			Part: row.GetPart(), KnownGood: row.GetKnownGood(),
 		}
 		tb.put(c, trial)
 		released = append(released, Transition{Content: c, Row: trial, Reason: ReasonExpired})
@@ -256,9 +290,9 @@
 	if !row.GetHeld() && row.GetRounds() == 0 && len(row.GetTargets())-int(row.GetCleared()) < listThreshold {
 		return
 	}
-	next := &statev1.QuarantinedCall{Content: row.GetContent(), Due: row.GetDue(), Held: row.GetHeld(), Rounds: row.GetRounds()}
+	next := &statev1.QuarantinedCall{Content: row.GetContent(), Due: row.GetDue(), Held: row.GetHeld(), Rounds: row.GetRounds(), Part: row.GetPart()}
 	if !row.GetHeld() {
-		next.Weight = row.GetWeight()
+		next.Weight, next.KnownGood, next.LastEnd = row.GetWeight(), row.GetKnownGood(), row.GetLastEnd()
 		for _, t := range row.GetTargets() {
 			next.Targets = append(next.Targets, TargetMark(t))
 		}
--- a/models/quarantine/unlisted.go
+++ b/models/quarantine/unlisted.go
@@ -44,7 +44,9 @@
 type unlistedEnd struct {
 	target string
 	weight uint32
-	at     time.Duration
+	// part is set if the content is that of a part of a prompt.
+	part bool
+	at   time.Duration
 	// reportNumber is the number of the report that contained the end, zero until control
 	// has acknowledged it.
 	reportNumber uint64
@@ -56,16 +58,26 @@
 // Add records the end of a target during a call. listed is control's row of the call
 // with its time on the boot clock, nil if there is none.
 func (u *PendingEnds) Add(c Digest, target string, weight uint32, listed *statev1.QuarantinedCall, now time.Duration) {
+	u.add(c, unlistedEnd{target: target, weight: weight, at: now}, listed, now)
+}
+
+// AddPart records the end of a target during a call whose prompt has a part, before the first part of
+// the answer. listed is control's row of the part.
+func (u *PendingEnds) AddPart(c Digest, target string, listed *statev1.QuarantinedCall, now time.Duration) {
+	u.add(c, unlistedEnd{target: target, weight: EarlyEnd, part: true, at: now}, listed, now)
+}
+
+func (u *PendingEnds) add(c Digest, e unlistedEnd, listed *statev1.QuarantinedCall, now time.Duration) {
 	call := u.calls[c]
 	if call == nil {
 		call = u.insert(c)
 	}
-	for _, e := range call.ends {
-		if e.target == target {
+	for _, known := range call.ends {
+		if known.target == e.target {
 			return
 		}
 	}
-	call.ends = append(call.ends, unlistedEnd{target: target, weight: weight, at: now})
+	call.ends = append(call.ends, e)
 	call.ends = call.ends[max(0, len(call.ends)-maxTargetsPerCall):]
 	row := replay(c, listed, call.ends, now)
 	call.expiresAt = time.Duration(row.GetDue()) * time.Millisecond
@@ -123,7 +135,7 @@
 				return ends
 			}
 			if e.reportNumber == 0 {
-				ends = append(ends, &statev1.EndedUnder{Content: c[:], Target: e.target, Weight: e.weight})
+				ends = append(ends, &statev1.EndedUnder{Content: c[:], Target: e.target, Weight: e.weight, Part: e.part})
 			}
 		}
 	}
@@ -177,7 +189,7 @@
 		tb.put(c, listed)
 	}
 	for _, e := range ends {
-		end := &statev1.EndedUnder{Content: c[:], Target: TargetMark(e.target), Weight: e.weight}
+		end := &statev1.EndedUnder{Content: c[:], Target: TargetMark(e.target), Weight: e.weight, Part: e.part}
 		tb.Apply(&statev1.ReportCalls{At: e.at.Milliseconds(), Ended: []*statev1.EndedUnder{end}})
 	}
 	tb.expire(now.Milliseconds())
@@ -192,5 +204,8 @@
 	}
 	moved := proto.Clone(row).(*statev1.QuarantinedCall)
 	moved.Due += difference.Milliseconds()
+	if moved.GetLastEnd() != 0 {
+		moved.LastEnd += difference.Milliseconds()
+	}
 	return moved
 }
--- a/services/control/quarantine.go
+++ b/services/control/quarantine.go
@@ -75,10 +75,14 @@
 
 func (q *Quarantine) logTransitions(verdicts []quarantine.Transition) {
 	for _, v := range verdicts {
+		kind := "call"
+		if v.Row.GetPart() {
+			kind = "part of prompts"
+		}
 		if v.IsHeld {
-			q.Logger.Warn("call held back", "content", v.Content.String(), "targets_ended", v.Row.GetTargets(), "weight", v.Row.GetWeight(), "round", v.Row.GetRounds(), "until_unix_ms", v.Row.GetDue())
+			q.Logger.Warn(kind+" held back", "content", v.Content.String(), "targets_ended", v.Row.GetTargets(), "weight", v.Row.GetWeight(), "round", v.Row.GetRounds(), "until_unix_ms", v.Row.GetDue())
 			continue
 		}
-		q.Logger.Info("call released", "content", v.Content.String(), "reason", v.Reason, "round", v.Row.GetRounds())
+		q.Logger.Info(kind+" released", "content", v.Content.String(), "reason", v.Reason, "round", v.Row.GetRounds())
 	}
 }
--- a/services/forward/digest.go
+++ b/services/forward/digest.go
@@ -3,7 +3,11 @@
 
 package forward
 
-import "havenwinch.dev/havenwinch/models/quarantine"
+import (
+	"time"
+
+	"havenwinch.dev/havenwinch/models/quarantine"
+)
 
 // contentDigest returns the digest that identifies a call when its caller sends it again under
 // another id. It covers the payer, the method, the path with its query, and the body, and is
@@ -26,6 +30,15 @@
 	return fl.parts
 }
 
+// holdLeft reports whether the call is quarantined, itself or for a part of its prompt, and for how
+// long.
+func (fl *inflightCall) holdLeft() (left time.Duration, held bool) {
+	if left, held := fl.f.opts.Quarantine.HoldLeft(fl.contentDigest()); held {
+		return left, true
+	}
+	return fl.f.opts.Quarantine.PartsHoldLeft(fl.partDigests())
+}
+
 func contentDigestOf(organisation string, call *Call) quarantine.Digest {
 	return quarantine.DigestOf(organisation, call.Method, call.URI, call.Body)
 }
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -64,6 +64,13 @@
 	RecordEnd(c quarantine.Digest, target string, weight uint32)
 	// RecordSuccess records that a call succeeded.
 	RecordSuccess(c quarantine.Digest)
+	// PartsHoldLeft reports whether a call with these parts of a prompt must not be sent, and for how
+	// long.
+	PartsHoldLeft(parts []quarantine.Digest) (left time.Duration, held bool)
+	// RecordPartEnds records that a target ended before it answered a call with these parts.
+	RecordPartEnds(parts []quarantine.Digest, target string)
+	// RecordPartSuccess records that a target has begun to answer a call with these parts.
+	RecordPartSuccess(parts []quarantine.Digest)
 }
 
 // Counter receives the metrics of forwarded calls.
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -69,8 +69,9 @@
 	// digest caches contentDigest. brokenOff is set when a target dropped the call.
 	digest    quarantine.Digest
 	brokenOff bool
-	// parts caches partDigests.
-	parts []quarantine.Digest
+	// parts caches partDigests. partsServed is set once a target has begun to answer the call.
+	parts       []quarantine.Digest
+	partsServed bool
 	// resumption is where a stopped run continues. resumed is set once a run was stopped to
 	// continue elsewhere.
 	resumption *resumption
@@ -178,7 +179,7 @@
 	if fl.call.MaxWait > 0 {
 		fl.deadline = min(fl.deadline, fl.call.Arrived+fl.call.MaxWait-deadlineMargin)
 	}
-	if left, held := fl.f.opts.Quarantine.HoldLeft(fl.contentDigest()); held {
+	if left, held := fl.holdLeft(); held {
 		return quarantinedRefusal(left)
 	}
 	fl.tick()
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -213,7 +213,7 @@
 		return attempt{verdict: inconclusive, notRun: true, tooLate: true, err: errNotSent}
 	}
 	// Other boxes may have seen targets crash under this call while it waited here.
-	if left, held := fl.f.opts.Quarantine.HoldLeft(fl.contentDigest()); held {
+	if left, held := fl.holdLeft(); held {
 		fl.f.pool.put(c, 0)
 		return attempt{verdict: inconclusive, notRun: true, heldFor: left, err: errQuarantined}
 	}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -73,6 +73,7 @@
 	if len(p) == 0 {
 		return nil
 	}
+	fl.recordPartsServed()
 	fl.bindSoftware(ctx, x.conn)
 	fl.rebindSoftware(ctx, x.conn.target)
 	fl.sink.recordEvents()
--- a/services/forward/target_end.go
+++ b/services/forward/target_end.go
@@ -49,6 +49,8 @@
 type brokenCall struct {
 	request       string
 	contentDigest quarantine.Digest
+	// parts are the digests of the shared parts of its prompt.
+	parts []quarantine.Digest
 	// early is set when no byte of the answer's body had arrived.
 	early bool
 	// until is when the end of the target stops counting against the call.
@@ -69,13 +71,22 @@
 // they ran it.
 func quarantinedRefusal(left time.Duration) *Refusal {
 	return &Refusal{Kind: structs.KindQuarantined, Run: structs.RunNo, RetryAfter: left,
-		Message: "targets ended each time they began to run this call, so it is held back for the stated time: send another one in its place, or ask an operator to look at its content"}
+		Message: "targets ended each time they began to run this call, or others that share a part of its prompt, so it is held back for the stated time: send another one in its place, or ask an operator to look at its content"}
 }
 
 // recordServed tells the quarantine that the call succeeded.
 func (fl *inflightCall) recordServed(a attempt) {
 	if a.verdict == healthy && a.err == nil {
 		fl.f.opts.Quarantine.RecordSuccess(fl.contentDigest())
+		fl.recordPartsServed()
+	}
+}
+
+// recordPartsServed tells the quarantine that a target has begun to answer the call.
+func (fl *inflightCall) recordPartsServed() {
+	if !fl.partsServed {
+		fl.partsServed = true
+		fl.f.opts.Quarantine.RecordPartSuccess(fl.partDigests())
 	}
 }
 
@@ -84,7 +95,7 @@
 func (fl *inflightCall) recordBreak(t *spread.Target, early bool) {
 	fl.brokenOff = true
 	f := fl.f
-	call := brokenCall{request: fl.call.ID, contentDigest: fl.contentDigest(), early: early, until: f.opts.Clock.Boot() + replacedWithin}
+	call := brokenCall{request: fl.call.ID, contentDigest: fl.contentDigest(), parts: fl.partDigests(), early: early, until: f.opts.Clock.Boot() + replacedWithin}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	end := f.targets.EndOf(t)
@@ -205,6 +216,9 @@
 			continue
 		}
 		f.opts.Quarantine.RecordEnd(c.contentDigest, t.StartIdentity(), quarantine.Weight(c.early))
+		if c.early {
+			f.opts.Quarantine.RecordPartEnds(c.parts, t.StartIdentity())
+		}
 		if c.early && len(early) < maxLoggedContents {
 			early = append(early, c.request+" "+c.contentDigest.String())
 		}
--- a/services/forward/target_end_test.go
+++ b/services/forward/target_end_test.go
@@ -27,8 +27,10 @@
 	held  map[quarantine.Digest]bool
 	ended []string
 	// served counts successful calls, reported receives a value for each recorded end.
-	served   int
-	reported chan struct{}
+	served int
+	// partEnds and partSuccesses are the parts that were recorded.
+	partEnds, partSuccesses []quarantine.Digest
+	reported                chan struct{}
 	// onHoldLeft is called by HoldLeft.
 	onHoldLeft func(n *fakeQuarantine, c quarantine.Digest)
 }
@@ -51,6 +53,29 @@
 	n.reported <- struct{}{}
 }
 
+func (n *fakeQuarantine) PartsHoldLeft(parts []quarantine.Digest) (time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range parts {
+		if n.held[c] {
+			return time.Minute, true
+		}
+	}
+	return 0, false
+}
+
+func (n *fakeQuarantine) RecordPartEnds(parts []quarantine.Digest, _ string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.partEnds = append(n.partEnds, parts...)
+}
+
+func (n *fakeQuarantine) RecordPartSuccess(parts []quarantine.Digest) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.partSuccesses = append(n.partSuccesses, parts...)
+}
+
 func (n *fakeQuarantine) RecordSuccess(quarantine.Digest) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -46,6 +46,7 @@
 	// much later if the box is cut off.
 	pendingEnds     quarantine.PendingEnds
 	recentSuccesses quarantine.RecentSuccesses
+	partSuccesses   quarantine.PartSuccesses
 	queued          statev1.ReportCalls
 	// wakeUp wakes Run.
 	wakeUp chan struct{}
@@ -154,7 +155,9 @@
 	held := 0
 	for _, row := range rows {
 		c, ok := quarantine.ParseDigest(row.GetContent())
-		if ok && q.recentSuccesses.Contains(c, q.Clock.Boot()) {
+		switch {
+		case !ok:
+		case row.GetPart() && q.partSuccesses.TakeUnreported(c, q.Clock.Boot()), !row.GetPart() && q.recentSuccesses.Contains(c, q.Clock.Boot()):
 			q.reportSuccess(c)
 		}
 		if row.GetHeld() {
