--- a/models/spread/seats.go
+++ b/models/spread/seats.go
@@ -5,7 +5,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"havenwinch.dev/havenwinch/models/rate"
@@ -22,24 +21,9 @@
 // its own.
 
 const (
-	// rejectionLimitExpiry is how long a rejection limit holds after any box has last heard it.
-	rejectionLimitExpiry = 10 * time.Second
-	// rejectionLimitRenewal is the minimum time between two reports of the same limit to control.
-	rejectionLimitRenewal = time.Second
 	// seatShare is the share of a target's slots that is divided. The rest is for what takes a
 	// slot without a seat: new connections, and calls that their callers have given up.
 	seatShare = 0.9
-	// minSeats is the average number of seats of a box below which boxes take turns.
-	minSeats = 2
-	// turnShare is the share of the slots that boxes fill by turns. Some calls hold their slots
-	// for longer than the mean.
-	turnShare = 0.55
-	// roundStep is the ratio between two durations of a round. A round that followed each change
-	// of the hold time would shift all turns.
-	roundStep = 1.1
-	// turnLength is the part of a round, at least minTurn, within which a box must start its call.
-	turnLength = 0.1
-	minTurn    = 10 * time.Millisecond
 	// defaultHoldTime is how long a call is taken to hold its slot before any has ended.
 	defaultHoldTime = 500 * time.Millisecond
 	holdTimeWeight  = 0.1
@@ -54,12 +38,6 @@
 	handoverHolds = 1.5
 	// maxLinger limits how long a call that was given up counts as running at its target.
 	maxLinger = time.Second
-	// pressureTime is how long a box starts calls only in its turns after one had to wait or was
-	// rejected.
-	pressureTime = 2 * time.Second
-	// riskShare is the share of a rejection limit that boxes that take turns may use for calls out
-	// of their turn.
-	riskShare = 0.25
 	// probeShare is the share of a rejection limit that all boxes may use for calls to targets
 	// that have rejected one.
 	probeShare = 0.5
@@ -72,25 +50,8 @@
 	shrinkFactor = 0.85
 	minUsable    = 0.3
 	usableGrowth = 0.05
-	// joinShare is the share of its time to wait within which a call must expect a seat to begin to
-	// wait: one that waits in vain would better have been refused at once.
-	joinShare = 0.6
-	// minSeatWait and maxSeatWait bound the time after which a waiting call looks for a seat again.
-	minSeatWait = 5 * time.Millisecond
-	maxSeatWait = 100 * time.Millisecond
 )
 
-// RejectionLimit is what is known of the rejection limit of a service's targets.
-type RejectionLimit struct {
-	Service string
-	// PerSecond is how many calls a second one target can reject.
-	PerSecond float64
-	// Age is how long ago a box heard it.
-	Age time.Duration
-	// HoldTime is the mean time for which a call holds a slot, zero if it is not known.
-	HoldTime time.Duration
-}
-
 // EngineTerms are the limits of one target of a service of engines.
 type EngineTerms struct {
 	Slots int
@@ -160,91 +121,6 @@
 	return s
 }
 
-// RecordRejectionLimit records the rejection limit that a target named in an answer,
-// rate.Unlimited for none. It reports whether control is to be told.
-func (tb *Table) RecordRejectionLimit(t *Target, s rate.Statement) (tell bool) {
-	if s.Limit == rate.Unlimited {
-		t.room.noneSent = max(t.room.noneSent, s.Sent)
-		return false
-	}
-	r := tb.roomOf(t.Service)
-	r.heardAt = s.Received
-	r.merge(s)
-	tb.hasRejectionLimits = true
-	return r.isToBeTold(s.Received)
-}
-
-// RecordPeerRejectionLimit records a rejection limit that another box heard. It reports whether the
-// service had none before.
-func (tb *Table) RecordPeerRejectionLimit(l RejectionLimit, now time.Duration) bool {
-	if l.Age < 0 || l.Age > rejectionLimitExpiry || !(l.PerSecond >= 0) {
-		return false
-	}
-	r := tb.roomOf(l.Service)
-	r.fleetHoldTime = l.HoldTime
-	tb.hasRejectionLimits = true
-	before := r.isNamed && now-r.named.Received <= rejectionLimitExpiry
-	r.merge(rate.Statement{Limit: l.PerSecond, Sent: now - l.Age, Received: now - l.Age})
-	return !before
-}
-
-// merge takes over a statement unless a later one is known.
-func (r *roomStats) merge(s rate.Statement) {
-	if !r.isNamed {
-		r.isNamed, r.named = true, s
-		return
-	}
-	r.named = r.named.Merge(s)
-}
-
-// RejectionLimitsToTell returns the rejection limits of which control is to be told now, and counts
-// them as told.
-func (tb *Table) RejectionLimitsToTell(now time.Duration) (list []RejectionLimit) {
-	for service, r := range tb.rooms {
-		if !r.isToBeTold(now) {
-			continue
-		}
-		r.toldAt = now
-		list = append(list, RejectionLimit{Service: service, PerSecond: r.named.Limit, Age: now - r.heardAt, HoldTime: r.ownHoldTime()})
-	}
-	return list
-}
-
-// HasRejectionLimitsToTell reports whether control is to be told of a rejection limit now.
-func (tb *Table) HasRejectionLimitsToTell(now time.Duration) bool {
-	for _, r := range tb.rooms {
-		if r.isToBeTold(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// isToBeTold reports whether this box has heard a rejection limit that control has not been told
-// lately.
-func (r *roomStats) isToBeTold(now time.Duration) bool {
-	renewed := r.toldAt == 0 || now-r.toldAt >= rejectionLimitRenewal
-	return renewed && r.heardAt > r.toldAt && now-r.heardAt <= rejectionLimitExpiry
-}
-
-// rejectionLimit returns the rejection limit of a target; limited is false if it has none.
-func (tb *Table) rejectionLimit(t *Target, now time.Duration) (perSecond float64, limited bool) {
-	if !tb.hasRejectionLimits {
-		return 0, false
-	}
-	r := tb.rooms[t.Service]
-	if r == nil || !r.isNamed || now-r.named.Received > rejectionLimitExpiry || t.room.noneSent > r.named.Received {
-		return 0, false
-	}
-	return r.named.Limit, true
-}
-
-// HasRejectionLimit reports whether a target has a rejection limit at now.
-func (tb *Table) HasRejectionLimit(t *Target, now time.Duration) bool {
-	_, limited := tb.rejectionLimit(t, now)
-	return limited
-}
-
 // RecordHoldTime records how long a call held its slot at a target.
 func (tb *Table) RecordHoldTime(t *Target, held time.Duration) {
 	r := tb.roomOf(t.Service)
@@ -326,41 +202,6 @@
 	return r.average
 }
 
-// takesTurns reports whether the boxes take turns in calling the targets of a service.
-func (tb *Table) takesTurns(service string, now time.Duration) bool {
-	return tb.averageSeats(service, now) < minSeats
-}
-
-// turn is a moment at which this box may start a call of a service.
-type turn struct {
-	// index identifies the turn, and round is the time between two of this box's turns.
-	index int64
-	round time.Duration
-	// isOpen is set while the call may be started, and next is the time to the next turn.
-	isOpen bool
-	next   time.Duration
-}
-
-// turnAt returns this box's turn at now. The turns of all boxes are spread evenly over a round, which
-// is as long as the slots of all targets need for a call of each box.
-func (tb *Table) turnAt(service string, now time.Duration) turn {
-	boxes := float64(tb.fleet.Divisor())
-	average := max(tb.averageSeats(service, now), 1/boxes) / seatShare
-	round := roundUp(time.Duration(float64(tb.roomOf(service).meanHoldTime()) / (average * turnShare)))
-	at := now + tb.fleet.Offset() - time.Duration(float64(round)*float64(tb.rank)/boxes)
-	since := at % round
-	return turn{
-		index: int64(at / round), round: round, next: round - since,
-		isOpen: since < max(minTurn, time.Duration(turnLength*float64(round))),
-	}
-}
-
-// roundUp returns the next duration of a round.
-func roundUp(d time.Duration) time.Duration {
-	steps := math.Ceil(math.Log(d.Seconds()) / math.Log(roundStep))
-	return time.Duration(math.Pow(roundStep, steps) * float64(time.Second))
-}
-
 // seats returns how many calls this box may run at a target at now.
 func (tb *Table) seats(t *Target, now time.Duration) int64 {
 	slots := tb.slotsOf(t, now)
@@ -451,59 +292,6 @@
 	return tb.mayStart(t, t.RunningCalls, t.HeldTokens+criteria.Tokens, now)
 }
 
-// servedAtOnce returns how many of the waiting calls of a service may look for a seat.
-func (tb *Table) servedAtOnce(service string, now time.Duration) int {
-	if tb.takesTurns(service, now) {
-		return 1
-	}
-	return int(math.Ceil(tb.averageSeats(service, now)))
-}
-
-// seatQueue holds the calls that wait for a seat, by ticket, in the order in which they came.
-type seatQueue struct {
-	last    int64
-	tickets []int64
-}
-
-// join adds a call and returns its ticket.
-func (q *seatQueue) join() int64 {
-	q.last++
-	q.tickets = append(q.tickets, q.last)
-	return q.last
-}
-
-// before returns how many calls have waited for longer than the one with the given ticket, which is
-// zero for a call that does not wait.
-func (q *seatQueue) before(ticket int64) int {
-	if ticket == 0 {
-		return len(q.tickets)
-	}
-	at, _ := slices.BinarySearch(q.tickets, ticket)
-	return at
-}
-
-func (q *seatQueue) leave(ticket int64) {
-	if at, found := slices.BinarySearch(q.tickets, ticket); found {
-		q.tickets = slices.Delete(q.tickets, at, at+1)
-	}
-}
-
-// FirstWaiting returns the tickets of the calls that may look for a seat of a service.
-func (tb *Table) FirstWaiting(service string, now time.Duration) []int64 {
-	r := tb.rooms[service]
-	if r == nil || len(r.waiting.tickets) == 0 {
-		return nil
-	}
-	return r.waiting.tickets[:min(len(r.waiting.tickets), tb.servedAtOnce(service, now))]
-}
-
-// LeaveQueue removes a call from those that wait for a seat of a service.
-func (tb *Table) LeaveQueue(service string, ticket int64) {
-	if r := tb.rooms[service]; r != nil {
-		r.waiting.leave(ticket)
-	}
-}
-
 // AcquireSeat takes a seat at a target for a call that is about to be sent and that RunningCalls
 // and HeldTokens include. It reports whether there was one.
 func (tb *Table) AcquireSeat(t *Target, now time.Duration) bool {
@@ -527,52 +315,3 @@
 	}
 	return true
 }
-
-// isOurTurn reports whether this box may start a call at a target, in its present turn or, while none of
-// its calls has had to wait lately, out of turn.
-func (tb *Table) isOurTurn(t *Target, perSecond float64, now time.Duration) bool {
-	turn, r := tb.turnAt(t.Service, now), tb.roomOf(t.Service)
-	if turn.isOpen && turn.index != r.lastTurn {
-		return true
-	}
-	isPressed := r.pressedAt > 0 && now-r.pressedAt < pressureTime
-	return !isPressed && tb.standsStartsAtOnce(t, perSecond) && (r.lastStart == 0 || now-r.lastStart >= turn.round)
-}
-
-// standsStartsAtOnce reports whether a target can bear that all boxes start a call at the same moment
-// and spread these calls over all targets of its service.
-func (tb *Table) standsStartsAtOnce(t *Target, perSecond float64) bool {
-	calls := float64(tb.fleet.Divisor()) / float64(max(1, len(tb.services[t.Service])))
-	return calls <= float64(t.Slots)+perSecond
-}
-
-// inTurn returns the candidate for this box's present turn. Boxes with successive turns, and
-// successive turns of a box, get different ones.
-func (tb *Table) inTurn(service string, candidates []*Target, now time.Duration) *Target {
-	turn := int64(tb.rank) + tb.turnAt(service, now).index
-	return candidates[int(uint64(turn)%uint64(len(candidates)))]
-}
-
-// waitForSeat decides what to do with a call for which this box has no seat now: it waits, with a
-// ticket, if a seat is expected within its MaxSeatWait. ok is false if it is to be refused.
-func (tb *Table) waitForSeat(criteria Criteria, now time.Duration) (b Backoff, ok bool) {
-	r := tb.roomOf(criteria.Service)
-	before := r.waiting.before(criteria.Ticket)
-	var expected, wait time.Duration
-	if tb.takesTurns(criteria.Service, now) {
-		turn := tb.turnAt(criteria.Service, now)
-		r.pressedAt = now
-		expected = turn.next + time.Duration(before)*turn.round
-		wait = expected
-	} else {
-		expected = time.Duration(float64(before+1) * float64(r.holdTime) / tb.averageSeats(criteria.Service, now))
-		wait = min(max(expected, minSeatWait), maxSeatWait)
-	}
-	if wait > criteria.MaxSeatWait || criteria.Ticket == 0 && expected > time.Duration(joinShare*float64(criteria.MaxSeatWait)) {
-		return Backoff{}, false
-	}
-	if criteria.Ticket == 0 {
-		criteria.Ticket = r.waiting.join()
-	}
-	return Backoff{Wait: wait, Ticket: criteria.Ticket}, true
-}
--- a/models/spread/seats_test.go
+++ b/models/spread/seats_test.go
@@ -76,13 +76,12 @@
 }
 
 type simTarget struct {
-	id               string
-	slots, queue     int
-	running, waiting int
-	waiters          []func()
-	rejections       []time.Duration
-	downUntil        time.Duration
-	start            int64
+	id                    string
+	slots, queue, running int
+	waiters               []func()
+	rejections            []time.Duration
+	downUntil             time.Duration
+	start                 int64
 }
 
 type simEvent struct {
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -403,12 +403,11 @@
 }
 
 // pick chooses among the candidates for a call: by the shared prefix as far as their
-// loads allow, otherwise the least loaded.
+// loads allow, otherwise the least loaded. allLimited is set if all of them have limits; boxes that
+// take turns call them in turn.
 func (tb *Table) pick(criteria Criteria, candidates []*Target, allLimited bool, now time.Duration) *Target {
-	if allLimited && tb.HasRejectionLimit(candidates[0], now) {
-		if tb.takesTurns(criteria.Service, now) {
-			return tb.inTurn(criteria.Service, candidates, now)
-		}
+	if allLimited && tb.HasRejectionLimit(candidates[0], now) && tb.takesTurns(criteria.Service, now) {
+		return tb.inTurn(criteria.Service, candidates, now)
 	}
 	if criteria.Affinity == 0 {
 		return tb.leastLoaded(candidates)
--- a/services/forward/limits.go
+++ b/services/forward/limits.go
@@ -63,7 +63,8 @@
 var errLimited = errors.New("this box's share of what the target accepts is used up")
 
 // countRequest counts a request to a target against its rate limit, and a call against its slots
-// while it has a rejection limit. It returns errLimited if this box's share of either is used up, and errEvacuated if the target's data centre is evacuated.
+// while it has a rejection limit. It returns errLimited if this box's share of either is used up,
+// and errEvacuated if the target's data centre is evacuated.
 func (f *Forwarder) countRequest(t *spread.Target, call *Call, now time.Duration) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -275,13 +276,15 @@
 	fl.ticket = w.Ticket
 	timer := time.NewTimer(w.Wait)
 	defer timer.Stop()
-	began := fl.now
+	began := fl.tick()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+		fl.limitWait += w.Wait
+		fl.tick()
 	case <-fl.seatFreed():
+		fl.limitWait += fl.tick() - began
 	}
-	fl.limitWait += fl.tick() - began
 	fl.f.mu.Lock()
 	defer fl.f.mu.Unlock()
 	if w.Ticket == 0 {
