--- a/tests/soak/platform_test.go
+++ b/tests/soak/platform_test.go
@@ -353,9 +353,11 @@
 	if want := "body of " + id; string(body) != want {
 		sv.platform.recordViolation("request %s arrived with an unexpected body %q", id, body)
 	}
-	if !sv.workInRoom(w, id) {
+	leave, ok := sv.workInRoom(w, id)
+	if !ok {
 		return
 	}
+	defer leave()
 	sv.platform.recordArrival(id)
 	defer sv.platform.recordCompletion(id)
 	prompt, limit := tokensOf(r.Header.Get("Token-Count"))
--- a/tests/soak/rejection_test.go
+++ b/tests/soak/rejection_test.go
@@ -50,14 +50,14 @@
 	sv.room.limit, sv.room.announcedAt = perSecond, time.Now()
 }
 
-// workInRoom occupies a slot for the time that a request needs. It returns false if the request was
-// rejected.
-func (sv *server) workInRoom(w http.ResponseWriter, id string) bool {
+// workInRoom occupies a slot for the time that a request needs, and until the returned function is
+// called. It returns false if the request was rejected.
+func (sv *server) workInRoom(w http.ResponseWriter, id string) (leave func(), ok bool) {
 	sv.mu.Lock()
 	r := sv.room
 	if r == nil {
 		sv.mu.Unlock()
-		return true
+		return func() {}, true
 	}
 	if r.limit > 0 {
 		w.Header().Set(rejectionHeader, strconv.Itoa(r.limit))
@@ -72,7 +72,7 @@
 		w.Header().Set("Attempt-Id", id)
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
-		return false
+		return nil, false
 	}
 	r.waiting++
 	for r.running == r.slots {
@@ -82,11 +82,12 @@
 	r.running++
 	sv.mu.Unlock()
 	time.Sleep(r.work)
-	sv.mu.Lock()
-	r.running--
-	r.free.Signal()
-	sv.mu.Unlock()
-	return true
+	return func() {
+		sv.mu.Lock()
+		defer sv.mu.Unlock()
+		r.running--
+		r.free.Signal()
+	}, true
 }
 
 // recordRejection records a rejection and reports whether the server fails under it. The caller
@@ -122,9 +123,9 @@
 	})
 }
 
-// sendAtRate sends plain calls to random entry boxes at a rate that may change, until stop is
+// sendAtRate sends calls of a route to random entry boxes at a rate that may change, until stop is
 // closed, whether or not the earlier ones were answered.
-func (p *callerPool) sendAtRate(perSecond func(elapsed time.Duration) float64, stop <-chan struct{}) {
+func (p *callerPool) sendAtRate(route string, perSecond func(elapsed time.Duration) float64, stop <-chan struct{}) {
 	idle := make(chan *caller, maxIdleCallers)
 	rng := rand.New(rand.NewSource(p.seed))
 	began := time.Now()
@@ -141,7 +142,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			p.record(c.send(fmt.Sprintf("rate-%d-%d", p.seed, n), "plain/unsafe", "key-large"))
+			p.record(c.send(fmt.Sprintf("rate-%d-%d", p.seed, n), route, "key-large"))
 			select {
 			case idle <- c:
 			default:
@@ -166,6 +167,8 @@
 	}
 	tests := map[string]struct {
 		rate func(elapsed time.Duration) float64
+		// route is the route of the calls, empty for that of a plain service.
+		route string
 		// disturb disturbs the fleet until stop is closed.
 		disturb func(tb *testbed, stop <-chan struct{})
 	}{
@@ -177,6 +180,7 @@
 			}
 			return 0.25 * capacity
 		}},
+		"engines":            {rate: constant(2.5), route: "stream/once"},
 		"boxes that restart": {rate: constant(2.5), disturb: restartEntries},
 		"boxes that are cut off from control": {rate: constant(2.5), disturb: func(tb *testbed, stop <-chan struct{}) {
 			for _, b := range tb.withRole("control") {
@@ -190,7 +194,11 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			tb := newTestbed(t, 71, 3, 8, 1, servers)
+			route, service, engines, plain := "plain/unsafe", plainService, 1, servers
+			if test.route != "" {
+				route, service, engines, plain = test.route, engineService, servers, 1
+			}
+			tb := newTestbed(t, 71, 3, 8, engines, plain)
 			t.Cleanup(func() {
 				if t.Failed() {
 					tb.saveLogs(t, 71)
@@ -198,7 +206,7 @@
 			})
 			tb.awaitDirectory(t, tb.withRole("entry"))
 			for _, sv := range tb.platform.all() {
-				if sv.service == plainService {
+				if sv.service == service {
 					sv.setRoom(slots, queue, work)
 					sv.announceRejectionLimit(limit)
 				}
@@ -208,7 +216,7 @@
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				tb.all.sendAtRate(test.rate, stop)
+				tb.all.sendAtRate(route, test.rate, stop)
 			}()
 			if test.disturb != nil {
 				wg.Add(1)
