--- a/models/spread/seats_test.go
+++ b/models/spread/seats_test.go
@@ -535,11 +535,24 @@
 // Random fleets and loads; HAVENWINCH_SCHEDULES sets how many.
 func TestRandomRejectionLimits(t *testing.T) {
 	for seed := range seeded.Schedules(t, 40) {
-		s, l := randomSeatSim(int64(seed), nothingOmitted)
-		s.play(l)
-		if most := allowedFailures(len(s.targets)); s.failures > most {
-			t.Errorf("seed %d, %d boxes, %d targets of %d slots: %d failed, want at most %d; %s", seed, len(s.boxes), len(s.targets), s.targets[0].slots, s.failures, most, s.result())
-		}
+		playRandomSeats(t, int64(seed))
+	}
+}
+
+func playRandomSeats(t *testing.T, seed int64) {
+	t.Helper()
+	s, l := randomSeatSim(seed, nothingOmitted)
+	s.play(l)
+	if most := allowedFailures(len(s.targets)); s.failures > most {
+		t.Errorf("seed %d, %d boxes, %d targets of %d slots: %d failed, want at most %d; %s", seed, len(s.boxes), len(s.targets), s.targets[0].slots, s.failures, most, s.result())
+	}
+}
+
+// Guards against boxes without contact to control that have had no call yet and send their first ones
+// at the same moment.
+func TestRandomRejectionLimitsThatFailed(t *testing.T) {
+	for _, seed := range []int64{909} {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { playRandomSeats(t, seed) })
 	}
 }
 
