services/quarantine, models/quarantine: calls and parts of prompts share one hold check, one count of ends and one bounded memory

The check and the count of an end stood twice, once for calls and once for parts, and so did the two maps that hold the latest successes. Behaviour, bounds, log lines and tests stay.

--- a/models/quarantine/parts.go
+++ b/models/quarantine/parts.go
@@ -21,35 +21,24 @@
 
 // PartSuccesses remembers the parts of prompts with which calls have succeeded. It is not safe for
 // concurrent use.
-type PartSuccesses struct{ newer, older map[Digest]partSuccess }
+type PartSuccesses struct{ generations[partSuccess] }
 
 // Add records a success at the given time. reported is set if control is being told of it.
 func (p *PartSuccesses) Add(c Digest, at time.Duration, reported bool) {
-	if p.newer == nil || len(p.newer) >= partGeneration {
-		p.newer, p.older = make(map[Digest]partSuccess, partGeneration), p.newer
-	}
-	p.newer[c] = partSuccess{at: at, reported: reported}
-}
-
-func (p *PartSuccesses) find(c Digest) (partSuccess, bool) {
-	s, known := p.newer[c]
-	if !known {
-		s, known = p.older[c]
-	}
-	return s, known
+	p.put(c, partSuccess{at: at, reported: reported}, partGeneration)
 }
 
 // IsRecent reports whether calls with a part have succeeded so shortly before now that the part is not
 // blamed for the end of a target.
 func (p *PartSuccesses) IsRecent(c Digest, now time.Duration) bool {
-	s, known := p.find(c)
+	s, known := p.get(c)
 	return known && now-s.at < recentSuccess
 }
 
 // TakeUnreported reports whether a success is known of which control has not been told, and counts it
 // as told.
 func (p *PartSuccesses) TakeUnreported(c Digest, now time.Duration) bool {
-	s, known := p.find(c)
+	s, known := p.get(c)
 	if !known || s.reported || now-s.at >= partMemory {
 		return false
 	}
--- a/models/quarantine/recent.go
+++ b/models/quarantine/recent.go
@@ -16,24 +16,37 @@
 	recentSuccess = 5 * time.Second
 )
 
+// generations holds the latest entries by digest in two maps of bounded size, of which the older one is
+// dropped when the newer one is full. The zero value is empty.
+type generations[V any] struct{ newer, older map[Digest]V }
+
+// put adds or replaces an entry; size bounds each map.
+func (g *generations[V]) put(c Digest, v V, size int) {
+	if g.newer == nil || len(g.newer) >= size {
+		g.newer, g.older = make(map[Digest]V, size), g.newer
+	}
+	g.newer[c] = v
+}
+
+func (g *generations[V]) get(c Digest) (v V, known bool) {
+	if v, known = g.newer[c]; !known {
+		v, known = g.older[c]
+	}
+	return v, known
+}
+
 // RecentSuccesses remembers the last successful calls, so that a call that many callers send is
 // not blamed when several targets crash at the same moment. It is not safe for
 // concurrent use.
-type RecentSuccesses struct{ newer, older map[Digest]time.Duration }
+type RecentSuccesses struct{ generations[time.Duration] }
 
 // Add records a call that succeeded at the given time.
 func (r *RecentSuccesses) Add(c Digest, at time.Duration) {
-	if r.newer == nil || len(r.newer) >= recentGeneration {
-		r.newer, r.older = make(map[Digest]time.Duration, recentGeneration), r.newer
-	}
-	r.newer[c] = at
+	r.put(c, at, recentGeneration)
 }
 
 // Contains reports whether a call succeeded within recentSuccess before now.
 func (r *RecentSuccesses) Contains(c Digest, now time.Duration) bool {
-	at, known := r.newer[c]
-	if !known {
-		at, known = r.older[c]
-	}
+	at, known := r.get(c)
 	return known && now-at < recentSuccess
 }
--- a/services/quarantine/parts.go
+++ b/services/quarantine/parts.go
@@ -25,28 +25,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, c := range parts {
-		if left, held := q.partHoldLeft(c); held {
+		if left, held := q.holdLeft(c, q.partSuccesses.IsRecent); held {
 			return left, true
 		}
 	}
 	return 0, false
 }
 
-// partHoldLeft reports whether a part is held back, and for how long. The caller holds q.mu.
-func (q *Service) partHoldLeft(c quarantine.Digest) (left time.Duration, held bool) {
-	row := q.List.Row(c)
-	if row == nil && !q.pendingEnds.Contains(c) {
-		return 0, false
-	}
-	now := q.Clock.Boot()
-	if row.GetHeld() && !q.partSuccesses.IsRecent(c, now) {
-		if left := time.UnixMilli(row.GetDue()).Sub(q.Clock.Wall()); left > -releaseGrace {
-			return max(time.Second, left), true
-		}
-	}
-	return q.pendingEnds.HoldLeft(c, q.onBootClock(row), now)
-}
-
 // RecordPartEnds records that a target ended before it answered a call with the given parts. If one of
 // them is held back already, it explains the end.
 func (q *Service) RecordPartEnds(parts []quarantine.Digest, target string) {
@@ -54,7 +39,7 @@
 	defer q.mu.Unlock()
 	suspects := q.suspects(parts)
 	for _, c := range suspects[:min(len(suspects), maxPartsPerEnd)] {
-		q.recordPartEnd(c, target)
+		q.countEnd(c, &statev1.EndedUnder{Content: c[:], Target: target, Weight: quarantine.EarlyEnd, Part: true})
 	}
 }
 
@@ -65,7 +50,7 @@
 		if q.partSuccesses.IsRecent(c, now) {
 			continue
 		}
-		if _, held := q.partHoldLeft(c); held {
+		if _, held := q.holdLeft(c, q.partSuccesses.IsRecent); held {
 			return []quarantine.Digest{c}
 		}
 		list = append(list, c)
@@ -73,19 +58,6 @@
 	return list
 }
 
-// recordPartEnd counts an end against a part. The caller holds q.mu.
-func (q *Service) recordPartEnd(c quarantine.Digest, target string) {
-	row, now := q.List.Row(c), q.Clock.Boot()
-	listed := q.onBootClock(row)
-	_, before := q.pendingEnds.HoldLeft(c, listed, now)
-	q.pendingEnds.AddPart(c, target, listed, now)
-	if left, held := q.pendingEnds.HoldLeft(c, listed, now); held && !before && !row.GetHeld() {
-		q.Logger.Warn("part of prompts held back by this box", "part", c.String(), "target", target, "listed_weight", row.GetWeight(), "list_reports", q.List.Reports(), "for_ms", left.Milliseconds())
-	}
-	q.queued.Ended = newestQueued(append(q.queued.Ended, &statev1.EndedUnder{Content: c[:], Target: target, Weight: quarantine.EarlyEnd, Part: true}))
-	q.wake()
-}
-
 // RecordPartSuccess records that a target has begun to answer a call with the given parts.
 func (q *Service) RecordPartSuccess(parts []quarantine.Digest) {
 	if len(parts) == 0 {
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -74,6 +74,12 @@
 func (q *Service) HoldLeft(c quarantine.Digest) (left time.Duration, held bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.holdLeft(c, q.recentSuccesses.Contains)
+}
+
+// holdLeft reports whether a call or a part of prompts is held back, and for how long. isRecent reports
+// whether it has succeeded on this box lately. The caller holds q.mu.
+func (q *Service) holdLeft(c quarantine.Digest, isRecent func(quarantine.Digest, time.Duration) bool) (left time.Duration, held bool) {
 	// The list must be read under the lock. Ends are dropped once the list includes
 	// them, so a row that was read earlier might lack ends that have just been dropped.
 	row := q.List.Row(c)
@@ -81,7 +87,7 @@
 		return 0, false
 	}
 	now := q.Clock.Boot()
-	if row.GetHeld() && !q.recentSuccesses.Contains(c, now) {
+	if row.GetHeld() && !isRecent(c, now) {
 		left := time.UnixMilli(row.GetDue()).Sub(q.Clock.Wall())
 		if left > -releaseGrace {
 			return max(time.Second, left), true
@@ -103,14 +109,25 @@
 	if q.recentSuccesses.Contains(c, q.Clock.Boot()) {
 		return
 	}
+	q.countEnd(c, &statev1.EndedUnder{Content: c[:], Target: target, Weight: weight})
+}
+
+// countEnd counts an end against a call or a part of prompts. The caller holds q.mu.
+func (q *Service) countEnd(c quarantine.Digest, e *statev1.EndedUnder) {
 	row, now := q.List.Row(c), q.Clock.Boot()
 	listed := q.onBootClock(row)
 	_, before := q.pendingEnds.HoldLeft(c, listed, now)
-	q.pendingEnds.Add(c, target, weight, listed, now)
+	message, key := "call held back by this box", "content"
+	if e.GetPart() {
+		message, key = "part of prompts held back by this box", "part"
+		q.pendingEnds.AddPart(c, e.GetTarget(), listed, now)
+	} else {
+		q.pendingEnds.Add(c, e.GetTarget(), e.GetWeight(), listed, now)
+	}
 	if left, held := q.pendingEnds.HoldLeft(c, listed, now); held && !before && !row.GetHeld() {
-		q.Logger.Warn("call held back by this box", "content", c.String(), "target", target, "listed_weight", row.GetWeight(), "list_reports", q.List.Reports(), "for_ms", left.Milliseconds())
+		q.Logger.Warn(message, key, c.String(), "target", e.GetTarget(), "listed_weight", row.GetWeight(), "list_reports", q.List.Reports(), "for_ms", left.Milliseconds())
 	}
-	q.queued.Ended = newestQueued(append(q.queued.Ended, &statev1.EndedUnder{Content: c[:], Target: target, Weight: weight}))
+	q.queued.Ended = newestQueued(append(q.queued.Ended, e))
 	q.wake()
 }
 
