--- a/models/spread/seats_test.go
+++ b/models/spread/seats_test.go
@@ -25,8 +25,16 @@
 	simLength = 9 * time.Second
 	// noticingShare is the share of calls that their targets drop when the connection closes.
 	noticingShare = 0.8
+	// noLimit stands for the time in which targets name no limit.
+	noLimit = -1
 )
 
+// limitStep is a rejection limit that targets name from a moment on, noLimit for none.
+type limitStep struct {
+	at    time.Duration
+	limit float64
+}
+
 // seatOmission is a part of the mechanism that is left out.
 type seatOmission int
 
@@ -53,12 +61,19 @@
 	limit float64
 	// engines is set if the targets are engines.
 	engines bool
-	told    map[string]rate.Statement
+	habits  targetHabits
+	// limits are the limits that targets name one after the other; nil if limit holds all the time.
+	limits []limitStep
+	// oneBox is set if all calls come to the first box.
+	oneBox bool
+	// patience is how long callers wait for an answer, zero for ever.
+	patience time.Duration
+	told     map[string]rate.Statement
 	// hold is the mean hold time as control reckons it, toldHold what boxes are told.
 	hold, toldHold time.Duration
 
-	offered, served, refused, refusedLate, rejected, failures int
-	waited                                                    time.Duration
+	offered, served, left, refused, refusedLate, rejected, failures int
+	waited                                                          time.Duration
 }
 
 type simBox struct {
@@ -75,6 +90,21 @@
 	waiters map[int64]func()
 }
 
+// targetHabits are the ways in which the targets of a service differ from ones that are always seen as
+// they are, let as many calls wait at any time and need similar times for all calls.
+type targetHabits struct {
+	// losesQueue is set if no call may wait from rejectionGrace on.
+	losesQueue bool
+	// longShare is the share of calls that need longFactor times the usual time.
+	longShare, longFactor float64
+	// viewLag is the longest time after which boxes hear of the end and the start of a target.
+	viewLag time.Duration
+	// acceptShare is the share of calls for which a box opens a connection, which holds a slot for
+	// acceptTime.
+	acceptShare float64
+	acceptTime  time.Duration
+}
+
 type simTarget struct {
 	id                    string
 	slots, queue, running int
@@ -121,10 +151,11 @@
 	boxes, targets, slots, queue int
 	work                         time.Duration
 	engines                      bool
+	habits                       targetHabits
 }
 
 func newSeatSim(seed int64, f seatFleet, limit float64, omit seatOmission) *seatSim {
-	s := &seatSim{rng: rand.New(rand.NewSource(seed)), omit: omit, work: f.work, engines: f.engines, limit: limit, told: map[string]rate.Statement{}}
+	s := &seatSim{rng: rand.New(rand.NewSource(seed)), omit: omit, work: f.work, engines: f.engines, habits: f.habits, limit: limit, told: map[string]rate.Statement{}}
 	for i := range f.targets {
 		s.targets = append(s.targets, &simTarget{id: fmt.Sprintf("t%d", i), slots: f.slots, queue: f.queue})
 	}
@@ -157,6 +188,25 @@
 	s.report(b, b.start)
 }
 
+// limitNow returns the limit that targets name, noLimit for none, and whether rejections may make them
+// fail.
+func (s *seatSim) limitNow() (limit float64, counts bool) {
+	if s.limits == nil {
+		return s.limit, s.now >= rejectionGrace
+	}
+	limit, since := float64(noLimit), time.Duration(0)
+	for _, step := range s.limits {
+		if step.at > s.now {
+			break
+		}
+		if limit == noLimit {
+			since = step.at
+		}
+		limit = step.limit
+	}
+	return limit, limit != noLimit && s.now-since >= rejectionGrace
+}
+
 func (s *seatSim) ids() map[string]bool {
 	ids := map[string]bool{}
 	for _, t := range s.targets {
@@ -221,6 +271,9 @@
 	}
 	s.after(time.Duration(s.rng.ExpFloat64()/perSecond(s.now)*float64(time.Second)), func() {
 		draw := s.rng.Float64() * total
+		if s.oneBox {
+			draw = 0
+		}
 		b := s.boxes[len(s.boxes)-1]
 		for _, other := range s.boxes {
 			if draw -= other.weight; draw < 0 {
@@ -245,6 +298,8 @@
 	ticket   int64
 	retried  bool
 	counts   bool
+	// answered is set once the caller has its answer.
+	answered bool
 }
 
 func (s *seatSim) refuse(c *simCall) {
@@ -300,10 +355,24 @@
 		}
 		return
 	}
-	sent := s.now
+	sent, left := s.now, false
+	c.answered = false
+	if s.patience > 0 {
+		s.after(s.patience, func() {
+			left = !c.answered && b.start == start
+			if left {
+				s.abandon(b, t, c)
+			}
+		})
+	}
 	s.after(s.latency(), func() {
 		s.reach(b, s.targetOf(t.ID), func(ok, full, gone bool) {
-			s.after(s.latency(), func() { s.answered(b, start, t, c, sent, ok, full, gone) })
+			s.after(s.latency(), func() {
+				if !left {
+					c.answered = true
+					s.answered(b, start, t, c, sent, ok, full, gone)
+				}
+			})
 		})
 	})
 }
@@ -319,11 +388,60 @@
 
 // reach handles a call that reaches a target, and answers it when it has ended.
 func (s *seatSim) reach(b *simBox, t *simTarget, answer func(ok, full, gone bool)) {
-	if s.now < t.downUntil {
+	if t == nil || s.now < t.downUntil {
 		answer(false, false, true)
 		return
 	}
 	start := t.start
+	if h := s.habits; h.acceptShare > 0 && t.running < t.slots && s.rng.Float64() < h.acceptShare {
+		t.running++
+		s.after(h.acceptTime, func() {
+			if t.start == start {
+				s.freeSlot(t)
+			}
+		})
+		s.after(h.acceptTime, func() { s.reachOpen(b, t, start, answer) })
+		return
+	}
+	s.reachOpen(b, t, start, answer)
+}
+
+// freeSlot ends what occupies a slot and begins the next waiting call.
+func (s *seatSim) freeSlot(t *simTarget) {
+	t.running--
+	if len(t.waiters) > 0 {
+		next := t.waiters[0]
+		t.waiters = t.waiters[1:]
+		next()
+	}
+}
+
+// timeFor draws the time that a call needs.
+func (s *seatSim) timeFor() time.Duration {
+	usual := float64(s.work) * (0.5 + s.rng.ExpFloat64()/2)
+	if h := s.habits; h.longShare > 0 {
+		usual /= 1 + h.longShare*(h.longFactor-1)
+		if s.rng.Float64() < h.longShare {
+			usual *= h.longFactor
+		}
+	}
+	return time.Duration(usual)
+}
+
+// mayWait returns how many calls may wait at a target.
+func (s *seatSim) mayWait(t *simTarget) int {
+	if _, counts := s.limitNow(); s.habits.losesQueue && counts {
+		return 0
+	}
+	return t.queue
+}
+
+// reachOpen handles a call over an open connection.
+func (s *seatSim) reachOpen(b *simBox, t *simTarget, start int64, answer func(ok, full, gone bool)) {
+	if t.start != start || s.now < t.downUntil {
+		answer(false, false, true)
+		return
+	}
 	run := func() {
 		t.running++
 		ended := false
@@ -336,23 +454,21 @@
 				answer(false, false, true)
 				return
 			}
-			t.running--
 			answer(ok, false, false)
-			if len(t.waiters) > 0 {
-				next := t.waiters[0]
-				t.waiters = t.waiters[1:]
-				next()
-			}
+			s.freeSlot(t)
 		}
-		s.after(time.Duration(float64(s.work)*(0.5+s.rng.ExpFloat64()/2)), func() { end(true) })
+		s.after(s.timeFor(), func() { end(true) })
 		if s.rng.Float64() < noticingShare {
 			b.cancels = append(b.cancels, func() { end(false) })
+			if s.patience > 0 {
+				s.after(s.patience, func() { end(false) })
+			}
 		}
 	}
 	switch {
 	case t.running < t.slots:
 		run()
-	case len(t.waiters) < t.queue:
+	case len(t.waiters) < s.mayWait(t):
 		t.waiters = append(t.waiters, run)
 	default:
 		s.reject(t)
@@ -367,30 +483,68 @@
 	for i := len(t.rejections) - 1; i >= 0 && s.now-t.rejections[i] < time.Second; i-- {
 		recent++
 	}
-	if s.now < rejectionGrace {
+	limit, counts := s.limitNow()
+	if !counts {
 		return
 	}
 	s.rejected++
-	if float64(recent) > s.limit {
-		s.failures++
-		t.start++
-		t.running, t.waiters, t.downUntil = 0, nil, s.now+targetDowntime
+	if float64(recent) > limit {
+		s.fail(t)
 	}
 }
 
-// answered handles the answer to a call at its box.
-func (s *seatSim) answered(b *simBox, start int, t *Target, c *simCall, sent time.Duration, ok, full, gone bool) {
-	if b.start != start {
+// fail ends a target and starts it again later, under another id if boxes see it with a lag.
+func (s *seatSim) fail(t *simTarget) {
+	s.failures++
+	t.start++
+	t.running, t.waiters, t.rejections, t.downUntil = 0, nil, nil, s.now+targetDowntime
+	if s.habits.viewLag == 0 {
 		return
 	}
+	ended := s.rowOf(t)
+	ended.State = statev1.RegisteredTarget_STATE_GONE
+	s.tellBoxes(0, ended)
+	t.id = fmt.Sprintf("%s-%d", t.id, t.start)
+	s.tellBoxes(targetDowntime, s.rowOf(t))
+}
+
+// tellBoxes tells each box of a target at a moment of its own.
+func (s *seatSim) tellBoxes(from time.Duration, row *statev1.RegisteredTarget) {
+	for _, b := range s.boxes {
+		s.after(from+time.Duration(s.rng.Int63n(int64(s.habits.viewLag))), func() { b.table.Put(row, s.now) })
+	}
+}
+
+// abandon handles a call whose caller leaves while it is at a target.
+func (s *seatSim) abandon(b *simBox, t *Target, c *simCall) {
 	t.RunningCalls--
+	b.table.RecordAbandoned(t, s.now)
+	if c.counts {
+		s.left++
+	}
+	s.wakeWaiters(b)
+}
+
+func (s *seatSim) wakeWaiters(b *simBox) {
 	for _, ticket := range b.table.FirstWaiting("s", s.now) {
 		if wake := b.waiters[ticket]; wake != nil {
 			s.after(0, wake)
 		}
 	}
-	if !gone && s.omit != ignoredLimit {
-		b.table.RecordRejectionLimit(t, rate.Statement{Limit: s.limit, Sent: sent, Received: s.now})
+}
+
+// answered handles the answer to a call at its box.
+func (s *seatSim) answered(b *simBox, start int, t *Target, c *simCall, sent time.Duration, ok, full, gone bool) {
+	if b.start != start {
+		return
+	}
+	t.RunningCalls--
+	s.wakeWaiters(b)
+	if limit, _ := s.limitNow(); !gone && s.omit != ignoredLimit {
+		if limit == noLimit {
+			limit = rate.Unlimited
+		}
+		b.table.RecordRejectionLimit(t, rate.Statement{Limit: limit, Sent: sent, Received: s.now})
 	}
 	switch {
 	case ok:
@@ -436,6 +590,18 @@
 	})
 }
 
+// stopBoxes stops a box every interval, which finishes its calls while the next process starts.
+func (s *seatSim) stopBoxes(interval time.Duration) {
+	next := 0
+	s.after(interval, func() {
+		b := s.boxes[next%len(s.boxes)]
+		next++
+		b.known, b.cancels = false, nil
+		s.startBox(b)
+		s.stopBoxes(interval)
+	})
+}
+
 // seatLoad is a load of a fleet in multiples of what its targets can run.
 type seatLoad struct {
 	perSecond func(at time.Duration) float64
--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -41,6 +41,8 @@
 	entries []string
 	names   []string
 	seed    int64
+	// patience is how long the callers of a rate wait for an answer, zero for answerLimit.
+	patience time.Duration
 
 	mu       sync.Mutex
 	outcomes []outcome
@@ -62,6 +64,8 @@
 	prefix string
 	// box is the name of the entry box that conn leads to.
 	box string
+	// patience is how long the caller waits for an answer, zero for answerLimit.
+	patience time.Duration
 }
 
 const (
@@ -119,7 +123,11 @@
 		c.conn, c.reader, c.box = conn, observe.NewReader(conn), c.all.names[n]
 	}
 	o.box, o.sentAt = c.box, time.Now()
-	_ = c.conn.SetDeadline(time.Now().Add(answerLimit))
+	patience := time.Duration(answerLimit)
+	if c.patience > 0 {
+		patience = c.patience
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(patience))
 	tokens := ""
 	if strings.HasPrefix(route, "stream") {
 		prompt := 200 + c.rng.Intn(400)
--- a/tests/soak/platform_test.go
+++ b/tests/soak/platform_test.go
@@ -69,6 +69,8 @@
 	versionsDrawn int
 	// fatalPart is the part of prompts that crashes servers, nil for none.
 	fatalPart *fatalPart
+	// rooms has the room of the servers of a service from their start on, nil for none.
+	rooms map[string]func(*server)
 	// failedUnderRejections counts the servers that failed as they had to reject too many calls.
 	failedUnderRejections int
 	// evacuated has, by zone, when its evacuation was acknowledged.
@@ -229,7 +231,10 @@
 	}
 	sv.platform, sv.state, sv.startedAt = p, "ready", time.Now().UnixMilli()
 	sv.rng, sv.quit, sv.runs = rand.New(rand.NewSource(seed)), make(chan struct{}), map[string]*run{}
-	sv.http = &http.Server{Handler: sv, ConnContext: withConn}
+	if set := p.rooms[sv.service]; set != nil && sv.room == nil {
+		set(sv)
+	}
+	sv.http = &http.Server{Handler: sv, ConnContext: withConn, ConnState: sv.holdSlotForConnection}
 	go func() { _ = sv.http.Serve(repeatingListener{l}) }()
 	go sv.sendHeartbeats()
 	p.mu.Lock()
@@ -353,7 +358,7 @@
 	if want := "body of " + id; string(body) != want {
 		sv.platform.recordViolation("request %s arrived with an unexpected body %q", id, body)
 	}
-	leave, ok := sv.workInRoom(w, id)
+	leave, ok := sv.workInRoom(w, r, id)
 	if !ok {
 		return
 	}
--- a/tests/soak/rejection_test.go
+++ b/tests/soak/rejection_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -27,7 +28,9 @@
 // more requests in a second.
 type room struct {
 	slots, queue int
-	work         time.Duration
+	// work is the mean time that a request needs.
+	work time.Duration
+	roomHabits
 	// limit is the rejection limit, announced since announcedAt; zero for none.
 	limit       int
 	announcedAt time.Time
@@ -37,22 +40,84 @@
 	free             *sync.Cond
 }
 
+// roomHabits are the ways in which a server with a limited room differs from one that needs the same
+// time for each request, always lets as many wait, and finishes what it has begun.
+type roomHabits struct {
+	// losesQueue is set if no request may wait once the rejection limit counts.
+	losesQueue bool
+	// longShare is the share of requests that need longFactor times the usual time.
+	longShare, longFactor float64
+	// noticingShare is the share of requests that the server drops when their connection closes.
+	noticingShare float64
+	// acceptTime is how long a new connection holds a slot.
+	acceptTime time.Duration
+}
+
+// holdSlotForConnection holds a slot for a new connection if one is free.
+func (sv *server) holdSlotForConnection(_ net.Conn, state http.ConnState) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	r := sv.room
+	if state != http.StateNew || r == nil || r.acceptTime == 0 || r.running == r.slots {
+		return
+	}
+	r.running++
+	time.AfterFunc(r.acceptTime, func() {
+		sv.mu.Lock()
+		defer sv.mu.Unlock()
+		r.running--
+		r.free.Signal()
+	})
+}
+
 func (sv *server) setRoom(slots, queue int, work time.Duration) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	sv.room = &room{slots: slots, queue: queue, work: work, free: sync.NewCond(&sv.mu)}
 }
 
-// announceRejectionLimit makes the server announce a rejection limit from now on.
+func (sv *server) setRoomHabits(h roomHabits) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.room.roomHabits = h
+}
+
+// announceRejectionLimit makes the server announce a rejection limit from now on, zero for none.
 func (sv *server) announceRejectionLimit(perSecond int) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.room.limit, sv.room.announcedAt = perSecond, time.Now()
+	if sv.room.limit == 0 {
+		sv.room.announcedAt = time.Now()
+	}
+	sv.room.limit = perSecond
+}
+
+// counts reports whether rejections may make the server fail.
+func (r *room) counts() bool { return r.limit > 0 && time.Since(r.announcedAt) > contactTime }
+
+// mayWait returns how many requests may wait.
+func (r *room) mayWait() int {
+	if r.losesQueue && r.counts() {
+		return 0
+	}
+	return r.queue
+}
+
+// timeFor draws the time that a request needs.
+func (r *room) timeFor(rng *rand.Rand) time.Duration {
+	if r.longShare == 0 {
+		return r.work
+	}
+	usual := float64(r.work) / (1 + r.longShare*(r.longFactor-1))
+	if rng.Float64() < r.longShare {
+		usual *= r.longFactor
+	}
+	return time.Duration(usual)
 }
 
 // workInRoom occupies a slot for the time that a request needs, and until the returned function is
 // called. It returns false if the request was rejected.
-func (sv *server) workInRoom(w http.ResponseWriter, id string) (leave func(), ok bool) {
+func (sv *server) workInRoom(w http.ResponseWriter, req *http.Request, id string) (leave func(), ok bool) {
 	sv.mu.Lock()
 	r := sv.room
 	if r == nil {
@@ -62,7 +127,7 @@
 	if r.limit > 0 {
 		w.Header().Set(rejectionHeader, strconv.Itoa(r.limit))
 	}
-	if r.running == r.slots && r.waiting >= r.queue {
+	if r.running == r.slots && r.waiting >= r.mayWait() {
 		fails := sv.recordRejection()
 		sv.mu.Unlock()
 		if fails {
@@ -80,8 +145,15 @@
 	}
 	r.waiting--
 	r.running++
+	work, gone := r.timeFor(sv.rng), req.Context().Done()
+	if sv.rng.Float64() >= r.noticingShare {
+		gone = nil
+	}
 	sv.mu.Unlock()
-	time.Sleep(r.work)
+	select {
+	case <-time.After(work):
+	case <-gone:
+	}
 	return func() {
 		sv.mu.Lock()
 		defer sv.mu.Unlock()
@@ -99,7 +171,7 @@
 	for i := len(r.rejections) - 1; i >= 0 && now.Sub(r.rejections[i]) < time.Second; i-- {
 		recent++
 	}
-	return r.limit > 0 && now.Sub(r.announcedAt) > contactTime && recent > r.limit
+	return r.counts() && recent > r.limit
 }
 
 // failUnderRejections ends the server and starts one with the same room later.
@@ -115,6 +187,7 @@
 		time.AfterFunc(failureTime, func() {
 			next := &server{id: p.newServerID(), service: sv.service, zone: sv.zone, version: sv.version}
 			next.setRoom(sv.room.slots, sv.room.queue, sv.room.work)
+			next.room.roomHabits = sv.room.roomHabits
 			next.room.limit, next.room.announcedAt = sv.room.limit, sv.room.announcedAt
 			if fresh, err := p.launch(next, 0); err == nil {
 				p.addCleanup(fresh.stop)
@@ -126,6 +199,11 @@
 // sendAtRate sends calls of a route to random entry boxes at a rate that may change, until stop is
 // closed, whether or not the earlier ones were answered.
 func (p *callerPool) sendAtRate(route string, perSecond func(elapsed time.Duration) float64, stop <-chan struct{}) {
+	p.sendAtRateTo(func(rng *rand.Rand) int { return rng.Intn(len(p.entries)) }, route, perSecond, stop)
+}
+
+// sendAtRateTo sends calls as sendAtRate does to the entry boxes whose indexes entry returns.
+func (p *callerPool) sendAtRateTo(entry func(*rand.Rand) int, route string, perSecond func(elapsed time.Duration) float64, stop <-chan struct{}) {
 	idle := make(chan *caller, maxIdleCallers)
 	rng := rand.New(rand.NewSource(p.seed))
 	began := time.Now()
@@ -138,7 +216,8 @@
 			return
 		case <-time.After(pause):
 		}
-		c := p.takeIdle(idle, rng.Intn(len(p.entries)), n)
+		c := p.takeIdle(idle, entry(rng), n)
+		c.patience = p.patience
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
