services/gateway: a target that changes only its number of slots is heard

Boxes reckoned with the first number of slots to the end: a call of the target that changed nothing else counted as unchanged and was not committed. TestChangedRegistrationsAreCommitted/slots failed before.

--- a/services/gateway/registry.go
+++ b/services/gateway/registry.go
@@ -120,7 +120,7 @@
 	if known.GetState() > t.GetState() {
 		return true
 	}
-	return known.GetState() == t.GetState() && known.GetAddress() == t.GetAddress() && known.GetService() == t.GetService() && known.GetVersion() == t.GetVersion()
+	return known.GetState() == t.GetState() && known.GetAddress() == t.GetAddress() && known.GetService() == t.GetService() && known.GetVersion() == t.GetVersion() && known.GetSlots() == t.GetSlots()
 }
 
 // isColdChanged reports whether a target's call says something new about how long it is
