models/seats, services/seats: the seats of plain services with a rejection limit are granted by one box

What callers saw: targets fell over and calls were refused though they fit. With no room for waiting calls each meeting is a rejection, and two in a second are a fall at a limit of 1.

One box of the targets' data centre now grants the seats of a group of targets and knows all calls that run there. A seat is a stream: a box that ends gives its seats back, and what it ran keeps them for as long as calls have been seen to run. A second box takes over while the first can't be reached: whole if it has ended, half if it is silent. Calls that run are attached to the next holder, which grants nothing in its first second. Turns, terms and the hold time that control averaged are gone; engines with two seats a box or more keep the division by name.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	models "havenwinch.dev/havenwinch/models/seats"
 	"havenwinch.dev/havenwinch/models/state"
 	"havenwinch.dev/havenwinch/modules/meter"
 	"havenwinch.dev/havenwinch/modules/periodic"
@@ -25,6 +26,7 @@
 	"havenwinch.dev/havenwinch/services/quarantine"
 	"havenwinch.dev/havenwinch/services/relay"
 	"havenwinch.dev/havenwinch/services/resume"
+	"havenwinch.dev/havenwinch/services/seats"
 )
 
 const (
@@ -47,6 +49,7 @@
 	between    *http.Server
 	relays     *relay.Server
 	streams    *resume.Service
+	seats      *seats.Server
 	meter      *meter.Meter
 	overload   *overload.Watcher
 	forwarder  *forward.Forwarder
@@ -71,22 +74,27 @@
 		Box: b.Settings.Box, DataCentre: b.Settings.DataCentre, Directory: e.leases.Directory, Connect: b.Peers.Streams,
 		Clock: b.Clock, Logger: b.Logger, Count: b.Metrics.StreamRecord,
 	})
+	e.seats = seats.NewServer(seats.ServerOptions{Box: b.Settings.Box, Directory: e.leases.Directory, HasContact: e.leases.HasContact, Connect: b.Peers.Seats, Targets: seatedTargets{e}, Clock: b.Clock, Logger: b.Logger})
 	registry := &gateway.Registry{Lookup: b.Store.Target, Client: b.Client, Clock: b.Clock}
 	e.quarantine = quarantine.New(quarantine.Options{List: &b.Store.Quarantine, Clock: b.Clock, Logger: b.Logger, Report: b.Client.ReportCalls})
 	e.forwarder = forward.New(forward.Options{
-		Box:         b.Settings.Box,
-		DataCentre:  b.Settings.DataCentre,
-		Dialect:     platform.Dialect(),
-		Store:       b.Store,
-		Leases:      e.shared,
-		Quarantine:  e.quarantine,
-		Clock:       b.Clock,
-		Logger:      b.Logger,
-		Counter:     b.Metrics,
-		EngineAPI:   platform.EngineAPI{},
-		ReportGone:  registry.Deregister,
-		ReportNow:   e.leases.ReportNow,
-		Relays:      dialer,
+		Box:        b.Settings.Box,
+		DataCentre: b.Settings.DataCentre,
+		Dialect:    platform.Dialect(),
+		Store:      b.Store,
+		Leases:     e.shared,
+		Quarantine: e.quarantine,
+		Clock:      b.Clock,
+		Logger:     b.Logger,
+		Counter:    b.Metrics,
+		EngineAPI:  platform.EngineAPI{},
+		ReportGone: registry.Deregister,
+		ReportNow:  e.leases.ReportNow,
+		Relays:     dialer,
+		Seats: seats.NewClient(seats.ClientOptions{
+			Box: b.Settings.Box, DataCentre: b.Settings.DataCentre, Directory: e.leases.Directory, Connect: b.Peers.Seats, Own: e.seats,
+			Clock: b.Clock, Logger: b.Logger,
+		}),
 		Streams:     e.streams,
 		IsCongested: e.overload.IsCongested,
 		Meter:       e.meter,
@@ -96,7 +104,7 @@
 	})
 	e.leases.Placement = e.forwarder
 	e.relays = relay.NewServer(relay.ServerOptions{Targets: e.forwarder, Meter: e.meter, IsCongested: e.overload.IsCongested, Count: b.Metrics.Relay})
-	e.between = b.Peers.Server(between.NewEntryHandler(e.leases, e.relays, e.streams, b.Peers.HandlerOptions()))
+	e.between = b.Peers.Server(between.NewEntryHandler(e.leases, e.relays, e.streams, e.seats, b.Peers.HandlerOptions()))
 	e.callers = callers.New(callers.Options{
 		Forwarder:  e.forwarder,
 		Translator: platform.Translator{},
@@ -118,6 +126,7 @@
 	b.Metrics.Gauge("unreachable_services", "Services to which this box has lost its own links.", func() float64 { return float64(e.forwarder.LostServices()) })
 	b.Metrics.Gauge("relayed_connections", "Open connections of this box to targets that other boxes carry.", func() float64 { return float64(dialer.Open()) })
 	b.Metrics.Gauge("carried_connections", "Open connections to targets that this box carries for others.", func() float64 { return float64(e.relays.Carried()) })
+	b.Metrics.Gauge("granted_seats", "Seats at targets with a rejection limit that this box has granted and that are taken.", func() float64 { return float64(e.seats.Held()) })
 	b.Metrics.Gauge("stream_records", "Records of the software that began a stream, of this box and of others.", func() float64 { return float64(e.streams.Len()) })
 	b.Metrics.GaugeVec("running_calls", "Calls of this box at targets, by service and version of the target's software.", []string{"service", "version"}, func(set func(float64, ...string)) {
 		for k, n := range e.forwarder.RunningCalls() {
@@ -128,6 +137,14 @@
 	return e
 }
 
+// seatedTargets lists targets by the forwarder, which is made after the seats.
+type seatedTargets struct{ e *entryRole }
+
+// SeatedTargets implements seats.Targets.
+func (t seatedTargets) SeatedTargets(service, centre string) []models.Target {
+	return t.e.forwarder.SeatedTargets(service, centre)
+}
+
 func (e *entryRole) isReady() error {
 	if e.Graceful.IsDraining() {
 		return errors.New("a planned stop has begun")
@@ -165,6 +182,7 @@
 	e.spawn(follower.Run)
 	e.spawn(e.leases.Run)
 	e.spawn(e.quarantine.Run)
+	e.spawn(e.seats.Run)
 	e.spawn(e.overload.Run)
 	e.spawn(e.forwarder.Run)
 	return nil
@@ -183,6 +201,7 @@
 	waitCtx, cancel := context.WithTimeout(ctx, limit)
 	e.callers.Wait(waitCtx)
 	cancel()
+	e.seats.Stop()
 	returnCtx, done := context.WithTimeout(context.Background(), returnTimeout)
 	e.shared.Flush(returnCtx)
 	e.leases.SendFinalReport(returnCtx)
--- a/gen/havenwinch/between/v1/betweenv1connect/between.connect.go
+++ b/gen/havenwinch/between/v1/betweenv1connect/between.connect.go
@@ -38,6 +38,8 @@
 	DrawServiceName = "havenwinch.between.v1.DrawService"
 	// RelayServiceName is the fully-qualified name of the RelayService service.
 	RelayServiceName = "havenwinch.between.v1.RelayService"
+	// SeatServiceName is the fully-qualified name of the SeatService service.
+	SeatServiceName = "havenwinch.between.v1.SeatService"
 	// StreamServiceName is the fully-qualified name of the StreamService service.
 	StreamServiceName = "havenwinch.between.v1.StreamService"
 )
@@ -108,6 +110,10 @@
 	DrawServiceSettleProcedure = "/havenwinch.between.v1.DrawService/Settle"
 	// RelayServiceConnectProcedure is the fully-qualified name of the RelayService's Connect RPC.
 	RelayServiceConnectProcedure = "/havenwinch.between.v1.RelayService/Connect"
+	// SeatServiceHoldProcedure is the fully-qualified name of the SeatService's Hold RPC.
+	SeatServiceHoldProcedure = "/havenwinch.between.v1.SeatService/Hold"
+	// SeatServiceHoldsProcedure is the fully-qualified name of the SeatService's Holds RPC.
+	SeatServiceHoldsProcedure = "/havenwinch.between.v1.SeatService/Holds"
 	// StreamServiceRecordProcedure is the fully-qualified name of the StreamService's Record RPC.
 	StreamServiceRecordProcedure = "/havenwinch.between.v1.StreamService/Record"
 	// StreamServiceFindProcedure is the fully-qualified name of the StreamService's Find RPC.
@@ -1129,6 +1135,112 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.RelayService.Connect is not implemented"))
 }
 
+// SeatServiceClient is a client for the havenwinch.between.v1.SeatService service.
+type SeatServiceClient interface {
+	// Hold grants a seat at a target and keeps it until the stream ends. The first request says what is
+	// wanted, the second one how the call ended; a stream that ends without counts as a call that may
+	// still be running. FailedPrecondition means that this box does not grant the seats, ResourceExhausted
+	// that it is stopping.
+	Hold(context.Context) *connect.BidiStreamForClient[v1.HoldRequest, v1.HoldResponse]
+	// Holds tells whether this box grants the seats at present. Any answer shows that it is running.
+	Holds(context.Context, *connect.Request[v1.HoldsRequest]) (*connect.Response[v1.HoldsResponse], error)
+}
+
+// NewSeatServiceClient constructs a client for the havenwinch.between.v1.SeatService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewSeatServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) SeatServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	seatServiceMethods := v1.File_havenwinch_between_v1_between_proto.Services().ByName("SeatService").Methods()
+	return &seatServiceClient{
+		hold: connect.NewClient[v1.HoldRequest, v1.HoldResponse](
+			httpClient,
+			baseURL+SeatServiceHoldProcedure,
+			connect.WithSchema(seatServiceMethods.ByName("Hold")),
+			connect.WithClientOptions(opts...),
+		),
+		holds: connect.NewClient[v1.HoldsRequest, v1.HoldsResponse](
+			httpClient,
+			baseURL+SeatServiceHoldsProcedure,
+			connect.WithSchema(seatServiceMethods.ByName("Holds")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// seatServiceClient implements SeatServiceClient.
+type seatServiceClient struct {
+	hold  *connect.Client[v1.HoldRequest, v1.HoldResponse]
+	holds *connect.Client[v1.HoldsRequest, v1.HoldsResponse]
+}
+
+// Hold calls havenwinch.between.v1.SeatService.Hold.
+func (c *seatServiceClient) Hold(ctx context.Context) *connect.BidiStreamForClient[v1.HoldRequest, v1.HoldResponse] {
+	return c.hold.CallBidiStream(ctx)
+}
+
+// Holds calls havenwinch.between.v1.SeatService.Holds.
+func (c *seatServiceClient) Holds(ctx context.Context, req *connect.Request[v1.HoldsRequest]) (*connect.Response[v1.HoldsResponse], error) {
+	return c.holds.CallUnary(ctx, req)
+}
+
+// SeatServiceHandler is an implementation of the havenwinch.between.v1.SeatService service.
+type SeatServiceHandler interface {
+	// Hold grants a seat at a target and keeps it until the stream ends. The first request says what is
+	// wanted, the second one how the call ended; a stream that ends without counts as a call that may
+	// still be running. FailedPrecondition means that this box does not grant the seats, ResourceExhausted
+	// that it is stopping.
+	Hold(context.Context, *connect.BidiStream[v1.HoldRequest, v1.HoldResponse]) error
+	// Holds tells whether this box grants the seats at present. Any answer shows that it is running.
+	Holds(context.Context, *connect.Request[v1.HoldsRequest]) (*connect.Response[v1.HoldsResponse], error)
+}
+
+// NewSeatServiceHandler builds an HTTP handler from the service implementation. It returns the path
+// on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewSeatServiceHandler(svc SeatServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	seatServiceMethods := v1.File_havenwinch_between_v1_between_proto.Services().ByName("SeatService").Methods()
+	seatServiceHoldHandler := connect.NewBidiStreamHandler(
+		SeatServiceHoldProcedure,
+		svc.Hold,
+		connect.WithSchema(seatServiceMethods.ByName("Hold")),
+		connect.WithHandlerOptions(opts...),
+	)
+	seatServiceHoldsHandler := connect.NewUnaryHandler(
+		SeatServiceHoldsProcedure,
+		svc.Holds,
+		connect.WithSchema(seatServiceMethods.ByName("Holds")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/havenwinch.between.v1.SeatService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case SeatServiceHoldProcedure:
+			seatServiceHoldHandler.ServeHTTP(w, r)
+		case SeatServiceHoldsProcedure:
+			seatServiceHoldsHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedSeatServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedSeatServiceHandler struct{}
+
+func (UnimplementedSeatServiceHandler) Hold(context.Context, *connect.BidiStream[v1.HoldRequest, v1.HoldResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.SeatService.Hold is not implemented"))
+}
+
+func (UnimplementedSeatServiceHandler) Holds(context.Context, *connect.Request[v1.HoldsRequest]) (*connect.Response[v1.HoldsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("havenwinch.between.v1.SeatService.Holds is not implemented"))
+}
+
 // StreamServiceClient is a client for the havenwinch.between.v1.StreamService service.
 type StreamServiceClient interface {
 	// Record stores which software began a stream.
--- a/models/lease/directory.go
+++ b/models/lease/directory.go
@@ -104,6 +104,29 @@
 	return list
 }
 
+// seatHolders is the number of boxes that may grant the seats of one group of targets.
+const seatHolders = 2
+
+// SeatHolders returns the box that grants the seats at the targets of a service in a data centre, and the
+// one that takes its place while it can't be reached. They are of that data centre as far as it has
+// boxes, so that they stay with its targets in a partition.
+func (d *Directory) SeatHolders(service, centre string) []Box {
+	if d == nil {
+		return nil
+	}
+	key := service + "\n" + centre
+	list := highestScoring(d.byCentre[centre], key, seatHolders)
+	if len(list) == seatHolders {
+		return list
+	}
+	for _, b := range highestScoring(d.Boxes, key, seatHolders+1) {
+		if len(list) < seatHolders && !slices.Contains(list, b) {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
 // HolderCount returns the number of boxes that hold an organisation's leases. It is
 // at least 1, also for an empty or nil directory.
 func (d *Directory) HolderCount(organisation string) int {
--- a/models/rate/rate.go
+++ b/models/rate/rate.go
@@ -169,20 +169,6 @@
 	return len(f.boxes)
 }
 
-// Rank returns the position of this box in an order of all boxes that is the same at each of them.
-func (f Fleet) Rank() int {
-	if len(f.boxes) == 0 {
-		return int(f.self % unknownBoxes)
-	}
-	rank := 0
-	for _, box := range f.boxes {
-		if box < f.self {
-			rank++
-		}
-	}
-	return rank
-}
-
 // HasSameBoxes reports whether another Fleet knows the same boxes.
 func (f Fleet) HasSameBoxes(other Fleet) bool { return slices.Equal(f.boxes, other.boxes) }
 
--- a/models/spread/limits.go
+++ b/models/spread/limits.go
@@ -65,7 +65,6 @@
 func (tb *Table) SetFleet(f rate.Fleet) {
 	if !f.HasSameBoxes(tb.fleet) || tb.fleetRevision == 0 {
 		tb.fleetRevision++
-		tb.rank = f.Rank()
 	}
 	tb.fleet = f
 }
@@ -77,8 +76,13 @@
 
 // sendable reports whether this box may send a call to a target at now.
 func (tb *Table) sendable(t *Target, criteria Criteria, now time.Duration) bool {
+	return tb.hasRate(t, now) && tb.canSeat(t, criteria, now)
+}
+
+// hasRate reports whether the rate limit of a target lets this box send to it at now.
+func (tb *Table) hasRate(t *Target, now time.Duration) bool {
 	limit := tb.CurrentLimit(t, now)
-	return (limit == rate.Unlimited || t.meter.CanSend(tb.fleet, limit, t.hash, now)) && tb.canSeat(t, criteria, now)
+	return limit == rate.Unlimited || t.meter.CanSend(tb.fleet, limit, t.hash, now)
 }
 
 // AcquireSend counts a request that is about to be sent to a target and reports whether it
@@ -212,7 +216,7 @@
 		}
 	}
 	found := tb.candidates(criteria, now)
-	if len(found.sendable) > 0 || len(found.exhausted) == 0 {
+	if len(found.sendable) > 0 || len(found.seated) > 0 || len(found.exhausted) == 0 {
 		return Backoff{}, false
 	}
 	return tb.waitOrRefuse(criteria, found.exhausted, now), true
@@ -230,7 +234,7 @@
 	}
 	seated := slices.ContainsFunc(exhausted, func(t *Target) bool { return tb.HasRejectionLimit(t, now) })
 	if seated {
-		if b, ok := tb.waitForSeat(criteria, now); ok {
+		if b, ok := tb.waitForSeat(criteria); ok {
 			return b
 		}
 	}
--- a/models/spread/rejection_limits.go
+++ b/models/spread/rejection_limits.go
@@ -23,8 +23,6 @@
 	PerSecond float64
 	// Age is how long ago a box heard it.
 	Age time.Duration
-	// HoldTime is the mean time for which a call holds a slot, zero if it is not known.
-	HoldTime time.Duration
 }
 
 // RecordRejectionLimit records the rejection limit that a target named in an answer,
@@ -48,7 +46,6 @@
 		return false
 	}
 	r := tb.roomOf(l.Service)
-	r.fleetHoldTime = l.HoldTime
 	tb.hasRejectionLimits = true
 	before := r.isNamed && now-r.named.Received <= rejectionLimitExpiry
 	r.merge(rate.Statement{Limit: l.PerSecond, Sent: now - l.Age, Received: now - l.Age})
@@ -72,7 +69,7 @@
 			continue
 		}
 		r.toldAt = now
-		list = append(list, RejectionLimit{Service: service, PerSecond: r.named.Limit, Age: now - r.heardAt, HoldTime: r.ownHoldTime()})
+		list = append(list, RejectionLimit{Service: service, PerSecond: r.named.Limit, Age: now - r.heardAt})
 	}
 	return list
 }
--- a/models/spread/seat_queue.go
+++ b/models/spread/seat_queue.go
@@ -19,11 +19,8 @@
 )
 
 // servedAtOnce returns how many of the waiting calls of a service may look for a seat.
-func (tb *Table) servedAtOnce(service string, now time.Duration) int {
-	if tb.takesTurns(service, now) {
-		return 1
-	}
-	return int(math.Ceil(tb.averageSeats(service, now)))
+func (tb *Table) servedAtOnce(service string) int {
+	return int(math.Ceil(tb.averageSeats(service)))
 }
 
 // seatQueue holds the calls that wait for a seat, by ticket, in the order in which they came.
@@ -56,12 +53,12 @@
 }
 
 // FirstWaiting returns the tickets of the calls that may look for a seat of a service.
-func (tb *Table) FirstWaiting(service string, now time.Duration) []int64 {
+func (tb *Table) FirstWaiting(service string) []int64 {
 	r := tb.rooms[service]
 	if r == nil || len(r.waiting.tickets) == 0 {
 		return nil
 	}
-	return r.waiting.tickets[:min(len(r.waiting.tickets), tb.servedAtOnce(service, now))]
+	return r.waiting.tickets[:min(len(r.waiting.tickets), tb.servedAtOnce(service))]
 }
 
 // LeaveQueue removes a call from those that wait for a seat of a service.
@@ -73,19 +70,11 @@
 
 // waitForSeat decides what to do with a call for which this box has no seat now: it waits, with a
 // ticket, if a seat is expected within its MaxSeatWait. ok is false if it is to be refused.
-func (tb *Table) waitForSeat(criteria Criteria, now time.Duration) (b Backoff, ok bool) {
+func (tb *Table) waitForSeat(criteria Criteria) (b Backoff, ok bool) {
 	r := tb.roomOf(criteria.Service)
 	before := r.waiting.before(criteria.Ticket)
-	var expected, wait time.Duration
-	if tb.takesTurns(criteria.Service, now) {
-		turn := tb.turnAt(criteria.Service, now)
-		r.pressedAt = now
-		expected = turn.next + time.Duration(before)*turn.round
-		wait = expected
-	} else {
-		expected = time.Duration(float64(before+1) * float64(r.holdTime) / tb.averageSeats(criteria.Service, now))
-		wait = min(max(expected, minRecheck), maxRecheck)
-	}
+	expected := time.Duration(float64(before+1) * float64(r.holdTime) / max(1, tb.averageSeats(criteria.Service)))
+	wait := min(max(expected, minRecheck), maxRecheck)
 	if wait > criteria.MaxSeatWait || criteria.Ticket == 0 && expected > time.Duration(joinShare*float64(criteria.MaxSeatWait)) {
 		return Backoff{}, false
 	}
--- a/models/spread/seats.go
+++ b/models/spread/seats.go
@@ -11,14 +11,13 @@
 )
 
 // A target may name a rejection limit: how many calls a second it can reject for want of room, from
-// all boxes together, before it fails. While targets of a service name one, the slots of all its
-// targets are divided among the boxes as seats, and a box sends a call only if it has a free seat
-// for it. What the seats can't carry waits at the box for a moment or is refused.
+// all boxes together, before it fails. While it does, a box sends it a call only with a seat, that is,
+// with the right to one of its slots.
 //
-// Each box computes its seats from the names of all boxes, so that no message is needed, and what it
-// holds doesn't depend on whether it reaches control. Boxes that have less than minSeats of a
-// service on average take turns instead: each may start one call in each round, at a moment of
-// its own.
+// The seats of plain services, and of engines of which boxes have less than minSeats on average, are
+// granted by one box for each data centre (models/seats). Those of other engines are divided among the
+// boxes: each computes its own from the names of all boxes, so that no message is needed. What the
+// seats can't carry waits for a moment or is refused.
 
 const (
 	// seatShare is the share of a target's slots that is divided. The rest is for what takes a
@@ -27,22 +26,16 @@
 	// defaultHoldTime is how long a call is taken to hold its slot before any has ended.
 	defaultHoldTime = 500 * time.Millisecond
 	holdTimeWeight  = 0.1
-	// ownHoldMargin is the factor by which a box takes calls to be longer than its own ones, while
-	// it does not know those of the others.
-	ownHoldMargin = 1.5
-	// term is how long the seats of a plain service stay assigned. Those of engines, of which
-	// each box has many, are never assigned anew: their calls take long.
-	term = 4 * time.Second
-	// handoverHolds is how long before the end of a term, in hold times, a box starts only calls
-	// for which it has a seat in the next term, too.
-	handoverHolds = 1.5
+	// minSeats is the average number of an engine service's seats of a box below which they are granted.
+	minSeats = 2
 	// maxLinger limits how long a call that was given up counts as running at its target.
 	maxLinger = time.Second
 	// probeShare is the share of a rejection limit that all boxes may use for calls to targets
 	// that have rejected one.
 	probeShare = 0.5
-	// averageLifetime is how long the average number of seats is cached.
-	averageLifetime = 100 * time.Millisecond
+	// riskShare is the share of a rejection limit that all boxes may use for calls without a seat, while
+	// they can't ask the box that grants the seats.
+	riskShare = 0.25
 	// maxBlock limits how long a box sends nothing to a target that has rejected a call.
 	maxBlock = 5 * time.Second
 	// Each rejection lowers the share of the seats that a box uses by shrinkFactor, to no less
@@ -67,20 +60,13 @@
 	isNamed         bool
 	heardAt, toldAt time.Duration
 	// holdTime is the mean time for which a call of this box holds a slot, of holdCount calls.
-	// fleetHoldTime is the mean over all boxes as control has told it, zero if it has not.
-	holdTime, fleetHoldTime time.Duration
-	holdCount               float64
+	holdTime  time.Duration
+	holdCount float64
 	// waiting are this box's calls that wait for a seat.
 	waiting seatQueue
-	// lastTurn is the last turn in which this box has started a call.
-	lastTurn int64
-	// lastStart is when it has last started one, and pressedAt when a call last had to wait or
-	// was rejected.
-	lastStart, pressedAt time.Duration
-	// average caches the average number of seats, as computed at averageAt.
-	average         float64
-	averageAt       time.Duration
-	averageRevision uint64
+	// average caches the average number of seats, as of the given revisions.
+	average                   float64
+	averageFleet, averageList uint64
 }
 
 // targetRoom is what a box knows of the room at one target.
@@ -96,16 +82,13 @@
 	blockedAt     time.Duration
 	probes, risks rate.Meter
 
-	// seats caches the box's seats in two terms.
-	seats [2]cachedSeats
+	seats cachedSeats
 }
 
-// cachedSeats are the box's seats at a target in one term.
+// cachedSeats are the box's seats at a target.
 type cachedSeats struct {
-	term          int64
 	slots         int64
 	fleetRevision uint64
-	listRevision  uint64
 	seats         int64
 }
 
@@ -129,29 +112,11 @@
 	r.holdTime = max(time.Millisecond, r.holdTime)
 }
 
-// ownHoldTime returns the mean time for which a call of this box holds a slot, zero if none has.
-func (r *roomStats) ownHoldTime() time.Duration {
-	if r.holdCount == 0 {
-		return 0
-	}
-	return r.holdTime
-}
-
-// meanHoldTime returns the mean time for which a call holds a slot: that over all boxes, if it is
-// known, so that all boxes reckon with the same, else that of this box with a margin.
-func (r *roomStats) meanHoldTime() time.Duration {
-	if r.fleetHoldTime > 0 {
-		return r.fleetHoldTime
-	}
-	return time.Duration(ownHoldMargin * float64(r.holdTime))
-}
-
 // RecordRejection records that a target rejected a call for want of room.
 func (tb *Table) RecordRejection(t *Target, now time.Duration) {
 	t.room.usable = max(minUsable, shrinkFactor*t.room.usableShare(now))
 	t.room.usableAt = now
 	t.room.blockedAt = now
-	tb.roomOf(t.Service).pressedAt = now
 }
 
 // RecordAcceptance records that a target accepted a call.
@@ -185,66 +150,70 @@
 	return max(1, int64(seatShare*float64(t.Slots)*t.room.usableShare(now)))
 }
 
-// averageSeats returns how many seats a box has on average at the targets of a service that it can
-// reach.
-func (tb *Table) averageSeats(service string, now time.Duration) float64 {
+// averageSeats returns how many seats a box has on average at the targets of a service. It doesn't
+// depend on what this box alone sees, so that all boxes agree on whether the seats are granted.
+func (tb *Table) averageSeats(service string) float64 {
 	r := tb.roomOf(service)
-	if r.averageRevision == tb.fleetRevision && r.averageAt > 0 && now-r.averageAt < averageLifetime {
+	if r.averageFleet == tb.fleetRevision && r.averageList == tb.listRevision {
 		return r.average
 	}
 	slots := 0
 	for _, t := range tb.services[service] {
-		if tb.isCheckable(t) && t.bannedUntil <= now {
-			slots += t.Slots
-		}
+		slots += t.Slots
 	}
-	r.average, r.averageAt, r.averageRevision = seatShare*float64(slots)/float64(tb.fleet.Divisor()), now, tb.fleetRevision
+	r.average = seatShare * float64(slots) / float64(tb.fleet.Divisor())
+	r.averageFleet, r.averageList = tb.fleetRevision, tb.listRevision
 	return r.average
 }
 
-// seats returns how many calls this box may run at a target at now.
-func (tb *Table) seats(t *Target, now time.Duration) int64 {
-	slots := tb.slotsOf(t, now)
-	if tb.engineTerms[t.Service].Slots > 0 {
-		return tb.seatsIn(t, 0, slots)
-	}
-	at := now + tb.fleet.Offset()
-	index := int64(at / term)
-	n := tb.seatsIn(t, index, slots)
-	if left := term - at%term; left < time.Duration(handoverHolds*float64(tb.roomOf(t.Service).holdTime)) {
-		n = min(n, tb.seatsIn(t, index+1, slots))
-	}
-	return n
+// grantsSeats reports whether the seats at the targets of a service are granted, rather than divided
+// among the boxes.
+func (tb *Table) grantsSeats(service string) bool {
+	return tb.engineTerms[service].Slots == 0 || tb.averageSeats(service) < minSeats
 }
 
-// seatsIn returns this box's seats at a target in a term.
-func (tb *Table) seatsIn(t *Target, index, slots int64) int64 {
-	c := &t.room.seats[index&1]
-	if c.term != index || c.slots != slots || c.fleetRevision != tb.fleetRevision || c.listRevision != tb.listRevision {
-		*c = cachedSeats{term: index, slots: slots, fleetRevision: tb.fleetRevision, listRevision: tb.listRevision, seats: tb.divide(t, index, slots)}
-	}
-	return c.seats
+// needsGrant reports whether a call needs a granted seat at a target.
+func (tb *Table) needsGrant(t *Target, now time.Duration) bool {
+	return tb.HasRejectionLimit(t, now) && tb.grantsSeats(t.Service)
 }
 
-// divide returns this box's seats at a target in a term. The few seats of a plain service are dealt
-// out target after target, so that no box has much less than the others.
-func (tb *Table) divide(t *Target, index, slots int64) int64 {
-	if tb.engineTerms[t.Service].Slots > 0 {
-		return tb.fleet.Part(slots, t.hash, index)
+// SeatedTargets returns the targets of a service in a data centre at which seats can be granted.
+func (tb *Table) SeatedTargets(service, centre string) []*Target {
+	var list []*Target
+	for _, t := range tb.services[service] {
+		if t.DataCentre == centre && tb.isCheckable(t) {
+			list = append(list, t)
+		}
 	}
-	first := index
-	for _, other := range tb.services[t.Service] {
-		if other == t {
-			break
+	return list
+}
+
+// ChooseAtRisk returns the target for a call without a seat, while the box that grants the seats can't
+// be asked; nil if this box may send none.
+func (tb *Table) ChooseAtRisk(seated []*Target, now time.Duration) *Target {
+	var list []*Target
+	for _, t := range seated {
+		if tb.mayRisk(t, now) {
+			list = append(list, t)
 		}
-		first += int64(seatShare * float64(other.Slots))
 	}
-	boxes := int64(tb.fleet.Divisor())
-	seats, rest := slots/boxes, slots%boxes
-	if position := (int64(tb.rank) - first) % boxes; (position+boxes)%boxes < rest {
-		seats++
+	return tb.leastLoaded(list)
+}
+
+// mayRisk reports whether this box may send a call without a seat, which its target may have to reject.
+func (tb *Table) mayRisk(t *Target, now time.Duration) bool {
+	perSecond, _ := tb.rejectionLimit(t, now)
+	return perSecond >= 1 && t.room.risks.CanSend(tb.fleet, riskShare*perSecond, ^t.hash, now)
+}
+
+// seats returns how many calls this box may run at a target at now.
+func (tb *Table) seats(t *Target, now time.Duration) int64 {
+	slots := tb.slotsOf(t, now)
+	c := &t.room.seats
+	if c.slots != slots || c.fleetRevision != tb.fleetRevision {
+		*c = cachedSeats{slots: slots, fleetRevision: tb.fleetRevision, seats: tb.fleet.Part(slots, t.hash, 0)}
 	}
-	return seats
+	return c.seats
 }
 
 // occupied returns how many seats this box uses at a target with one more call, beside the given
@@ -266,12 +235,12 @@
 	if !limited {
 		return true
 	}
+	if tb.grantsSeats(t.Service) {
+		return tb.mayRisk(t, now)
+	}
 	if t.room.isBlocked(now) && !t.room.probes.CanSend(tb.fleet, probeShare*perSecond, t.hash, now) {
 		return false
 	}
-	if tb.takesTurns(t.Service, now) {
-		return tb.isOurTurn(t, perSecond, now) || t.room.risks.CanSend(tb.fleet, riskShare*perSecond, ^t.hash, now)
-	}
 	return tb.occupied(t, running, tokens, now) <= tb.seats(t, now)
 }
 
@@ -286,14 +255,14 @@
 	if !tb.HasRejectionLimit(t, now) {
 		return true
 	}
-	if tb.roomOf(t.Service).waiting.before(criteria.Ticket) >= tb.servedAtOnce(t.Service, now) {
+	if tb.roomOf(t.Service).waiting.before(criteria.Ticket) >= tb.servedAtOnce(t.Service) {
 		return false
 	}
 	return tb.mayStart(t, t.RunningCalls, t.HeldTokens+criteria.Tokens, now)
 }
 
 // AcquireSeat takes a seat at a target for a call that is about to be sent and that RunningCalls
-// and HeldTokens include. It reports whether there was one.
+// and HeldTokens include. It reports whether there was one. A call with a granted seat needs none.
 func (tb *Table) AcquireSeat(t *Target, now time.Duration) bool {
 	perSecond, limited := tb.rejectionLimit(t, now)
 	if !limited {
@@ -302,16 +271,12 @@
 	if !tb.mayStart(t, t.RunningCalls-1, t.HeldTokens, now) {
 		return false
 	}
+	if tb.grantsSeats(t.Service) {
+		t.room.risks.Acquire(tb.fleet, riskShare*perSecond, ^t.hash, now)
+		return true
+	}
 	if t.room.isBlocked(now) {
 		t.room.probes.Acquire(tb.fleet, probeShare*perSecond, t.hash, now)
 	}
-	switch {
-	case !tb.takesTurns(t.Service, now):
-	case tb.isOurTurn(t, perSecond, now):
-		r := tb.roomOf(t.Service)
-		r.lastTurn, r.lastStart = tb.turnAt(t.Service, now).index, now
-	default:
-		t.room.risks.Acquire(tb.fleet, riskShare*perSecond, ^t.hash, now)
-	}
 	return true
 }
--- a/models/spread/seats_test.go
+++ b/models/spread/seats_test.go
@@ -11,7 +11,9 @@
 	"time"
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/lease"
 	"havenwinch.dev/havenwinch/models/rate"
+	"havenwinch.dev/havenwinch/models/seats"
 	"havenwinch.dev/havenwinch/tests/seeded"
 )
 
@@ -40,7 +42,7 @@
 
 const (
 	nothingOmitted seatOmission = iota
-	// undividedSeats: each box takes all slots for its own.
+	// undividedSeats: each box grants all slots itself.
 	undividedSeats
 	// ignoredLimit: rejection limits are not heard.
 	ignoredLimit
@@ -69,16 +71,19 @@
 	// patience is how long callers wait for an answer, zero for ever.
 	patience time.Duration
 	told     map[string]rate.Statement
-	// hold is the mean hold time as control reckons it, toldHold what boxes are told.
-	hold, toldHold time.Duration
-
+	// fleet holds all boxes.
+	fleet                                                           *lease.Directory
 	offered, served, left, refused, refusedLate, rejected, failures int
 	waited                                                          time.Duration
 }
 
 type simBox struct {
-	name  string
-	table *Table
+	name, centre string
+	table        *Table
+	// directory is the one that the box knows, pools the seats that it grants, by data centre.
+	directory *lease.Directory
+	pools     map[string]*simPool
+	startedAt time.Duration
 	// start increases when the box restarts.
 	start int
 	// cut is set while the box doesn't reach control, known once it knows the other boxes.
@@ -106,7 +111,7 @@
 }
 
 type simTarget struct {
-	id                    string
+	id, centre            string
 	slots, queue, running int
 	waiters               []func()
 	rejections            []time.Duration
@@ -154,13 +159,19 @@
 	habits                       targetHabits
 }
 
+// maxCentres is the number of data centres of a large fleet.
+const maxCentres = 5
+
+// centre returns the data centre of a box or target.
+func (f seatFleet) centre(i int) string { return fmt.Sprintf("dc-%d", i%min(f.targets, maxCentres)) }
+
 func newSeatSim(seed int64, f seatFleet, limit float64, omit seatOmission) *seatSim {
 	s := &seatSim{rng: rand.New(rand.NewSource(seed)), omit: omit, work: f.work, engines: f.engines, habits: f.habits, limit: limit, told: map[string]rate.Statement{}}
 	for i := range f.targets {
-		s.targets = append(s.targets, &simTarget{id: fmt.Sprintf("t%d", i), slots: f.slots, queue: f.queue})
+		s.targets = append(s.targets, &simTarget{id: fmt.Sprintf("t%d", i), centre: f.centre(i), slots: f.slots, queue: f.queue})
 	}
 	for i := range f.boxes {
-		b := &simBox{name: fmt.Sprintf("box-%d", i), weight: 0.4 + 1.2*s.rng.Float64(), known: true}
+		b := &simBox{name: fmt.Sprintf("box-%d", i), centre: f.centre(i), weight: 0.4 + 1.2*s.rng.Float64(), known: true}
 		s.boxes = append(s.boxes, b)
 	}
 	for _, b := range s.boxes {
@@ -176,7 +187,8 @@
 		cancel()
 	}
 	b.cancels, b.waiters = nil, map[int64]func(){}
-	b.table = NewTable("dc")
+	b.table = NewTable(b.centre)
+	b.pools, b.startedAt = map[string]*simPool{}, s.now
 	for _, t := range s.targets {
 		b.table.Put(s.rowOf(t), s.now)
 	}
@@ -216,7 +228,7 @@
 }
 
 func (s *seatSim) rowOf(t *simTarget) *statev1.RegisteredTarget {
-	return &statev1.RegisteredTarget{Id: t.id, Service: "s", Address: t.id + ":1", DataCentre: "dc", State: statev1.RegisteredTarget_STATE_READY, Slots: uint32(t.slots), Born: t.start}
+	return &statev1.RegisteredTarget{Id: t.id, Service: "s", Address: t.id + ":1", DataCentre: t.centre, State: statev1.RegisteredTarget_STATE_READY, Slots: uint32(t.slots), Born: t.start}
 }
 
 func (s *seatSim) setFleet(b *simBox) {
@@ -231,6 +243,7 @@
 		names = nil
 	}
 	b.table.SetFleet(rate.NewFleet(b.name, names, time.Hour))
+	b.directory = s.directoryFor(b)
 }
 
 // report exchanges rejection limits with control.
@@ -248,18 +261,9 @@
 	}
 	for _, l := range b.table.RejectionLimitsToTell(s.now) {
 		s.told[l.Service] = rate.Statement{Limit: l.PerSecond, Received: s.now - l.Age}
-		switch {
-		case s.hold == 0:
-			s.hold = l.HoldTime
-		case l.HoldTime > 0:
-			s.hold += (l.HoldTime - s.hold) / 10
-		}
-		if ratio := float64(s.hold) / float64(max(1, s.toldHold)); ratio > 1.2 || ratio < 1/1.2 {
-			s.toldHold = s.hold
-		}
 	}
 	for service, l := range s.told {
-		b.table.RecordPeerRejectionLimit(RejectionLimit{Service: service, PerSecond: l.Limit, Age: s.now - l.Received, HoldTime: s.toldHold}, s.now)
+		b.table.RecordPeerRejectionLimit(RejectionLimit{Service: service, PerSecond: l.Limit, Age: s.now - l.Received}, s.now)
 	}
 }
 
@@ -298,6 +302,8 @@
 	ticket   int64
 	retried  bool
 	counts   bool
+	// seat is the granted seat for the next send.
+	seat *simSeat
 	// answered is set once the caller has its answer.
 	answered bool
 }
@@ -313,6 +319,10 @@
 	start := b.start
 	choice := b.table.Choose(Criteria{Service: "s", Boxes: len(s.boxes), Exclude: c.excluded, MaxSeatWait: c.maxWait, Ticket: c.ticket}, s.now)
 	t := choice.Target
+	if len(choice.Seated) > 0 {
+		s.placeSeated(b, c, choice.Seated)
+		return
+	}
 	if t == nil {
 		if choice.Backoff.Wait <= 0 {
 			b.table.LeaveQueue("s", c.ticket)
@@ -345,8 +355,14 @@
 	}
 	b.table.LeaveQueue("s", c.ticket)
 	c.ticket = 0
+	s.send(b, c, t)
+}
+
+// send sends a call to a target, with its seat if it has one.
+func (s *seatSim) send(b *simBox, c *simCall, t *Target) {
+	start := b.start
 	t.RunningCalls++
-	if !b.table.AcquireSeat(t, s.now) {
+	if c.seat == nil && !b.table.AcquireSeat(t, s.now) {
 		t.RunningCalls--
 		if c.withheld++; c.withheld < 5 {
 			s.place(b, c)
@@ -355,13 +371,15 @@
 		}
 		return
 	}
-	sent, left := s.now, false
+	sent, left, seat := s.now, false, c.seat
+	c.seat = nil
 	c.answered = false
 	if s.patience > 0 {
 		s.after(s.patience, func() {
 			left = !c.answered && b.start == start
 			if left {
 				s.abandon(b, t, c)
+				s.releaseSeat(seat, seats.Abandoned)
 			}
 		})
 	}
@@ -370,6 +388,7 @@
 			s.after(s.latency(), func() {
 				if !left {
 					c.answered = true
+					s.releaseSeat(seat, seatOutcomeOf(ok, full, gone))
 					s.answered(b, start, t, c, sent, ok, full, gone)
 				}
 			})
@@ -526,7 +545,7 @@
 }
 
 func (s *seatSim) wakeWaiters(b *simBox) {
-	for _, ticket := range b.table.FirstWaiting("s", s.now) {
+	for _, ticket := range b.table.FirstWaiting("s") {
 		if wake := b.waiters[ticket]; wake != nil {
 			s.after(0, wake)
 		}
@@ -728,7 +747,7 @@
 		omit seatOmission
 		load seatLoad
 	}{
-		"each box takes all slots":                 {omit: undividedSeats, load: seatLoads["overload"]},
+		"each box grants all slots":                {omit: undividedSeats, load: seatLoads["overload"]},
 		"rejection limits are not heard":           {omit: ignoredLimit, load: seatLoads["overload"]},
 		"a box that starts takes itself for alone": {omit: alone, load: seatLoad{perSecond: steadyLoad(2.5), restarts: 300 * time.Millisecond, cut: 1}},
 	}
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -155,11 +155,9 @@
 	evacuations map[string]*statev1.Evacuation
 
 	fleet rate.Fleet
-	// fleetRevision increases when the boxes of the fleet change. rank is this box's position
-	// among them.
+	// fleetRevision increases when the boxes of the fleet change.
 	fleetRevision uint64
-	rank          int
-	// listRevision increases when a service gets or loses a target.
+	// listRevision increases when a service gets or loses a target, or one has other slots.
 	listRevision uint64
 	rooms        map[string]*roomStats
 	// hasRejectionLimits is set once any target has named a rejection limit.
@@ -212,7 +210,10 @@
 		t.revision = row.GetRevision()
 		t.RecordCold(time.Duration(row.GetCold())*time.Millisecond, now)
 	}
-	t.Slots = int(row.GetSlots())
+	if slots := int(row.GetSlots()); slots != t.Slots {
+		t.Slots = slots
+		tb.listRevision++
+	}
 	t.Draining = row.GetState() == statev1.RegisteredTarget_STATE_DRAINING
 	t.hasAnnouncedEnd = t.hasAnnouncedEnd || t.Draining
 }
@@ -316,6 +317,9 @@
 	PrefillTime time.Duration
 	// LimitedTargets counts the targets whose limits keep this box from sending to them now.
 	LimitedTargets int
+	// Seated are the targets at which the call needs a granted seat. They are set only if no other
+	// target can take the call.
+	Seated []*Target
 	// Backoff says what to do with the call if there are no others.
 	Backoff Backoff
 }
@@ -326,9 +330,10 @@
 	c := Choice{}
 	found := tb.candidates(criteria, now)
 	candidates := found.sendable
-	c.LimitedTargets = len(found.exhausted)
+	c.LimitedTargets = len(found.exhausted) + len(found.seated)
 	if len(candidates) == 0 {
-		if c.LimitedTargets > 0 {
+		c.Seated = found.seated
+		if c.LimitedTargets > 0 && len(c.Seated) == 0 {
 			c.Backoff = tb.waitOrRefuse(criteria, found.exhausted, now)
 		}
 		return c
@@ -344,7 +349,7 @@
 	// would use up the limits.
 	n := min(r.dedicatedTargets(len(candidates), criteria.Boxes, now), found.unlimited)
 	dedicated, others := candidates[:n], candidates[n:]
-	c.Target = tb.pick(criteria, others, found.unlimited == 0, now)
+	c.Target = tb.pick(criteria, others, now)
 	if long && len(dedicated) > 0 {
 		c.IsDedicated = true
 		c.AffinityTarget, c.Target = c.Target, leastWaiting(dedicated, criteria.Affinity)
@@ -403,12 +408,8 @@
 }
 
 // pick chooses among the candidates for a call: by the shared prefix as far as their
-// loads allow, otherwise the least loaded. allLimited is set if all of them have limits; boxes that
-// take turns call them in turn.
-func (tb *Table) pick(criteria Criteria, candidates []*Target, allLimited bool, now time.Duration) *Target {
-	if allLimited && tb.HasRejectionLimit(candidates[0], now) && tb.takesTurns(criteria.Service, now) {
-		return tb.inTurn(criteria.Service, candidates, now)
-	}
+// loads allow, otherwise the least loaded.
+func (tb *Table) pick(criteria Criteria, candidates []*Target, now time.Duration) *Target {
 	if criteria.Affinity == 0 {
 		return tb.leastLoaded(candidates)
 	}
@@ -455,6 +456,8 @@
 	// without a limit, unlimited in number, then those with one.
 	sendable  []*Target
 	unlimited int
+	// seated are the targets at which a seat has to be granted first.
+	seated []*Target
 	// exhausted are the targets whose limits, or missing seats, keep this box from sending to them now.
 	exhausted []*Target
 }
@@ -476,7 +479,9 @@
 			banned = append(banned, t)
 		case !tb.HasLimit(t, now) && !tb.HasRejectionLimit(t, now):
 			found.sendable = append(found.sendable, t)
-		case tb.sendable(t, criteria, now):
+		case tb.needsGrant(t, now) && tb.hasRate(t, now):
+			found.seated = append(found.seated, t)
+		case !tb.needsGrant(t, now) && tb.sendable(t, criteria, now):
 			limited = append(limited, t)
 		default:
 			found.exhausted = append(found.exhausted, t)
@@ -488,7 +493,7 @@
 		return found
 	}
 	found.sendable = append(found.sendable, limited...)
-	if len(found.sendable)+len(found.exhausted) > 0 {
+	if len(found.sendable)+len(found.seated)+len(found.exhausted) > 0 {
 		return found
 	}
 	for _, t := range banned {
--- a/routers/between/entry.go
+++ b/routers/between/entry.go
@@ -14,15 +14,17 @@
 	"havenwinch.dev/havenwinch/services/gateway"
 	"havenwinch.dev/havenwinch/services/relay"
 	"havenwinch.dev/havenwinch/services/resume"
+	"havenwinch.dev/havenwinch/services/seats"
 )
 
 // NewEntryHandler returns the handler of an entry box on whose leases other boxes may draw, and
-// which carries connections to targets and keeps the records of streams for them.
-func NewEntryHandler(leases *gateway.Leases, relays *relay.Server, streams *resume.Service, opts []connect.HandlerOption) http.Handler {
+// which carries connections to targets, keeps the records of streams and grants seats for them.
+func NewEntryHandler(leases *gateway.Leases, relays *relay.Server, streams *resume.Service, granted *seats.Server, opts []connect.HandlerOption) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(betweenv1connect.NewDrawServiceHandler(&drawServer{leases}, opts...))
 	mux.Handle(betweenv1connect.NewRelayServiceHandler(&relayServer{relays}, opts...))
 	mux.Handle(betweenv1connect.NewStreamServiceHandler(&streamServer{streams}, opts...))
+	mux.Handle(betweenv1connect.NewSeatServiceHandler(&seatServer{granted}, opts...))
 	return mux
 }
 
@@ -59,3 +61,14 @@
 	}
 	return connect.NewResponse(resp), nil
 }
+
+type seatServer struct{ seats *seats.Server }
+
+func (s *seatServer) Hold(ctx context.Context, stream *connect.BidiStream[betweenv1.HoldRequest, betweenv1.HoldResponse]) error {
+	return s.seats.Serve(ctx, stream)
+}
+
+func (s *seatServer) Holds(_ context.Context, r *connect.Request[betweenv1.HoldsRequest]) (*connect.Response[betweenv1.HoldsResponse], error) {
+	holds, canHold := s.seats.Holds(r.Msg.GetService(), r.Msg.GetDataCentre())
+	return connect.NewResponse(&betweenv1.HoldsResponse{Holds: holds, CanHold: canHold}), nil
+}
--- a/services/forward/call.go
+++ b/services/forward/call.go
@@ -91,6 +91,8 @@
 	Arrived time.Duration
 	// Internal is set for requests that this system makes on its own behalf.
 	Internal bool
+	// HasSeat is set while the call has a granted seat at the target that it is sent to.
+	HasSeat bool
 	// Resumes is set while the call continues a run that was stopped for that purpose: the rate
 	// limit must not reject it any more.
 	Resumes bool
--- a/services/forward/choose.go
+++ b/services/forward/choose.go
@@ -35,6 +35,9 @@
 	defer fl.leaveQueue()
 	for {
 		c := fl.chooseNow(ctx)
+		if len(c.Seated) > 0 {
+			return fl.chooseSeated(ctx, c)
+		}
 		if c.Target != nil || c.LimitedTargets == 0 || !fl.waitLimited(ctx, c.Backoff) {
 			return c
 		}
@@ -113,7 +116,8 @@
 	t.HeldTokens -= fl.mostTokens()
 	fl.clearWaitingTokens(t)
 	fl.recordRoom(t, a, now)
-	f.wakeSeatWaiters(t.Service, now)
+	fl.releaseSeat(a)
+	f.wakeSeatWaiters(t.Service)
 	switch a.verdict {
 	case unreachable:
 		lostLinks := f.reach.IsLost(t.Service) && !a.carried
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -105,6 +105,9 @@
 	ReportNow func()
 	// Relays dials targets through other boxes; nil for never.
 	Relays Relays
+	// Seats asks for seats at targets that fail under rejections; nil to send there only what may be
+	// sent without one.
+	Seats Seats
 	// Streams keeps which software began each stream; nil to keep it nowhere.
 	Streams Streams
 	// EngineAPI encodes the requests by which engines copy the state of running calls; nil where
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -87,6 +87,8 @@
 	sentAt time.Duration
 	// limitWait is how long the call has waited for rate-limited targets.
 	limitWait time.Duration
+	// seat is the call's granted seat at the present target, nil for none.
+	seat GrantedSeat
 	// ticket is the call's place among those that wait for a seat, zero for none.
 	ticket int64
 }
--- a/services/forward/limits.go
+++ b/services/forward/limits.go
@@ -73,7 +73,7 @@
 		return errors.WithStack(errEvacuated)
 	}
 	limited := f.targets.HasLimit(t, now)
-	if !call.Internal && !call.Resumes && !f.targets.AcquireSeat(t, now) {
+	if !call.Internal && !call.Resumes && !call.HasSeat && !f.targets.AcquireSeat(t, now) {
 		f.opts.Counter.Limit(limitNoSeat)
 		return errors.WithStack(errLimited)
 	}
@@ -334,8 +334,8 @@
 
 // wakeSeatWaiters wakes the calls that have waited longest for a seat of a service. The caller holds
 // f.mu.
-func (f *Forwarder) wakeSeatWaiters(service string, now time.Duration) {
-	for _, ticket := range f.targets.FirstWaiting(service, now) {
+func (f *Forwarder) wakeSeatWaiters(service string) {
+	for _, ticket := range f.targets.FirstWaiting(service) {
 		select {
 		case f.seatWaiters[seatWaiter{service, ticket}] <- struct{}{}:
 		default:
--- a/services/forward/rejections.go
+++ b/services/forward/rejections.go
@@ -111,7 +111,7 @@
 // f.mu.
 func (f *Forwarder) tellRejectionLimits(now time.Duration) (list []*betweenv1.RejectionLimit) {
 	for _, l := range f.targets.RejectionLimitsToTell(now) {
-		list = append(list, &betweenv1.RejectionLimit{Service: l.Service, PerSecond: l.PerSecond, Age: l.Age.Milliseconds(), Hold: l.HoldTime.Microseconds()})
+		list = append(list, &betweenv1.RejectionLimit{Service: l.Service, PerSecond: l.PerSecond, Age: l.Age.Milliseconds()})
 	}
 	return list
 }
@@ -120,7 +120,7 @@
 func (f *Forwarder) learnRejectionLimits(resp *betweenv1.LeaseResponse) {
 	now := f.opts.Clock.Boot()
 	for _, m := range resp.GetRejectionLimits() {
-		l := spread.RejectionLimit{Service: m.GetService(), PerSecond: m.GetPerSecond(), Age: time.Duration(m.GetAge()) * time.Millisecond, HoldTime: time.Duration(max(0, m.GetHold())) * time.Microsecond}
+		l := spread.RejectionLimit{Service: m.GetService(), PerSecond: m.GetPerSecond(), Age: time.Duration(m.GetAge()) * time.Millisecond}
 		if f.targets.RecordPeerRejectionLimit(l, now) {
 			f.opts.Logger.Info("rejection limit of a service learned from control", "service", l.Service, "limit", l.PerSecond, "heard_ms_ago", m.GetAge(), "boxes", f.fleet.Boxes())
 		}
--- a/services/gateway/leases.go
+++ b/services/gateway/leases.go
@@ -169,6 +169,13 @@
 	}
 }
 
+// HasContact reports whether control has answered lately.
+func (l *Leases) HasContact() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answeredAt > 0 && !l.isCutOff()
+}
+
 // isCutOff reports whether control has not answered for so long that it is useless to
 // wait for it. The caller must hold l.mu.
 func (l *Leases) isCutOff() bool {
--- a/services/peers/consensus.go
+++ b/services/peers/consensus.go
@@ -63,6 +63,11 @@
 	return betweenv1connect.NewStreamServiceClient(p.recording, p.BaseURL(address), p.ClientOptions()...)
 }
 
+// Seats returns the client of the seat service of the entry box at an address.
+func (p *Peers) Seats(address string) betweenv1connect.SeatServiceClient {
+	return betweenv1connect.NewSeatServiceClient(p.recording, p.BaseURL(address), p.ClientOptions()...)
+}
+
 // Control returns clients of the control service, keyed by the name of the box.
 func (p *Peers) Control(addresses map[string]string) map[string]betweenv1connect.ControlServiceClient {
 	clients := map[string]betweenv1connect.ControlServiceClient{}
