models/spread, services/control: a rejection limit does not end while no call gets an answer

Callers left before each answer, so that no box heard the limit again; 10 s later it counted as ended, and all boxes sent freely. It now ends with an answer that doesn't name it, as before, or after a minute. TestRejectionLimitHoldsWithoutAnswers/no_answer_for_40_s failed before.

--- a/services/control/rejections.go
+++ b/services/control/rejections.go
@@ -14,7 +14,7 @@
 
 const (
 	// rejectionLimitLifetime is how long a rejection limit is passed on after a box has heard it.
-	rejectionLimitLifetime = 10 * time.Second
+	rejectionLimitLifetime = time.Minute
 	// maxRejectionLimits bounds the services with a rejection limit.
 	maxRejectionLimits = 256
 	// holdWeight is the weight of one box's hold time in the mean of all boxes.
