services/forward: a call with a granted seat goes on for a moment after its caller has left

What callers saw: with callers that leave early, most of the room was kept for calls that might still be running, or was given away too early and targets rejected. A target may go on with a call whose connection has closed, and nothing tells when its slot is free. A call without a stream now goes on for 350 ms more, in which most end; its seat is free exactly then. The users allow half a second.

--- a/services/forward/buffered.go
+++ b/services/forward/buffered.go
@@ -39,9 +39,9 @@
 	x.finish()
 	fl.recordSend(t, fmt.Sprint(status))
 	if status >= http.StatusInternalServerError && routing.IsRepeatable(fl.route) {
-		return attempt{verdict: failing, failure: got, err: errors.Errorf("the target answered %d", status)}
+		return attempt{verdict: failing, finished: true, failure: got, err: errors.Errorf("the target answered %d", status)}
 	}
-	return attempt{verdict: verdictOf(status), done: true, err: fl.sendAnswer(got)}
+	return attempt{verdict: verdictOf(status), done: true, finished: true, err: fl.sendAnswer(got)}
 }
 
 // verdictOf returns what the status of a target's answer says about its health.
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -44,8 +44,8 @@
 	verdict verdict
 	// notRun is set when the target certainly did not run the call.
 	notRun bool
-	// done is set when the caller has its answer.
-	done bool
+	// done is set when the caller has its answer, finished when the target has ended the call.
+	done, finished bool
 	// failure is an error answer of the target, to be relayed if no other target does better.
 	failure *answer
 	err     error
@@ -222,7 +222,7 @@
 		return *a
 	}
 	before := fl.events.count
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := fl.attemptContext(ctx)
 	defer cancel()
 	fl.startCheck = fl.checkStart(ctx, c)
 	wd := fl.startWatchdog(cancel)
--- a/services/forward/seats.go
+++ b/services/forward/seats.go
@@ -8,10 +8,15 @@
 	"slices"
 	"time"
 
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/seats"
 	"havenwinch.dev/havenwinch/models/spread"
 )
 
+// finishTime is how long a call without a stream goes on at its target after its caller has left, if it
+// has a granted seat: most end in that time, so that it is known when their slots are free.
+const finishTime = 350 * time.Millisecond
+
 // SeatRequest asks for a seat at a target of a service.
 type SeatRequest struct {
 	Service string
@@ -107,6 +112,22 @@
 	fl.seat, fl.call.HasSeat = nil, false
 }
 
+// attemptContext returns the context of an attempt, which ends with that of the call or finishTime later.
+func (fl *inflightCall) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if fl.seat == nil || fl.route.GetKind() == statev1.Route_KIND_STREAM {
+		return context.WithCancel(ctx)
+	}
+	lasting, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	if deadline, ok := ctx.Deadline(); ok {
+		lasting, cancel = context.WithDeadline(lasting, deadline)
+	}
+	stop := context.AfterFunc(ctx, func() { time.AfterFunc(finishTime, cancel) })
+	return lasting, func() {
+		stop()
+		cancel()
+	}
+}
+
 // seatOutcome returns how an attempt ended, as far as its seat is concerned.
 func (fl *inflightCall) seatOutcome(a attempt) seats.Outcome {
 	switch {
@@ -114,7 +135,7 @@
 		return seats.Rejected
 	case fl.sentAt == 0 || a.notRun:
 		return seats.Unused
-	case a.done && a.verdict == healthy || a.failure != nil:
+	case a.finished || a.done && a.verdict == healthy:
 		return seats.Done
 	default:
 		return seats.Abandoned
