--- a/services/seats/check.go
+++ b/services/seats/check.go
@@ -79,7 +79,7 @@
 // checkHolders checks the other holders of the pools of this box until ctx is done.
 func (s *Server) checkHolders(ctx context.Context) {
 	for ctx.Err() == nil {
-		periodic.Sleep(ctx, checkInterval)
+		periodic.Sleep(ctx, CheckInterval)
 		for key, isStandby := range s.poolsToCheck() {
 			s.applyCheck(key, isStandby, s.check(ctx, key))
 		}
--- a/services/seats/server.go
+++ b/services/seats/server.go
@@ -27,8 +27,8 @@
 const (
 	// grantInterval is the time between looks at seats that become free by time.
 	grantInterval = 10 * time.Millisecond
-	// checkInterval is the time between checks of the other holder of a pool.
-	checkInterval = 250 * time.Millisecond
+	// CheckInterval is the time between checks of the other holder of a pool.
+	CheckInterval = 250 * time.Millisecond
 	checkTimeout  = 150 * time.Millisecond
 )
 
@@ -240,24 +240,31 @@
 	}
 	stop := context.AfterFunc(ctx, func() { h.Release(seats.Abandoned) })
 	defer stop()
-	ended := make(chan struct{})
-	defer close(ended)
-	go func() {
-		select {
-		case <-h.grant.moved:
-			_ = stream.Send(&betweenv1.HoldResponse{Moved: true})
-		case <-ended:
-		}
-	}()
-	end, err := stream.Receive()
-	if err != nil {
-		h.Release(seats.Abandoned)
+	ends := make(chan seats.Outcome, 1)
+	go func() { ends <- receiveOutcome(stream) }()
+	select {
+	case outcome := <-ends:
+		h.Release(outcome)
 		return nil
+	case <-h.grant.moved:
+	}
+	if err := stream.Send(&betweenv1.HoldResponse{Moved: true}); err != nil {
+		return errors.WithStack(err)
 	}
-	h.Release(outcomeOf(end.GetOutcome()))
+	// The other box ends the stream once it knows.
+	<-ends
 	return nil
 }
 
+// receiveOutcome waits for the end of a call. One whose stream breaks counts as given up.
+func receiveOutcome(stream ServerStream) seats.Outcome {
+	end, err := stream.Receive()
+	if err != nil {
+		return seats.Abandoned
+	}
+	return outcomeOf(end.GetOutcome())
+}
+
 // hold grants a seat. It returns nil if the call is refused.
 func (s *Server) hold(ctx context.Context, r *betweenv1.HoldRequest) (*held, seats.Refusal, error) {
 	key := poolKey{r.GetService(), r.GetDataCentre()}
