tests/soak: plain servers with a limited room and a rejection limit in the random mix, from seed 70000 on

Their queue is cut once the limit counts, a tenth of the calls are long, a fifth go on after their connection has closed. Odd seeds name a limit of 1 to 3 from the start; it changes as a fault of its own, among all others.

--- a/tests/soak/rejection_test.go
+++ b/tests/soak/rejection_test.go
@@ -92,6 +92,55 @@
 	sv.room.limit = perSecond
 }
 
+// setSmallRoom sets a room that the callers of a soak can fill.
+func setSmallRoom(sv *server) {
+	sv.setRoom(3, 2, 60*time.Millisecond)
+	sv.setRoomHabits(longTails)
+}
+
+// withdrawRejectionLimit makes the server name no rejection limit.
+func (sv *server) withdrawRejectionLimit() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if sv.room != nil {
+		sv.room.limit = 0
+	}
+}
+
+// limitRejections makes all plain servers name a rejection limit. It holds until the faults end, or until
+// the next change.
+func (tb *testbed) limitRejections(perSecond int) {
+	for _, sv := range tb.platform.all() {
+		sv.mu.Lock()
+		hasRoom := sv.room != nil
+		sv.mu.Unlock()
+		if hasRoom {
+			sv.announceRejectionLimit(perSecond)
+		}
+	}
+}
+
+// checkRejectionFailures checks that no more servers have failed under their rejections than the users
+// allow in one time in which servers name a limit.
+func (tb *testbed) checkRejectionFailures(t *testing.T) {
+	t.Helper()
+	plain, rejected := 0, 0
+	for _, sv := range tb.platform.all() {
+		sv.mu.Lock()
+		if sv.service == plainService && sv.room != nil {
+			plain++
+			rejected += len(sv.room.rejections)
+		}
+		sv.mu.Unlock()
+	}
+	tb.platform.mu.Lock()
+	defer tb.platform.mu.Unlock()
+	t.Logf("%d calls rejected by %d plain servers, %d servers failed under them", rejected, plain, tb.platform.failedUnderRejections)
+	if n, most := tb.platform.failedUnderRejections, 2+plain/10; n > most {
+		t.Errorf("%d servers failed under the calls that they had to reject, want at most %d", n, most)
+	}
+}
+
 // counts reports whether rejections may make the server fail.
 func (r *room) counts() bool { return r.limit > 0 && time.Since(r.announcedAt) > contactTime }
 
@@ -188,7 +237,9 @@
 			next := &server{id: p.newServerID(), service: sv.service, zone: sv.zone, version: sv.version}
 			next.setRoom(sv.room.slots, sv.room.queue, sv.room.work)
 			next.room.roomHabits = sv.room.roomHabits
+			sv.mu.Lock()
 			next.room.limit, next.room.announcedAt = sv.room.limit, sv.room.announcedAt
+			sv.mu.Unlock()
 			if fresh, err := p.launch(next, 0); err == nil {
 				p.addCleanup(fresh.stop)
 			}
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -37,7 +37,7 @@
 // TestSoak injects random faults, with the seeds of SOAK_SEEDS ("first,count") or with a
 // few fixed seeds and the regressions.
 func TestSoak(t *testing.T) {
-	seeds := []int64{11, 7007, 8008, 10_001}
+	seeds := []int64{11, 7007, 8008, 10_001, 70_001}
 	for seed := range regressions {
 		seeds = append(seeds, seed)
 	}
@@ -71,7 +71,11 @@
 	if seed%largeEvery == largeEvery-1 {
 		entries = largeEntries
 	}
-	tb := newTestbed(t, seed, controls, entries, 3, 2)
+	tb := startTestbed(t, newFleet(t, controls, entries), seed, 3, 2, func(p *platform) {
+		if seed >= rejectionLimitsFrom {
+			p.rooms = map[string]func(*server){plainService: setSmallRoom}
+		}
+	})
 	t.Cleanup(func() {
 		if t.Failed() {
 			tb.saveLogs(t, seed)
@@ -80,6 +84,9 @@
 	if seed >= softwareFrom {
 		tb.startSecondVersion(t)
 	}
+	if seed >= rejectionLimitsFrom && seed%2 == 1 {
+		tb.limitRejections(1 + rng.Intn(3))
+	}
 	stop := make(chan struct{})
 	wg := tb.startCallers(stop)
 	returning := tb.startReturningCallers(stop, wg)
@@ -122,6 +129,7 @@
 	tb.platform.mu.Unlock()
 	tb.platform.checkReads()
 	tb.checkResults(t)
+	tb.checkRejectionFailures(t)
 }
 
 // startCallers starts callers that send requests until stop is closed.
@@ -153,7 +161,7 @@
 // faultKinds are the kinds of faults, in the order in which they were added. Seeds below
 // crashKindsFrom use the first kinds only, those below limitKindsFrom and faultyAnswersFrom
 // correspondingly more, so that old seeds keep their schedules.
-var faultKinds = []string{"kill", "term", "hup", "pause", "kill all", "wipe disk", "delay", "silent", "one way", "reset", "dropped answers", "replace server", "crash", "mute", "rate limit", "faulty answers", "faulty answers", "restart engine", "restart engine", "end engine", "end engine"}
+var faultKinds = []string{"kill", "term", "hup", "pause", "kill all", "wipe disk", "delay", "silent", "one way", "reset", "dropped answers", "replace server", "crash", "mute", "rate limit", "faulty answers", "faulty answers", "restart engine", "restart engine", "end engine", "end engine", "rejection limit", "rejection limit"}
 
 const (
 	kindsBefore7000   = 12
@@ -163,6 +171,9 @@
 	kindsBefore9000   = 15
 	faultyAnswersFrom = 9000
 	kindsBefore10000  = 17
+	kindsBefore70000  = 21
+	// From rejectionLimitsFrom on plain servers have a limited room, and at times a rejection limit.
+	rejectionLimitsFrom = 70_000
 	// From softwareFrom on engines run two versions of their software, and callers take their streams up.
 	softwareFrom = 10_000
 )
@@ -185,6 +196,8 @@
 		kinds = faultKinds[:kindsBefore9000]
 	case tb.all.seed < softwareFrom:
 		kinds = faultKinds[:kindsBefore10000]
+	case tb.all.seed < rejectionLimitsFrom:
+		kinds = faultKinds[:kindsBefore70000]
 	}
 	kind := kinds[rng.Intn(len(kinds))]
 	t.Logf("%s on %s and %s for %s", kind, b.name, sv.id, duration)
@@ -250,6 +263,8 @@
 				other.setFaultyShare(0)
 			}
 		})
+	case "rejection limit":
+		tb.limitRejections(1 + rng.Intn(3))
 	case "restart engine":
 		tb.restartEngine(t, rng)
 	case "end engine":
@@ -312,6 +327,7 @@
 		sv.setFailShare(0)
 		sv.setFaultyShare(0)
 		sv.withdrawLimit()
+		sv.withdrawRejectionLimit()
 	}
 	for _, b := range tb.boxes {
 		b.signal(syscall.SIGCONT)
