services/seats: running calls are attached to a new holder even if their box avoids it

A box that had not been answered by the next holder did not ask it for up to 2 s, also not to tell of its running calls; the holder grants their seats again after 1 s. TestRunningCallsAreAttachedToAnAvoidedBox failed before (not attached within 10 s).

--- a/services/seats/client.go
+++ b/services/seats/client.go
@@ -297,14 +297,15 @@
 	}
 }
 
-// reattach tells the next holder of the running call, as soon as there is one.
+// reattach tells the next holder of the running call, as soon as there is one. It asks boxes that are
+// avoided, too: a holder grants seats of calls that it has not heard of in time.
 func (s *Seat) reattach() {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for {
 		for rank, b := range s.client.opts.Directory().SeatHolders(s.service, s.centre) {
 			m := &betweenv1.HoldRequest{Service: s.service, DataCentre: s.centre, Attach: s.target, Standby: rank > 0}
-			if !s.client.isAvoided(b) && s.attachTo(ctx, b, m) {
+			if b.Address != "" && s.attachTo(ctx, b, m) {
 				return
 			}
 		}
--- a/services/seats/seats_test.go
+++ b/services/seats/seats_test.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -297,13 +299,7 @@
 	if len(caller.acquireAll(t)) != room {
 		t.Fatal("no seats at first")
 	}
-	var rest []string
-	for name := range f.boxes {
-		if name != first.Name {
-			rest = append(rest, name)
-		}
-	}
-	f.list(rest...)
+	f.list(slices.DeleteFunc(slices.Collect(maps.Keys(f.boxes)), func(name string) bool { return name == first.Name })...)
 	await(t, "the running calls are attached to the new holder", func() bool { return second.server.Held() == room })
 	if first.server.Held() != 0 {
 		t.Error("the former holder has seats left")
@@ -314,6 +310,29 @@
 	}
 }
 
+// Guards against running calls that a new holder doesn't hear of in time, as their box avoids it.
+func TestRunningCallsAreAttachedToAnAvoidedBox(t *testing.T) {
+	f := newTestFleet(t, "a", "b", "c", "d")
+	first, second, caller := f.holders()
+	rest := slices.DeleteFunc(slices.Collect(maps.Keys(f.boxes)), func(name string) bool { return name == first.Name })
+	f.list(rest...)
+	second.isSilent.Store(true)
+	for range 6 {
+		f.clock.Advance(3 * time.Second)
+		if seat := caller.acquire(t); seat != nil {
+			seat.Release(models.Unused)
+		}
+	}
+	second.isSilent.Store(false)
+	f.list(slices.Collect(maps.Keys(f.boxes))...)
+	f.settle()
+	if len(caller.acquireAll(t)) != room {
+		t.Fatal("no seats at first")
+	}
+	f.list(rest...)
+	await(t, "the running calls are attached to the new holder", func() bool { return second.server.Held() == room })
+}
+
 // Guards against both sides of a partition that grant all seats: a holder without contact to control
 // halves them unless the other holder grants none.
 func TestHolderWithoutContactHalves(t *testing.T) {
