--- a/models/spread/seats_test.go
+++ b/models/spread/seats_test.go
@@ -638,18 +638,6 @@
 	})
 }
 
-// stopBoxes stops a box every interval, which finishes its calls while the next process starts.
-func (s *seatSim) stopBoxes(interval time.Duration) {
-	next := 0
-	s.after(interval, func() {
-		b := s.boxes[next%len(s.boxes)]
-		next++
-		b.known, b.cancels = false, nil
-		s.startBox(b)
-		s.stopBoxes(interval)
-	})
-}
-
 // seatLoad is a load of a fleet in multiples of what its targets can run.
 type seatLoad struct {
 	perSecond func(at time.Duration) float64
