--- a/models/seats/pool.go
+++ b/models/seats/pool.go
@@ -277,8 +277,7 @@
 func (p *Pool) recordHold(held, now time.Duration) {
 	p.holdCount++
 	p.hold += time.Duration(max(holdWeight, 1/p.holdCount) * float64(held-p.hold))
-	decayed := time.Duration(float64(p.longest) * math.Exp(-float64(now-p.longestAt)/float64(longestDecay)))
-	p.longest, p.longestAt = max(held, decayed), now
+	p.longest, p.longestAt = max(held, p.longestSeen(now)), now
 }
 
 func (p *Pool) meanHold() time.Duration {
@@ -288,11 +287,15 @@
 	return max(time.Millisecond, p.hold)
 }
 
-// longestHold returns how long a call may run.
+// longestSeen returns the longest time of a call that has ended, decayed as of now.
+func (p *Pool) longestSeen(now time.Duration) time.Duration {
+	return time.Duration(float64(p.longest) * math.Exp(-float64(now-p.longestAt)/float64(longestDecay)))
+}
+
+// longestHold returns how long a call may run. Calls that were given up are missing among those that
+// have ended.
 func (p *Pool) longestHold(now time.Duration) time.Duration {
-	longest := time.Duration(float64(p.longest) * math.Exp(-float64(now-p.longestAt)/float64(longestDecay)))
-	// Calls that were given up don't tell how long they run: they are missing among those that ended.
-	return max(defaultHold, longest)
+	return max(defaultHold, p.longestSeen(now))
 }
 
 // occupied returns how many seats are taken at the target.
