--- a/routers/gateway/server_test.go
+++ b/routers/gateway/server_test.go
@@ -21,6 +21,7 @@
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/modules/meter"
 	"havenwinch.dev/havenwinch/services/forward"
 	store "havenwinch.dev/havenwinch/services/gateway"
 	"havenwinch.dev/havenwinch/services/quarantine"
@@ -69,6 +70,8 @@
 	server  *Server
 	address string
 	cancel  context.CancelFunc
+	// callers counts the bytes on the connections of callers.
+	callers *meter.Meter
 }
 
 // newFixture starts a server that forwards to one target with the given handler.
@@ -116,12 +119,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = s.Serve(front) }()
+	callers := &meter.Meter{}
+	go func() { _ = s.Serve(callers.WrapListener(front)) }()
 	t.Cleanup(func() {
 		cancel()
 		_ = front.Close()
 	})
-	return &fixture{server: s, address: front.Addr().String(), cancel: cancel}
+	return &fixture{server: s, address: front.Addr().String(), cancel: cancel, callers: callers}
+}
+
+// awaitRead waits until the server has read a number of bytes from its callers.
+func (f *fixture) awaitRead(n int) {
+	for received := int64(0); received < int64(n); received, _ = f.callers.Totals() {
+		time.Sleep(time.Millisecond)
+	}
 }
 
 // signed sets the fields that the forwarder requires in a target's answer.
@@ -203,6 +214,57 @@
 	}
 }
 
+// Guards against a request that was read while a stream still ran, and then dropped unanswered with
+// its connection as the box stopped.
+func TestStopAnswersRequestsThatWereRead(t *testing.T) {
+	const stream = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n"
+	whole := "POST /plain/x HTTP/1.1\r\nHost: h\r\nX-Id: second\r\nContent-Length: 4\r\n\r\nbody"
+	tests := map[string]struct {
+		// withFirst is sent in one write with the first request, meanwhile while its stream runs, and
+		// later after the stream has ended.
+		withFirst, meanwhile, later string
+	}{
+		"sent at once":           {withFirst: whole},
+		"sent during the stream": {meanwhile: whole},
+		"its body comes later":   {meanwhile: whole[:len(whole)-4], later: whole[len(whole)-4:]},
+		"its head comes later":   {meanwhile: whole[:20], later: whole[20:]},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			ran := make(chan string, 4)
+			f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+				ran <- r.Header.Get("X-Id")
+				signed(w, r)
+				_, _ = io.WriteString(w, stream[:len(stream)/2])
+				w.(http.Flusher).Flush()
+				<-release
+				_, _ = io.WriteString(w, stream[len(stream)/2:])
+			})
+			c := f.dial(t)
+			c.send(t, request("/stream/x", "first")+test.withFirst)
+			first := c.head(t)
+			c.send(t, test.meanwhile)
+			f.awaitRead(len(request("/stream/x", "first") + test.withFirst + test.meanwhile))
+			f.server.Stop()
+			f.server.CloseIdle()
+			close(release)
+			if body, err := io.ReadAll(first.Body); err != nil || string(body) != stream {
+				t.Fatalf("the stream is incomplete: %q, %v", body, err)
+			}
+			c.send(t, test.later)
+			second := c.head(t)
+			if second.StatusCode != http.StatusServiceUnavailable || second.Header.Get("X-Id") != "second" || second.Header.Get("Retry-After") == "" || !second.Close {
+				t.Fatalf("got status %d of %q, close %v, Retry-After %q; want a refusal that announces the close", second.StatusCode, second.Header.Get("X-Id"), second.Close, second.Header.Get("Retry-After"))
+			}
+			f.server.Wait(context.Background())
+			if got := <-ran; got != "first" || len(ran) != 0 {
+				t.Fatalf("the target ran %q and %d more, want the first only", got, len(ran))
+			}
+		})
+	}
+}
+
 // An answer that begins after the stop must announce Connection: close.
 func TestStopAnnouncesCloseInAnswer(t *testing.T) {
 	began, release := make(chan struct{}), make(chan struct{})
