routers/gateway: a server that is deaf once it was short of descriptors, red

Callers see connections that are never read: an accept that fails for want of a descriptor ends the accept loop for good, and the box goes on to say that it is ready. No logic is changed.

--- a/routers/gateway/server_test.go
+++ b/routers/gateway/server_test.go
@@ -10,7 +10,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -345,3 +348,49 @@
 		}
 	}
 }
+
+// failingListener fails to accept a connection a number of times, as when the process has no free
+// descriptor, before it accepts as usual.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a box that accepts no connection any more once it was short of descriptors.
+func TestServerAcceptsAfterDescriptorsRanOut(t *testing.T) {
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) { signed(w, r) })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failing := &failingListener{Listener: l}
+	failing.failures.Store(3)
+	ended := make(chan error, 1)
+	go func() { ended <- f.server.Serve(failing) }()
+	f.address = l.Addr().String()
+	c := f.dial(t)
+	c.send(t, request("/plain/x", "only"))
+	answered := make(chan int, 1)
+	go func() {
+		if resp, err := http.ReadResponse(c.r, nil); err == nil {
+			answered <- resp.StatusCode
+		}
+	}()
+	select {
+	case status := <-answered:
+		if status != http.StatusOK {
+			t.Errorf("status %d, want 200", status)
+		}
+	case err := <-ended:
+		t.Fatalf("the server accepts no more connections: %v", err)
+	}
+	_ = l.Close()
+	<-ended
+}
