routers/gateway: a log line for bytes of a request that are dropped with their connection

A connection that was closed with a part of a request read left no trace, so that a request dropped by a stop, by an announced close and by a caller that left looked alike in the logs: none had a line. Now a line tells the bytes, whether the box was stopping and whether the close had been announced. Nothing else changes.

--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -167,6 +167,7 @@
 	limits := s.limits()
 	c := &connection{server: s, conn: conn, reader: bufio.NewReaderSize(conn, int(limits.GetMaxHeaderBytes()))}
 	c.writer = reply.NewConn(conn, reply.Options{WriteTimeout: writeTimeout, CloseAfter: c.shouldClose})
+	defer c.logDropped()
 	for !c.closeAfter && c.awaitRequest(s.limits()) {
 		if !c.handleRequest(s.limits()) {
 			return
@@ -174,6 +175,16 @@
 	}
 }
 
+// logDropped logs bytes of a request that were read and are dropped with the connection.
+func (c *connection) logDropped() {
+	n := c.reader.Buffered()
+	if n == 0 {
+		return
+	}
+	c.server.opts.Logger.Warn("connection closed", "outcome", "bytes of a request dropped", "bytes", n,
+		"stopping", c.server.stopping.Load(), "announced", c.closeAfter, "caller", c.conn.RemoteAddr().String())
+}
+
 // shouldClose reports whether the connection must be closed after the answer whose
 // head is being written.
 func (c *connection) shouldClose() bool {
