--- /dev/null
+++ b/tests/soak/stop_test.go
@@ -0,0 +1,41 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// Guards against a planned stop that cuts its calls off as the box is told to stop again.
+func TestSecondStopSignalCutsNoAnswer(t *testing.T) {
+	const limit = 3000
+	tb := newTestbed(t, 4, 1, 1, 1, 1)
+	entry := tb.withRole("entry")[0]
+	conn, err := net.Dial("tcp", tb.address(entry, tb.ports.caller))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "POST /stream/once/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: stopped\r\nApi-Key: key-large\r\nToken-Count: 100,%d\r\nContent-Length: 15\r\n\r\nbody of stopped", limit)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("the stream did not start: %v", err)
+	}
+	entry.signal(syscall.SIGTERM)
+	waitFor(t, "the box has begun to stop", func() bool { return strings.Contains(entry.logText(), `"msg":"stop"`) })
+	exited := entry.signal(syscall.SIGTERM)
+	body, err := io.ReadAll(resp.Body)
+	if want := fmt.Sprintf("id: %d\n", events(limit)-1); err != nil || !strings.Contains(string(body), want) {
+		t.Errorf("the stream ended after %d bytes with %v, want %q in it", len(body), err, want)
+	}
+	<-exited
+	tb.checkResults(t)
+}
