modules/graceful: a repeated SIGTERM does not cut a planned stop short

Callers saw streams that ended in the middle, and calls that got no answer, at a box that already drained and was told to stop again. Now only an interrupt during the stop aborts it, and the stop limit, as before.

--- a/modules/graceful/graceful.go
+++ b/modules/graceful/graceful.go
@@ -3,8 +3,8 @@
 
 // Package graceful manages the shutdown of a process. The first signal starts
 // draining: the box reports that it is not ready and takes no new work, while work
-// in progress may finish. A second signal, or the time limit for draining, cancels
-// the work in progress.
+// in progress may finish. An interrupt during that time, or the time limit for
+// draining, cancels the work in progress.
 package graceful
 
 import (
@@ -57,15 +57,20 @@
 // Terminate cancels the work in progress at once.
 func (m *Manager) Terminate() { m.cancelHammer() }
 
-// HandleSignals calls Stop at the first SIGTERM or SIGINT and Terminate at the
-// second. It does not block.
+// HandleSignals starts the shutdown at the first SIGTERM or SIGINT. Further SIGTERMs change nothing, since
+// planned stops may overlap; a SIGINT during the shutdown calls Terminate. It does not block.
 func (m *Manager) HandleSignals() {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
+	go m.handle(signals)
+}
+
+// handle handles signals until the channel is closed.
+func (m *Manager) handle(signals <-chan os.Signal) {
+	for s := range signals {
+		if s == syscall.SIGINT && m.IsDraining() {
+			m.Terminate()
+		}
 		m.Shutdown()
-		<-signals
-		m.Terminate()
-	}()
+	}
 }
