modules/accept, routers/gateway, cmd/havenwinchd: servers go on accepting after accepts that failed

Callers saw connections on which nothing was ever read, at a box that said it was ready: the first accept that failed, as it does when the process has no free descriptor, ended the accept loop of callers' connections for good. The library that serves readiness checks, registrations and the path with keys ends in the same way, so that a box would not be ready, or a control box deaf, until its restart. Class: an error of the own process taken for the end of a listener. Now a listener ends only when it is closed; callers' connections that have been idle for longest are closed for their descriptors, at most 32 after each failure. TestServerAcceptsAfterDescriptorsRanOut failed each time before (accept4: too many open files) and passes.

--- a/cmd/havenwinchd/box.go
+++ b/cmd/havenwinchd/box.go
@@ -16,6 +16,7 @@
 	"go.uber.org/dig"
 
 	"havenwinch.dev/havenwinch/models/target"
+	"havenwinch.dev/havenwinch/modules/accept"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/graceful"
 	"havenwinch.dev/havenwinch/modules/periodic"
@@ -186,6 +187,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "--%s can't be opened: choose an address that is free", name)
 	}
+	l = accept.New(l, func(err error) { logFailedAccept(b.logger, name, err) })
 	go func() {
 		if err := run(l); err != nil && !errors.Is(err, http.ErrServerClosed) && b.workCtx.Err() == nil {
 			b.logger.Error("listener failed", "listener", name, "error", err)
--- a/cmd/havenwinchd/forward_box.go
+++ b/cmd/havenwinchd/forward_box.go
@@ -23,6 +23,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/dig"
 
+	"havenwinch.dev/havenwinch/modules/accept"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/graceful"
 	"havenwinch.dev/havenwinch/modules/hlc"
@@ -259,6 +260,17 @@
 	return l, nil
 }
 
+// retryAccepts returns run for a server whose library ends at the first accept that fails.
+func (b *forwardBox) retryAccepts(name string, run func(net.Listener) error) func(net.Listener) error {
+	return func(l net.Listener) error {
+		return run(accept.New(l, func(err error) { logFailedAccept(b.Logger, name, err) }))
+	}
+}
+
+func logFailedAccept(logger *slog.Logger, name string, err error) {
+	logger.Warn("accept failed", "listener", name, "outcome", "tries again", "reason", err.Error())
+}
+
 // newReadyServer returns the HTTP server for readiness probes.
 func newReadyServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, ReadTimeout: time.Minute}
--- a/cmd/havenwinchd/forward_control.go
+++ b/cmd/havenwinchd/forward_control.go
@@ -128,7 +128,7 @@
 	if _, err := r.serve("between-port", r.Settings.BetweenAddress(), r.between.Serve); err != nil {
 		return err
 	}
-	if _, err := r.serve("registry-listen", r.Settings.RegistryListen, r.api.Serve); err != nil {
+	if _, err := r.serve("registry-listen", r.Settings.RegistryListen, r.retryAccepts("registry-listen", r.api.Serve)); err != nil {
 		return err
 	}
 	r.spawn(r.member.Run)
--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -171,7 +171,7 @@
 	if _, err := e.serve("between-port", e.Settings.BetweenAddress(), e.between.Serve); err != nil {
 		return err
 	}
-	if _, err := e.serve("ready-listen", e.Settings.ReadyListen, e.ready.Serve); err != nil {
+	if _, err := e.serve("ready-listen", e.Settings.ReadyListen, e.retryAccepts("ready-listen", e.ready.Serve)); err != nil {
 		return err
 	}
 	var err error
--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -12,6 +12,7 @@
 	"bufio"
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	"github.com/valyala/fasthttp"
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/modules/accept"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/http1"
 	"havenwinch.dev/havenwinch/modules/reply"
@@ -35,6 +37,8 @@
 	defaultIdleTimeout    = 15 * time.Second
 	// bodyReadTimeout is the time within which a request body must arrive.
 	bodyReadTimeout = 10 * time.Second
+	// closedAtFailure is how many idle connections are closed after an accept that failed.
+	closedAtFailure = 32
 	// writeTimeout is the time within which a caller must accept the bytes of one write.
 	writeTimeout = 20 * time.Second
 )
@@ -70,27 +74,22 @@
 	opts     Options
 	stopping atomic.Bool
 
-	mu sync.Mutex
-	// idle holds the connections without a call in progress, guarded by mu.
-	idle  map[net.Conn]bool
+	idle  *idleConns
 	conns sync.WaitGroup
 }
 
 // New returns a server that accepts nothing until Serve is called.
 func New(opts Options) *Server {
-	return &Server{opts: opts, idle: map[net.Conn]bool{}}
+	return &Server{opts: opts, idle: newIdleConns()}
 }
 
 // Serve accepts connections until the listener is closed and returns the error of
 // the listener.
 func (s *Server) Serve(l net.Listener) error {
+	l = accept.New(l, s.handleFailedAccept)
 	for {
 		c, err := l.Accept()
 		if err != nil {
-			var netErr net.Error
-			if errors.As(err, &netErr) && netErr.Timeout() {
-				continue
-			}
 			return errors.WithStack(err)
 		}
 		s.conns.Add(1)
@@ -101,6 +100,12 @@
 	}
 }
 
+// handleFailedAccept closes idle connections, so that a process that is short of descriptors has some.
+func (s *Server) handleFailedAccept(err error) {
+	closed := s.idle.closeLongest(closedAtFailure)
+	s.opts.Logger.Warn("accept failed", "outcome", "closed idle connections of callers", "closed", closed, "reason", err.Error())
+}
+
 // Stop begins a graceful shutdown: calls in progress may finish, and each further
 // answer announces Connection: close. Call CloseIdle afterwards to close the
 // connections that are idle.
@@ -108,11 +113,7 @@
 
 // CloseIdle closes the connections on which no call is in progress.
 func (s *Server) CloseIdle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.idle {
-		_ = c.SetReadDeadline(time.Unix(1, 0))
-	}
+	s.idle.closeLongest(math.MaxInt)
 }
 
 // Wait blocks until all connections are closed or the context is done.
@@ -197,36 +198,16 @@
 // awaitRequest waits for the first byte of a request. It returns false if none
 // arrives within the idle timeout or the server is stopping.
 func (c *connection) awaitRequest(limits *statev1.CallerLimits) bool {
-	if !c.server.markIdle(c.conn, time.Duration(limits.GetIdleTimeout())*time.Millisecond) {
+	// The head of the last answer may have been sent before the stop began and then did not announce the
+	// close. A request that arrives meanwhile is never read, so that the caller can safely send it again.
+	if !c.server.idle.add(c.conn, time.Duration(limits.GetIdleTimeout())*time.Millisecond, c.server.stopping.Load) {
 		return false
 	}
-	defer c.server.markActive(c.conn)
+	defer c.server.idle.remove(c.conn)
 	_, err := c.reader.Peek(1)
 	return err == nil
 }
 
-// markIdle marks a connection as idle and sets its idle timeout. It returns false if
-// the server is stopping. The head of the last answer may have been sent before the
-// stop began and then did not announce the close; a request that arrives meanwhile
-// is never read, so that the caller can safely send it again.
-func (s *Server) markIdle(c net.Conn, timeout time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stopping.Load() {
-		return false
-	}
-	s.idle[c] = true
-	_ = c.SetReadDeadline(time.Now().Add(timeout))
-	return true
-}
-
-// markActive marks a connection as having a call in progress.
-func (s *Server) markActive(c net.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.idle, c)
-}
-
 // handleRequest reads one request and answers it. It returns false if the connection
 // must be closed.
 func (c *connection) handleRequest(limits *statev1.CallerLimits) bool {
