routers/gateway: a stopping box answers the requests that it has read

Callers saw their connection end without a byte although the box had their whole request. While a call runs, its connection is read to notice a caller that leaves; what that reads of the next request was dropped when the box closed the connection after the answer: of the second of two requests sent at once, and of a request that its caller sent in the moment between the last byte of an answer and the close, which is long at a box without processor time. Class: bytes taken from a connection by one reader that the next one does not know of. Now a request whose first byte has been read is answered: after the stop with 503, as not run, with the close announced in the last answer; and the close is not announced while a request that was read waits for its turn. After an answer that could not announce the close a stopping box waits 200 ms for the next request, and refuses it.

--- a/routers/gateway/answer.go
+++ b/routers/gateway/answer.go
@@ -26,6 +26,7 @@
 // guarantee that the call has not run.
 var statusOf = map[structs.Kind]int{
 	structs.KindNotReady:            http.StatusServiceUnavailable,
+	structs.KindStopping:            http.StatusServiceUnavailable,
 	structs.KindNotFound:            http.StatusNotFound,
 	structs.KindWrongKey:            http.StatusUnauthorized,
 	structs.KindMalformed:           http.StatusBadRequest,
@@ -60,6 +61,19 @@
 	return a.Send(statusOf[r.Kind], fields, body)
 }
 
+// refuseLate refuses a request whose turn came after the box had begun to stop. It returns false if the
+// connection must be closed.
+func (c *connection) refuseLate(a *reply.Answer, h *fasthttp.RequestHeader) bool {
+	refusal := &forward.Refusal{Kind: structs.KindStopping, Run: structs.RunNo, RetryAfter: stoppingRetryAfter, Message: "this box is stopping: ask again over a new connection"}
+	_, id := c.server.opts.Translator.RequestID(h)
+	err := c.writeRefusal(a, h, refusal)
+	c.server.opts.Logger.Warn("request refused", "request", id, "outcome", refusal.Kind, "reason", "its turn came after the stop had begun", "answered", err == nil)
+	return err == nil && !c.closeAfter
+}
+
+// expectsContinue reports whether the caller sends the body only after 100 Continue.
+func expectsContinue(h *fasthttp.RequestHeader) bool { return len(h.Peek("Expect")) > 0 }
+
 // malformed returns the refusal of a request that can't be parsed.
 func malformed(err error) *forward.Refusal {
 	return &forward.Refusal{Kind: structs.KindMalformed, Run: structs.RunNo, Message: err.Error()}
@@ -101,7 +115,7 @@
 	if length == 0 || length == -2 {
 		return nil, nil
 	}
-	if string(h.Peek("Expect")) != "" {
+	if expectsContinue(h) {
 		if err := a.Continue(); err != nil {
 			return nil, malformed(errors.New("the body was not sent: wait for 100 Continue and send it"))
 		}
--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -37,6 +37,10 @@
 	defaultIdleTimeout    = 15 * time.Second
 	// bodyReadTimeout is the time within which a request body must arrive.
 	bodyReadTimeout = 10 * time.Second
+	// stoppingRetryAfter is the Retry-After time of a stopping box; other boxes take the request.
+	stoppingRetryAfter = 50 * time.Millisecond
+	// defaultStopLinger is the StopLinger if the options set none.
+	defaultStopLinger = 200 * time.Millisecond
 	// closedAtFailure is how many idle connections are closed after an accept that failed.
 	closedAtFailure = 32
 	// writeTimeout is the time within which a caller must accept the bytes of one write.
@@ -65,6 +69,9 @@
 	// ShouldCloseConnections reports whether connections should be closed after their current answer,
 	// to shed load; nil means never.
 	ShouldCloseConnections func() bool
+	// StopLinger is how long a stopping box waits, after an answer that did not announce the close, for a
+	// request that its caller has sent meanwhile; 200 ms if zero.
+	StopLinger time.Duration
 	// BaseContext is the parent context of all calls; canceling it aborts those in progress.
 	BaseContext context.Context
 }
@@ -80,6 +87,9 @@
 
 // New returns a server that accepts nothing until Serve is called.
 func New(opts Options) *Server {
+	if opts.StopLinger <= 0 {
+		opts.StopLinger = defaultStopLinger
+	}
 	return &Server{opts: opts, idle: newIdleConns()}
 }
 
@@ -159,6 +169,10 @@
 	writer *reply.Conn
 	// closeAfter is true if the connection must be closed after the current answer.
 	closeAfter bool
+	// pipelined is set while bytes of the next request have been read.
+	pipelined atomic.Bool
+	// late is true if the box was stopping when the current request's turn came.
+	late bool
 }
 
 // serveConn handles the requests of one connection, one after the other, and closes
@@ -187,23 +201,34 @@
 }
 
 // shouldClose reports whether the connection must be closed after the answer whose
-// head is being written.
+// head is being written. A request of which bytes have been read is answered first.
 func (c *connection) shouldClose() bool {
-	if c.server.stopping.Load() || c.server.opts.ShouldCloseConnections != nil && c.server.opts.ShouldCloseConnections() {
+	if c.server.shouldClose() && !c.pipelined.Load() {
 		c.closeAfter = true
 	}
 	return c.closeAfter
 }
 
+// shouldClose reports whether connections must be closed after their current answer.
+func (s *Server) shouldClose() bool {
+	return s.stopping.Load() || s.opts.ShouldCloseConnections != nil && s.opts.ShouldCloseConnections()
+}
+
 // awaitRequest waits for the first byte of a request. It returns false if none
-// arrives within the idle timeout or the server is stopping.
+// arrives within the idle timeout, or soon after the server has begun to stop.
 func (c *connection) awaitRequest(limits *statev1.CallerLimits) bool {
-	// The head of the last answer may have been sent before the stop began and then did not announce the
-	// close. A request that arrives meanwhile is never read, so that the caller can safely send it again.
-	if !c.server.idle.add(c.conn, time.Duration(limits.GetIdleTimeout())*time.Millisecond, c.server.stopping.Load) {
-		return false
+	c.late = false
+	if c.reader.Buffered() > 0 {
+		c.late = c.server.stopping.Load()
+		return true
+	}
+	if c.server.idle.add(c.conn, time.Duration(limits.GetIdleTimeout())*time.Millisecond, c.server.stopping.Load) {
+		defer c.server.idle.remove(c.conn)
+	} else {
+		// The last answer may not have announced the close, so that the caller sends its next request.
+		c.late = true
+		_ = c.conn.SetReadDeadline(time.Now().Add(c.server.opts.StopLinger))
 	}
-	defer c.server.idle.remove(c.conn)
 	_, err := c.reader.Peek(1)
 	return err == nil
 }
@@ -218,11 +243,20 @@
 	}
 	c.closeAfter = h.ConnectionClose()
 	a := c.writer.Next(string(h.Method()))
+	if c.late && expectsContinue(h) {
+		// The body, which may come all the same, must not be taken for a request.
+		c.closeAfter = true
+		return c.refuseLate(a, h)
+	}
 	body, refusal := c.readBody(a, h, limits)
+	c.pipelined.Store(c.reader.Buffered() > 0)
 	if refusal != nil {
 		c.closeAfter = true
 		return c.writeRefusal(a, h, refusal) == nil
 	}
+	if c.late {
+		return c.refuseLate(a, h)
+	}
 	call, err := c.server.opts.Translator.Call(h, body)
 	if err != nil {
 		return c.writeRefusal(a, h, malformed(err)) == nil
@@ -273,6 +307,7 @@
 	done := make(chan bool, 1)
 	go func() {
 		_, err := c.reader.Peek(c.reader.Buffered() + 1)
+		c.pipelined.Store(c.reader.Buffered() > 0)
 		var timeout net.Error
 		disconnected := err != nil && err != bufio.ErrBufferFull && !(errors.As(err, &timeout) && timeout.Timeout())
 		if disconnected {
