services/forward: a stream is lost once the weights of its route's services change, red

What callers saw: a caller that takes up its stream after the weights of its route have changed gets 503 version_unknown at each box, although all targets of the stream's service and software serve.

Cause: the service of a call is drawn from the id of the stream's first attempt and the weights in force. The record of the stream is filed under the service that began it. With other weights the draw gives another service, under which there is no record.

--- a/services/forward/software_test.go
+++ b/services/forward/software_test.go
@@ -330,6 +330,96 @@
 	}
 }
 
+// Guards against a stream that can't go on once the weights of its route's services have changed.
+func TestStreamGoesOnAfterTheWeightsOfItsRouteChanged(t *testing.T) {
+	const streams = 20
+	weights := func(a, b uint32) []*statev1.Split {
+		return []*statev1.Split{{Service: "s", Weight: a}, {Service: "t", Weight: b}}
+	}
+	cases := map[string]struct {
+		before, after []*statev1.Split
+		// gone is the service that has lost the route, if any.
+		gone string
+	}{
+		"the same weights":            {before: weights(1, 1), after: weights(1, 1)},
+		"most to the other one":       {before: weights(9, 1), after: weights(1, 9)},
+		"a service that is added":     {before: weights(1, 0), after: weights(1, 99)},
+		"a service that loses it all": {before: weights(1, 0), after: weights(0, 1), gone: "s"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			begin, rest := make([]script, streams), make([]script, streams)
+			for i := range streams {
+				begin[i], rest[i] = chunks(false, event(0), event(1)), chunks(true, event(2))
+			}
+			// Both services run two versions, so that a stream without a record can't go on.
+			targets := map[string]*target{}
+			for _, id := range []string{"s1", "s2", "t1", "t2"} {
+				targets[id] = newTarget(t, id)
+			}
+			f := newForwarder(t, &fakeLeases{}, targets["s1"], targets["s2"], targets["t1"], targets["t2"])
+			f.opts.Streams = &memory{}
+			payers := f.opts.Store.Index().Table.GetPayers()
+			registered := &betweenv1.FollowResponse{HasSoftwareEnds: true, TargetRevision: 100}
+			for i, id := range []string{"s1", "s2", "t1", "t2"} {
+				registered.Targets = append(registered.Targets, &statev1.RegisteredTarget{Id: id, Service: id[:1], Address: targets[id].l.Addr().String(), DataCentre: "dc", Version: "v" + id[1:], State: statev1.RegisteredTarget_STATE_READY, Revision: uint64(90 + i)})
+			}
+			setSplits := func(version uint64, splits []*statev1.Split) {
+				registered.Routing = &statev1.RoutingTable{Version: version, Payers: payers, Services: []*statev1.Service{{Name: "s"}, {Name: "t"}}, Routes: []*statev1.Route{{
+					Name: "r", Host: "h", PathPrefix: "/resume/", Kind: statev1.Route_KIND_STREAM, Resumable: true, Timeout: 20000, MaxAttempts: 1, Splits: splits,
+				}}}
+				if _, err := f.opts.Store.Apply(registered); err != nil {
+					t.Fatal(err)
+				}
+				f.Refresh()
+			}
+			setScripts := func(scripts []script) {
+				for _, tg := range targets {
+					tg.mu.Lock()
+					tg.scripts, tg.requestsRead = scripts, nil
+					tg.mu.Unlock()
+				}
+			}
+			// targetOf returns the target that got a request, empty for none.
+			targetOf := func(id string) string {
+				for name, tg := range targets {
+					for _, r := range tg.requests() {
+						if r.id == id {
+							return name
+						}
+					}
+				}
+				return ""
+			}
+			setSplits(2, c.before)
+			setScripts(begin)
+			beganAt := map[string]string{}
+			for n := range streams {
+				call := newCall("resume")
+				call.ID = fmt.Sprint("first-", n)
+				call.Fields = []Field{{Name: "X-Id", Value: call.ID}}
+				_ = f.Serve(context.Background(), call, &collector{})
+				beganAt[call.ID] = targetOf(call.ID)
+			}
+			setSplits(3, c.after)
+			setScripts(rest)
+			for n := range streams {
+				call := newCall("resume")
+				call.ID, call.FirstAttempt, call.LastEvent = fmt.Sprint("second-", n), fmt.Sprint("first-", n), 1
+				call.Fields = []Field{{Name: "X-Id", Value: call.ID}}
+				err := f.Serve(context.Background(), call, &collector{})
+				want := beganAt[call.FirstAttempt]
+				if want[:1] == c.gone {
+					want = ""
+				}
+				if got := targetOf(call.ID); got != want {
+					t.Errorf("stream %d began at %s and went on at %q, want %q: %v", n, beganAt[call.FirstAttempt], got, want, err)
+				}
+			}
+		})
+	}
+}
+
 // Guards against runs that are moved to another software version with their memory.
 func TestRunsMoveWithinTheirSoftware(t *testing.T) {
 	for name, c := range map[string]struct {
