services/resume: a stopping box hands its records of streams over

Callers that took a stream up again while entry boxes stopped in turn got 503 version_unknown at every box, although targets of their stream's software served. Cause: the records that say which software began a stream are held by a few boxes in memory, and a planned stop dropped them; once the holders have stopped and started again, nobody knows the stream. Class: state accepted for others that ends with the process that holds it. Now a stopping box sends what it holds to the next owners of the slots as it leaves the directory, and takes no record from then on, so that senders go on to the next owner. Records of different software for one attempt are not handed over.

TestStreamsAreFoundAfterBoxesStoppedInTurn and TestLeavingBoxTakesNoRecords fail without HandOver (tried with it returning at once).

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -197,6 +198,8 @@
 	_ = e.listener.Close()
 	e.callers.CloseIdle()
 	e.leases.Leave()
+	var handedOver sync.WaitGroup
+	handedOver.Go(func() { e.streams.HandOver(ctx) })
 	limit := time.Duration(returnShare*float64(e.Settings.StopLimit)) - entryBalancerDelay
 	waitCtx, cancel := context.WithTimeout(ctx, limit)
 	e.callers.Wait(waitCtx)
@@ -208,5 +211,6 @@
 	done()
 	e.callers.Wait(ctx)
 	e.relays.Wait(ctx)
+	handedOver.Wait()
 	_ = e.between.Close()
 }
--- a/models/resume/table.go
+++ b/models/resume/table.go
@@ -65,6 +65,25 @@
 	return r.software, true
 }
 
+// Entry is a record of a table.
+type Entry struct {
+	Key      Key
+	Software software.Identity
+	// Left is how long the record is still kept.
+	Left time.Duration
+}
+
+// Entries returns the records that have not expired and whose software is known.
+func (tb *Table) Entries(now time.Duration) []Entry {
+	var list []Entry
+	for _, k := range tb.order {
+		if r := tb.records[k]; r.software != "" && r.expires > now {
+			list = append(list, Entry{Key: k, Software: r.software, Left: r.expires - now})
+		}
+	}
+	return list
+}
+
 // evict removes the oldest records that have expired, and more if there are too many.
 func (tb *Table) evict(now time.Duration) {
 	n := 0
--- a/routers/between/entry.go
+++ b/routers/between/entry.go
@@ -48,7 +48,11 @@
 type streamServer struct{ streams *resume.Service }
 
 func (s *streamServer) Record(_ context.Context, r *connect.Request[betweenv1.RecordRequest]) (*connect.Response[betweenv1.RecordResponse], error) {
-	if err := s.streams.StoreRecord(r.Msg); err != nil {
+	err := s.streams.StoreRecord(r.Msg)
+	if resume.IsErrLeaving(err) {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
 	return connect.NewResponse(&betweenv1.RecordResponse{}), nil
--- a/services/resume/errors.go
+++ b/services/resume/errors.go
@@ -33,3 +33,14 @@
 	var e ErrInvalidRecord
 	return errors.As(err, &e)
 }
+
+// ErrLeaving is the error of a box that is stopping and takes no more records.
+type ErrLeaving struct{}
+
+func (ErrLeaving) Error() string { return "this box is stopping: record the stream at another one" }
+
+// IsErrLeaving reports whether an error is or wraps an ErrLeaving.
+func IsErrLeaving(err error) bool {
+	var e ErrLeaving
+	return errors.As(err, &e)
+}
--- a/services/resume/resume.go
+++ b/services/resume/resume.go
@@ -69,6 +69,8 @@
 	clients map[string]betweenv1connect.StreamServiceClient
 	// blockedUntil has, by name, until when a box is no holder of new records.
 	blockedUntil map[string]time.Duration
+	// leaving is set once this box hands its records over.
+	leaving bool
 }
 
 // New returns a service without records.
@@ -83,7 +85,8 @@
 	return s.table.Len()
 }
 
-// StoreRecord stores the record of a stream of another box. The error is an ErrInvalidRecord.
+// StoreRecord stores the record of a stream of another box. The error is an ErrInvalidRecord, or an
+// ErrLeaving once this box hands its records over.
 func (s *Service) StoreRecord(r *betweenv1.RecordRequest) error {
 	k, err := keyOf(r.GetStream())
 	if err != nil {
@@ -92,6 +95,9 @@
 	if r.GetSoftware() == "" || len(r.GetSoftware()) > maxSoftware {
 		return errors.WithStack(ErrInvalidRecord{Field: "software", Remedy: "must be given, in at most 1024 bytes"})
 	}
+	if s.isLeaving() {
+		return errors.WithStack(ErrLeaving{})
+	}
 	s.put(k, software.Identity(r.GetSoftware()), time.Duration(r.GetLifetime())*time.Millisecond)
 	if p := s.currentPlacement(); p != nil && r.GetReplicate() {
 		s.replicate(p, k, r)
--- a/services/resume/resume_test.go
+++ b/services/resume/resume_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -166,6 +167,82 @@
 	}
 }
 
+// stop stops a box as planned, and starts it again without records.
+func (n *network) stop(name string) {
+	s := n.services[name]
+	s.HandOver(context.Background())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.services[name] = New(s.opts)
+}
+
+// Guards against streams that can't be taken up once the boxes that held their records have stopped and
+// started again, one after the other.
+func TestStreamsAreFoundAfterBoxesStoppedInTurn(t *testing.T) {
+	cases := map[string]struct{ centres, perCentre int }{
+		"one data centre":               {centres: 1, perCentre: 3},
+		"data centres with one box":     {centres: 3, perCentre: 1},
+		"data centres with two boxes":   {centres: 2, perCentre: 2},
+		"data centres with three boxes": {centres: 3, perCentre: 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const streams = 40
+			n := newNetwork(c.centres, c.perCentre)
+			keys := map[resume.Key]software.Identity{}
+			for i := range streams {
+				k, id := resume.KeyOf("o", "s", fmt.Sprint(i)), software.Identity(fmt.Sprint("version ", i%3))
+				keys[k] = id
+				n.services[writer].Record(context.Background(), k, id, lifetime)
+			}
+			waitUntil(t, func() bool {
+				for k := range keys {
+					if n.holders(k, writer) < 1 {
+						return false
+					}
+				}
+				return true
+			})
+			var names []string
+			for name := range n.services {
+				names = append(names, name)
+			}
+			sort.Strings(names)
+			for range 2 {
+				for _, name := range names {
+					n.stop(name)
+				}
+			}
+			for _, name := range names {
+				s := n.services[name]
+				s.searchTime = time.Minute
+				for k, want := range keys {
+					if got, err := s.Find(context.Background(), k); err != nil || got != want {
+						t.Fatalf("%s found %q (%v), want %q", name, got, err, want)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against records that are lost at a box that has handed its own over already.
+func TestLeavingBoxTakesNoRecords(t *testing.T) {
+	n := newNetwork(1, 3)
+	n.services["dc-0-box-1"].HandOver(context.Background())
+	k := resume.KeyOf("o", "s", "a")
+	err := n.services["dc-0-box-1"].StoreRecord(&betweenv1.RecordRequest{Stream: k[:], Software: "v1", Lifetime: 1000})
+	if !IsErrLeaving(err) {
+		t.Fatalf("got %v, want an ErrLeaving", err)
+	}
+	n.services[writer].Record(context.Background(), k, "v1", lifetime)
+	waitUntil(t, func() bool { return n.holders(k, writer) == 1 })
+	if _, known := n.services["dc-0-box-2"].get(k); !known {
+		t.Error("the box that stays has no record")
+	}
+}
+
 func waitUntil(t *testing.T, condition func() bool) {
 	t.Helper()
 	for range 2000 {
