services/forward: a stream is not given up because its target is slow

Callers saw streams that ended in the middle although their target was at work: on a full target the next event of a resumable stream may take longer than 1.5 s, the box then closed its connection to the target, and where the stream could not go on elsewhere (no retry left, no place, the next target late as well) the caller's connection was closed. Beside a stop, a reload or a change of the configuration that is a request lost. Class: silence taken for an end. Now a target whose stream has stalled is asked for its load report; the stream is given up only if the target does not answer that either, if another target of its software is there, and if a retry could be taken for it. Else it waits on, until the target goes on, its connection ends (keep-alive probes tell a silent machine) or the call's time is over. On a box whose own link is congested, and at a target with a rate limit, nothing is asked and the stream waits.

TestStalledStreamIsNotCut fails in five of seven cases if a stall alone gives a stream up, as before; the two in which the target answers nothing and another has room passed before.

--- a/models/spread/health.go
+++ b/models/spread/health.go
@@ -109,6 +109,12 @@
 	return slices.ContainsFunc(tb.services[service], func(t *Target) bool { return t.Software == id && tb.isCheckable(t) })
 }
 
+// HasOther reports whether calls may go to another target of the same service and software, banned ones
+// included.
+func (tb *Table) HasOther(t *Target) bool {
+	return slices.ContainsFunc(tb.services[t.Service], func(o *Target) bool { return o != t && o.Software == t.Software && tb.isCheckable(o) })
+}
+
 // ToCheck returns at most n targets of a service, other than except, to find out whether the box
 // reaches any, and the one whose start was reached last, if any. from selects where to begin in
 // the list, in which those of the box's data centre come first, so that repeated checks include all.
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -84,6 +85,8 @@
 	// startCheck brings the answer of the present target to the query for its start; nil if it isn't
 	// asked.
 	startCheck <-chan startAnswer
+	// retryTaken is set while a retry from the budget has been taken for a stream that was given up.
+	retryTaken atomic.Bool
 	// sentAt is when the call was last sent, zero if it has not been sent to the present target.
 	sentAt time.Duration
 	// limitWait is how long the call has waited for rate-limited targets.
@@ -248,7 +251,7 @@
 	if !notRun && (!routing.IsRepeatable(fl.route) || fl.possibleRuns >= int(fl.route.GetMaxAttempts())) {
 		return false
 	}
-	return fl.f.takeRetry(fl.service.GetName())
+	return fl.retryTaken.Swap(false) || fl.f.takeRetry(fl.service.GetName())
 }
 
 // creditRetryBudget adds the call's share to the retry budget. A box that does not know yet how
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -26,8 +26,10 @@
 	// target.
 	silenceFactor = 2.5
 	silenceFloor  = time.Second
-	// stallLimit is how long a resumable stream may stall.
-	stallLimit = 1500 * time.Millisecond
+	// stallLimit is how long a resumable stream stalls before its target is asked whether it is alive, and
+	// silentTimeout how long that waits for an answer.
+	stallLimit    = 1500 * time.Millisecond
+	silentTimeout = 500 * time.Millisecond
 )
 
 // answer is a complete answer that has not been relayed.
@@ -225,7 +227,7 @@
 	ctx, cancel := fl.attemptContext(ctx)
 	defer cancel()
 	fl.startCheck = fl.checkStart(ctx, c)
-	wd := fl.startWatchdog(cancel)
+	wd := fl.startWatchdog(ctx, t, cancel)
 	defer wd.stop()
 	a := fl.attemptOn(ctx, choice, c, wd)
 	a.carried = c.isCarried()
--- /dev/null
+++ b/services/forward/stall_test.go
@@ -0,0 +1,86 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"testing"
+	"time"
+)
+
+// stallsUntil begins a stream, and completes it once released is closed. Meanwhile it answers no request.
+func stallsUntil(released <-chan struct{}, first, rest string) script {
+	return func(c net.Conn, r received) {
+		_, _ = io.WriteString(c, head(r.id, "Transfer-Encoding: chunked\r\n\r\n"))
+		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(first), first)
+		<-released
+		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(rest), rest)
+	}
+}
+
+// Guards against streams that are cut because their target was silent in the middle of them.
+func TestStalledStreamIsNotCut(t *testing.T) {
+	silent := func(net.Conn, received) { select {} }
+	report := respondReport(200, "0 0")
+	tests := map[string]struct {
+		// report is how the target answers the queries during the stall.
+		report script
+		// others are the scripts of another target, nil for none.
+		others []script
+		// noRetry is set if no retry is left in the budget.
+		noRetry bool
+		// silentWait is how long an answer to a query is waited for.
+		silentWait time.Duration
+		// goesOn is set if the stream is to go on at the other target.
+		goesOn bool
+	}{
+		"it answers queries, another target has room":  {report: report, silentWait: time.Minute, others: []script{chunks(true, event(1))}},
+		"it answers queries, no other target":          {report: report, silentWait: time.Minute},
+		"it answers with an error":                     {report: respondReport(503, ""), silentWait: time.Minute, others: []script{chunks(true, event(1))}},
+		"it answers no query, no other target":         {report: silent, silentWait: 20 * time.Millisecond},
+		"it answers no query, no retry left":           {report: silent, silentWait: 20 * time.Millisecond, others: []script{chunks(true, event(1))}, noRetry: true},
+		"it answers no query, another target has room": {report: silent, silentWait: 20 * time.Millisecond, others: []script{chunks(true, event(1))}, goesOn: true},
+		"it closes the connection of a query":          {report: closeConn(), silentWait: time.Minute, others: []script{chunks(true, event(1))}, goesOn: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			released := make(chan struct{})
+			one := newTarget(t, "one", append([]script{stallsUntil(released, event(0), event(1))}, slices.Repeat([]script{test.report}, 1000)...)...)
+			list := []*target{one}
+			if test.others != nil {
+				list = append(list, newTarget(t, "two", test.others...))
+			}
+			f := newForwarder(t, &fakeLeases{}, list...)
+			f.opts.EngineAPI = testEngineAPI{}
+			f.stallWait, f.silentWait = 20*time.Millisecond, test.silentWait
+			if test.noRetry {
+				f.opts.RetryStock = 0
+			}
+			sink := &collector{}
+			served := make(chan error, 1)
+			go func() { served <- f.Serve(context.Background(), newCall("resume"), sink) }()
+			if !test.goesOn {
+				// The target has been asked twice when it goes on.
+				for len(one.requests()) < 3 && len(served) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				close(released)
+			}
+			if err := <-served; err != nil || !sink.ended || sink.body.String() != event(0)+event(1) {
+				t.Fatalf("Serve returned %v, ended %v: %q", err, sink.ended, sink.body.String())
+			}
+			if test.goesOn {
+				close(released)
+			}
+			if len(list) > 1 && (len(list[1].requests()) > 0) != test.goesOn {
+				t.Errorf("the other target got %d requests, want any: %v", len(list[1].requests()), test.goesOn)
+			}
+		})
+	}
+}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -19,14 +19,14 @@
 	t := c.Target
 	mv := fl.mover(c)
 	defer mv.release()
-	wd.restart(stallLimit)
+	wd.restart(fl.f.stallWait)
 	fl.events.startTarget()
 	fl.events.logAnomaly = func(event []byte) { fl.f.logAnomaly(fl.call, t, anomalyEvent, fl.events.count, event) }
 	buffer := make([]byte, readBuffer)
 	for {
 		n, err := x.body.Read(buffer)
 		if n > 0 {
-			wd.restart(stallLimit)
+			wd.restart(fl.f.stallWait)
 			fl.recordPrefill(t, sent)
 			if sinkErr := fl.forwardEvents(ctx, x, fl.events.split(buffer[:n])); sinkErr != nil {
 				x.abandon()
