cmd/havenwinchd: a SIGHUP does not end a box that is starting

The platform's signal to read the settings again ended a box that had not come to handle it: the default of SIGHUP is to end the process. Class: a signal that has a meaning from the start on, handled only once the parts are built. Now it is caught before the settings are read and handled once the box runs; what the file says then is read again.

--- a/cmd/havenwinchd/forward_box.go
+++ b/cmd/havenwinchd/forward_box.go
@@ -187,12 +187,17 @@
 	}()
 }
 
+// reloads receives SIGHUP.
+var reloads = make(chan os.Signal, 1)
+
+// catchReloads keeps a SIGHUP until the box handles it. By default the signal would end a box that is
+// still starting.
+func catchReloads() { signal.Notify(reloads, syscall.SIGHUP) }
+
 // handleReload reloads the settings on SIGHUP. Only the seeds change while the box runs.
 func (b *forwardBox) handleReload() {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
 	go func() {
-		for range signals {
+		for range reloads {
 			b.reload()
 		}
 	}()
--- a/cmd/havenwinchd/main.go
+++ b/cmd/havenwinchd/main.go
@@ -8,9 +8,13 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 )
 
 func main() {
+	if slices.Contains(os.Args, forwardName) {
+		catchReloads()
+	}
 	if _, err := loadSettingsFile(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitSettings)
