tests/soak: a box ends with its stop time before it has told callers of running calls, red

At the end of the stop limit, which is also when the platform kills the process, running calls are cancelled and the process ends at once: the answers to them (504, whether the call ran is not known) are not written.

--- a/tests/soak/disruptions_test.go
+++ b/tests/soak/disruptions_test.go
@@ -52,6 +52,13 @@
 	r.workers[id] = append(r.workers[id], server)
 }
 
+// hasWorker reports whether a server works on a request.
+func (r *disruptions) hasWorker(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.workers[id]) > 0
+}
+
 // recordStop records that the run of a request was stopped to move it.
 func (r *disruptions) recordStop(id string) {
 	r.mu.Lock()
--- a/tests/soak/stop_test.go
+++ b/tests/soak/stop_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // Guards against a planned stop that cuts its calls off as the box is told to stop again.
@@ -39,3 +40,38 @@
 	<-exited
 	tb.checkResults(t)
 }
+
+// Guards against callers whose connection ends with the stop of their box, at the end of its time, without a
+// word on their call.
+func TestEndOfStopTimeAnswersRunningCalls(t *testing.T) {
+	const limit = 4 * time.Second
+	f := newFleet(t, 1, 1)
+	entry := f.withRole("entry")[0]
+	entry.env = append(entry.env, fmt.Sprintf("HAVENWINCH_STOP_LIMIT=%s", limit))
+	tb := startTestbed(t, f, 5, 1, 1)
+	for _, sv := range tb.platform.all() {
+		sv.setRoom(1, 10, time.Minute)
+	}
+	conns := map[string]net.Conn{}
+	for _, id := range []string{"running", "queued"} {
+		conn, err := net.Dial("tcp", tb.address(entry, tb.ports.caller))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		_, _ = fmt.Fprintf(conn, "POST /plain/unsafe/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: %s\r\nApi-Key: key-large\r\nContent-Length: %d\r\n\r\nbody of %s", id, len("body of "+id), id)
+		waitFor(t, "a server has call "+id, func() bool { return tb.platform.disruptions.hasWorker(id) })
+		conns[id] = conn
+	}
+	// The platform kills a box at the end of its time.
+	kill := time.AfterFunc(limit, func() { entry.signal(syscall.SIGKILL) })
+	defer kill.Stop()
+	exited := entry.signal(syscall.SIGTERM)
+	for id, conn := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.StatusCode != http.StatusGatewayTimeout {
+			t.Errorf("call %s got %v, %v; want status %d", id, resp, err, http.StatusGatewayTimeout)
+		}
+	}
+	<-exited
+}
