cmd/havenwinchd: calls that a stop cuts off get their answer before the process ends

Callers whose calls still ran when the stop limit of their box ended saw their connection close without a byte, and couldn't tell whether the box had taken the call. Cause: the calls were cancelled at the stop limit, which is when the platform kills the process, and the process itself ended without waiting for what the cancelled calls still had to write. Now calls are cut off at 95 % of the stop limit and the process waits, up to the limit, until their callers have been told (504, whether it ran is not known; 503 for those not sent). The cut stays within the last sixth of the limit.

--- a/cmd/havenwinchd/forward_box.go
+++ b/cmd/havenwinchd/forward_box.go
@@ -41,8 +41,16 @@
 	// gcPercent is the heap growth between garbage collections, in percent.
 	gcPercent = 60
 	mebibyte  = 1 << 20
+	// workShare is the fraction of the stop limit after which running calls are cut off. The rest is for
+	// telling their callers, since the platform may kill the process at the limit.
+	workShare = 0.95
 )
 
+// workLimit returns how long calls may run on after the signal to stop.
+func workLimit(s *setting.Forward) time.Duration {
+	return time.Duration(workShare * float64(s.StopLimit))
+}
+
 // forwardParams are the components that the container injects into a forwardBox.
 type forwardParams struct {
 	dig.In
@@ -93,7 +101,7 @@
 		func(b *logging.RateLimitedWriter) *slog.Logger {
 			return logging.NewRateLimitedLogger(b, settings.LogLevel, settings.Box, settings.DataCentre)
 		},
-		func() *graceful.Manager { return graceful.New(settings.StopLimit) },
+		func() *graceful.Manager { return graceful.New(workLimit(settings)) },
 		hlc.New,
 		metrics.New,
 		newForwardPeers,
--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -210,6 +210,10 @@
 	e.leases.SendFinalReport(returnCtx)
 	done()
 	e.callers.Wait(ctx)
+	// Calls that were cut off end at once, and their callers are told before the process ends.
+	answerCtx, answered := context.WithTimeout(context.Background(), e.Settings.StopLimit-workLimit(e.Settings))
+	e.callers.Wait(answerCtx)
+	answered()
 	e.relays.Wait(ctx)
 	handedOver.Wait()
 	_ = e.between.Close()
