--- a/tests/observe/observe.go
+++ b/tests/observe/observe.go
@@ -128,6 +128,19 @@
 	}
 }
 
+// Continue reads an answer with status 100, which a caller that sent Expect: 100-continue waits for
+// before it sends the body. Any other answer is an error.
+func (o *Reader) Continue() error {
+	a, err := o.readOne(http.MethodPost)
+	if err == nil && a.Status != http.StatusContinue {
+		err = errors.Errorf("status %d instead of 100", a.Status)
+	}
+	if err == nil {
+		o.before = append(o.before, fmt.Sprint(a.Status))
+	}
+	return err
+}
+
 // ExpectEOF waits for the end of the connection and returns an error if further bytes are
 // received before it.
 func (o *Reader) ExpectEOF() error {
--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -183,10 +183,15 @@
 func (b *box) settingsPath() string { return b.dir + ".env" }
 
 // writeSettings writes the settings file as the users' platform does: all settings but the
-// role, which is a command-line flag. The last of several values of a setting applies.
+// role, which is a command-line flag. The last of several values of a setting applies. A box that
+// starts or reloads meanwhile finds the old file or the new one.
 func (b *box) writeSettings(overrides ...string) error {
 	lines := append(slices.Clone(b.env), overrides...)
-	return os.WriteFile(b.settingsPath(), []byte(strings.Join(lines, "\n")+"\n"), 0o600)
+	fresh := b.settingsPath() + ".new"
+	if err := os.WriteFile(fresh, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(fresh, b.settingsPath())
 }
 
 // restartDelay is the delay before a process that exited by itself is restarted, as the
--- a/tests/soak/platform_test.go
+++ b/tests/soak/platform_test.go
@@ -355,7 +355,8 @@
 		part.recordCrash()
 		sv.crashDuring(w, r, "a fatal part")
 	}
-	if want := "body of " + id; string(body) != want {
+	padding, _ := strconv.Atoi(r.Header.Get(paddingHeader))
+	if want := "body of " + id + strings.Repeat(".", padding); string(body) != want {
 		sv.platform.recordViolation("request %s arrived with an unexpected body %q", id, body)
 	}
 	leave, ok := sv.workInRoom(w, r, id)
@@ -489,7 +490,11 @@
 // configure sends a configuration to the control boxes in turn until one acknowledges it.
 // It reports whether that happened within the limit.
 func (p *platform) configure(version uint64, limit time.Duration, keys ...string) bool {
-	body := p.configuration(version, keys...)
+	return p.sendConfiguration(version, p.configuration(version, keys...), limit)
+}
+
+// sendConfiguration sends a configuration document as configure does.
+func (p *platform) sendConfiguration(version uint64, body []byte, limit time.Duration) bool {
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		for _, address := range p.control {
 			if status, _ := put("http://"+address+"/api/configuration", body); status == http.StatusOK {
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -41,16 +41,7 @@
 	for seed := range regressions {
 		seeds = append(seeds, seed)
 	}
-	if text := os.Getenv("SOAK_SEEDS"); text != "" {
-		var first, count int64
-		if _, err := fmt.Sscanf(text, "%d,%d", &first, &count); err != nil {
-			t.Fatalf("SOAK_SEEDS=%q: want the first seed and the number of seeds, such as 100,50", text)
-		}
-		seeds = nil
-		for i := range count {
-			seeds = append(seeds, first+i)
-		}
-	}
+	seeds = chosenSeeds(t, seeds)
 	seconds := defaultSeconds
 	if text := os.Getenv("SOAK_SECONDS"); text != "" {
 		var err error
@@ -63,6 +54,24 @@
 	}
 }
 
+// chosenSeeds returns the seeds of SOAK_SEEDS if it is set, otherwise the given ones.
+func chosenSeeds(t *testing.T, seeds []int64) []int64 {
+	t.Helper()
+	text := os.Getenv("SOAK_SEEDS")
+	if text == "" {
+		return seeds
+	}
+	var first, count int64
+	if _, err := fmt.Sscanf(text, "%d,%d", &first, &count); err != nil {
+		t.Fatalf("SOAK_SEEDS=%q: want the first seed and the number of seeds, such as 100,50", text)
+	}
+	seeds = nil
+	for i := range count {
+		seeds = append(seeds, first+i)
+	}
+	return seeds
+}
+
 // soak runs callers, configuration changes and faults concurrently, then ends all faults
 // and checks that requests are served again.
 func soak(t *testing.T, seed int64, length time.Duration) {
