Makefile: the longest tests of tests/soak have a command of their own

Both use one pattern, the one to skip and the other to run it, so that each test of the package runs once, also a new one. The other command is run if one fails, and the exit code counts both; checked with a stand-in for go that fails in the first, the second or none. SKIP is added to both, and may be empty.

--- a/Makefile
+++ b/Makefile
@@ -47,9 +47,14 @@
 	@diff -r gen .generated/gen || { echo "generated code is stale, run make generate"; rm -rf .generated; exit 1; }
 	@rm -rf .generated
 
-# SKIP is set by .ci/run from KNOWN-RED.txt and empty otherwise.
+# The longest tests of tests/soak, about half of its time, have the time limit of a package to themselves.
+LONG = ^TestSoak\z|^TestServersWithARejectionLimitStayUp
+# SKIP is set by .ci/run from KNOWN-RED.txt and empty otherwise. Both commands run, and both must pass.
 unit:
-	$(GO) test -race -count=$(RACE_COUNT) $(if $(SKIP),-skip '$(SKIP)') ./...
+	@status=0; set -x; \
+	$(GO) test -race -count=$(RACE_COUNT) -skip '$(LONG)$(if $(SKIP),|$(SKIP))' ./... || status=1; \
+	$(GO) test -race -count=$(RACE_COUNT) -run '$(LONG)' $(if $(SKIP),-skip '$(SKIP)') ./tests/soak || status=1; \
+	exit $$status
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
