tests/soak: requests that end without an answer are violations

A request that was sent whole to a box that ran all the time, and whose connection ended without a byte of the answer, passed as "failed".

It is a violation now if - a server had received it, whatever that server did then, - or the box had read it: the connection ended in an orderly way although the box had received all bytes (a box that closes a connection with bytes unread resets it, and the end acknowledges what was received before it, so the caller's unacknowledged bytes tell a request that crossed the close apart), or the box logged that it dropped at least as many bytes of this connection, - or the connection was reset more than 200 ms after the last byte. Kills and pauses of the box itself while the request was on its way explain an end; SIGTERM and SIGHUP don't, but for a request sent in the first 3 s of a stop that a server still works at in the last sixth of its time. A request past its deadline and a caller that gives up are no such ends. Periods in which a process is killed or paused are recorded by the box that gets the signal, until its exit or SIGCONT.

A request with an incomplete answer that the box logs as "caller left" while the caller stayed is a violation as well, also where another fault would excuse the truncation. Streams that callers take up again are checked, too.

--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand"
 	"net"
 	"net/http"
@@ -17,8 +18,10 @@
 
 // outcome is the result of a request as its caller sees it.
 type outcome struct {
-	id     string
-	route  string
+	id    string
+	route string
+	// sent is the body of the request.
+	sent   string
 	status int
 	body   string
 	// complete is false if the answer was truncated or missing.
@@ -27,8 +30,11 @@
 	// signed is true if a server, not a box, produced the answer.
 	signed bool
 	// box is the entry box that received the request.
-	box    string
-	sentAt time.Time
+	box string
+	// sentAt is before the first and wholeAt after the last byte was sent.
+	sentAt, wholeAt time.Time
+	// bytes is the size of the request.
+	bytes int
 	// endedAt is when the caller had the answer or gave up.
 	endedAt time.Time
 }
@@ -88,9 +94,32 @@
 		if c.rng.Intn(4) == 0 {
 			key = "key-small"
 		}
+		list := []string{route}
+		if c.all.seed >= pairsFrom && strings.HasPrefix(route, "stream") && c.rng.Intn(3) == 0 {
+			list = append(list, routes[c.rng.Intn(len(routes))])
+		}
+		c.sendAtOnce(key, list...)
+	}
+}
+
+// sendAtOnce sends requests right behind one another and records what the caller got. Those behind an
+// answer that ends the connection are not answered.
+func (c *caller) sendAtOnce(key string, routes ...string) {
+	var list []*outcome
+	for _, route := range routes {
 		c.count++
-		o := c.send(fmt.Sprintf("%d-%d-%d", c.all.seed, c.n, c.count), route, key)
-		c.all.record(o)
+		id := fmt.Sprintf("%d-%d-%d", c.all.seed, c.n, c.count)
+		list = append(list, &outcome{id: id, route: route, sent: "body of " + id})
+	}
+	if !c.connect() || !c.write(list, key) {
+		c.all.record(*list[0])
+		return
+	}
+	for _, o := range list {
+		if c.conn == nil {
+			return
+		}
+		c.all.record(c.readAnswer(*o))
 	}
 }
 
@@ -108,28 +137,61 @@
 	return c.sendBody(id, route, key, "body of "+id)
 }
 
+// connect dials an entry box unless the caller has a connection.
+func (c *caller) connect() bool {
+	if c.conn != nil {
+		return true
+	}
+	n := c.rng.Intn(len(c.all.entries))
+	if c.entry > 0 {
+		n = c.entry - 1
+	}
+	conn, err := net.DialTimeout("tcp", c.all.entries[n], dialLimit)
+	if err != nil {
+		return false
+	}
+	c.conn, c.reader, c.box = conn, observe.NewReader(conn), c.all.names[n]
+	return true
+}
+
 // sendBody sends one request with the given body and reads its answer.
 func (c *caller) sendBody(id, route, key, body string) outcome {
-	o := outcome{id: id, route: route}
-	if c.conn == nil {
-		n := c.rng.Intn(len(c.all.entries))
-		if c.entry > 0 {
-			n = c.entry - 1
-		}
-		conn, err := net.DialTimeout("tcp", c.all.entries[n], dialLimit)
-		if err != nil {
-			return o
-		}
-		c.conn, c.reader, c.box = conn, observe.NewReader(conn), c.all.names[n]
+	o := outcome{id: id, route: route, sent: body}
+	if !c.connect() || !c.write([]*outcome{&o}, key) {
+		return o
 	}
-	o.box, o.sentAt = c.box, time.Now()
+	return c.readAnswer(o)
+}
+
+// write writes requests to the connection at once and reports whether they were sent whole.
+func (c *caller) write(list []*outcome, key string) bool {
 	patience := time.Duration(answerLimit)
 	if c.patience > 0 {
 		patience = c.patience
 	}
-	_ = c.conn.SetDeadline(time.Now().Add(patience))
-	tokens := ""
-	if strings.HasPrefix(route, "stream") {
+	now := time.Now()
+	_ = c.conn.SetDeadline(now.Add(patience))
+	var all strings.Builder
+	for _, o := range list {
+		o.box, o.sentAt = c.box, now
+		text := c.request(o, key)
+		o.bytes = len(text)
+		all.WriteString(text)
+	}
+	if _, err := io.WriteString(c.conn, all.String()); err != nil {
+		c.disconnect()
+		return false
+	}
+	for _, o := range list {
+		o.wholeAt = time.Now()
+	}
+	return true
+}
+
+// request returns a request as it is sent.
+func (c *caller) request(o *outcome, key string) string {
+	tokens, body := "", o.sent
+	if strings.HasPrefix(o.route, "stream") {
 		prompt := 200 + c.rng.Intn(400)
 		if c.all.seed >= faultyAnswersFrom && key == "key-large" && c.rng.Intn(4) == 0 {
 			prompt += 2 * longPromptTokens
@@ -140,12 +202,7 @@
 		}
 		tokens = fmt.Sprintf("Token-Count: %d,%d\r\nPrompt-Prefix: %s\r\n", prompt, outputLimit, prefix)
 	}
-	_, err := fmt.Fprintf(c.conn, "POST /%s/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 8000\r\nApi-Key: %s\r\nTenant: forged\r\n%sContent-Length: %d\r\n\r\n%s", route, id, key, tokens, len(body), body)
-	if err != nil {
-		c.disconnect()
-		return o
-	}
-	return c.readAnswer(o)
+	return fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 8000\r\nApi-Key: %s\r\nTenant: forged\r\n%sContent-Length: %d\r\n\r\n%s", o.route, o.id, key, tokens, len(body), body)
 }
 
 func (c *caller) readAnswer(o outcome) outcome {
@@ -161,6 +218,7 @@
 	if observe.IsErrTruncated(err) && a.Status == http.StatusOK && !c.all.platform.wasTruncated(o.id) && !c.all.platform.disruptions.explainsTruncation(o.id, o.box, o.sentAt) {
 		c.all.platform.recordViolation("request %s (%s) was truncated at %s after %s and %d bytes without a fault that explains it", o.id, o.route, o.box, time.Since(o.sentAt), len(a.Body))
 	}
+	c.all.platform.recordEnd(c.conn, cutRequest{id: o.id, route: o.route, box: o.box, bytes: o.bytes, sentAt: o.sentAt, wholeAt: o.wholeAt, endedAt: o.endedAt, begun: a.Status != 0}, err)
 	if err != nil || a.Closes() {
 		c.disconnect()
 	}
--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -61,6 +61,11 @@
 	closed bool
 	// exits describes the exits of the process that were not caused by a signal.
 	exits []string
+	// downs are the periods in which the process was killed or paused, stops when it was first told to stop.
+	downs []span
+	stops []time.Time
+	// killed and stopping tell whether the running process was.
+	killed, stopping bool
 }
 
 // fleet is a set of boxes with loopback addresses of its own.
@@ -205,6 +210,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.cmd = nil
+	b.recordExit()
 	close(done)
 	status := cmd.ProcessState.Sys().(syscall.WaitStatus)
 	if err == nil || status.Signaled() {
@@ -255,6 +261,7 @@
 		close(done)
 		return done
 	}
+	b.recordSignal(s)
 	_ = b.cmd.Process.Signal(s)
 	return b.done
 }
--- a/tests/soak/path_test.go
+++ b/tests/soak/path_test.go
@@ -77,6 +77,7 @@
 func (tb *testbed) checkResults(t *testing.T) {
 	t.Helper()
 	served, refused, failed := tb.all.check()
+	tb.checkCut(t)
 	tb.platform.mu.Lock()
 	defer tb.platform.mu.Unlock()
 	for tenant, most := range map[string]uint64{"large": prepaid, "small": prepaidSmall} {
--- a/tests/soak/platform_test.go
+++ b/tests/soak/platform_test.go
@@ -54,6 +54,8 @@
 	copies map[string]int
 	// moved is the number of all runs that were stopped to move them.
 	moved int
+	// cut has the requests whose connection ended before the answer was complete.
+	cut []cutRequest
 	// disruptions explains which answers may be truncated.
 	disruptions *disruptions
 	// coldRate is how many requests a second a cold engine handles, zero if engines are never
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -183,6 +183,8 @@
 	kindsBefore70000  = 21
 	// From rejectionLimitsFrom on plain servers have a limited room, and at times a rejection limit.
 	rejectionLimitsFrom = 70_000
+	// From pairsFrom on callers at times send their next request right behind a stream.
+	pairsFrom = 80_000
 	// From softwareFrom on engines run two versions of their software, and callers take their streams up.
 	softwareFrom = 10_000
 )
--- a/tests/soak/software_test.go
+++ b/tests/soak/software_test.go
@@ -283,10 +283,13 @@
 	s.tries++
 	id := fmt.Sprintf("%s-%d", s.id, s.tries)
 	returns := s.last >= 0
-	if _, err := conn.Write(s.request(id)); err != nil {
+	request, sentAt := s.request(id), time.Now()
+	if _, err := conn.Write(request); err != nil {
 		return 0, true
 	}
+	wholeAt := time.Now()
 	a, err := observe.NewReader(conn).Answer(http.MethodPost)
+	p.platform.recordEnd(conn, cutRequest{id: id, route: "stream/resume", box: p.names[s.entry], bytes: len(request), sentAt: sentAt, wholeAt: wholeAt, endedAt: time.Now(), begun: a.Status != 0}, err)
 	if a.Status == 0 {
 		// The box ended before it answered.
 		return 0, true
