services, modules/dial: a shortage of the own box is no evidence against targets and other boxes

Callers saw 503 "no target of service engines can be reached, also not through other boxes" at an entry box whose targets all ran and were reached by the other boxes. A dial that fails with EMFILE was recorded as a target out of reach (pool.dialTCP, Forwarder.recordDial): targets were banned, the check that followed failed in the same way, and the service counted as lost; the dials of another box that asked failed as errors of the target, and the box itself left others out (relay's table of peers) that it could not even ask. Class: an error of the own process taken for evidence about another one. So were failed draws (the holder of leases suspended at the first one), records of streams (other boxes not asked for 1 s) and seats (the holder not asked; a second holder that could not ask the first one took over).

dial.IsShortage (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL) is asked where dials are judged: forward (targets, checks of lost services; ErrBusy towards a box that asked), relay, draws, records of streams, seats. The error is local: the text of another process's error is none. A hedged dial without a descriptor for its second attempt waits for the first one. Nothing is judged by a dial in the quarantine and its confirmation of ends (only refused connections count), in the clients of control (each box is asked in turn, none is left out) and in the control group's members (silence, whatever its cause).

The tests named *Shortage*, TestDialForAnotherBox/no_descriptor and TestUnansweredAttemptIsHedged/no_second_descriptor failed each on the code before (the last one: EMFILE returned) and pass.

--- a/modules/dial/dial.go
+++ b/modules/dial/dial.go
@@ -11,12 +11,25 @@
 import (
 	"context"
 	"net"
+	"slices"
+	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Func opens a connection like net.Dialer.DialContext.
 type Func func(ctx context.Context, network, address string) (net.Conn, error)
 
+// shortages are the errors of a dial that lacked descriptors, memory or ports of its own machine.
+var shortages = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
+
+// IsShortage reports whether a dial failed for want of a resource of this process or its machine. It then
+// says nothing about the peer or the path to it.
+func IsShortage(err error) bool {
+	return slices.ContainsFunc(shortages, func(e error) bool { return errors.Is(err, e) })
+}
+
 // result is the result of one attempt.
 type result struct {
 	conn net.Conn
@@ -25,7 +38,8 @@
 
 // Hedged returns a Func that starts another attempt after each interval without an
 // answer, until the context is done. If an attempt fails, its error is returned at once,
-// since the peer has answered. Surplus connections are closed.
+// since the peer has answered, unless it is for a shortage while another one is pending.
+// Surplus connections are closed.
 func Hedged(dial Func, interval time.Duration) Func {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithCancel(ctx)
@@ -41,14 +55,20 @@
 				}
 			}
 		}
+		pending := 1
 		go attempt()
 		ticker := time.NewTicker(interval)
 		defer ticker.Stop()
 		for {
 			select {
 			case r := <-results:
+				pending--
+				if pending > 0 && IsShortage(r.err) {
+					continue
+				}
 				return r.conn, r.err
 			case <-ticker.C:
+				pending++
 				go attempt()
 			case <-ctx.Done():
 				return nil, context.Cause(ctx)
--- a/modules/dial/dial_test.go
+++ b/modules/dial/dial_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -31,7 +32,7 @@
 // second later. In the logs of eight boxes, each connected 1.06 s after its own start,
 // whenever control had started.
 func TestUnansweredAttemptIsHedged(t *testing.T) {
-	refused := errors.Wrap(syscall.ECONNREFUSED, "dial")
+	refused, shortage := errors.Wrap(syscall.ECONNREFUSED, "dial"), errors.Wrap(syscall.EMFILE, "socket")
 	tests := map[string]struct {
 		// answers are the results of the attempts in order, nil for a connection. Attempts
 		// beyond them get no answer.
@@ -45,6 +46,9 @@
 		"peer not up yet": {unanswered: 4, answers: []error{nil}},
 		"refused":         {answers: []error{refused}, err: syscall.ECONNREFUSED},
 		"refused later":   {unanswered: 2, answers: []error{refused}, err: syscall.ECONNREFUSED},
+		"no descriptor":   {answers: []error{shortage}, err: syscall.EMFILE},
+		// The dial that is pending has its descriptor.
+		"no second descriptor": {unanswered: 1, answers: []error{shortage, nil}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -104,3 +108,35 @@
 		t.Fatal(err)
 	}
 }
+
+func TestIsShortage(t *testing.T) {
+	failed := func(call string, e syscall.Errno) error {
+		return &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError(call, e)}
+	}
+	tests := map[string]struct {
+		err  error
+		want bool
+	}{
+		"none":                    {},
+		"too many open files":     {failed("socket", syscall.EMFILE), true},
+		"file table overflow":     {failed("socket", syscall.ENFILE), true},
+		"no buffer space":         {failed("connect", syscall.ENOBUFS), true},
+		"no memory":               {failed("socket", syscall.ENOMEM), true},
+		"no local port":           {failed("connect", syscall.EADDRNOTAVAIL), true},
+		"wrapped":                 {errors.WithMessage(failed("socket", syscall.EMFILE), "dial"), true},
+		"refused":                 {failed("connect", syscall.ECONNREFUSED), false},
+		"reset":                   {failed("connect", syscall.ECONNRESET), false},
+		"timed out":               {failed("connect", syscall.ETIMEDOUT), false},
+		"no route":                {failed("connect", syscall.EHOSTUNREACH), false},
+		"no network":              {failed("connect", syscall.ENETUNREACH), false},
+		"not in time":             {context.DeadlineExceeded, false},
+		"text of another process": {errors.New("socket: too many open files"), false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := IsShortage(test.err); got != test.want {
+				t.Errorf("IsShortage(%v) = %v, want %v", test.err, got, test.want)
+			}
+		})
+	}
+}
--- a/services/forward/paths.go
+++ b/services/forward/paths.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"havenwinch.dev/havenwinch/models/spread"
+	"havenwinch.dev/havenwinch/modules/dial"
 	"havenwinch.dev/havenwinch/services/relay"
 	"havenwinch.dev/havenwinch/structs"
 )
@@ -70,13 +71,13 @@
 }
 
 // recordDial records the result of a dial over the box's own links. A congested link says
-// nothing about the targets.
+// nothing about the targets, nor does a shortage of this process.
 func (f *Forwarder) recordDial(t *spread.Target, err error) {
 	if err == nil {
 		f.recordReached(t)
 		return
 	}
-	if f.opts.IsCongested() {
+	if f.opts.IsCongested() || dial.IsShortage(err) {
 		return
 	}
 	f.mu.Lock()
@@ -103,9 +104,9 @@
 // checkService finds out whether this box reaches any target of a service, after a dial that
 // failed in the given way.
 func (f *Forwarder) checkService(ctx context.Context, service, reason string) {
-	reached := f.dialSome(ctx, service, nil)
+	reached, starved := f.dialSome(ctx, service, nil)
 	f.mu.Lock()
-	lost := f.reach.EndCheck(service, reached, f.targets.CountUsable(service), f.opts.Clock.Boot())
+	lost := f.reach.EndCheck(service, reached+starved, f.targets.CountUsable(service), f.opts.Clock.Boot())
 	close(f.checks[service])
 	delete(f.checks, service)
 	if lost {
@@ -151,29 +152,32 @@
 }
 
 // dialSome dials some targets of a service, other than except, over the box's own links; the
-// results are recorded as those of all dials. It returns how many were reached.
-func (f *Forwarder) dialSome(ctx context.Context, service string, except *spread.Target) int {
+// results are recorded as those of all dials. It returns how many were reached, and how many were not
+// dialled for a shortage.
+func (f *Forwarder) dialSome(ctx context.Context, service string, except *spread.Target) (reached, starved int) {
 	f.mu.Lock()
 	list := f.targets.ToCheck(service, except, f.reach.LastReached(service), f.nextProbe[service], checkedTargets)
 	f.nextProbe[service] += checkedTargets
 	f.mu.Unlock()
-	reached := make(chan int, len(list))
+	results := make(chan error, len(list))
 	for _, t := range list {
 		go func() {
 			c, err := f.pool.dialDirect(ctx, t)
-			if err != nil {
-				reached <- 0
-				return
+			if err == nil {
+				f.pool.put(c, 0)
 			}
-			f.pool.put(c, 0)
-			reached <- 1
+			results <- err
 		}()
 	}
-	sum := 0
 	for range list {
-		sum += <-reached
+		switch err := <-results; {
+		case err == nil:
+			reached++
+		case dial.IsShortage(err):
+			starved++
+		}
 	}
-	return sum
+	return reached, starved
 }
 
 // DialTarget dials a target for another box, over this box's own links. It implements
@@ -190,6 +194,9 @@
 		return nil, errors.WithStack(lostLinks)
 	}
 	c, err := f.pool.dialTCP(ctx, t)
+	if dial.IsShortage(err) {
+		return nil, errors.WithStack(relay.ErrBusy{Reason: err.Error()})
+	}
 	if errors.Is(err, syscall.ECONNREFUSED) && !f.reachesOthers(ctx, t) || err != nil && f.isLost(t.Service) {
 		return nil, errors.WithStack(lostLinks)
 	}
@@ -203,7 +210,11 @@
 	f.mu.Lock()
 	known := f.targets.CountUsable(t.Service) <= 1 || f.reach.HasReachedOther(t.Service, t.StartIdentity(), f.opts.Clock.Boot())
 	f.mu.Unlock()
-	return known || f.dialSome(ctx, t.Service, t) > 0
+	if known {
+		return true
+	}
+	reached, _ := f.dialSome(ctx, t.Service, t)
+	return reached > 0
 }
 
 // refuseIfCutOff refuses a call at once if neither this box nor any other reaches its service.
@@ -263,6 +274,10 @@
 		return a
 	}
 	switch {
+	case dial.IsShortage(err):
+		a.verdict, a.starved = inconclusive, true
+		fl.recordSend(t, "unreachable "+dialStarved)
+		return a
 	case relay.IsErrNoPath(err):
 		a.verdict, a.noPath = cutOff, true
 		fl.recordSend(t, "unreachable no path")
--- a/services/forward/paths_test.go
+++ b/services/forward/paths_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -32,6 +33,8 @@
 	linkWorks linkFault = iota
 	linkRefuses
 	linkSilent
+	// noDescriptor is a shortage of the own process: nothing was sent over the link.
+	noDescriptor
 )
 
 // newLinks replaces the dials of a forwarder.
@@ -51,6 +54,8 @@
 	switch fault {
 	case linkRefuses:
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	case noDescriptor:
+		return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("socket", syscall.EMFILE)}
 	case linkSilent:
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -463,7 +468,7 @@
 		// lost is set if this box knows already that it reaches none.
 		lost            bool
 		reached, noPath bool
-		refused         bool
+		refused, busy   bool
 	}{
 		"reached":                          {targets: 3, reached: true},
 		"refused, others are reached":      {targets: 3, cut: 1, fault: linkRefuses, refused: true},
@@ -473,6 +478,7 @@
 		"a target that isn't registered":   {targets: 1, id: "unknown"},
 		"the only target refuses":          {targets: 1, cut: 1, fault: linkRefuses, refused: true},
 		"the only target, known to refuse": {targets: 1, cut: 1, fault: linkRefuses, lost: true, noPath: true},
+		"no descriptor":                    {targets: 3, cut: 3, fault: noDescriptor, busy: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -500,9 +506,38 @@
 			if test.lost && l.dialCount() != before {
 				t.Errorf("%d dials over links that are known to be lost", l.dialCount()-before)
 			}
-			if (err == nil) != test.reached || relay.IsErrNoPath(err) != test.noPath || errors.Is(err, syscall.ECONNREFUSED) != test.refused {
-				t.Fatalf("got %v, want reached %v, no path %v, refused %v", err, test.reached, test.noPath, test.refused)
+			if (err == nil) != test.reached || relay.IsErrNoPath(err) != test.noPath || errors.Is(err, syscall.ECONNREFUSED) != test.refused || relay.IsErrBusy(err) != test.busy {
+				t.Fatalf("got %v, want reached %v, no path %v, refused %v, busy %v", err, test.reached, test.noPath, test.refused, test.busy)
 			}
 		})
 	}
 }
+
+// Guards against a box that is short of descriptors and takes that for targets that are down, or for the
+// loss of its links.
+func TestShortageOfDescriptorsIsNoEvidenceAgainstTargets(t *testing.T) {
+	list := newTargets(t, 4, answers(respond(http.StatusOK, "yes"))...)
+	f := newForwarder(t, &fakeLeases{}, list...)
+	l := newLinks(f)
+	l.set(noDescriptor, list...)
+	var refusal *Refusal
+	if err := f.Serve(context.Background(), newCall("unsafe"), &collector{}); !errors.As(err, &refusal) || refusal.Run != structs.RunNo || refusal.RetryAfter <= 0 {
+		t.Errorf("Serve returned %v, want a refusal of a call that did not run", err)
+	}
+	awaitChecks(f)
+	if f.isLost("s") {
+		t.Error("the service counts as out of reach")
+	}
+	f.mu.Lock()
+	for _, tg := range list {
+		if f.targets.ByID(tg.name).IsUnreachable() {
+			t.Errorf("target %s is banned as unreachable", tg.name)
+		}
+	}
+	f.mu.Unlock()
+	l.set(linkWorks, list...)
+	sink := &collector{}
+	if err := f.Serve(context.Background(), newCall("unsafe"), sink); err != nil || sink.status != http.StatusOK {
+		t.Errorf("a call after the shortage got status %d, error %v, want 200", sink.status, err)
+	}
+}
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -63,6 +63,8 @@
 	// notSent is set when the call was not sent as it is not certain which start of the target would
 	// have got it.
 	notSent bool
+	// starved is set when the box lacked a descriptor or the like to dial the target.
+	starved bool
 	// carried is set when another box carried the call, noPath when no box reaches the service.
 	carried, noPath bool
 }
@@ -104,7 +106,7 @@
 		}
 		// A call that reached no target may go elsewhere without a retry from the budget. One
 		// whose run was stopped to be moved has reached a target.
-		notReached := (last.verdict == unreachable || last.verdict == cutOff || last.notSent) && !fl.resumed
+		notReached := (last.verdict == unreachable || last.verdict == cutOff || last.notSent || last.starved) && !fl.resumed
 		if notReached && ctx.Err() == nil {
 			unreached++
 			if unreached < maxUnreachable || fl.awaitCheck(ctx) {
--- a/services/forward/target_end.go
+++ b/services/forward/target_end.go
@@ -252,6 +252,7 @@
 const (
 	dialRefused = "refused"
 	dialSilent  = "silent"
+	dialStarved = "for a shortage"
 )
 
 // dialFailure classifies the error of a failed dial for logs and counters.
--- a/services/gateway/shared.go
+++ b/services/gateway/shared.go
@@ -17,6 +17,7 @@
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
 	"havenwinch.dev/havenwinch/models/lease"
+	"havenwinch.dev/havenwinch/modules/dial"
 	"havenwinch.dev/havenwinch/modules/periodic"
 )
 
@@ -242,7 +243,7 @@
 // the draw is settled with nothing spent.
 func (s *SharedLeases) handleLostDraw(ctx context.Context, p *peer, id string, err error) {
 	p.settle(settlement{id: id, expires: s.Leases.Clock.Boot() + settledDrawTTL})
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !dial.IsShortage(err) {
 		p.recordFailure(s.Leases.Clock.Boot(), err, s.Leases.Logger)
 	}
 }
--- a/services/gateway/shared_test.go
+++ b/services/gateway/shared_test.go
@@ -5,6 +5,9 @@
 
 import (
 	"context"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,7 +26,7 @@
 type lossyConn struct {
 	leases *Leases
 	// loses has the kinds of messages that are lost: "asks", "answers" (of draws) and
-	// "settlements".
+	// "settlements"; "descriptors" means that the asking box has none for the connection.
 	loses   map[string]bool
 	settled chan string
 }
@@ -33,6 +36,9 @@
 	if w.loses["asks"] {
 		return nil, lost
 	}
+	if w.loses["descriptors"] {
+		return nil, connect.NewError(connect.CodeUnavailable, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", syscall.EMFILE)})
+	}
 	resp := w.leases.Draw(ctx, r.Msg)
 	if w.loses["answers"] {
 		return nil, lost
@@ -221,6 +227,20 @@
 	}
 }
 
+// Guards against a box that is short of descriptors and suspends the holders of leases for it.
+func TestShortageOfDescriptorsSuspendsNoPeer(t *testing.T) {
+	f := newShared(func(int, bool) uint64 { return 100000 })
+	for _, w := range f.wires {
+		w.loses["descriptors"] = true
+	}
+	f.Reserve(context.Background(), "o", 10, 0)
+	for name, p := range f.peers {
+		if !p.isAvailable(f.clock.Boot()) {
+			t.Errorf("%s is suspended", name)
+		}
+	}
+}
+
 // A box without leases reports less often, but enough to stay in the directory.
 func TestGuestReportsRarely(t *testing.T) {
 	c := clock.NewFake()
--- a/services/relay/dialer.go
+++ b/services/relay/dialer.go
@@ -19,6 +19,7 @@
 	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
 	"havenwinch.dev/havenwinch/models/lease"
 	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/dial"
 )
 
 const (
@@ -97,8 +98,8 @@
 }
 
 // Dial opens a connection to a target of a service. It asks one box after the other, and a
-// further one while there is no answer. The error is an ErrNoPath if none of them has a path,
-// else the error of the target.
+// further one while there is no answer. The error is an ErrNoPath if none of them has a path, a
+// shortage (dial.IsShortage) if one could not be asked for that, else the error of the target.
 func (d *Dialer) Dial(ctx context.Context, service, target string) (net.Conn, error) {
 	d.mu.Lock()
 	now := d.opts.Clock.Boot()
@@ -172,7 +173,12 @@
 			if cause := targetError(a.err); cause != nil {
 				return nil, cause
 			}
-			last = ErrNoPath{Reason: a.box.Name + ": " + a.err.Error()}
+			switch {
+			case dial.IsShortage(a.err):
+				last = a.err
+			case !dial.IsShortage(last):
+				last = ErrNoPath{Reason: a.box.Name + ": " + a.err.Error()}
+			}
 			start()
 		}
 	}
@@ -243,6 +249,7 @@
 	defer d.mu.Unlock()
 	now := d.opts.Clock.Boot()
 	switch {
+	case dial.IsShortage(err):
 	case err == nil:
 		d.peers.recordOpened(b.Name, now)
 	case targetError(err) != nil:
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -25,6 +25,7 @@
 	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
 	"havenwinch.dev/havenwinch/models/lease"
 	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/dial"
 	"havenwinch.dev/havenwinch/modules/hlc"
 	"havenwinch.dev/havenwinch/modules/logging"
 	"havenwinch.dev/havenwinch/services/peers"
@@ -433,3 +434,49 @@
 		_ = c.Close()
 	}
 }
+
+// starvable is the client of a box whose own process lacks a resource to dial while isStarved is set.
+type starvable struct {
+	betweenv1connect.RelayServiceClient
+	starved   betweenv1connect.RelayServiceClient
+	isStarved *atomic.Bool
+}
+
+func (s starvable) Connect(ctx context.Context) *connect.BidiStreamForClient[betweenv1.ConnectRequest, betweenv1.ConnectResponse] {
+	if s.isStarved.Load() {
+		return s.starved.Connect(ctx)
+	}
+	return s.RelayServiceClient.Connect(ctx)
+}
+
+// Guards against a box that is short of a resource and leaves the others out for it.
+func TestShortageIsNoEvidenceAgainstOtherBoxes(t *testing.T) {
+	address := listen(t, func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) })
+	b := newCarrier(t, "box", secret, &targets{address: address})
+	// A local address that the machine does not have makes dials fail before a packet is sent.
+	starved := peers.New(peers.Options{Box: "self", Secret: []byte(secret), Clock: clock.System{}, Stamps: hlc.New(clock.System{}), IP: net.IPv4(192, 0, 2, 1)})
+	real := newPeers("self", secret)
+	var isStarved atomic.Bool
+	isStarved.Store(true)
+	d := relay.NewDialer(relay.DialerOptions{
+		Box: "self", DataCentre: "dc", Directory: func() *lease.Directory { return lease.NewDirectory([]lease.Box{b.box}) },
+		Connect: func(address string) betweenv1connect.RelayServiceClient {
+			return starvable{real.Relays(address), starved.Relays(address), &isStarved}
+		},
+		Clock: clock.System{}, Logger: logging.Discard(),
+	})
+	for range 3 {
+		if _, err := d.Dial(context.Background(), "service", "target"); !dial.IsShortage(err) || relay.IsErrNoPath(err) {
+			t.Fatalf("got %v, want the shortage", err)
+		}
+	}
+	if !d.HasPath("service") {
+		t.Error("no path is expected any more")
+	}
+	isStarved.Store(false)
+	c, err := d.Dial(context.Background(), "service", "target")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Close()
+}
--- a/services/resume/resume.go
+++ b/services/resume/resume.go
@@ -21,6 +21,7 @@
 	"havenwinch.dev/havenwinch/models/resume"
 	"havenwinch.dev/havenwinch/models/software"
 	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/dial"
 )
 
 const (
@@ -234,7 +235,9 @@
 			return true
 		}
 		s.opts.Count(outcomeFailed)
-		s.block(b, err)
+		if !dial.IsShortage(err) {
+			s.block(b, err)
+		}
 	}
 	return false
 }
--- a/services/resume/resume_test.go
+++ b/services/resume/resume_test.go
@@ -6,9 +6,12 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"os"
 	"sort"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -28,8 +31,9 @@
 type network struct {
 	mu       sync.Mutex
 	services map[string]*Service
-	// dead boxes refuse requests, silent ones don't answer.
-	dead, silent map[string]bool
+	// dead boxes refuse requests, silent ones don't answer; those in starved can't be asked for want of a
+	// descriptor.
+	dead, silent, starved map[string]bool
 	// held, if not nil, keeps requests to silent boxes until it is closed, however long they may take.
 	held  chan struct{}
 	asked map[string]int
@@ -44,11 +48,13 @@
 func (p *peer) reach(ctx context.Context) (*Service, error) {
 	p.n.mu.Lock()
 	p.n.asked[p.name]++
-	dead, silent, s := p.n.dead[p.name], p.n.silent[p.name], p.n.services[p.name]
+	dead, silent, starved, s := p.n.dead[p.name], p.n.silent[p.name], p.n.starved[p.name], p.n.services[p.name]
 	p.n.mu.Unlock()
 	switch {
 	case dead:
 		return nil, connect.NewError(connect.CodeUnavailable, errors.New("connection refused"))
+	case starved:
+		return nil, connect.NewError(connect.CodeUnavailable, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", syscall.EMFILE)})
 	case silent && p.n.held != nil:
 		<-p.n.held
 		return nil, connect.NewError(connect.CodeDeadlineExceeded, errors.New("no answer"))
@@ -79,7 +85,7 @@
 
 // newNetwork returns a fleet with boxes dc-0-box-0 and so on.
 func newNetwork(centres, perCentre int) *network {
-	n := &network{services: map[string]*Service{}, dead: map[string]bool{}, silent: map[string]bool{}, asked: map[string]int{}}
+	n := &network{services: map[string]*Service{}, dead: map[string]bool{}, silent: map[string]bool{}, starved: map[string]bool{}, asked: map[string]int{}}
 	var boxes []lease.Box
 	for c := range centres {
 		for i := range perCentre {
@@ -314,6 +320,30 @@
 	}
 }
 
+// Guards against a box that is short of descriptors and leaves the others out for it.
+func TestShortageOfDescriptorsBlocksNoHolder(t *testing.T) {
+	n := newNetwork(2, 2)
+	n.set(n.starved, "dc-0-box-1", "dc-1-box-0", "dc-1-box-1")
+	s := n.services[writer]
+	s.Record(context.Background(), resume.KeyOf("o", "s", "a"), "v1", lifetime)
+	waitUntil(t, func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return len(n.asked) == 3
+	})
+	n.mu.Lock()
+	clear(n.starved)
+	n.mu.Unlock()
+	k := resume.KeyOf("o", "s", "b")
+	s.Record(context.Background(), k, "v1", lifetime)
+	waitUntil(t, func() bool { return n.holders(k, writer) > 0 })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.blockedUntil) != 0 {
+		t.Errorf("boxes left out: %v", s.blockedUntil)
+	}
+}
+
 func TestInvalidRecordsOfOtherBoxes(t *testing.T) {
 	s := newNetwork(1, 1).services[writer]
 	k := resume.KeyOf("o", "s", "a")
--- a/services/seats/check.go
+++ b/services/seats/check.go
@@ -12,6 +12,7 @@
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	"havenwinch.dev/havenwinch/models/lease"
+	"havenwinch.dev/havenwinch/modules/dial"
 	"havenwinch.dev/havenwinch/modules/periodic"
 )
 
@@ -32,6 +33,8 @@
 	// holderSilent that it doesn't answer.
 	holderEnded
 	holderSilent
+	// holderUnknown means that this box lacked a resource to ask it.
+	holderUnknown
 )
 
 // Holds reports whether this box grants the seats of a service in a data centre at present, and whether
@@ -71,6 +74,8 @@
 		return holderIdle
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return holderEnded
+	case dial.IsShortage(err):
+		return holderUnknown
 	default:
 		return holderSilent
 	}
@@ -110,7 +115,7 @@
 	defer s.mu.Unlock()
 	p := s.pools[key]
 	switch {
-	case p == nil || p.isStandby != isStandby:
+	case p == nil || p.isStandby != isStandby || state == holderUnknown:
 	case isStandby && (state == holderIdle || state == holderActive):
 		s.giveUp(key)
 	case isStandby:
--- a/services/seats/client.go
+++ b/services/seats/client.go
@@ -19,6 +19,7 @@
 	"havenwinch.dev/havenwinch/models/lease"
 	"havenwinch.dev/havenwinch/models/seats"
 	"havenwinch.dev/havenwinch/modules/clock"
+	"havenwinch.dev/havenwinch/modules/dial"
 	"havenwinch.dev/havenwinch/modules/periodic"
 	"havenwinch.dev/havenwinch/services/forward"
 )
@@ -210,7 +211,7 @@
 	if err == nil {
 		err = openCtx.Err()
 	}
-	if ctx.Err() == nil && connect.CodeOf(err) != connect.CodeNotFound {
+	if ctx.Err() == nil && connect.CodeOf(err) != connect.CodeNotFound && !dial.IsShortage(err) {
 		c.avoid(b, err)
 	}
 	return nil, nil, errors.WithStack(err)
--- a/services/seats/seats_test.go
+++ b/services/seats/seats_test.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"log/slog"
 	"maps"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -60,8 +62,52 @@
 	http   *http.Server
 	// isSilent makes the box answer nothing.
 	isSilent atomic.Bool
-	mu       sync.Mutex
-	conns    []net.Conn
+	// isStarved makes the dials of the box fail for want of a resource.
+	isStarved atomic.Bool
+	// log has the log lines of the client.
+	log   logBuffer
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// starvable is the client of a box whose dials fail while isStarved is set.
+type starvable struct {
+	betweenv1connect.SeatServiceClient
+	starved   betweenv1connect.SeatServiceClient
+	isStarved *atomic.Bool
+}
+
+func (s starvable) now() betweenv1connect.SeatServiceClient {
+	if s.isStarved.Load() {
+		return s.starved
+	}
+	return s.SeatServiceClient
+}
+
+func (s starvable) Hold(ctx context.Context) *connect.BidiStreamForClient[betweenv1.HoldRequest, betweenv1.HoldResponse] {
+	return s.now().Hold(ctx)
+}
+
+func (s starvable) Holds(ctx context.Context, r *connect.Request[betweenv1.HoldsRequest]) (*connect.Response[betweenv1.HoldsResponse], error) {
+	return s.now().Holds(ctx, r)
 }
 
 type handler struct{ b *testBox }
@@ -121,12 +167,17 @@
 	}
 	b := &testBox{Box: lease.Box{Name: name, DataCentre: centre, Address: l.Addr().String()}}
 	p := peers.New(peers.Options{Box: name, Secret: []byte(secret), Clock: clock.System{}, Stamps: hlc.New(clock.System{})})
+	// A local address that the machine does not have makes dials fail before a packet is sent.
+	starved := peers.New(peers.Options{Box: name, Secret: []byte(secret), Clock: clock.System{}, Stamps: hlc.New(clock.System{}), IP: net.IPv4(192, 0, 2, 1)})
+	dial := func(address string) betweenv1connect.SeatServiceClient {
+		return starvable{p.Seats(address), starved.Seats(address), &b.isStarved}
+	}
 	b.server = seats.NewServer(seats.ServerOptions{
-		Box: name, Directory: f.directory.Load, HasContact: func() bool { return !f.hasNoContact.Load() }, Connect: p.Seats, Targets: oneTarget{},
+		Box: name, Directory: f.directory.Load, HasContact: func() bool { return !f.hasNoContact.Load() }, Connect: dial, Targets: oneTarget{},
 		Clock: f.clock, Logger: logging.Discard(),
 	})
 	b.client = seats.NewClient(seats.ClientOptions{
-		Box: name, DataCentre: centre, Directory: f.directory.Load, Connect: p.Seats, Own: b.server, Clock: f.clock, Logger: logging.Discard(),
+		Box: name, DataCentre: centre, Directory: f.directory.Load, Connect: dial, Own: b.server, Clock: f.clock, Logger: slog.New(slog.NewTextHandler(&b.log, nil)),
 	})
 	mux := http.NewServeMux()
 	mux.Handle(betweenv1connect.NewSeatServiceHandler(handler{b}, p.HandlerOptions()...))
@@ -292,6 +343,30 @@
 	}
 }
 
+// Guards against a box that is short of a resource and takes the holder of seats for lost.
+func TestShortageIsNoEvidenceAgainstHolders(t *testing.T) {
+	f := newTestFleet(t, "a", "b", "c", "d")
+	first, second, caller := f.holders()
+	caller.isStarved.Store(true)
+	for range 3 {
+		if caller.acquire(t) != nil {
+			t.Fatal("a seat at a box that can dial none")
+		}
+	}
+	if text := caller.log.String(); strings.Contains(text, "not asked") {
+		t.Errorf("a holder is left out: %s", text)
+	}
+	second.isStarved.Store(true)
+	first.isSilent.Store(true)
+	for range 3 {
+		f.clock.Advance(3 * time.Second)
+		caller.acquire(t)
+	}
+	if holds, _ := second.server.Holds(service, centre); holds {
+		t.Error("the second holder has taken over though it could not ask the first one")
+	}
+}
+
 // Guards against two boxes that grant the same seats after the directory has changed.
 func TestHolderChangesWithTheDirectory(t *testing.T) {
 	f := newTestFleet(t, "a", "b", "c", "d")
