routers/gateway, modules/setting: callers' connections are capped at a share of the descriptors

Callers at a box that most new connections went to waited for seconds on connections that nobody read, and those with kept connections got no answer long after the rush: connections of callers took all descriptors, and each failed accept makes the next ones wait. A new connection beyond that takes the place of the one that has been idle for longest, and is closed unread if none is, so that its caller asks another box at once. An accept and a close cost one atomic addition each; a log line a second at most.

TestConnectionsOfCallersAreLimited, TestLimitIsLoggedAtIntervals; two cases of TestForwardSettingsFaults.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -39,6 +39,9 @@
 	// returnShare is the fraction of the stop limit after which leases are returned
 	// even though calls are still running.
 	returnShare = 0.85
+	// callerShare is the share of the descriptors that connections of callers may take. A call needs
+	// another one for its target, and boxes, checks and files take the rest.
+	callerShare = 0.45
 )
 
 // entryRole forwards callers' calls to targets.
@@ -118,6 +121,7 @@
 		Clock:                  b.Clock,
 		Logger:                 b.Logger,
 		ShouldCloseConnections: e.overload.ShouldCloseConnections,
+		MaxConnections:         int(callerShare * float64(b.Settings.MaxDescriptors)),
 		BaseContext:            b.Graceful.WorkContext(),
 	})
 	b.Metrics.Gauge("evacuated_data_centres", "Data centres whose targets are sent nothing, as far as this box knows.", func() float64 {
--- a/modules/setting/forward.go
+++ b/modules/setting/forward.go
@@ -40,6 +40,8 @@
 	// Tolerated is how many control boxes may fail at once.
 	Tolerated int
 	MemoryMB  int
+	// MaxDescriptors is how many descriptors this process may open; zero if it is not known.
+	MaxDescriptors int
 	// LinkMbps is the bandwidth of the box's network link in each direction; zero if it
 	// is not known.
 	LinkMbps   float64
@@ -65,8 +67,9 @@
 }
 
 const (
-	minMemoryMB = 32
-	minLogRate  = 10
+	minMemoryMB    = 32
+	minDescriptors = 64
+	minLogRate     = 10
 )
 
 // Flags returns the flags that set the fields of f. Call finish after parsing them: it
@@ -90,6 +93,7 @@
 		&cli.BoolFlag{Name: "first-start", Usage: "the whole fleet starts for the first time, with empty disks", Destination: &f.FirstStart, Sources: envSource("first-start")},
 		&cli.IntFlag{Name: "tolerated", Value: 1, Usage: "control boxes that may fail at once; the control group has twice as many members plus one", Destination: &f.Tolerated, Sources: envSource("tolerated")},
 		&cli.IntFlag{Name: "memory-mb", Value: 256, Usage: "memory available to this process in MB", Destination: &f.MemoryMB, Sources: envSource("memory-mb")},
+		&cli.IntFlag{Name: "max-descriptors", Usage: "descriptors that this process may open; 0 if not known", Destination: &f.MaxDescriptors, Sources: envSource("max-descriptors")},
 		&cli.FloatFlag{Name: "link-mbps", Usage: "bandwidth of this box's network link in Mbit/s; 0 if not known", Destination: &f.LinkMbps, Sources: envSource("link-mbps")},
 		&cli.FloatFlag{Name: "retry-ratio", Value: 0.1, Usage: "maximum retries to another target, as a share of a service's calls in the whole fleet", Destination: &f.RetryRatio, Sources: envSource("retry-ratio")},
 		&cli.FloatFlag{Name: "retry-stock", Value: 20, Usage: "retries allowed in addition to the share, in the whole fleet", Destination: &f.RetryStock, Sources: envSource("retry-stock")},
@@ -172,6 +176,7 @@
 
 func (f *Forward) checkBounds(c *checker) {
 	c.require(f.MemoryMB >= minMemoryMB, "memory-mb", "must be at least %d", minMemoryMB)
+	c.require(f.MaxDescriptors == 0 || f.MaxDescriptors >= minDescriptors, "max-descriptors", "must be at least %d, or 0 if not known", minDescriptors)
 	c.require(f.Tolerated >= 0 && f.Tolerated <= 3, "tolerated", "must be between 0 and 3")
 	c.require(f.LinkMbps >= 0, "link-mbps", "must not be negative")
 	c.require(f.RetryRatio >= 0 && f.RetryRatio <= 1, "retry-ratio", "must be between 0 and 1")
--- a/modules/setting/forward_test.go
+++ b/modules/setting/forward_test.go
@@ -67,6 +67,8 @@
 		"ready address":  {setting: "ready-listen", value: ""},
 		"metrics":        {setting: "metrics-listen", value: "9464"},
 		"memory":         {setting: "memory-mb", value: "1"},
+		"descriptors":    {setting: "max-descriptors", value: "12"},
+		"no descriptors": {setting: "max-descriptors", value: "-1"},
 		"ratio":          {setting: "retry-ratio", value: "2"},
 		"stock":          {setting: "retry-stock", value: "-1"},
 		"window":         {setting: "retry-window", value: "20ms"},
--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -43,6 +43,8 @@
 	defaultStopLinger = 200 * time.Millisecond
 	// closedAtFailure is how many idle connections are closed after an accept that failed.
 	closedAtFailure = 32
+	// limitLogInterval is the time between two log lines about closed connections beyond MaxConnections.
+	limitLogInterval = time.Second
 	// writeTimeout is the time within which a caller must accept the bytes of one write.
 	writeTimeout = 20 * time.Second
 )
@@ -69,6 +71,10 @@
 	// ShouldCloseConnections reports whether connections should be closed after their current answer,
 	// to shed load; nil means never.
 	ShouldCloseConnections func() bool
+	// MaxConnections is how many connections of callers may be open at a time, zero for any number.
+	// Beyond it a new one takes the place of the one that has been idle for longest, and is closed
+	// unread if none is.
+	MaxConnections int
 	// StopLinger is how long a stopping box waits, after an answer that did not announce the close, for a
 	// request that its caller has sent meanwhile; 200 ms if zero.
 	StopLinger time.Duration
@@ -83,6 +89,9 @@
 
 	idle  *idleConns
 	conns sync.WaitGroup
+	// open is the number of connections.
+	open  atomic.Int64
+	limit limitLog
 }
 
 // New returns a server that accepts nothing until Serve is called.
@@ -102,14 +111,57 @@
 		if err != nil {
 			return errors.WithStack(err)
 		}
+		if !s.admit() {
+			_ = c.Close()
+			continue
+		}
 		s.conns.Add(1)
 		go func() {
 			defer s.conns.Done()
+			defer s.open.Add(-1)
 			s.serveConn(c)
 		}()
 	}
 }
 
+// admit counts a new connection, and reports whether there is room for it.
+func (s *Server) admit() bool {
+	limit := int64(s.opts.MaxConnections)
+	if s.open.Add(1) <= limit || limit == 0 {
+		return true
+	}
+	closedIdle := s.idle.closeLongest(1) > 0
+	if !closedIdle {
+		s.open.Add(-1)
+	}
+	if idle, unread, due := s.limit.record(closedIdle, s.opts.Clock.Boot()); due {
+		s.opts.Logger.Warn("too many connections of callers", "limit", limit, "closed_idle", idle, "closed_unread", unread)
+	}
+	return closedIdle
+}
+
+// limitLog counts the connections that were closed for the limit between two log lines. Only the
+// accept loop uses it.
+type limitLog struct {
+	idle, unread int
+	next         time.Duration
+}
+
+// record counts a closed connection, and returns the counts if a line is due.
+func (l *limitLog) record(wasIdle bool, now time.Duration) (idle, unread int, due bool) {
+	if wasIdle {
+		l.idle++
+	} else {
+		l.unread++
+	}
+	if now < l.next {
+		return 0, 0, false
+	}
+	idle, unread = l.idle, l.unread
+	*l = limitLog{next: now + limitLogInterval}
+	return idle, unread, true
+}
+
 // handleFailedAccept closes idle connections, so that a process that is short of descriptors has some.
 func (s *Server) handleFailedAccept(err error) {
 	closed := s.idle.closeLongest(closedAtFailure)
--- a/routers/gateway/server_test.go
+++ b/routers/gateway/server_test.go
@@ -437,3 +437,79 @@
 	_ = l.Close()
 	<-ended
 }
+
+// Guards against callers' connections that leave no descriptor for those to targets.
+func TestConnectionsOfCallersAreLimited(t *testing.T) {
+	began, release := make(chan struct{}, 2), make(chan struct{})
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/plain/slow" {
+			began <- struct{}{}
+			<-release
+		}
+		signed(w, r)
+	})
+	opts := f.server.opts
+	opts.MaxConnections = 2
+	limited := New(opts)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = limited.Serve(l) }()
+	f.address = l.Addr().String()
+	isClosed := func(c *caller) bool {
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		_, err := c.r.ReadByte()
+		var timeout net.Error
+		return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+	}
+	awaitIdle := func(n int) {
+		for count := -1; count != n; time.Sleep(time.Millisecond) {
+			limited.idle.mu.Lock()
+			count = limited.idle.order.Len()
+			limited.idle.mu.Unlock()
+		}
+	}
+	busy, idle := f.dial(t), f.dial(t)
+	busy.send(t, request("/plain/slow", "busy"))
+	<-began
+	idle.send(t, request("/plain/x", "idle"))
+	_ = idle.head(t)
+	awaitIdle(1)
+
+	next := f.dial(t)
+	if !isClosed(idle) {
+		t.Error("the idle connection stays open beyond the limit")
+	}
+	next.send(t, request("/plain/slow", "next"))
+	<-began
+	if !isClosed(f.dial(t)) {
+		t.Error("a connection beyond the limit stays open though none is idle")
+	}
+	close(release)
+	for name, c := range map[string]*caller{"the busy connection": busy, "its successor": next} {
+		if resp := c.head(t); resp.StatusCode != http.StatusOK {
+			t.Errorf("%s got status %d, want 200", name, resp.StatusCode)
+		}
+	}
+	awaitIdle(2)
+	last := f.dial(t)
+	last.send(t, request("/plain/x", "last"))
+	if resp := last.head(t); resp.StatusCode != http.StatusOK {
+		t.Errorf("a connection after the calls got status %d, want 200", resp.StatusCode)
+	}
+}
+
+func TestLimitIsLoggedAtIntervals(t *testing.T) {
+	l := &limitLog{}
+	lines, idle, unread := 0, 0, 0
+	for at := time.Duration(0); at < 3*limitLogInterval; at += limitLogInterval / 100 {
+		if i, u, due := l.record(at%(limitLogInterval/50) == 0, at); due {
+			lines, idle, unread = lines+1, idle+i, unread+u
+		}
+	}
+	if lines != 3 || idle != 101 || unread != 100 {
+		t.Errorf("%d lines for %d idle and %d unread connections, want 3 for 101 and 100", lines, idle, unread)
+	}
+}
