--- a/tests/soak/cut_test.go
+++ b/tests/soak/cut_test.go
@@ -107,13 +107,6 @@
 	p.cut = append(p.cut, r)
 }
 
-// hasWorker reports whether a server has received the request.
-func (r *disruptions) hasWorker(id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.workers[id]) > 0
-}
-
 // checkCut checks why requests got no complete answer from boxes that ran all the time.
 func (tb *testbed) checkCut(t *testing.T) {
 	t.Helper()
