models/quarantine, services/forward: a part of prompts that is held back is held back at all services

What callers saw: a part of prompts that ends each target, held back for one service of its route, ended further targets once the route had moved to another service.

The digest of a part covered the name of the service.

Why it works: the digest covers the part alone. Ends at any service add up, and all services know at once of the third. A success at any service clears the part; a fatal one has none, as it ends each target.

--- a/services/forward/digest.go
+++ b/services/forward/digest.go
@@ -24,7 +24,7 @@
 	if fl.parts == nil && len(fl.call.SharedParts) > 0 {
 		fl.parts = make([]quarantine.Digest, 0, len(fl.call.SharedParts))
 		for _, part := range fl.call.SharedParts {
-			fl.parts = append(fl.parts, quarantine.DigestOfPart(fl.service.GetName(), part))
+			fl.parts = append(fl.parts, quarantine.DigestOfPart(part))
 		}
 	}
 	return fl.parts
