services/forward, services/resume: what the review of the mends found

Now the decision is made under a lock, with what the attempt began with; only a query or a dial that gets no answer in time is silence. Answers over 256 KiB are not cut by the time for their header. A stopping box left out, for the whole hand-over, boxes that had missed one request a moment before: it tries three times. A record that came as the hand-over began could be in neither; that is one step now.

--- a/models/spread/health.go
+++ b/models/spread/health.go
@@ -109,10 +109,12 @@
 	return slices.ContainsFunc(tb.services[service], func(t *Target) bool { return t.Software == id && tb.isCheckable(t) })
 }
 
-// HasOther reports whether calls may go to another target of the same service and software, banned ones
-// included.
-func (tb *Table) HasOther(t *Target) bool {
-	return slices.ContainsFunc(tb.services[t.Service], func(o *Target) bool { return o != t && o.Software == t.Software && tb.isCheckable(o) })
+// HasOther reports whether calls may go to a target of the same service and software as t, banned ones
+// included, other than t and those whose starts are excluded.
+func (tb *Table) HasOther(t *Target, excluded map[string]bool) bool {
+	return slices.ContainsFunc(tb.services[t.Service], func(o *Target) bool {
+		return o != t && o.Software == t.Software && !excluded[o.StartIdentity()] && tb.isCheckable(o)
+	})
 }
 
 // ToCheck returns at most n targets of a service, other than except, to find out whether the box
--- a/services/forward/buffered.go
+++ b/services/forward/buffered.go
@@ -21,7 +21,7 @@
 
 // bufferAnswer reads a complete answer before any of it is relayed, so that a broken one can be
 // requested again.
-func (fl *inflightCall) bufferAnswer(t *spread.Target, x *exchange, status int) attempt {
+func (fl *inflightCall) bufferAnswer(t *spread.Target, x *exchange, wd *watchdog, status int) attempt {
 	if fl.sink.started() {
 		return fl.handleLateFailure(t, x, status)
 	}
@@ -33,6 +33,7 @@
 	}
 	got := &answer{status: status, fields: x.fields(), body: body, declaredLength: x.declaredLength(body)}
 	if len(body) == maxBufferedAnswer {
+		wd.stop()
 		return fl.forwardLong(t, x, got)
 	}
 	x.bodyComplete = true
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -320,7 +320,7 @@
 	case fl.isStream(status):
 		return fl.forwardStream(ctx, c, x, wd, sent)
 	default:
-		return fl.bufferAnswer(t, x, status)
+		return fl.bufferAnswer(t, x, wd, status)
 	}
 }
 
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -11,12 +11,19 @@
 
 	"github.com/pkg/errors"
 
+	"havenwinch.dev/havenwinch/models/software"
 	"havenwinch.dev/havenwinch/models/spread"
 )
 
 // forwardStream relays events as they arrive.
 func (fl *inflightCall) forwardStream(ctx context.Context, c spread.Choice, x *exchange, wd *watchdog, sent time.Duration) attempt {
 	t := c.Target
+	if !wd.answer() {
+		x.abandon()
+		fl.noteLostOutput(ctx, wd)
+		fl.recordSend(t, "no answer")
+		return attempt{verdict: fl.verdictOnTimeout(ctx, wd), err: errNoAnswer}
+	}
 	mv := fl.mover(c)
 	defer mv.release()
 	wd.restart(fl.f.stallWait)
@@ -26,7 +33,7 @@
 	for {
 		n, err := x.body.Read(buffer)
 		if n > 0 {
-			wd.restart(fl.f.stallWait)
+			wd.stop()
 			fl.recordPrefill(t, sent)
 			if sinkErr := fl.forwardEvents(ctx, x, fl.events.split(buffer[:n])); sinkErr != nil {
 				x.abandon()
@@ -35,6 +42,10 @@
 				return attempt{verdict: inconclusive, done: true, err: errBegun{sinkErr}}
 			}
 			mv.start(ctx)
+			if fl.software != software.Unverified {
+				// Others can go on nowhere else.
+				wd.restart(fl.f.stallWait)
+			}
 		}
 		if err != nil || fl.events.fault {
 			return fl.streamEnded(ctx, t, x, wd, mv, err)
--- a/services/forward/watchdog.go
+++ b/services/forward/watchdog.go
@@ -5,7 +5,10 @@
 
 import (
 	"context"
+	"maps"
+	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,46 +26,73 @@
 	timer   *time.Timer
 	cancel  context.CancelFunc
 	expired atomic.Bool
-	// progress counts the times at which the target was heard, and the end of the attempt.
+	// progress counts the times at which the target was heard. It also changes when the attempt ends.
 	progress atomic.Int64
-	// streaming is set once the header of a stream has arrived. From then on givesUp decides whether the
-	// attempt is canceled.
-	streaming atomic.Bool
-	givesUp   func() bool
+	// answered is set once the header has arrived, and careful if the caller has a part of the answer
+	// already. With either the attempt is canceled only if stalled is true and retry succeeds.
+	answered atomic.Bool
+	careful  bool
+	stalled  func() bool
+	retry    func() bool
+	// mu is held while the timer is set, and while it is decided whether the attempt is canceled.
+	mu sync.Mutex
 }
 
 // startWatchdog starts the timeout for the header of an answer.
 func (fl *inflightCall) startWatchdog(ctx context.Context, t *spread.Target, cancel context.CancelFunc) *watchdog {
-	w := &watchdog{cancel: cancel, givesUp: func() bool { return fl.givesUp(ctx, t) }}
-	if !routing.IsRepeatable(fl.route) || fl.possibleRuns+1 >= int(fl.route.GetMaxAttempts()) {
+	w := &watchdog{cancel: cancel, careful: fl.sink.started()}
+	if !routing.IsRepeatable(fl.route) || fl.possibleRuns+1 >= int(fl.route.GetMaxAttempts()) || fl.sendCount+1 >= maxSends {
 		return w
 	}
+	f, service, excluded := fl.f, fl.service.GetName(), maps.Clone(fl.excluded)
+	w.stalled = func() bool { return f.isSilent(ctx, t) && f.hasOther(t, excluded) }
+	w.retry = func() bool {
+		if !f.takeRetry(service) {
+			return false
+		}
+		fl.retryTaken.Store(true)
+		return true
+	}
 	limit := time.Duration(silenceFactor * float64(fl.route.GetObjective()) * float64(time.Millisecond))
 	if fl.route.GetKind() == statev1.Route_KIND_STREAM {
 		limit = max(limit, silenceFloor)
 	}
-	w.timer = time.AfterFunc(limit, func() { w.expire(fl.f.stallWait) })
+	w.timer = time.AfterFunc(limit, func() { w.expire(f.stallWait) })
 	return w
 }
 
-// expire cancels the attempt, unless its stream is to go on. Then it looks again after wait.
+// expire cancels the attempt. If the caller has a part of the answer and the stream can't go on
+// elsewhere, or the target only is slow, it looks again after wait.
 func (w *watchdog) expire(wait time.Duration) {
 	seen := w.progress.Load()
-	givesUp := !w.streaming.Load() || w.givesUp()
+	isCareful := w.careful || w.answered.Load()
+	isStalled := !isCareful || w.stalled()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	switch {
 	case w.progress.Load() != seen:
-	case givesUp:
+	case !isStalled || isCareful && !w.retry():
+		w.timer.Reset(wait)
+	default:
 		w.expired.Store(true)
 		w.cancel()
-	default:
-		w.timer.Reset(wait)
 	}
 }
 
+// answer records that the header has arrived. It returns false if the attempt has been canceled.
+func (w *watchdog) answer() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.progress.Add(1)
+	w.answered.Store(true)
+	return !w.expired.Load()
+}
+
 // restart begins to wait for the next bytes of a stream.
 func (w *watchdog) restart(limit time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.progress.Add(1)
-	w.streaming.Store(true)
 	if w.timer != nil {
 		w.timer.Reset(limit)
 	}
@@ -70,43 +100,38 @@
 
 func (w *watchdog) fired() bool { return w.expired.Load() }
 
+// stop ends the wait; the attempt is not canceled any more until restart.
 func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.progress.Add(1)
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 }
 
-// givesUp reports whether a stream is to be given up at a target that has gone silent in the middle of it:
-// if the stream can go on elsewhere, and the target does not answer a query either. An overloaded target
-// answers, and its stream is only late.
-func (fl *inflightCall) givesUp(ctx context.Context, t *spread.Target) bool {
-	f := fl.f
-	if fl.sendCount >= maxSends || fl.possibleRuns >= int(fl.route.GetMaxAttempts()) {
-		return false
-	}
-	if !f.isSilent(ctx, t) {
-		return false
-	}
+// hasOther reports whether a stream may go on at a target other than t and those that are excluded.
+func (f *Forwarder) hasOther(t *spread.Target, excluded map[string]bool) bool {
 	f.mu.Lock()
-	hasOther := f.targets.HasOther(t)
-	f.mu.Unlock()
-	if !hasOther || !f.takeRetry(fl.service.GetName()) {
-		return false
-	}
-	fl.retryTaken.Store(true)
-	return true
+	defer f.mu.Unlock()
+	return f.targets.HasOther(t, excluded)
 }
 
-// isSilent reports whether a target does not answer a query for its load report.
+// isSilent reports whether a target gives no answer at all to a query for its load report. An overloaded
+// target answers, or resets the connection.
 func (f *Forwarder) isSilent(ctx context.Context, t *spread.Target) bool {
 	if f.opts.EngineAPI == nil || f.opts.IsCongested() || f.isLimited(t) {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.silentWait)
+	query, cancel := context.WithTimeout(ctx, f.silentWait)
 	defer cancel()
-	status, _, err := f.request(ctx, t, useReports, http.MethodGet, f.opts.EngineAPI.ReportPath(), nil)
-	isSilent := err != nil && !errors.Is(err, errLimited) && !errors.Is(err, errEvacuated)
-	f.opts.Logger.Info("target asked about a stalled stream", "target", t.ID, "silent", isSilent, "status", status)
+	c, err := f.pool.get(query, t, useReports, "")
+	if err == nil {
+		f.pool.put(c, 0)
+		_, _, err = f.request(query, t, useReports, http.MethodGet, f.opts.EngineAPI.ReportPath(), nil)
+	}
+	var timeout net.Error
+	isSilent := ctx.Err() == nil && (query.Err() != nil || err != nil && errors.As(err, &timeout) && timeout.Timeout())
+	f.opts.Logger.Info("target asked about a stalled stream", "target", t.ID, "silent", isSilent)
 	return isSilent
 }
--- a/services/resume/handover.go
+++ b/services/resume/handover.go
@@ -6,28 +6,45 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	"havenwinch.dev/havenwinch/models/resume"
+	"havenwinch.dev/havenwinch/modules/periodic"
 )
 
-// handOverParallel is how many records a stopping box hands over at the same time.
-const handOverParallel = 16
+const (
+	// handOverParallel is how many records a stopping box hands over at the same time, and handOverTries
+	// how often it tries to.
+	handOverParallel = 16
+	handOverTries    = 3
+)
 
 // HandOver sends the records that this box holds to other boxes, before it ends, and returns when they have
-// been sent or the context is done. From its beginning on the box takes no records of others. It goes on
-// to answer for those that it has.
+// been sent, nobody takes the rest, or the context is done. From its beginning on the box takes no records
+// of others. It goes on to answer for those that it has.
 func (s *Service) HandOver(ctx context.Context) {
 	s.mu.Lock()
 	s.leaving = true
-	entries := s.table.Entries(s.opts.Clock.Boot())
+	left := s.table.Entries(s.opts.Clock.Boot())
 	s.mu.Unlock()
 	p := s.currentPlacement()
-	if p == nil || len(entries) == 0 {
+	if p == nil || len(left) == 0 {
 		return
 	}
-	var taken atomic.Int64
+	all := len(left)
+	for try := 0; len(left) > 0 && try < handOverTries && ctx.Err() == nil; try++ {
+		if try > 0 {
+			// Boxes that were left out for a missed answer are asked again.
+			periodic.Sleep(ctx, silenceBlock)
+		}
+		left = s.handOverAll(ctx, p, left)
+	}
+	s.opts.Logger.Info("records of streams handed over", "records", all, "taken", all-len(left))
+}
+
+// handOverAll sends records, some at a time, and returns those that nobody has taken.
+func (s *Service) handOverAll(ctx context.Context, p *resume.Placement, entries []resume.Entry) (left []resume.Entry) {
+	var mu sync.Mutex
 	var wg sync.WaitGroup
 	next := make(chan resume.Entry)
 	for range min(handOverParallel, len(entries)) {
@@ -35,21 +52,21 @@
 		go func() {
 			defer wg.Done()
 			for e := range next {
-				if s.handOver(ctx, p, e) {
-					taken.Add(1)
+				if ctx.Err() == nil && s.handOver(ctx, p, e) {
+					continue
 				}
+				mu.Lock()
+				left = append(left, e)
+				mu.Unlock()
 			}
 		}()
 	}
 	for _, e := range entries {
-		if ctx.Err() != nil {
-			break
-		}
 		next <- e
 	}
 	close(next)
 	wg.Wait()
-	s.opts.Logger.Info("records of streams handed over", "records", len(entries), "taken", taken.Load())
+	return left
 }
 
 // handOver sends a record to the next box that owns its slot in this data centre, or in another one if none
@@ -66,9 +83,3 @@
 	}
 	return false
 }
-
-func (s *Service) isLeaving() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.leaving
-}
--- a/services/resume/resume.go
+++ b/services/resume/resume.go
@@ -96,10 +96,9 @@
 	if r.GetSoftware() == "" || len(r.GetSoftware()) > maxSoftware {
 		return errors.WithStack(ErrInvalidRecord{Field: "software", Remedy: "must be given, in at most 1024 bytes"})
 	}
-	if s.isLeaving() {
+	if !s.putUnlessLeaving(k, software.Identity(r.GetSoftware()), time.Duration(r.GetLifetime())*time.Millisecond) {
 		return errors.WithStack(ErrLeaving{})
 	}
-	s.put(k, software.Identity(r.GetSoftware()), time.Duration(r.GetLifetime())*time.Millisecond)
 	if p := s.currentPlacement(); p != nil && r.GetReplicate() {
 		s.replicate(p, k, r)
 	}
@@ -130,6 +129,18 @@
 	s.table.Put(k, id, lifetime, s.opts.Clock.Boot())
 }
 
+// putUnlessLeaving stores a record that is handed over with the others when this box leaves. It returns
+// false if that has begun.
+func (s *Service) putUnlessLeaving(k resume.Key, id software.Identity, lifetime time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return false
+	}
+	s.table.Put(k, id, lifetime, s.opts.Clock.Boot())
+	return true
+}
+
 func (s *Service) get(k resume.Key) (id software.Identity, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
