services/forward, services/resume: names and comments of the mends, a test of the second try of a hand-over

The timer of the watchdog is set under its lock. TestHandOverAsksBoxesThatMissedARequest needs the second try: the first finds both owners left out.

--- a/modules/accept/accept.go
+++ b/modules/accept/accept.go
@@ -2,7 +2,7 @@
 // SPDX-License-Identifier: MIT
 
 // Package accept keeps listeners going after accepts that failed, as they do while the process is short of
-// descriptors. The servers of some libraries end at the first one, and the process is deaf from then on.
+// descriptors. The servers of some libraries end at the first one, and accept nothing from then on.
 package accept
 
 import (
--- a/services/forward/software.go
+++ b/services/forward/software.go
@@ -175,7 +175,7 @@
 	return fl.call.ID
 }
 
-// streamKey returns the key of the stream if a service has begun it.
+// streamKey returns the key under which the stream is recorded if the given service began it.
 func (fl *inflightCall) streamKey(service string) resume.Key {
 	return resume.KeyOf(fl.payer.GetOrganisation(), service, fl.firstAttempt())
 }
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -42,8 +42,8 @@
 				return attempt{verdict: inconclusive, done: true, err: errBegun{sinkErr}}
 			}
 			mv.start(ctx)
+			// A stream of unverified software can go on nowhere else.
 			if fl.software != software.Unverified {
-				// Others can go on nowhere else.
 				wd.restart(fl.f.stallWait)
 			}
 		}
--- a/services/forward/watchdog.go
+++ b/services/forward/watchdog.go
@@ -28,10 +28,10 @@
 	expired atomic.Bool
 	// progress counts the times at which the target was heard. It also changes when the attempt ends.
 	progress atomic.Int64
-	// answered is set once the header has arrived, and careful if the caller has a part of the answer
-	// already. With either the attempt is canceled only if stalled is true and retry succeeds.
+	// answered is set once the header has arrived, and begun if the caller has a part of the answer from
+	// an earlier attempt. With either the attempt is canceled only if stalled is true and retry succeeds.
 	answered atomic.Bool
-	careful  bool
+	begun    bool
 	stalled  func() bool
 	retry    func() bool
 	// mu is held while the timer is set, and while it is decided whether the attempt is canceled.
@@ -40,7 +40,7 @@
 
 // startWatchdog starts the timeout for the header of an answer.
 func (fl *inflightCall) startWatchdog(ctx context.Context, t *spread.Target, cancel context.CancelFunc) *watchdog {
-	w := &watchdog{cancel: cancel, careful: fl.sink.started()}
+	w := &watchdog{cancel: cancel, begun: fl.sink.started()}
 	if !routing.IsRepeatable(fl.route) || fl.possibleRuns+1 >= int(fl.route.GetMaxAttempts()) || fl.sendCount+1 >= maxSends {
 		return w
 	}
@@ -57,21 +57,23 @@
 	if fl.route.GetKind() == statev1.Route_KIND_STREAM {
 		limit = max(limit, silenceFloor)
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(limit, func() { w.expire(f.stallWait) })
 	return w
 }
 
-// expire cancels the attempt. If the caller has a part of the answer and the stream can't go on
-// elsewhere, or the target only is slow, it looks again after wait.
+// expire cancels the attempt. Once an answer has begun it does so only if the target is silent and the
+// stream may go on elsewhere; else it looks again after wait.
 func (w *watchdog) expire(wait time.Duration) {
 	seen := w.progress.Load()
-	isCareful := w.careful || w.answered.Load()
-	isStalled := !isCareful || w.stalled()
+	hasAnswer := w.begun || w.answered.Load()
+	mayCancel := !hasAnswer || w.stalled()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
 	case w.progress.Load() != seen:
-	case !isStalled || isCareful && !w.retry():
+	case !mayCancel || hasAnswer && !w.retry():
 		w.timer.Reset(wait)
 	default:
 		w.expired.Store(true)
--- a/services/resume/handover.go
+++ b/services/resume/handover.go
@@ -52,7 +52,7 @@
 		go func() {
 			defer wg.Done()
 			for e := range next {
-				if ctx.Err() == nil && s.handOver(ctx, p, e) {
+				if ctx.Err() == nil && s.sendToNextOwner(ctx, p, e) {
 					continue
 				}
 				mu.Lock()
@@ -69,9 +69,9 @@
 	return left
 }
 
-// handOver sends a record to the next box that owns its slot in this data centre, or in another one if none
+// sendToNextOwner sends a record to the next box that owns its slot in this data centre, or in another one if none
 // takes it here.
-func (s *Service) handOver(ctx context.Context, p *resume.Placement, e resume.Entry) bool {
+func (s *Service) sendToNextOwner(ctx context.Context, p *resume.Placement, e resume.Entry) bool {
 	r := &betweenv1.RecordRequest{Stream: e.Key[:], Software: string(e.Software), Lifetime: e.Left.Milliseconds()}
 	if s.recordAtOne(ctx, p.Near(e.Key), r) {
 		return true
--- a/services/resume/resume_test.go
+++ b/services/resume/resume_test.go
@@ -233,6 +233,21 @@
 	}
 }
 
+// Guards against records that nobody takes since the other boxes have missed one request.
+func TestHandOverAsksBoxesThatMissedARequest(t *testing.T) {
+	n := newNetwork(1, 3)
+	k := resume.KeyOf("o", "s", "a")
+	w := n.services[writer]
+	w.put(k, "v1", lifetime)
+	for _, b := range w.currentPlacement().Near(k) {
+		w.block(b, errors.New("no answer"))
+	}
+	w.HandOver(context.Background())
+	if n.holders(k, writer) == 0 {
+		t.Error("no other box has the record")
+	}
+}
+
 // Guards against records that are lost at a box that has handed its own over already.
 func TestLeavingBoxTakesNoRecords(t *testing.T) {
 	n := newNetwork(1, 3)
