tests/soak: the stop time of a box and what it excuses stand once

Two checks of requests that a stop cuts off had the same three constants under different names. Values, checks and assertions are unchanged.

--- a/tests/soak/cut_test.go
+++ b/tests/soak/cut_test.go
@@ -21,12 +21,6 @@
 )
 
 const (
-	// stopGrace is the time after which a box that is told to stop breaks off what still runs.
-	stopGrace = 10 * time.Second
-	// lateInGrace is when the last sixth of stopGrace begins, and earlyInGrace until when a request
-	// that is still at work then may have been sent.
-	lateInGrace  = stopGrace * 5 / 6
-	earlyInGrace = 3 * time.Second
 	// logLag bounds the time between a box's log line and the end of the connection at the caller.
 	logLag = 2 * time.Second
 )
@@ -216,7 +210,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return slices.ContainsFunc(b.stops, func(at time.Time) bool {
-		return sent.Before(at.Add(earlyInGrace)) && ended.After(at.Add(lateInGrace)) && ended.Before(at.Add(stopGrace+logLag))
+		return sent.Before(at.Add(earlyInStop)) && ended.After(at.Add(lateInStop)) && ended.Before(at.Add(stopLimit+logLag))
 	})
 }
 
