services/forward: the log tells who ended an attempt, and why no other target followed

A stream that this box gave up for silence, one whose time was over and one that its target broke off had the same words in the log (broke off, use of closed network connection), which is what the users' record of LOST could not tell apart either. Now: broke off, given up as silent, out of time, canceled; and no_further_target (no attempt, retry, send, target or time left). Decisions are unchanged.

--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -87,6 +87,8 @@
 	startCheck <-chan startAnswer
 	// retryTaken is set while a retry from the budget has been taken for a stream that was given up.
 	retryTaken atomic.Bool
+	// stopReason is why the call was not sent to a further target, empty if it could be.
+	stopReason string
 	// sentAt is when the call was last sent, zero if it has not been sent to the present target.
 	sentAt time.Duration
 	// limitWait is how long the call has waited for rate-limited targets.
@@ -243,17 +245,32 @@
 // budget if so.
 func (fl *inflightCall) canRetry(notRun bool) bool {
 	fl.tick()
-	if fl.sendCount >= maxSends || fl.remaining() <= 0 {
-		return false
-	}
 	// A target that rejects a resumed run says nothing about whether the call ran before.
 	notRun = notRun && !fl.resumed
-	if !notRun && (!routing.IsRepeatable(fl.route) || fl.possibleRuns >= int(fl.route.GetMaxAttempts())) {
-		return false
+	switch {
+	case fl.remaining() <= 0:
+		fl.stopReason = stopNoTime
+	case fl.sendCount >= maxSends:
+		fl.stopReason = stopNoSend
+	case !notRun && (!routing.IsRepeatable(fl.route) || fl.possibleRuns >= int(fl.route.GetMaxAttempts())):
+		fl.stopReason = stopNoAttempt
+	case !fl.retryTaken.Swap(false) && !fl.f.takeRetry(fl.service.GetName()):
+		fl.stopReason = stopNoRetry
+	default:
+		return true
 	}
-	return fl.retryTaken.Swap(false) || fl.f.takeRetry(fl.service.GetName())
+	return false
 }
 
+// Reasons for which a call is not sent to a further target, in logs.
+const (
+	stopNoTime    = "no time left"
+	stopNoSend    = "no send left"
+	stopNoAttempt = "no attempt left"
+	stopNoRetry   = "no retry left"
+	stopNoTarget  = "no target left"
+)
+
 // creditRetryBudget adds the call's share to the retry budget. A box that does not know yet how
 // many boxes divide the reserve gets none: after all of 92 had been killed at once each took
 // the whole reserve for itself, and a service got 924 retries where 875 are allowed.
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -97,6 +97,9 @@
 	}
 	if err != nil {
 		attrs = append(attrs, slog.String("reason", err.Error()))
+		if fl.stopReason != "" {
+			attrs = append(attrs, slog.String("no_further_target", fl.stopReason))
+		}
 		if fl.deadline > 0 {
 			attrs = append(attrs, slog.Int64("left_ms", fl.remaining().Milliseconds()))
 		}
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -81,6 +81,7 @@
 			continue
 		}
 		if t == nil {
+			fl.stopReason = stopNoTarget
 			return fl.finalAnswer(ctx, last)
 		}
 		last = fl.attempt(ctx, c)
@@ -261,7 +262,7 @@
 	if err := x.read(fl.call.ID); err != nil {
 		x.abandon()
 		fl.noteLostOutput(ctx, wd)
-		fl.recordSend(t, "no answer")
+		fl.recordSend(t, endedBy(ctx, wd, "no answer"))
 		return attempt{verdict: fl.verdictOnTimeout(ctx, wd), err: err}
 	}
 	return fl.handleHead(ctx, choice, x, wd, sent)
@@ -276,6 +277,20 @@
 	return failing
 }
 
+// endedBy returns what ended an attempt that has no whole answer, for the log: this box, which took its
+// target for silent, the end of the call, or else the target.
+func endedBy(ctx context.Context, wd *watchdog, byTarget string) string {
+	switch {
+	case wd.fired():
+		return "given up as silent"
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return "out of time"
+	case ctx.Err() != nil:
+		return "canceled"
+	}
+	return byTarget
+}
+
 // noteLostOutput records the output that may be lost at a target that gave no answer. If the
 // caller left, the connection was closed at once; otherwise nothing is known.
 func (fl *inflightCall) noteLostOutput(ctx context.Context, wd *watchdog) {
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -21,7 +21,7 @@
 	if !wd.answer() {
 		x.abandon()
 		fl.noteLostOutput(ctx, wd)
-		fl.recordSend(t, "no answer")
+		fl.recordSend(t, endedBy(ctx, wd, "no answer"))
 		return attempt{verdict: fl.verdictOnTimeout(ctx, wd), err: errNoAnswer}
 	}
 	mv := fl.mover(c)
@@ -75,7 +75,7 @@
 	}
 	x.abandon()
 	fl.noteLostTail(ctx, x.conn, wd)
-	fl.recordSend(t, fmt.Sprintf("broke off after event %d", fl.events.last))
+	fl.recordSend(t, fmt.Sprintf("%s after event %d", endedBy(ctx, wd, "broke off"), fl.events.last))
 	return attempt{verdict: fl.verdictOnTimeout(ctx, wd), err: errors.Errorf("the stream broke off (invalid event: %v): %v", fault, err)}
 }
 
