services/forward: a stream leaves a silent target only once another one has accepted it

Callers saw streams that were closed in the middle of the answer: the silent target was given up, and the next one turned the call away (503, not run), had another start, closed the connection or was silent, too. Seen on real processes with full engines (given up as silent after event 13, turned away 503).

Cause: giving up came first, looking for another target second. Now the call is offered to another target, which has to answer a query for its load report first, while the connection to the silent one stays open; that one is left once the other has begun to answer or has not turned the call away for 200 ms, and has sent nothing meanwhile. The stall is noticed by the read itself, so that all of it is decided by the call's own goroutine.

TestStalledStreamIsNotCut: the other target is asked for a report first, its calls are counted without these.

--- a/models/spread/health.go
+++ b/models/spread/health.go
@@ -109,11 +109,11 @@
 	return slices.ContainsFunc(tb.services[service], func(t *Target) bool { return t.Software == id && tb.isCheckable(t) })
 }
 
-// HasOther reports whether calls may go to a target of the same service and software as t, banned ones
-// included, other than t and those whose starts are excluded.
-func (tb *Table) HasOther(t *Target, excluded map[string]bool) bool {
+// HasOther reports whether calls may go to a target of the same service as t and of the given software,
+// empty for any, banned ones included, other than t and those whose starts are excluded.
+func (tb *Table) HasOther(t *Target, excluded map[string]bool, id software.Identity) bool {
 	return slices.ContainsFunc(tb.services[t.Service], func(o *Target) bool {
-		return o != t && o.Software == t.Software && !excluded[o.StartIdentity()] && tb.isCheckable(o)
+		return o != t && (id == "" || o.Software == id) && !excluded[o.StartIdentity()] && tb.isCheckable(o)
 	})
 }
 
--- a/services/forward/choose.go
+++ b/services/forward/choose.go
@@ -102,6 +102,13 @@
 	fl.f.targets.RecordStreamPause(t, fl.sink.longestPause, time.Duration(fl.route.GetPause())*time.Millisecond)
 }
 
+// releaseWaitingTokens ends the count of the call's prompt tokens as not prefilled yet.
+func (fl *inflightCall) releaseWaitingTokens(t *spread.Target) {
+	fl.f.mu.Lock()
+	defer fl.f.mu.Unlock()
+	fl.clearWaitingTokens(t)
+}
+
 func (fl *inflightCall) clearWaitingTokens(t *spread.Target) {
 	t.WaitingTokens -= fl.waitingTokens
 	fl.waitingTokens = 0
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -33,6 +33,8 @@
 	errNotSent = errors.New("the target could not be reached")
 	// errNoAnswer means that the call was sent and may have run.
 	errNoAnswer = errors.New("the target did not answer")
+	// errGivenUp means that a stream goes on at another target as its own is silent.
+	errGivenUp = errors.New("the target is silent and another one has accepted the stream")
 	// errQuarantined means that the call was not sent because targets crash while they run it.
 	errQuarantined = errors.New("the call is quarantined")
 	// errNotSigned means that the answer was not produced by a target, or has a content encoding.
--- /dev/null
+++ b/services/forward/handover.go
@@ -0,0 +1,185 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"havenwinch.dev/havenwinch/models/spread"
+)
+
+// A stream whose target is silent may go on at another target. The silent one may also answer again, so
+// the stream leaves it only once the other one has accepted the call.
+
+const (
+	// acceptWait is how long after a call was sent a target that has not turned it away counts as having
+	// accepted it.
+	acceptWait = 200 * time.Millisecond
+	// maxOffers limits the targets that are asked to accept a stream each time it has stalled.
+	maxOffers = 3
+)
+
+// successor is a target that has accepted a stream in place of a silent one.
+type successor struct {
+	choice spread.Choice
+	x      *exchange
+	sent   time.Duration
+	// ctx and cancel are those of the attempt.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// head brings the result of reading the header.
+	head chan error
+	// startCheck and waitingTokens become those of the call.
+	startCheck    <-chan startAnswer
+	waitingTokens int
+}
+
+// handOver looks for a target that accepts the stream in place of from, which is silent on the
+// connection c. It returns nil if the stream is to stay.
+func (fl *inflightCall) handOver(ctx context.Context, from *spread.Target, c *conn) *successor {
+	if fl.possibleRuns >= int(fl.route.GetMaxAttempts()) || fl.sendCount >= maxSends || !fl.f.isSilent(ctx, from) {
+		return nil
+	}
+	fl.tick()
+	if !fl.f.hasOther(from, fl.excluded, fl.software) {
+		fl.readmitRejecting()
+		return nil
+	}
+	if !fl.reserveRetry() {
+		return nil
+	}
+	resumption, sentAt, start := fl.resumption, fl.sentAt, from.StartIdentity()
+	fl.releaseWaitingTokens(from)
+	fl.resumption, fl.excluded[start] = nil, true
+	next := fl.offerToOthers(ctx)
+	if next != nil && c.hasBytes() {
+		fl.withdraw(next)
+		next = nil
+	}
+	if next == nil {
+		delete(fl.excluded, start)
+		fl.resumption, fl.sentAt = resumption, sentAt
+		return nil
+	}
+	c.close()
+	next.waitingTokens, fl.waitingTokens = fl.waitingTokens, 0
+	return next
+}
+
+// reserveRetry takes a retry from the budget unless the call has one that it has not used.
+func (fl *inflightCall) reserveRetry() bool {
+	if !fl.retryTaken.Load() && !fl.f.takeRetry(fl.service.GetName()) {
+		return false
+	}
+	fl.retryTaken.Store(true)
+	return true
+}
+
+// offerToOthers sends the call to another target that is not silent. It returns nil if none has
+// accepted it.
+func (fl *inflightCall) offerToOthers(ctx context.Context) *successor {
+	var silent []string
+	defer func() {
+		for _, start := range silent {
+			delete(fl.excluded, start)
+		}
+	}()
+	for range maxOffers {
+		c := fl.chooseNow(ctx)
+		if c.Target == nil || ctx.Err() != nil {
+			return nil
+		}
+		if fl.f.isSilent(ctx, c.Target) {
+			fl.releaseSlot(c.Target, attempt{verdict: inconclusive})
+			fl.excluded[c.Target.StartIdentity()] = true
+			silent = append(silent, c.Target.StartIdentity())
+			continue
+		}
+		next, a := fl.offer(ctx, c)
+		if next != nil {
+			return next
+		}
+		fl.releaseSlot(c.Target, a)
+		fl.excludeAfter(c.Target, a)
+		if !fl.retryTaken.Load() {
+			return nil
+		}
+	}
+	return nil
+}
+
+// offer sends the call to a target and waits until that has accepted it. Otherwise it returns the result
+// of the attempt.
+func (fl *inflightCall) offer(ctx context.Context, choice spread.Choice) (*successor, attempt) {
+	t := choice.Target
+	fl.sentAt = 0
+	c, failed := fl.connect(ctx, choice)
+	if failed != nil {
+		return nil, *failed
+	}
+	next := &successor{choice: choice, sent: fl.now, head: make(chan error, 1), startCheck: fl.checkStart(ctx, c)}
+	next.ctx, next.cancel = fl.attemptContext(ctx)
+	var failure *attempt
+	if next.x, failure = fl.send(next.ctx, choice, c, next.sent); failure != nil {
+		next.cancel()
+		return nil, *failure
+	}
+	fl.retryTaken.Store(false)
+	go func() { next.head <- next.x.read(fl.call.ID) }()
+	accepted := time.NewTimer(acceptWait)
+	defer accepted.Stop()
+	select {
+	case err := <-next.head:
+		if err == nil && !fl.isNotRun(next.x) {
+			next.head <- nil
+			return next, attempt{}
+		}
+		defer next.cancel()
+		if err != nil {
+			return nil, fl.unanswered(next.ctx, t, next.x, &watchdog{}, err)
+		}
+		return nil, fl.handleNotRun(t, next.x, next.x.head.StatusCode())
+	case <-accepted.C:
+	case <-ctx.Done():
+	}
+	return next, attempt{}
+}
+
+// withdraw takes the call back from a target that has accepted it, as the silent one has answered.
+func (fl *inflightCall) withdraw(next *successor) {
+	next.x.abandon()
+	next.cancel()
+	fl.missedTail = true
+	fl.recordSend(next.choice.Target, "not needed")
+	fl.releaseSlot(next.choice.Target, attempt{verdict: inconclusive, err: errNotNeeded})
+}
+
+// goOnAt continues the stream at the target that has accepted it.
+func (fl *inflightCall) goOnAt(ctx context.Context, next *successor) attempt {
+	defer next.cancel()
+	fl.startCheck, fl.waitingTokens = next.startCheck, next.waitingTokens
+	before, t := fl.events.count, next.choice.Target
+	wd := fl.startWatchdog(ctx, next.ctx, next.x.conn, fl.possibleRuns, fl.sendCount, next.cancel)
+	defer wd.stop()
+	var a attempt
+	if err := <-next.head; err != nil {
+		a = fl.unanswered(next.ctx, t, next.x, wd, err)
+	} else {
+		a = fl.handleHead(next.ctx, next.choice, next.x, wd, next.sent)
+	}
+	fl.concludeAttempt(&a, next.x.conn, wd, before)
+	return a
+}
+
+// isNotRun reports whether an answer says that the target did not run the call.
+func (fl *inflightCall) isNotRun(x *exchange) bool {
+	return len(x.head.Peek(fl.f.opts.Dialect.NotRun)) > 0 || x.head.StatusCode() == http.StatusMisdirectedRequest
+}
+
+// errNotNeeded means that a call was taken back from a target.
+var errNotNeeded = errors.New("the target that had the stream before has answered")
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -47,6 +47,8 @@
 	versions  []string
 	sendCount int
 	excluded  map[string]bool
+	// rejecting are those excluded targets that have only turned the call away.
+	rejecting []string
 	// unreachedTargets are the starts of the targets that could not be dialled, and carriers the
 	// boxes that carried the call.
 	unreachedTargets, carriers []string
--- a/services/forward/log_test.go
+++ b/services/forward/log_test.go
@@ -8,6 +8,7 @@
 	"context"
 	"log/slog"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -33,7 +34,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newForwarder(t, &fakeLeases{}, newTarget(t, "one", c.scripts...))
-			var log bytes.Buffer
+			var log lockedBuffer
 			f.opts.Logger = slog.New(slog.NewJSONHandler(&log, nil))
 			if c.noRetry {
 				f.opts.RetryStock = 0
@@ -57,6 +58,24 @@
 	}
 }
 
+// lockedBuffer is a buffer to which goroutines that outlive a call may still write.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // callbackSink calls leave once it has got bytes of the body.
 type callbackSink struct {
 	Sink
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -65,6 +66,9 @@
 	use       connUse
 	// strayAnswers counts the answers to other calls received on this connection.
 	strayAnswers int
+	// onStall is called when a read has got nothing for the time of awaitBytes; nil to wait on. It
+	// returns true if the read is to fail with errGivenUp.
+	onStall func() bool
 	// lastCall names the last request sent on this connection, a request of this system by its
 	// path. previousCall is the one before it.
 	lastCall, previousCall string
@@ -93,9 +97,39 @@
 
 func (c *conn) close() { _ = c.net.Close() }
 
+// awaitBytes limits the time that reads wait for bytes. A connection that another box carries has no
+// such limit.
+func (c *conn) awaitBytes(limit time.Duration, onStall func() bool) {
+	c.onStall = onStall
+	_ = c.net.SetReadDeadline(time.Now().Add(limit))
+}
+
+// awaitForever ends the limit of awaitBytes.
+func (c *conn) awaitForever() {
+	if c.onStall != nil {
+		c.onStall = nil
+		_ = c.net.SetReadDeadline(time.Time{})
+	}
+}
+
+// hasBytes reports whether bytes have arrived that were not read.
+func (c *conn) hasBytes() bool {
+	if c.reader.Buffered() > 0 {
+		return true
+	}
+	n, err := peekByte(c.net)
+	return n > 0 && err == nil
+}
+
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.input.Read(p)
+	for n == 0 && c.onStall != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		if c.onStall() {
+			return 0, errGivenUp
+		}
+		n, err = c.input.Read(p)
+	}
 	c.closed = errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
 	c.lost = c.closed || errors.Is(err, syscall.ETIMEDOUT)
 	return n, err
@@ -204,21 +238,32 @@
 	if other, ok := c.(carriedConn); ok {
 		return other.IsReusable()
 	}
+	if _, ok := c.(*net.TCPConn); !ok {
+		return true
+	}
+	_, err := peekByte(c)
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// peekByte returns the number of bytes, at most one, that can be read from a TCP connection without
+// waiting. The error is EAGAIN if there are none yet; at the end of the connection there is no error.
+func peekByte(c net.Conn) (n int, err error) {
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
-		return true
+		return 0, errors.New("not a TCP connection")
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
+	closed := raw.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
+		n, _, err = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && quiet
+	if closed != nil {
+		return 0, closed
+	}
+	return n, err
 }
 
 // carriedDialError is the error of a dial through another box.
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -67,6 +67,8 @@
 	starved bool
 	// carried is set when another box carried the call, noPath when no box reaches the service.
 	carried, noPath bool
+	// next is the target that has accepted the stream in place of a silent one.
+	next *successor
 }
 
 // run sends the call to one target after another, within the limits on retries.
@@ -85,6 +87,12 @@
 			return fl.finalAnswer(ctx, last)
 		}
 		last = fl.attempt(ctx, c)
+		for last.next != nil {
+			fl.releaseSlot(t, last)
+			fl.excludeAfter(t, last)
+			t = last.next.choice.Target
+			last = fl.goOnAt(ctx, last.next)
+		}
 		fl.releaseSlot(t, last)
 		if last.failure != nil {
 			fl.failure = last.failure
@@ -94,7 +102,7 @@
 			withheld++
 			continue
 		}
-		fl.exclude(t, last.verdict)
+		fl.excludeAfter(t, last)
 		if last.done {
 			fl.recordServed(last)
 			return last.err
@@ -137,6 +145,23 @@
 	fl.excluded[t.StartIdentity()] = true
 }
 
+// excludeAfter excludes the target of an attempt. One that has only turned the call away may be tried
+// again when no other is left.
+func (fl *inflightCall) excludeAfter(t *spread.Target, a attempt) {
+	fl.exclude(t, a.verdict)
+	if a.verdict == rejected {
+		fl.rejecting = append(fl.rejecting, t.StartIdentity())
+	}
+}
+
+// readmitRejecting admits the targets that have turned the call away.
+func (fl *inflightCall) readmitRejecting() {
+	for _, start := range fl.rejecting {
+		delete(fl.excluded, start)
+	}
+	fl.rejecting = nil
+}
+
 // pickTarget acquires a slot at the next target for the call.
 func (fl *inflightCall) pickTarget(ctx context.Context) spread.Choice {
 	if fl.resumption != nil {
@@ -204,68 +229,97 @@
 // attempt sends the call to one target, unless the caller has left or the call was quarantined
 // in the meantime.
 func (fl *inflightCall) attempt(ctx context.Context, choice spread.Choice) attempt {
-	t := choice.Target
 	fl.sentAt = 0
+	c, failed := fl.connect(ctx, choice)
+	if failed != nil {
+		return *failed
+	}
+	before, callCtx := fl.events.count, ctx
+	ctx, cancel := fl.attemptContext(ctx)
+	defer cancel()
+	fl.startCheck = fl.checkStart(ctx, c)
+	wd := fl.startWatchdog(callCtx, ctx, c, fl.possibleRuns+1, fl.sendCount+1, cancel)
+	defer wd.stop()
+	a := fl.attemptOn(ctx, choice, c, wd)
+	fl.concludeAttempt(&a, c, wd, before)
+	return a
+}
+
+// connect returns a connection to a target on which the call may be sent, or else the result of the
+// attempt.
+func (fl *inflightCall) connect(ctx context.Context, choice spread.Choice) (*conn, *attempt) {
+	t := choice.Target
 	c, err := fl.f.pool.get(ctx, t, useCalls, fl.call.ID)
 	if err != nil {
-		return fl.unreached(ctx, t, err)
+		a := fl.unreached(ctx, t, err)
+		return nil, &a
 	}
 	// The caller may have left, or the deadline may have passed: writing to an idle connection
 	// does not check the context first, and after the box was suspended no timer has fired yet.
 	fl.tick()
 	if ctx.Err() != nil || fl.remaining() <= 0 {
 		fl.f.pool.put(c, 0)
-		return attempt{verdict: inconclusive, notRun: true, tooLate: true, err: errNotSent}
+		return nil, &attempt{verdict: inconclusive, notRun: true, tooLate: true, err: errNotSent}
 	}
 	// Other boxes may have seen targets crash under this call while it waited here.
 	if left, held := fl.holdLeft(); held {
 		fl.f.pool.put(c, 0)
-		return attempt{verdict: inconclusive, notRun: true, heldFor: left, err: errQuarantined}
+		return nil, &attempt{verdict: inconclusive, notRun: true, heldFor: left, err: errQuarantined}
 	}
 	if a := fl.verifyStart(ctx, c); a != nil {
 		fl.f.pool.drop(c)
-		return *a
+		return nil, a
 	}
-	before := fl.events.count
-	ctx, cancel := fl.attemptContext(ctx)
-	defer cancel()
-	fl.startCheck = fl.checkStart(ctx, c)
-	wd := fl.startWatchdog(ctx, t, cancel)
-	defer wd.stop()
-	a := fl.attemptOn(ctx, choice, c, wd)
-	a.carried = c.isCarried()
-	if a.carried {
+	return c, nil
+}
+
+// concludeAttempt records who carried an attempt and whether its target dropped the call. before is the
+// number of events that the caller had.
+func (fl *inflightCall) concludeAttempt(a *attempt, c *conn, wd *watchdog, before uint64) {
+	if a.carried = c.isCarried(); a.carried {
 		fl.carriers = append(fl.carriers, c.carriedBy())
 	}
 	if a.verdict == failing && (c.lost || wd.fired()) {
-		fl.recordBreak(t, fl.events.count == before)
+		fl.recordBreak(c.target, fl.events.count == before)
 	}
-	return a
 }
 
 // attemptOn sends the call over a connection and reads the answer.
 func (fl *inflightCall) attemptOn(ctx context.Context, choice spread.Choice, c *conn, wd *watchdog) attempt {
-	t := choice.Target
 	sent := fl.now
+	x, failure := fl.send(ctx, choice, c, sent)
+	if failure != nil {
+		return *failure
+	}
+	if err := x.read(fl.call.ID); err != nil {
+		return fl.unanswered(ctx, choice.Target, x, wd, err)
+	}
+	return fl.handleHead(ctx, choice, x, wd, sent)
+}
+
+// send sends the call over a connection and counts it, or returns the result of the attempt.
+func (fl *inflightCall) send(ctx context.Context, choice spread.Choice, c *conn, sent time.Duration) (*exchange, *attempt) {
 	fl.call.Resumes = fl.resumption != nil
 	x, err := fl.f.send(ctx, c, fl.call, fl.addedFields(choice), sent)
 	if errors.Is(err, errLimited) || errors.Is(err, errEvacuated) {
-		return attempt{verdict: inconclusive, notRun: true, limited: true, err: err}
+		return nil, &attempt{verdict: inconclusive, notRun: true, limited: true, err: err}
 	}
 	fl.sentAt = sent
 	fl.possibleRuns++
 	fl.sendCount++
 	if err != nil {
-		fl.recordSend(t, "broken")
-		return attempt{verdict: failing, err: err}
-	}
-	if err := x.read(fl.call.ID); err != nil {
-		x.abandon()
-		fl.noteLostOutput(ctx, wd)
-		fl.recordSend(t, endedBy(ctx, wd, "no answer"))
-		return attempt{verdict: fl.verdictOnTimeout(ctx, wd), err: err}
+		fl.recordSend(choice.Target, "broken")
+		return nil, &attempt{verdict: failing, err: err}
 	}
-	return fl.handleHead(ctx, choice, x, wd, sent)
+	return x, nil
+}
+
+// unanswered returns the result of an attempt whose target gave no answer.
+func (fl *inflightCall) unanswered(ctx context.Context, t *spread.Target, x *exchange, wd *watchdog, err error) attempt {
+	x.abandon()
+	fl.noteLostOutput(ctx, wd)
+	fl.recordSend(t, endedBy(ctx, wd, "no answer"))
+	return attempt{verdict: fl.verdictOnTimeout(ctx, wd), err: err}
 }
 
 // verdictOnTimeout returns the verdict on a target that did not answer: a call that ran out of
@@ -320,12 +374,10 @@
 // handleHead decides by its header how an answer is handled.
 func (fl *inflightCall) handleHead(ctx context.Context, c spread.Choice, x *exchange, wd *watchdog, sent time.Duration) attempt {
 	t := c.Target
-	d := fl.f.opts.Dialect
 	status := x.head.StatusCode()
-	notRun := len(x.head.Peek(d.NotRun)) > 0 || status == http.StatusMisdirectedRequest
 	signed := x.isSigned()
 	switch {
-	case notRun:
+	case fl.isNotRun(x):
 		return fl.handleNotRun(t, x, status)
 	case !signed || len(x.head.ContentEncoding()) > 0:
 		x.abandon()
--- a/services/forward/stall_test.go
+++ b/services/forward/stall_test.go
@@ -23,6 +23,27 @@
 	}
 }
 
+// reportsAndAnswers answers queries with a report and calls with a script.
+func reportsAndAnswers(answer script) script {
+	return func(c net.Conn, r received) {
+		if r.path == "/report" {
+			respondReport(200, "0 0")(c, r)
+			return
+		}
+		answer(c, r)
+	}
+}
+
+// callsRead returns the requests that are no queries for reports.
+func (tg *target) callsRead() (list []received) {
+	for _, r := range tg.requests() {
+		if r.path != "/report" {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 // Guards against streams that are cut because their target was silent in the middle of them.
 func TestStalledStreamIsNotCut(t *testing.T) {
 	silent := func(net.Conn, received) { select {} }
@@ -41,13 +62,13 @@
 		// goesOn is set if the stream is to go on at the other target.
 		goesOn bool
 	}{
-		"it answers queries, another target has room":  {report: report, silentWait: time.Minute, others: []script{chunks(true, event(1))}},
+		"it answers queries, another target has room":  {report: report, silentWait: time.Minute, others: slices.Repeat([]script{reportsAndAnswers(chunks(true, event(1)))}, 3)},
 		"it answers queries, no other target":          {report: report, silentWait: time.Minute},
-		"it answers with an error":                     {report: respondReport(503, ""), silentWait: time.Minute, others: []script{chunks(true, event(1))}},
+		"it answers with an error":                     {report: respondReport(503, ""), silentWait: time.Minute, others: slices.Repeat([]script{reportsAndAnswers(chunks(true, event(1)))}, 3)},
 		"it answers no query, no other target":         {report: silent, silentWait: 20 * time.Millisecond},
-		"it answers no query, no retry left":           {report: silent, silentWait: 20 * time.Millisecond, others: []script{chunks(true, event(1))}, noRetry: true},
-		"it answers no query, another target has room": {report: silent, silentWait: 20 * time.Millisecond, others: []script{chunks(true, event(1))}, goesOn: true},
-		"it closes the connection of a query":          {report: closeConn(), silentWait: time.Minute, others: []script{chunks(true, event(1))}},
+		"it answers no query, no retry left":           {report: silent, silentWait: 20 * time.Millisecond, others: slices.Repeat([]script{reportsAndAnswers(chunks(true, event(1)))}, 3), noRetry: true},
+		"it answers no query, another target has room": {report: silent, silentWait: 20 * time.Millisecond, others: slices.Repeat([]script{reportsAndAnswers(chunks(true, event(1)))}, 3), goesOn: true},
+		"it closes the connection of a query":          {report: closeConn(), silentWait: time.Minute, others: slices.Repeat([]script{reportsAndAnswers(chunks(true, event(1)))}, 3)},
 		"its other target has turned the call away":    {report: silent, silentWait: 20 * time.Millisecond, others: []script{rejects()}, othersFirst: true},
 	}
 	for name, test := range tests {
@@ -84,8 +105,8 @@
 			if test.goesOn {
 				close(released)
 			}
-			if len(list) > 1 && !test.othersFirst && (len(list[1].requests()) > 0) != test.goesOn {
-				t.Errorf("the other target got %d requests, want any: %v", len(list[1].requests()), test.goesOn)
+			if len(list) > 1 && !test.othersFirst && (len(list[1].callsRead()) > 0) != test.goesOn {
+				t.Errorf("the other target got %d calls, want any: %v", len(list[1].callsRead()), test.goesOn)
 			}
 		})
 	}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -26,14 +26,13 @@
 	}
 	mv := fl.mover(c)
 	defer mv.release()
-	wd.restart(fl.f.stallWait)
 	fl.events.startTarget()
 	fl.events.logAnomaly = func(event []byte) { fl.f.logAnomaly(fl.call, t, anomalyEvent, fl.events.count, event) }
 	buffer := make([]byte, readBuffer)
 	for {
+		fl.limitStall(x.conn, wd)
 		n, err := x.body.Read(buffer)
 		if n > 0 {
-			wd.stop()
 			fl.recordPrefill(t, sent)
 			if sinkErr := fl.forwardEvents(ctx, x, fl.events.split(buffer[:n])); sinkErr != nil {
 				x.abandon()
@@ -42,12 +41,9 @@
 				return attempt{verdict: inconclusive, done: true, err: errBegun{sinkErr}}
 			}
 			mv.start(ctx)
-			// A stream of unverified software can go on nowhere else.
-			if fl.software != software.Unverified {
-				wd.restart(fl.f.stallWait)
-			}
 		}
 		if err != nil || fl.events.fault {
+			x.conn.awaitForever()
 			return fl.streamEnded(ctx, t, x, wd, mv, err)
 		}
 	}
@@ -63,7 +59,7 @@
 	}
 	// A stream without a length ends in the same way whether it is complete or its run was
 	// stopped to be moved.
-	if !fault {
+	if !fault && wd.next == nil {
 		if r := mv.resume(ctx); r != nil {
 			x.abandon()
 			fl.recordSend(t, fmt.Sprintf("moved after event %d", fl.events.last))
@@ -76,7 +72,25 @@
 	x.abandon()
 	fl.noteLostTail(ctx, x.conn, wd)
 	fl.recordSend(t, fmt.Sprintf("%s after event %d", endedBy(ctx, wd, "broke off"), fl.events.last))
-	return attempt{verdict: fl.verdictOnTimeout(ctx, wd), err: errors.Errorf("the stream broke off (invalid event: %v): %v", fault, err)}
+	return attempt{verdict: fl.verdictOnTimeout(ctx, wd), next: wd.next, err: errors.Errorf("the stream broke off (invalid event: %v): %v", fault, err)}
+}
+
+// limitStall limits the wait for the next bytes of a stream that may go on at another target. One of
+// unverified software can go on nowhere else.
+func (fl *inflightCall) limitStall(c *conn, wd *watchdog) {
+	if wd.handOver == nil || fl.software == software.Unverified {
+		c.awaitForever()
+		return
+	}
+	wait := fl.f.stallWait
+	c.awaitBytes(wait, func() bool {
+		if wd.next = wd.handOver(); wd.next != nil {
+			wd.expired.Store(true)
+			return true
+		}
+		_ = c.net.SetReadDeadline(time.Now().Add(wait))
+		return false
+	})
 }
 
 // forwardEvents relays complete events, preceded by the header of the first target.
--- a/services/forward/watchdog.go
+++ b/services/forward/watchdog.go
@@ -16,43 +16,52 @@
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/routing"
+	"havenwinch.dev/havenwinch/models/software"
 	"havenwinch.dev/havenwinch/models/spread"
 )
 
-// watchdog cancels an attempt whose target stays silent for too long. It never cancels a call
-// that may not be repeated.
+// watchdog ends an attempt whose target stays silent for too long, if the call may go on at another one.
+// It never ends an attempt of a call that may not be repeated.
 type watchdog struct {
-	// timer is nil if the call may not be sent to another target.
+	// timer limits the wait for the header. It is nil if the call may not be sent to another target.
 	timer   *time.Timer
 	cancel  context.CancelFunc
 	expired atomic.Bool
-	// progress counts the times at which the target was heard. It also changes when the attempt ends.
-	progress atomic.Int64
-	// answered is set once the header has arrived, and begun if the caller has a part of the answer from
-	// an earlier attempt. With either the attempt is canceled only if stalled is true and retry succeeds.
-	answered atomic.Bool
-	begun    bool
-	stalled  func() bool
-	retry    func() bool
-	// mu is held while the timer is set, and while it is decided whether the attempt is canceled.
+	// answered is set once the header has arrived or the attempt has ended.
+	answered bool
+	// mayCancel reports whether another target may have the call, and takes a retry for it if so.
+	mayCancel func() bool
+	// handOver looks for a target that accepts the stream in place of the silent one; nil if the call
+	// may not be sent to another target.
+	handOver func() *successor
+	// next is the target that has accepted the stream.
+	next *successor
+	// mu is held while it is decided whether the attempt is canceled.
 	mu sync.Mutex
 }
 
-// startWatchdog starts the timeout for the header of an answer.
-func (fl *inflightCall) startWatchdog(ctx context.Context, t *spread.Target, cancel context.CancelFunc) *watchdog {
-	w := &watchdog{cancel: cancel, begun: fl.sink.started()}
-	if !routing.IsRepeatable(fl.route) || fl.possibleRuns+1 >= int(fl.route.GetMaxAttempts()) || fl.sendCount+1 >= maxSends {
+// startWatchdog starts the timeout for the header of an answer on a connection. callCtx ends with the
+// call, ctx with the attempt; runs and sends are the numbers of them with the attempt.
+func (fl *inflightCall) startWatchdog(callCtx, ctx context.Context, c *conn, runs, sends int, cancel context.CancelFunc) *watchdog {
+	w := &watchdog{cancel: cancel}
+	if !routing.IsRepeatable(fl.route) || runs >= int(fl.route.GetMaxAttempts()) || sends >= maxSends {
 		return w
 	}
-	f, service, excluded := fl.f, fl.service.GetName(), maps.Clone(fl.excluded)
-	w.stalled = func() bool { return f.isSilent(ctx, t) && f.hasOther(t, excluded) }
-	w.retry = func() bool {
-		if !f.takeRetry(service) {
+	t := c.target
+	f, service, excluded, begun, id := fl.f, fl.service.GetName(), maps.Clone(fl.excluded), fl.sink.started(), fl.software
+	w.mayCancel = func() bool {
+		if !begun {
+			return true
+		}
+		if !f.isSilent(ctx, t) || !f.hasOther(t, excluded, id) || !f.takeRetry(service) {
 			return false
 		}
 		fl.retryTaken.Store(true)
 		return true
 	}
+	if fl.route.GetKind() == statev1.Route_KIND_STREAM {
+		w.handOver = func() *successor { return fl.handOver(callCtx, t, c) }
+	}
 	limit := time.Duration(silenceFactor * float64(fl.route.GetObjective()) * float64(time.Millisecond))
 	if fl.route.GetKind() == statev1.Route_KIND_STREAM {
 		limit = max(limit, silenceFloor)
@@ -63,17 +72,15 @@
 	return w
 }
 
-// expire cancels the attempt. Once an answer has begun it does so only if the target is silent and the
-// stream may go on elsewhere; else it looks again after wait.
+// expire cancels the attempt if no header has arrived and another target may have the call; else it
+// looks again after wait.
 func (w *watchdog) expire(wait time.Duration) {
-	seen := w.progress.Load()
-	hasAnswer := w.begun || w.answered.Load()
-	mayCancel := !hasAnswer || w.stalled()
+	mayCancel := w.mayCancel()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case w.progress.Load() != seen:
-	case !mayCancel || hasAnswer && !w.retry():
+	case w.answered:
+	case !mayCancel:
 		w.timer.Reset(wait)
 	default:
 		w.expired.Store(true)
@@ -83,40 +90,29 @@
 
 // answer records that the header has arrived. It returns false if the attempt has been canceled.
 func (w *watchdog) answer() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.progress.Add(1)
-	w.answered.Store(true)
+	w.stop()
 	return !w.expired.Load()
 }
 
-// restart begins to wait for the next bytes of a stream.
-func (w *watchdog) restart(limit time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.progress.Add(1)
-	if w.timer != nil {
-		w.timer.Reset(limit)
-	}
-}
-
+// fired reports whether the attempt was given up for the silence of its target.
 func (w *watchdog) fired() bool { return w.expired.Load() }
 
-// stop ends the wait; the attempt is not canceled any more until restart.
+// stop ends the wait for the header.
 func (w *watchdog) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.progress.Add(1)
+	w.answered = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 }
 
-// hasOther reports whether a stream may go on at a target other than t and those that are excluded.
-func (f *Forwarder) hasOther(t *spread.Target, excluded map[string]bool) bool {
+// hasOther reports whether a call of the given software, empty for any, may go to a target other than t
+// and those that are excluded.
+func (f *Forwarder) hasOther(t *spread.Target, excluded map[string]bool, id software.Identity) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.targets.HasOther(t, excluded)
+	return f.targets.HasOther(t, excluded, id)
 }
 
 // isSilent reports whether a target gives no answer at all to a query for its load report. An overloaded
