services/forward: a first attempt is not given up before another one is certain

Callers got 502 target_failed, and streams 502 as well, when a target was slow to its header and the call could go nowhere else: the attempt was canceled after 2.5 objectives, then no retry was left in the budget or no other target existed. The users' record has three such refusals within 0.1 s at one box.

The wait for the header now takes the retry, and makes sure that another target exists, before it cancels the attempt; else it waits on and looks again. The log says why an attempt goes on at a slow target, and when a stream leaves one.

TestFirstAttemptIsNotGivenUpInVain: red before in the cases without another target or retry.

--- a/services/forward/handover.go
+++ b/services/forward/handover.go
@@ -42,35 +42,56 @@
 // handOver looks for a target that accepts the stream in place of from, which is silent on the
 // connection c. It returns nil if the stream is to stay.
 func (fl *inflightCall) handOver(ctx context.Context, from *spread.Target, c *conn) *successor {
-	if fl.possibleRuns >= int(fl.route.GetMaxAttempts()) || fl.sendCount >= maxSends || !fl.f.isSilent(ctx, from) {
-		return nil
-	}
-	fl.tick()
-	if !fl.f.hasOther(from, fl.excluded, fl.software) {
-		fl.readmitRejecting()
-		return nil
-	}
-	if !fl.reserveRetry() {
+	reason := fl.mayLeave(ctx, from)
+	if reason != "" {
+		fl.f.logKept(fl.call.ID, from, reason)
 		return nil
 	}
 	resumption, sentAt, start := fl.resumption, fl.sentAt, from.StartIdentity()
 	fl.releaseWaitingTokens(from)
 	fl.resumption, fl.excluded[start] = nil, true
 	next := fl.offerToOthers(ctx)
+	reason = keptDeclined
 	if next != nil && c.hasBytes() {
 		fl.withdraw(next)
-		next = nil
+		next, reason = nil, keptAnswered
 	}
 	if next == nil {
 		delete(fl.excluded, start)
 		fl.resumption, fl.sentAt = resumption, sentAt
+		fl.f.logKept(fl.call.ID, from, reason)
 		return nil
 	}
 	c.close()
 	next.waitingTokens, fl.waitingTokens = fl.waitingTokens, 0
+	fl.f.opts.Logger.Info("stream leaves a silent target", "request", fl.call.ID, "target", from.ID, "next", next.choice.Target.ID, "last_event", fl.events.last)
 	return next
 }
 
+// mayLeave returns why the stream can't leave a target from which nothing comes, empty if it can. It
+// then has a retry.
+func (fl *inflightCall) mayLeave(ctx context.Context, from *spread.Target) string {
+	if fl.possibleRuns >= int(fl.route.GetMaxAttempts()) {
+		return stopNoAttempt
+	}
+	if fl.sendCount >= maxSends {
+		return stopNoSend
+	}
+	isSilent := fl.f.isSilent(ctx, from)
+	fl.tick()
+	if !isSilent {
+		return keptAlive
+	}
+	if !fl.f.hasOther(from, fl.excluded, fl.software) {
+		fl.readmitRejecting()
+		return stopNoTarget
+	}
+	if !fl.reserveRetry() {
+		return stopNoRetry
+	}
+	return ""
+}
+
 // reserveRetry takes a retry from the budget unless the call has one that it has not used.
 func (fl *inflightCall) reserveRetry() bool {
 	if !fl.retryTaken.Load() && !fl.f.takeRetry(fl.service.GetName()) {
--- a/services/forward/silence_test.go
+++ b/services/forward/silence_test.go
@@ -7,7 +7,9 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
+	"strings"
 	"testing"
 	"time"
 )
@@ -67,3 +69,72 @@
 		})
 	}
 }
+
+// Guards against a first attempt that is given up although the call can have no other one.
+func TestFirstAttemptIsNotGivenUpInVain(t *testing.T) {
+	tests := map[string]struct {
+		route string
+		// others is the number of other targets.
+		others  int
+		noRetry bool
+		// isLimited is set if the wait for the header is limited, and goesOn if another target is to answer.
+		isLimited, goesOn bool
+	}{
+		"no other target":                   {route: "safe", isLimited: true},
+		"no retry left":                     {route: "safe", others: 1, noRetry: true, isLimited: true},
+		"another target":                    {route: "safe", others: 1, goesOn: true},
+		"no other target, a stream":         {route: "resume", isLimited: true},
+		"no retry left, a stream":           {route: "resume", others: 1, noRetry: true, isLimited: true},
+		"another target, a stream":          {route: "resume", others: 1, goesOn: true},
+		"a route with one attempt":          {route: "unsafe", others: 1},
+		"a stream that may not be repeated": {route: "stream", others: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			released := make(chan struct{})
+			answer := respond(200, "answer")
+			if test.route == "resume" || test.route == "stream" {
+				answer = chunks(true, event(0))
+			}
+			one := newTarget(t, "one", func(c net.Conn, r received) {
+				<-released
+				answer(c, r)
+			})
+			list := []*target{one}
+			for range test.others {
+				list = append(list, newTarget(t, "two", answer))
+			}
+			f := newForwarder(t, &fakeLeases{}, list...)
+			shortenObjectives(f)
+			f.stallWait = 20 * time.Millisecond
+			if test.noRetry {
+				f.opts.RetryStock = 0
+			}
+			log := &lockedBuffer{}
+			f.opts.Logger = slog.New(slog.NewJSONHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+			sink := &collector{}
+			served := make(chan error, 1)
+			go func() { served <- f.Serve(context.Background(), newCall(test.route), sink) }()
+			if !test.goesOn {
+				// A route that allows no other attempt has no limit to wait for.
+				for test.isLimited && !strings.Contains(log.String(), "goes on at a slow target") {
+					if len(served) > 0 {
+						t.Fatalf("Serve returned %v while the target was silent: %s", <-served, log)
+					}
+					time.Sleep(time.Millisecond)
+				}
+				close(released)
+			}
+			if err := <-served; err != nil || !sink.ended || sink.status != 200 {
+				t.Fatalf("Serve returned %v, ended %v: status %d", err, sink.ended, sink.status)
+			}
+			if test.goesOn {
+				close(released)
+			}
+			if len(list) > 1 && (len(list[1].requests()) > 0) != test.goesOn {
+				t.Errorf("the other target got %d calls, want any: %v", len(list[1].requests()), test.goesOn)
+			}
+		})
+	}
+}
--- a/services/forward/watchdog.go
+++ b/services/forward/watchdog.go
@@ -47,17 +47,20 @@
 	if !routing.IsRepeatable(fl.route) || runs >= int(fl.route.GetMaxAttempts()) || sends >= maxSends {
 		return w
 	}
-	t := c.target
-	f, service, excluded, begun, id := fl.f, fl.service.GetName(), maps.Clone(fl.excluded), fl.sink.started(), fl.software
+	f, t, call, service, excluded, begun, id := fl.f, c.target, fl.call.ID, fl.service.GetName(), maps.Clone(fl.excluded), fl.sink.started(), fl.software
 	w.mayCancel = func() bool {
-		if !begun {
+		switch {
+		case begun && !f.isSilent(ctx, t):
+			f.logKept(call, t, keptAlive)
+		case !f.hasOther(t, excluded, id):
+			f.logKept(call, t, stopNoTarget)
+		case !f.takeRetry(service):
+			f.logKept(call, t, stopNoRetry)
+		default:
+			fl.retryTaken.Store(true)
 			return true
 		}
-		if !f.isSilent(ctx, t) || !f.hasOther(t, excluded, id) || !f.takeRetry(service) {
-			return false
-		}
-		fl.retryTaken.Store(true)
-		return true
+		return false
 	}
 	if fl.route.GetKind() == statev1.Route_KIND_STREAM {
 		w.handOver = func() *successor { return fl.handOver(callCtx, t, c) }
@@ -107,6 +110,19 @@
 	}
 }
 
+// Reasons for which an attempt goes on at a target that is slow or silent, in logs, besides those for which
+// a call is not sent to a further target.
+const (
+	keptAlive    = "the target is alive"
+	keptDeclined = "no other target accepted it"
+	keptAnswered = "the target has answered"
+)
+
+// logKept logs why a call stays at a target from which it has got nothing for a while.
+func (f *Forwarder) logKept(call string, t *spread.Target, reason string) {
+	f.opts.Logger.Info("attempt goes on at a slow target", "request", call, "target", t.ID, "reason", reason)
+}
+
 // hasOther reports whether a call of the given software, empty for any, may go to a target other than t
 // and those that are excluded.
 func (f *Forwarder) hasOther(t *spread.Target, excluded map[string]bool, id software.Identity) bool {
