services/forward: a call that has left a silent target is not ended by targets without room

A stream that a target had taken over from a silent one was closed when that target turned it away later (a queue that gives way to more urgent calls, a deadline in the queue): it had no other target or retry. The box itself ended the attempt that could have succeeded, so the call now goes on until its time is over: targets that only turned it away, and the silent one, may have it again, and it waits for a retry from the budget, with pauses of up to 0.3 s.

--- a/services/forward/handover.go
+++ b/services/forward/handover.go
@@ -83,7 +83,7 @@
 		return keptAlive
 	}
 	if !fl.f.hasOther(from, fl.excluded, fl.software) {
-		fl.readmitRejecting()
+		fl.readmit()
 		return stopNoTarget
 	}
 	if !fl.reserveRetry() {
--- a/services/forward/handover_test.go
+++ b/services/forward/handover_test.go
@@ -73,6 +73,59 @@
 	}
 }
 
+// Guards against streams that are cut because the target that took them over turns them away later.
+func TestStreamOutlastsTargetsThatTurnItAwayLate(t *testing.T) {
+	rejectsLate := laterThan(2*acceptWait, rejects())
+	tests := map[string]struct {
+		// silentAgain and otherAgain are the answers of both targets to further calls.
+		silentAgain, otherAgain script
+	}{
+		"the silent one takes it again":   {silentAgain: chunks(true, event(1)), otherAgain: rejects()},
+		"the other one takes it again":    {silentAgain: rejects(), otherAgain: chunks(true, event(1))},
+		"both turn it away for some time": {silentAgain: rejects(), otherAgain: after(4, rejects(), chunks(true, event(1)))},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			queries := func(answer script) script {
+				return func(c net.Conn, r received) {
+					if r.path == "/report" {
+						select {}
+					}
+					answer(c, r)
+				}
+			}
+			one := newTarget(t, "one", append([]script{stallsUntil(nil, event(0), "")}, slices.Repeat([]script{queries(test.silentAgain)}, 1000)...)...)
+			calls := 0
+			two := newTarget(t, "two", slices.Repeat([]script{reportsAndAnswers(func(c net.Conn, r received) {
+				if calls++; calls > 1 {
+					test.otherAgain(c, r)
+					return
+				}
+				rejectsLate(c, r)
+			})}, 1000)...)
+			f := newForwarder(t, &fakeLeases{}, one, two)
+			f.opts.EngineAPI = testEngineAPI{}
+			f.stallWait, f.silentWait = 20*time.Millisecond, 100*time.Millisecond
+			sink := &collector{}
+			if err := f.Serve(context.Background(), newCall("resume"), sink); err != nil || !sink.ended || sink.body.String() != event(0)+event(1) {
+				t.Fatalf("Serve returned %v, ended %v: %q", err, sink.ended, sink.body.String())
+			}
+		})
+	}
+}
+
+// after answers with first for n requests, and with then afterwards.
+func after(n int, first, then script) script {
+	return func(c net.Conn, r received) {
+		if n--; n >= 0 {
+			first(c, r)
+			return
+		}
+		then(c, r)
+	}
+}
+
 // laterThan answers after some time.
 func laterThan(d time.Duration, answer script) script {
 	return func(c net.Conn, r received) {
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -47,8 +47,10 @@
 	versions  []string
 	sendCount int
 	excluded  map[string]bool
-	// rejecting are those excluded targets that have only turned the call away.
-	rejecting []string
+	// excludedForNow are those excluded targets that turned the call away or were silent. gaveUp is set
+	// once an attempt was given up for silence.
+	excludedForNow []string
+	gaveUp         bool
 	// unreachedTargets are the starts of the targets that could not be dialled, and carriers the
 	// boxes that carried the call.
 	unreachedTargets, carriers []string
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -30,6 +30,9 @@
 	// silentTimeout how long that waits for an answer.
 	stallLimit    = 1500 * time.Millisecond
 	silentTimeout = 500 * time.Millisecond
+	// otherWait limits the random time between two looks for a target or a retry by a call that has left a
+	// silent target.
+	otherWait = 300 * time.Millisecond
 )
 
 // answer is a complete answer that has not been relayed.
@@ -67,6 +70,8 @@
 	starved bool
 	// carried is set when another box carried the call, noPath when no box reaches the service.
 	carried, noPath bool
+	// givenUp is set when the attempt was given up for the silence of its target.
+	givenUp bool
 	// next is the target that has accepted the stream in place of a silent one.
 	next *successor
 }
@@ -84,6 +89,9 @@
 		}
 		if t == nil {
 			fl.stopReason = stopNoTarget
+			if fl.awaitOther(ctx) {
+				continue
+			}
 			return fl.finalAnswer(ctx, last)
 		}
 		last = fl.attempt(ctx, c)
@@ -123,6 +131,9 @@
 			}
 		}
 		if ctx.Err() != nil || notReached || !fl.canRetry(last.notRun) {
+			if fl.awaitOther(ctx) && fl.awaitRetry(ctx) {
+				continue
+			}
 			return fl.finalAnswer(ctx, last)
 		}
 		if last.notRun {
@@ -145,21 +156,45 @@
 	fl.excluded[t.StartIdentity()] = true
 }
 
-// excludeAfter excludes the target of an attempt. One that has only turned the call away may be tried
-// again when no other is left.
+// excludeAfter excludes the target of an attempt. One that has only turned the call away or was silent may
+// be tried again when no other is left.
 func (fl *inflightCall) excludeAfter(t *spread.Target, a attempt) {
 	fl.exclude(t, a.verdict)
-	if a.verdict == rejected {
-		fl.rejecting = append(fl.rejecting, t.StartIdentity())
+	if a.verdict == rejected || a.givenUp {
+		fl.excludedForNow = append(fl.excludedForNow, t.StartIdentity())
 	}
 }
 
-// readmitRejecting admits the targets that have turned the call away.
-func (fl *inflightCall) readmitRejecting() {
-	for _, start := range fl.rejecting {
+// readmit admits the targets that were excluded for now.
+func (fl *inflightCall) readmit() {
+	for _, start := range fl.excludedForNow {
 		delete(fl.excluded, start)
 	}
-	fl.rejecting = nil
+	fl.excludedForNow = nil
+}
+
+// awaitOther waits before the call is sent to any target again, if this box gave up an attempt that could
+// have succeeded: then the call does not end before its time because the other targets have no room.
+func (fl *inflightCall) awaitOther(ctx context.Context) bool {
+	if !fl.gaveUp || fl.possibleRuns >= int(fl.route.GetMaxAttempts()) {
+		return false
+	}
+	fl.readmit()
+	randomPause(ctx, otherWait)
+	fl.tick()
+	return ctx.Err() == nil && fl.remaining() > 0
+}
+
+// awaitRetry waits for a retry from the budget.
+func (fl *inflightCall) awaitRetry(ctx context.Context) bool {
+	for !fl.f.takeRetry(fl.service.GetName()) {
+		randomPause(ctx, otherWait)
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+	fl.tick()
+	return true
 }
 
 // pickTarget acquires a slot at the next target for the call.
@@ -279,6 +314,9 @@
 	if a.carried = c.isCarried(); a.carried {
 		fl.carriers = append(fl.carriers, c.carriedBy())
 	}
+	if wd.fired() {
+		a.givenUp, fl.gaveUp = true, true
+	}
 	if a.verdict == failing && (c.lost || wd.fired()) {
 		fl.recordBreak(c.target, fl.events.count == before)
 	}
