services/relay: reads of carried connections have a deadline

The wait for the next bytes of a stream became a read deadline, which connections that another box carries did not have: their streams could not leave a silent target any more. TestReadDeadlineOfCarriedConnection; the package passes twice with the race detector.

--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -97,8 +97,7 @@
 
 func (c *conn) close() { _ = c.net.Close() }
 
-// awaitBytes limits the time that reads wait for bytes. A connection that another box carries has no
-// such limit.
+// awaitBytes limits the time that reads wait for bytes.
 func (c *conn) awaitBytes(limit time.Duration, onStall func() bool) {
 	c.onStall = onStall
 	_ = c.net.SetReadDeadline(time.Now().Add(limit))
--- a/services/relay/conn.go
+++ b/services/relay/conn.go
@@ -24,8 +24,8 @@
 // clientStream is a stream of RelayService.Connect.
 type clientStream = connect.BidiStreamForClient[betweenv1.ConnectRequest, betweenv1.ConnectResponse]
 
-// Conn is a connection to a target that another box carries. It implements net.Conn without
-// deadlines.
+// Conn is a connection to a target that another box carries. It implements net.Conn; of the deadlines
+// it has that of reads.
 type Conn struct {
 	stream *clientStream
 	// cancel ends the stream, so that the other box closes its connection to the target.
@@ -35,7 +35,10 @@
 
 	mu     sync.Mutex
 	unread []byte
-	// changed is signalled when unread, err or closing have changed.
+	// expired is set once the read deadline has passed, and expiry ends the wait of a read then.
+	expired bool
+	expiry  *time.Timer
+	// changed is signalled when unread, err, closing or expired have changed.
 	changed *sync.Cond
 	// err is the end of the stream: io.EOF if the target has closed the connection.
 	err     error
@@ -106,9 +109,12 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.unread) == 0 && c.err == nil {
+	for len(c.unread) == 0 && c.err == nil && !c.expired {
 		c.changed.Wait()
 	}
+	if len(c.unread) == 0 && c.err == nil {
+		return 0, os.ErrDeadlineExceeded
+	}
 	if len(c.unread) == 0 {
 		return 0, c.err
 	}
@@ -132,6 +138,7 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.end(net.ErrClosed)
+	_ = c.SetReadDeadline(time.Time{})
 	c.cancel()
 	// The transport does not look at the context while it waits for bytes to send.
 	_ = c.stream.CloseRequest()
@@ -160,7 +167,28 @@
 func (c *Conn) SetDeadline(time.Time) error { return os.ErrNoDeadline }
 
 // SetReadDeadline implements net.Conn.
-func (c *Conn) SetReadDeadline(time.Time) error { return os.ErrNoDeadline }
+func (c *Conn) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expiry != nil {
+		c.expiry.Stop()
+	}
+	c.expiry, c.expired = nil, false
+	if at.IsZero() {
+		return nil
+	}
+	var expiry *time.Timer
+	expiry = time.AfterFunc(time.Until(at), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.expiry == expiry {
+			c.expired = true
+			c.changed.Broadcast()
+		}
+	})
+	c.expiry = expiry
+	return nil
+}
 
 // SetWriteDeadline implements net.Conn.
 func (c *Conn) SetWriteDeadline(time.Time) error { return os.ErrNoDeadline }
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"sync"
@@ -223,6 +224,36 @@
 	}
 }
 
+// Guards against streams over another box that can't leave a silent target.
+func TestReadDeadlineOfCarriedConnection(t *testing.T) {
+	goOn := make(chan struct{})
+	address := listen(t, func(c *net.TCPConn) {
+		<-goOn
+		_, _ = io.WriteString(c, "answer")
+	})
+	c, err := newDialer(newCarrier(t, "box", secret, &targets{address: address})).Dial(context.Background(), "service", "target")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	got := make([]byte, len("answer"))
+	for range 2 {
+		if err := c.SetReadDeadline(time.Now().Add(time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Read(got); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("a read past its deadline returned %v", err)
+		}
+	}
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	close(goOn)
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != "answer" {
+		t.Fatalf("read %q: %v", got, err)
+	}
+}
+
 // Guards against work at a target for a caller that has left.
 func TestClosedConnectionIsClosedAtTheTarget(t *testing.T) {
 	closed := make(chan struct{})
