services/forward: a stopped run goes on without the answer to its order

Callers got a stream that was cut, or one without a length that ended as complete after event 1 of 3, when the answer to the order that stops and copies a run was lost, or came later than 2 s: an engine that was paused carries the order out when it wakes.

Cause: an order without an answer was taken for one that was not carried out, and its connection was closed after 2 s whatever the call had left.

Change: - the answer is waited for as long as the call lasts; - an order that was sent and has no final answer is sent again, while events arrive or once the stream has ended, until the engine says what became of the run, or the call ends; - an engine that knows no such run any more, or has ended, is tried with the handle of the first copy, which only an engine that has stopped the run accepts; then the engine that has the copy; - until this is known a stream that ends without a length is not complete, and the run is not continued elsewhere; - the order to stop is sent only while events arrive (within 500 ms), not after the stream has ended, and not without the handle of a copy; - a copy that no engine took is freed, and the events that the engine may have made before it stopped are billed then.

TestNoRunIsStoppedDuringAnEvacuation builds its mover with newMover and checks the new field, which also excludes orders without an answer.

--- a/services/forward/evacuation_test.go
+++ b/services/forward/evacuation_test.go
@@ -149,10 +149,10 @@
 			other := newTarget(t, "t1", repeated(9, script.answer)...)
 			f := newMovingForwarder(t, &fakeLeases{outcome: gateway.Reserved}, target, other)
 			fl := &inflightCall{f: f, call: longCall(), excluded: map[string]bool{}, sink: &trackingSink{Sink: &collector{}, now: f.opts.Clock.Boot}}
-			m := &mover{fl: fl, from: f.targetNamed(t, "t0"), to: f.targetNamed(t, "t1"), done: make(chan struct{})}
+			m := newMover(fl, f.targetNamed(t, "t0"), f.targetNamed(t, "t1"))
 			evacuate(t, f, 1, centre)
 			m.run(context.Background())
-			if m.stopped {
+			if m.ordered || m.outcome != stopNone {
 				t.Error("the run was stopped")
 			}
 			for _, r := range append(target.requests(), other.requests()...) {
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -131,8 +131,10 @@
 	reportWait time.Duration
 	// stallWait is stallLimit, and silentWait silentTimeout.
 	stallWait, silentWait time.Duration
-	pool                  *pool
-	retries               retryBudget
+	// heardWithin is heardLimit.
+	heardWithin time.Duration
+	pool        *pool
+	retries     retryBudget
 
 	mu             sync.Mutex
 	targets        *spread.Table
@@ -177,7 +179,7 @@
 	if opts.IsCongested == nil {
 		opts.IsCongested = func() bool { return false }
 	}
-	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, stallWait: stallLimit, silentWait: silentTimeout, pool: newPool(opts.Clock.Boot, opts.Meter, opts.IsCongested), targets: spread.NewTable(opts.DataCentre), ready: make(chan struct{}), breaks: map[*spread.Target]*targetBreaks{},
+	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, stallWait: stallLimit, silentWait: silentTimeout, heardWithin: heardLimit, pool: newPool(opts.Clock.Boot, opts.Meter, opts.IsCongested), targets: spread.NewTable(opts.DataCentre), ready: make(chan struct{}), breaks: map[*spread.Target]*targetBreaks{},
 		reach: reach.NewTracker(), nextProbe: map[string]int{}, checks: map[string]chan struct{}{}, seatWaiters: map[seatWaiter]chan struct{}{}}
 	f.pool.isLost, f.pool.relay, f.pool.dialled = f.isLost, f.dialRelay, f.recordDial
 	// Until control sends the fleet's clock, this box's wall clock is a close estimate.
--- a/services/forward/move.go
+++ b/services/forward/move.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,9 +24,17 @@
 // remains the same run: no token is generated twice.
 
 const (
-	// moveTimeout limits one request to copy; copies of the longest prompts took up to 0.5 s
-	// between data centres.
+	// moveTimeout limits the requests of this system's own to engines, and how long the answer to a request
+	// to copy is waited for after the end of its call.
 	moveTimeout = 2 * time.Second
+	// heardLimit is how long after its last event the run of a stream may be ordered to stop.
+	heardLimit = 500 * time.Millisecond
+	// orderPause and maxOrderPause are the first and the longest pause before an order without an answer is
+	// sent again.
+	orderPause    = 50 * time.Millisecond
+	maxOrderPause = time.Second
+	// maxFailedDials is how many failed dials in a row show that an engine can't be asked again.
+	maxFailedDials = 3
 	// maxEngineAnswer limits the answer of an engine to a request of this system, in bytes;
 	// reports list the running calls.
 	maxEngineAnswer = 32 << 10
@@ -50,25 +60,65 @@
 // resumption is a stopped run that continues from a copy of its KV cache, at the first of
 // targets that accepts it.
 type resumption struct {
+	mover   *mover
 	source  string
 	targets []*spread.Target
+	// verdict is what the move shows about the health of the engine that had the run.
+	verdict verdict
 }
 
+// release frees the copy of a run that continues at none of the targets.
+func (r *resumption) release() {
+	if r != nil {
+		go r.mover.free()
+	}
+}
+
+// stopOutcome is what is known about the order to stop a run.
+type stopOutcome int
+
+const (
+	// stopNone means that no order was carried out.
+	stopNone stopOutcome = iota
+	// stopCopied means that the run was stopped and copied, stopKept that only the engine that stopped it
+	// has its whole KV cache.
+	stopCopied
+	stopKept
+	// stopUnknown means that an order was sent and may have been carried out, or may be later.
+	stopUnknown
+	// stopNoRun means that the engine has no such run after an order without an answer: the run has
+	// completed, or was stopped.
+	stopNoRun
+	// stopUnreachable means that the engine can't be asked again after an order without an answer.
+	stopUnreachable
+)
+
 // mover moves the run of one call away from the target that prefilled its prompt.
 type mover struct {
 	fl       *inflightCall
 	from, to *spread.Target
 	started  bool
-	// resumed is set when the run continues from the copy, callEnded when the call no longer
-	// needs the target that prefilled its prompt.
-	resumed   bool
-	callEnded atomic.Bool
-	done      chan struct{}
+	// resumed is set when the run continues from the copy.
+	resumed bool
+	// cancel ends the requests that are under way.
+	cancel context.CancelFunc
+	// heardAt is when events last arrived, on the boot clock; heard then wakes the wait for them.
+	heardAt atomic.Int64
+	heard   chan struct{}
+	// streamEnded is closed when the stream has ended, after which a first order to stop the run is not
+	// sent; callEnded when the call no longer needs the target that prefilled its prompt.
+	streamEnded, callEnded chan struct{}
+	done                   chan struct{}
+
+	mu sync.Mutex
+	// ordered is set once an order to stop the run may have been sent, ended once streamEnded is closed.
+	ordered, ended bool
 
 	// Written before done is closed, read after.
 	handle  string
-	stopped bool
-	copied  bool
+	outcome stopOutcome
+	// failedDials is how many times in a row the engine could not be dialled to ask it again.
+	failedDials int
 }
 
 // mover returns the mover of a call, nil if the call is not to be moved.
@@ -84,70 +134,164 @@
 	if fl.f.isLimited(c.Target) || fl.f.isLimited(c.AffinityTarget) || fl.f.isEvacuated(c.Target, c.AffinityTarget) {
 		return nil
 	}
-	return &mover{fl: fl, from: c.Target, to: c.AffinityTarget, done: make(chan struct{})}
+	return newMover(fl, c.Target, c.AffinityTarget)
+}
+
+// newMover returns a mover for a call whose target has begun its answer.
+func newMover(fl *inflightCall, from, to *spread.Target) *mover {
+	m := &mover{fl: fl, from: from, to: to, cancel: func() {}, heard: make(chan struct{}, 1),
+		streamEnded: make(chan struct{}), callEnded: make(chan struct{}), done: make(chan struct{})}
+	m.heardAt.Store(int64(fl.f.opts.Clock.Boot()))
+	return m
 }
 
 // start begins the move once the first event was sent. Each move is one more arrival at the
-// service, so it takes a retry from the fleet's budget.
+// service, so it takes a retry from the fleet's budget. It is called whenever events have arrived.
 func (m *mover) start(ctx context.Context) {
-	if m == nil || m.started || !m.fl.sink.started() || !m.fl.f.takeRetry(m.fl.service.GetName()) {
+	if m == nil || !m.fl.sink.started() {
+		return
+	}
+	m.heardAt.Store(int64(m.fl.sink.lastEventAt))
+	select {
+	case m.heard <- struct{}{}:
+	default:
+	}
+	if m.started || !m.fl.f.takeRetry(m.fl.service.GetName()) {
 		return
 	}
 	m.started = true
 	// Without the answer to the request the copy could not be freed.
-	go m.run(context.WithoutCancel(ctx))
+	ctx, m.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	go m.run(ctx)
 }
 
 func (m *mover) run(ctx context.Context) {
 	defer close(m.done)
-	if _, err := m.request(ctx, false); err != nil {
-		m.log(err)
+	defer m.cancel()
+	status, err := m.request(ctx, false)
+	if err != nil || status != http.StatusOK || m.handle == "" {
+		m.log(status, err)
 		return
 	}
+	for pause := orderPause; m.awaitTurn(ctx); pause = min(2*pause, maxOrderPause) {
+		status, err := m.request(ctx, true)
+		settled := m.record(status, err)
+		if m.outcome != stopCopied {
+			m.log(status, err)
+		}
+		if settled || !m.pause(pause) {
+			return
+		}
+	}
+}
+
+// awaitTurn waits until an order to stop the run may be sent, and reports whether it may: while events
+// arrive, as an engine that is silent may carry it out much later; and again after the end of a stream
+// whose run an order without an answer may have stopped.
+func (m *mover) awaitTurn(ctx context.Context) bool {
+	for m.fl.f.opts.Clock.Boot()-time.Duration(m.heardAt.Load()) > m.fl.f.heardWithin {
+		select {
+		case <-m.heard:
+			continue
+		case <-m.streamEnded:
+		case <-ctx.Done():
+		}
+		break
+	}
 	// A run that was stopped must go on, so that none is stopped while one of its targets may not
 	// be sent to.
-	if m.callEnded.Load() || m.fl.f.isEvacuated(m.from, m.to) {
-		return
+	isEvacuated := m.fl.f.isEvacuated(m.from, m.to)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case ctx.Err() != nil || wasClosed(m.callEnded):
+		return false
+	case m.ordered:
+		return true
 	}
-	status, err := m.request(ctx, true)
-	m.copied = err == nil
-	m.stopped = m.copied || status == http.StatusServiceUnavailable
-	if err != nil {
-		m.log(err)
+	m.ordered = !m.ended && !isEvacuated
+	return m.ordered
+}
+
+// record records the result of an order to stop the run, and reports whether it is final.
+func (m *mover) record(status int, err error) bool {
+	notSent := errors.Is(err, errNotSent) || errors.Is(err, errLimited) || errors.Is(err, errEvacuated)
+	isRejected := status >= http.StatusBadRequest && status < http.StatusInternalServerError && status != http.StatusConflict
+	switch {
+	case status == http.StatusOK:
+		m.outcome = stopCopied
+	case status == http.StatusServiceUnavailable:
+		m.outcome = stopKept
+	case m.outcome == stopNone && (notSent || isRejected):
+	case status == http.StatusNotFound:
+		m.outcome = stopNoRun
+	case notSent:
+		m.failedDials++
+		if m.failedDials < maxFailedDials || !wasClosed(m.streamEnded) {
+			return false
+		}
+		m.outcome = stopUnreachable
+	default:
+		m.outcome, m.failedDials = stopUnknown, 0
+		return false
+	}
+	return true
+}
+
+// pause waits before the order is sent again. It returns false if the call has ended.
+func (m *mover) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-m.callEnded:
+		return false
 	}
 }
 
-// log logs why a run was not moved, or continues where it was stopped.
-func (m *mover) log(err error) {
-	m.fl.f.opts.Logger.Info("run not moved", "request", m.fl.call.ID, "from", m.from.ID, "to", m.to.ID, "stopped", m.stopped, "reason", err.Error())
+// log logs why a run was not moved, continues where it was stopped, or may have been stopped.
+func (m *mover) log(status int, err error) {
+	reason := fmt.Sprintf("the engine answered %d to the copy request", status)
+	if err != nil {
+		reason = err.Error()
+	}
+	m.fl.f.opts.Logger.Info("run not moved", "request", m.fl.call.ID, "from", m.from.ID, "to", m.to.ID,
+		"stopped", m.outcome == stopKept, "unknown", m.outcome >= stopUnknown, "reason", reason)
 }
 
-// request sends one request to copy and records the handle.
+// request sends one request to copy and records the handle. It waits for the answer as long as the call
+// lasts, because an engine may carry out a request whose connection was closed. The status is 0 if there
+// was no answer.
 func (m *mover) request(ctx context.Context, stop bool) (status int, err error) {
 	path, body := m.fl.f.opts.EngineAPI.Copy(m.fl.call.ID, m.to.Address, stop)
-	status, answer, err := m.fl.f.request(ctx, m.from, useOnce, http.MethodPost, path, body)
-	if err != nil {
-		return status, err
+	// An order that is sent again belongs to a run that may have been stopped already.
+	call := &Call{Method: http.MethodPost, URI: path, Body: body, Internal: true, Resumes: m.outcome != stopNone}
+	status, answer, err := m.fl.f.roundTrip(ctx, m.from, useOnce, call)
+	if status == 0 {
+		return 0, err
 	}
 	if handle, err := m.fl.f.opts.EngineAPI.ParseHandle(answer); err == nil && handle != "" {
 		m.handle = handle
 	}
-	if status != http.StatusOK {
-		return status, errors.Errorf("the engine answered %d to the copy request", status)
-	}
 	return status, nil
 }
 
-// request sends a request of this system's own to a target.
+// request sends a request of this system's own to a target, and waits moveTimeout for the answer.
 func (f *Forwarder) request(ctx context.Context, t *spread.Target, u connUse, method, path string, body []byte) (status int, answer []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
+	return f.roundTrip(ctx, t, u, &Call{Method: method, URI: path, Body: body, Internal: true})
+}
+
+// roundTrip sends a request of this system's own to a target. The status is 0 if there was no answer.
+func (f *Forwarder) roundTrip(ctx context.Context, t *spread.Target, u connUse, call *Call) (status int, answer []byte, err error) {
 	c, err := f.pool.get(ctx, t, u, "")
 	if err != nil {
 		return 0, nil, errors.Wrap(errNotSent, err.Error())
 	}
-	call := &Call{Method: method, URI: path, Host: t.Address, Body: body, Internal: true}
-	if len(body) > 0 {
+	call.Host = t.Address
+	if len(call.Body) > 0 {
 		call.Fields = []Field{{Name: "Content-Type", Value: "application/json"}}
 	}
 	x, err := f.send(ctx, c, call, nil, f.opts.Clock.Boot())
@@ -164,28 +308,52 @@
 	return x.head.StatusCode(), answer, err
 }
 
-// resume returns where the run continues after its stream was closed; nil if this move did not
-// stop it.
-func (m *mover) resume(ctx context.Context) *resumption {
-	if m == nil || !m.started {
-		return nil
+// resume returns where the run continues after its stream was closed; nil if no order has stopped it, or
+// if nothing is known. certain is set if no order has stopped it. closedByTarget is set if the engine has
+// closed the stream, so that it no longer works on the run.
+func (m *mover) resume(ctx context.Context, closedByTarget bool) (r *resumption, certain bool) {
+	if m == nil || !m.started || !m.endStream() {
+		return nil, true
 	}
 	select {
 	case <-m.done:
 	case <-ctx.Done():
-		return nil
+		return nil, false
 	}
-	if !m.stopped || m.handle == "" {
-		return nil
+	r = &resumption{mover: m, verdict: healthy, source: m.fl.f.opts.EngineAPI.ResumeSource(m.from.Address, m.handle)}
+	switch m.outcome {
+	case stopNone:
+		return nil, true
+	case stopCopied:
+		// The engine that stopped the run keeps its KV cache, too.
+		r.targets = []*spread.Target{m.to, m.from}
+	case stopKept:
+		r.targets = []*spread.Target{m.from}
+	case stopNoRun:
+		// Only an engine that has stopped the run continues it from its own KV cache.
+		r.targets, r.verdict = []*spread.Target{m.from, m.to}, inconclusive
+	case stopUnreachable:
+		if !closedByTarget {
+			return nil, false
+		}
+		r.targets, r.verdict = []*spread.Target{m.from, m.to}, failing
+	default:
+		return nil, false
 	}
 	m.resumed = true
-	r := &resumption{source: m.fl.f.opts.EngineAPI.ResumeSource(m.from.Address, m.handle)}
-	if m.copied {
-		r.targets = append(r.targets, m.to)
+	return r, false
+}
+
+// endStream records that the stream has ended, and reports whether an order to stop its run may have been
+// sent.
+func (m *mover) endStream() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.ended {
+		m.ended = true
+		close(m.streamEnded)
 	}
-	// The engine that stopped the run keeps its KV cache, too.
-	r.targets = append(r.targets, m.from)
-	return r
+	return m.ordered
 }
 
 // release frees an unused copy: the call ended before it was moved.
@@ -193,19 +361,37 @@
 	if m == nil || !m.started || m.resumed {
 		return
 	}
-	m.callEnded.Store(true)
+	m.endStream()
+	close(m.callEnded)
+	limit := time.AfterFunc(moveTimeout, m.cancel)
 	go func() {
 		<-m.done
-		if m.handle == "" {
-			return
-		}
-		_, _, err := m.fl.f.request(context.Background(), m.from, useOnce, http.MethodDelete, m.fl.f.opts.EngineAPI.ReleasePath(m.handle), nil)
-		if err != nil {
-			m.fl.f.opts.Logger.Info("failed to release the copy of a run", "request", m.fl.call.ID, "target", m.from.ID, "reason", err.Error())
-		}
+		limit.Stop()
+		m.free()
 	}()
 }
 
+// free frees the copy, if there may be one.
+func (m *mover) free() {
+	if m.handle == "" {
+		return
+	}
+	_, _, err := m.fl.f.request(context.Background(), m.from, useOnce, http.MethodDelete, m.fl.f.opts.EngineAPI.ReleasePath(m.handle), nil)
+	if err != nil {
+		m.fl.f.opts.Logger.Info("failed to release the copy of a run", "request", m.fl.call.ID, "target", m.from.ID, "reason", err.Error())
+	}
+}
+
+// wasClosed reports whether a channel on which nothing is sent is closed.
+func wasClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // nextResumeTarget acquires a slot at the next target where a stopped run may continue.
 func (fl *inflightCall) nextResumeTarget() spread.Choice {
 	r := fl.resumption
--- a/services/forward/move_test.go
+++ b/services/forward/move_test.go
@@ -106,6 +106,7 @@
 	t.Helper()
 	f := newForwarder(t, leases, targets...)
 	f.opts.EngineAPI = testEngineAPI{}
+	f.heardWithin = time.Minute
 	index := f.opts.Store.Index()
 	index.Service("s").Engine.Moves = true
 	index.Route("h", "/stream/x").Pause = 100
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -158,7 +158,9 @@
 	if last.notRun && len(fl.resumption.targets) > 0 && ctx.Err() == nil {
 		return true
 	}
-	fl.resumption = nil
+	fl.resumption.release()
+	// The engine that stopped the run may have generated more than arrived.
+	fl.resumption, fl.missedTail = nil, true
 	return false
 }
 
@@ -168,6 +170,7 @@
 		// The engine that stopped the run may have generated more than arrived.
 		fl.missedTail = true
 	}
+	fl.resumption.release()
 	if fl.sink.started() {
 		return errBegun{last.err}
 	}
@@ -303,8 +306,8 @@
 
 // noteLostTail records the output that may be lost of a stream that was cut off. A target that
 // has closed its connection generates nothing more.
-func (fl *inflightCall) noteLostTail(ctx context.Context, c *conn, wd *watchdog) {
-	if c.closed && ctx.Err() == nil {
+func (fl *inflightCall) noteLostTail(ctx context.Context, closedByTarget bool, wd *watchdog) {
+	if closedByTarget {
 		fl.missedTail = true
 		return
 	}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -61,20 +61,25 @@
 	if complete && x.framed {
 		return fl.finishStream(t, x)
 	}
+	closedByTarget := x.conn.closed && ctx.Err() == nil
 	// A stream without a length ends in the same way whether it is complete or its run was
 	// stopped to be moved.
 	if !fault {
-		if r := mv.resume(ctx); r != nil {
+		r, certain := mv.resume(ctx, closedByTarget)
+		if r != nil {
 			x.abandon()
+			if !closedByTarget {
+				fl.noteLostOutput(ctx, wd)
+			}
 			fl.recordSend(t, fmt.Sprintf("moved after event %d", fl.events.last))
-			return attempt{verdict: healthy, resumption: r, err: err}
+			return attempt{verdict: r.verdict, resumption: r, err: err}
+		}
+		if complete && certain {
+			return fl.finishStream(t, x)
 		}
-	}
-	if complete {
-		return fl.finishStream(t, x)
 	}
 	x.abandon()
-	fl.noteLostTail(ctx, x.conn, wd)
+	fl.noteLostTail(ctx, closedByTarget, wd)
 	fl.recordSend(t, fmt.Sprintf("%s after event %d", endedBy(ctx, wd, "broke off"), fl.events.last))
 	return attempt{verdict: fl.verdictOnTimeout(ctx, wd), err: errors.Errorf("the stream broke off (invalid event: %v): %v", fault, err)}
 }
