--- a/services/forward/handover.go
+++ b/services/forward/handover.go
@@ -63,6 +63,7 @@
 		return nil
 	}
 	c.close()
+	resumption.release()
 	next.waitingTokens, fl.waitingTokens = fl.waitingTokens, 0
 	fl.f.opts.Logger.Info("stream leaves a silent target", "request", fl.call.ID, "target", from.ID, "next", next.choice.Target.ID, "last_event", fl.events.last)
 	return next
