--- a/models/spread/health.go
+++ b/models/spread/health.go
@@ -91,6 +91,9 @@
 	return !t.Draining && !t.replaced && !tb.IsEvacuated(t)
 }
 
+// MayHaveCalls reports whether new calls may go to a target, banned or not.
+func (tb *Table) MayHaveCalls(t *Target) bool { return tb.isCheckable(t) }
+
 // CountUsable returns the number of a service's targets that calls may go to, banned ones
 // included.
 func (tb *Table) CountUsable(service string) int {
--- a/services/forward/choose.go
+++ b/services/forward/choose.go
@@ -34,7 +34,7 @@
 func (fl *inflightCall) choose(ctx context.Context) spread.Choice {
 	defer fl.leaveQueue()
 	for {
-		c := fl.chooseNow(ctx)
+		c := fl.chooseNow(ctx, fl.criteria())
 		if len(c.Seated) > 0 {
 			return fl.chooseSeated(ctx, c)
 		}
@@ -52,9 +52,9 @@
 	}
 }
 
-func (fl *inflightCall) chooseNow(ctx context.Context) spread.Choice {
+// chooseNow selects a target by criteria and acquires a slot there, if one may be sent to now.
+func (fl *inflightCall) chooseNow(ctx context.Context, criteria spread.Criteria) spread.Choice {
 	f := fl.f
-	criteria := fl.criteria()
 	f.mu.Lock()
 	c := f.targets.Choose(criteria, fl.now)
 	f.mu.Unlock()
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -35,6 +35,8 @@
 	errNoAnswer = errors.New("the target did not answer")
 	// errGivenUp means that a stream goes on at another target as its own is silent.
 	errGivenUp = errors.New("the target is silent and another one has accepted the stream")
+	// errNotNeeded means that a call was taken back from a target.
+	errNotNeeded = errors.New("the target that had the stream before has answered, or the call has ended")
 	// errQuarantined means that the call was not sent because targets crash while they run it.
 	errQuarantined = errors.New("the call is quarantined")
 	// errNotSigned means that the answer was not produced by a target, or has a content encoding.
--- a/services/forward/handover.go
+++ b/services/forward/handover.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"havenwinch.dev/havenwinch/models/spread"
 )
 
@@ -22,6 +20,8 @@
 	acceptWait = 200 * time.Millisecond
 	// maxOffers limits the targets that are asked to accept a stream each time it has stalled.
 	maxOffers = 3
+	// quietPoll is the time between looks for bytes of the silent target meanwhile.
+	quietPoll = 20 * time.Millisecond
 )
 
 // successor is a target that has accepted a stream in place of a silent one.
@@ -42,17 +42,18 @@
 // handOver looks for a target that accepts the stream in place of from, which is silent on the
 // connection c. It returns nil if the stream is to stay.
 func (fl *inflightCall) handOver(ctx context.Context, from *spread.Target, c *conn) *successor {
-	reason := fl.mayLeave(ctx, from)
-	if reason != "" {
+	quiet, stop := whileQuiet(ctx, c)
+	defer stop()
+	if reason := fl.whyStay(quiet, from); reason != "" {
 		fl.f.logKept(fl.call.ID, from, reason)
 		return nil
 	}
 	resumption, sentAt, start := fl.resumption, fl.sentAt, from.StartIdentity()
 	fl.releaseWaitingTokens(from)
 	fl.resumption, fl.excluded[start] = nil, true
-	next := fl.offerToOthers(ctx)
-	reason = keptDeclined
-	if next != nil && c.hasBytes() {
+	next := fl.offerToOthers(ctx, quiet)
+	reason := keptDeclined
+	if next != nil && (ctx.Err() != nil || c.hasBytes()) {
 		fl.withdraw(next)
 		next, reason = nil, keptAnswered
 	}
@@ -69,66 +70,83 @@
 	return next
 }
 
-// mayLeave returns why the stream can't leave a target from which nothing comes, empty if it can. It
-// then has a retry.
-func (fl *inflightCall) mayLeave(ctx context.Context, from *spread.Target) string {
-	if fl.possibleRuns >= int(fl.route.GetMaxAttempts()) {
+// whileQuiet returns a context that ends as soon as bytes arrive on a connection.
+func whileQuiet(ctx context.Context, c *conn) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		ticker := time.NewTicker(quietPoll)
+		defer ticker.Stop()
+		for !c.hasBytes() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+		}
+		cancel()
+	}()
+	return ctx, cancel
+}
+
+// whyStay returns why the stream can't leave a target from which nothing comes, empty if it may.
+func (fl *inflightCall) whyStay(quiet context.Context, from *spread.Target) string {
+	f, service := fl.f, fl.service.GetName()
+	if !fl.hasAttempt() {
 		return stopNoAttempt
 	}
-	if fl.sendCount >= maxSends {
-		return stopNoSend
-	}
-	isSilent := fl.f.isSilent(ctx, from)
-	fl.tick()
-	if !isSilent {
-		return keptAlive
-	}
-	if !fl.f.hasOther(from, fl.excluded, fl.software) {
+	if !f.hasOther(from, fl.excluded, fl.software) {
 		fl.readmit()
 		return stopNoTarget
 	}
-	if !fl.reserveRetry() {
+	if !fl.retryTaken.Load() && !f.hasRetry(service) {
 		return stopNoRetry
 	}
+	isSilent := f.isSilent(quiet, from)
+	fl.tick()
+	switch {
+	case quiet.Err() != nil:
+		return keptAnswered
+	case !isSilent:
+		return keptAlive
+	}
 	return ""
 }
 
-// reserveRetry takes a retry from the budget unless the call has one that it has not used.
-func (fl *inflightCall) reserveRetry() bool {
-	if !fl.retryTaken.Load() && !fl.f.takeRetry(fl.service.GetName()) {
-		return false
-	}
-	fl.retryTaken.Store(true)
-	return true
+// hasAttempt reports whether one more target may run the call.
+func (fl *inflightCall) hasAttempt() bool {
+	return fl.possibleRuns < int(fl.route.GetMaxAttempts())
 }
 
 // offerToOthers sends the call to another target that is not silent. It returns nil if none has
-// accepted it.
-func (fl *inflightCall) offerToOthers(ctx context.Context) *successor {
+// accepted it, or once quiet has ended.
+func (fl *inflightCall) offerToOthers(ctx, quiet context.Context) *successor {
 	var silent []string
 	defer func() {
 		for _, start := range silent {
 			delete(fl.excluded, start)
 		}
 	}()
+	criteria := fl.criteria()
+	criteria.MaxWait, criteria.MaxSeatWait = -1, -1
 	for range maxOffers {
-		c := fl.chooseNow(ctx)
-		if c.Target == nil || ctx.Err() != nil {
+		c := fl.chooseNow(quiet, criteria)
+		if c.Target == nil {
 			return nil
 		}
-		if fl.f.isSilent(ctx, c.Target) {
+		if fl.f.isSilent(quiet, c.Target) {
 			fl.releaseSlot(c.Target, attempt{verdict: inconclusive})
 			fl.excluded[c.Target.StartIdentity()] = true
 			silent = append(silent, c.Target.StartIdentity())
 			continue
 		}
-		next, a := fl.offer(ctx, c)
+		sends := fl.sendCount
+		next, a := fl.offer(ctx, quiet, c)
 		if next != nil {
 			return next
 		}
 		fl.releaseSlot(c.Target, a)
 		fl.excludeAfter(c.Target, a)
-		if !fl.retryTaken.Load() {
+		if fl.sendCount > sends || quiet.Err() != nil {
 			return nil
 		}
 	}
@@ -136,14 +154,18 @@
 }
 
 // offer sends the call to a target and waits until that has accepted it. Otherwise it returns the result
-// of the attempt.
-func (fl *inflightCall) offer(ctx context.Context, choice spread.Choice) (*successor, attempt) {
+// of the attempt. Nothing is sent once quiet has ended.
+func (fl *inflightCall) offer(ctx, quiet context.Context, choice spread.Choice) (*successor, attempt) {
 	t := choice.Target
 	fl.sentAt = 0
-	c, failed := fl.connect(ctx, choice)
+	c, failed := fl.connect(quiet, choice)
 	if failed != nil {
 		return nil, *failed
 	}
+	if quiet.Err() != nil || !fl.mayHaveCalls(t) || !fl.retryTaken.Swap(false) && !fl.f.takeRetry(fl.service.GetName()) {
+		fl.f.pool.put(c, 0)
+		return nil, attempt{verdict: inconclusive, notRun: true, err: errNotSent}
+	}
 	next := &successor{choice: choice, sent: fl.now, head: make(chan error, 1), startCheck: fl.checkStart(ctx, c)}
 	next.ctx, next.cancel = fl.attemptContext(ctx)
 	var failure *attempt
@@ -151,7 +173,6 @@
 		next.cancel()
 		return nil, *failure
 	}
-	fl.retryTaken.Store(false)
 	go func() { next.head <- next.x.read(fl.call.ID) }()
 	accepted := time.NewTimer(acceptWait)
 	defer accepted.Stop()
@@ -172,7 +193,15 @@
 	return next, attempt{}
 }
 
-// withdraw takes the call back from a target that has accepted it, as the silent one has answered.
+// mayHaveCalls reports whether new calls may still go to a target that was chosen a while ago.
+func (fl *inflightCall) mayHaveCalls(t *spread.Target) bool {
+	fl.f.mu.Lock()
+	defer fl.f.mu.Unlock()
+	return fl.f.targets.MayHaveCalls(t)
+}
+
+// withdraw takes the call back from a target that has accepted it, as the silent one has answered or the
+// call has ended.
 func (fl *inflightCall) withdraw(next *successor) {
 	next.x.abandon()
 	next.cancel()
@@ -202,6 +231,3 @@
 func (fl *inflightCall) isNotRun(x *exchange) bool {
 	return len(x.head.Peek(fl.f.opts.Dialect.NotRun)) > 0 || x.head.StatusCode() == http.StatusMisdirectedRequest
 }
-
-// errNotNeeded means that a call was taken back from a target.
-var errNotNeeded = errors.New("the target that had the stream before has answered")
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -51,6 +51,8 @@
 	// once an attempt was given up for silence.
 	excludedForNow []string
 	gaveUp         bool
+	// otherWait is the present limit of the time between two looks for a target after that.
+	otherWait time.Duration
 	// unreachedTargets are the starts of the targets that could not be dialled, and carriers the
 	// boxes that carried the call.
 	unreachedTargets, carriers []string
@@ -89,7 +91,7 @@
 	// startCheck brings the answer of the present target to the query for its start; nil if it isn't
 	// asked.
 	startCheck <-chan startAnswer
-	// retryTaken is set while a retry from the budget has been taken for a stream that was given up.
+	// retryTaken is set while the call has a retry from the budget that it has not used.
 	retryTaken atomic.Bool
 	// stopReason is why the call was not sent to a further target, empty if it could be.
 	stopReason string
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -111,11 +111,8 @@
 	}
 }
 
-// hasBytes reports whether bytes have arrived that were not read.
+// hasBytes reports whether bytes have arrived since the last read from the network.
 func (c *conn) hasBytes() bool {
-	if c.reader.Buffered() > 0 {
-		return true
-	}
 	n, err := peekByte(c.net)
 	return n > 0 && err == nil
 }
--- a/services/forward/retry.go
+++ b/services/forward/retry.go
@@ -116,6 +116,15 @@
 	}
 }
 
+// hasRetry reports whether a retry of a service may be left.
+func (f *Forwarder) hasRetry(service string) bool {
+	b := &f.retries
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	row := b.services[service]
+	return row != nil && (row.tokens >= 1 || row.perSecond > 0)
+}
+
 // takeRetry spends one retry of a service and reports whether this box had one.
 func (f *Forwarder) takeRetry(service string) bool {
 	f.mu.Lock()
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -30,9 +30,10 @@
 	// silentTimeout how long that waits for an answer.
 	stallLimit    = 1500 * time.Millisecond
 	silentTimeout = 500 * time.Millisecond
-	// otherWait limits the random time between two looks for a target or a retry by a call that has left a
-	// silent target.
-	otherWait = 300 * time.Millisecond
+	// minOtherWait and maxOtherWait are the first and the greatest limit of the random time between two looks
+	// for a target or a retry by a call that has left a silent target.
+	minOtherWait = 300 * time.Millisecond
+	maxOtherWait = 2400 * time.Millisecond
 )
 
 // answer is a complete answer that has not been relayed.
@@ -160,7 +161,7 @@
 // be tried again when no other is left.
 func (fl *inflightCall) excludeAfter(t *spread.Target, a attempt) {
 	fl.exclude(t, a.verdict)
-	if a.verdict == rejected || a.givenUp {
+	if a.verdict == rejected || a.givenUp || a.verdict == inconclusive && a.notRun {
 		fl.excludedForNow = append(fl.excludedForNow, t.StartIdentity())
 	}
 }
@@ -176,11 +177,13 @@
 // awaitOther waits before the call is sent to any target again, if this box gave up an attempt that could
 // have succeeded: then the call does not end before its time because the other targets have no room.
 func (fl *inflightCall) awaitOther(ctx context.Context) bool {
-	if !fl.gaveUp || fl.possibleRuns >= int(fl.route.GetMaxAttempts()) {
+	if !fl.gaveUp || !fl.hasAttempt() {
 		return false
 	}
 	fl.readmit()
-	randomPause(ctx, otherWait)
+	fl.stopReason = ""
+	fl.otherWait = min(maxOtherWait, max(minOtherWait, 2*fl.otherWait))
+	randomPause(ctx, fl.otherWait)
 	fl.tick()
 	return ctx.Err() == nil && fl.remaining() > 0
 }
@@ -188,7 +191,7 @@
 // awaitRetry waits for a retry from the budget.
 func (fl *inflightCall) awaitRetry(ctx context.Context) bool {
 	for !fl.f.takeRetry(fl.service.GetName()) {
-		randomPause(ctx, otherWait)
+		randomPause(ctx, fl.otherWait)
 		if ctx.Err() != nil {
 			return false
 		}
--- a/services/forward/stall_test.go
+++ b/services/forward/stall_test.go
@@ -7,8 +7,10 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -89,12 +91,14 @@
 			if test.noRetry {
 				f.opts.RetryStock = 0
 			}
+			log := &lockedBuffer{}
+			f.opts.Logger = slog.New(slog.NewJSONHandler(log, nil))
 			sink := &collector{}
 			served := make(chan error, 1)
 			go func() { served <- f.Serve(context.Background(), newCall("resume"), sink) }()
 			if !test.goesOn {
-				// The target has been asked twice when it goes on.
-				for len(one.requests()) < 3 && len(served) == 0 {
+				// It has been decided twice that the stream stays when the target goes on.
+				for strings.Count(log.String(), "goes on at a slow target") < 2 && len(served) == 0 {
 					time.Sleep(time.Millisecond)
 				}
 				close(released)
