services/forward: calls leave a silent target in time, and stalled streams share one query

Callers with 3 s were held to their deadline at an engine that had fallen silent: the wait for a head was 2.5 objectives, 3.75 s. Each stalled stream asked its engine by itself.

models/spread keeps which targets are silent for this box: calls run there, no byte for 300 ms on any connection, no answer to one query within silentWait. A byte is one atomic store; only targets with calls of this box, or known to be silent, are looked at. The wait for a head is at most half of what is left, and ends earlier at a target known to be silent if another one is there. A further attempt goes to a target that is not silent.

--- a/models/spread/health.go
+++ b/models/spread/health.go
@@ -110,10 +110,10 @@
 }
 
 // HasOther reports whether calls may go to a target of the same service and software as t, banned ones
-// included, other than t and those whose starts are excluded.
+// included, other than t, silent ones and those whose starts are excluded.
 func (tb *Table) HasOther(t *Target, excluded map[string]bool) bool {
 	return slices.ContainsFunc(tb.services[t.Service], func(o *Target) bool {
-		return o != t && o.Software == t.Software && !excluded[o.StartIdentity()] && tb.isCheckable(o)
+		return o != t && o.Software == t.Software && !excluded[o.StartIdentity()] && !o.IsSilent() && tb.isCheckable(o)
 	})
 }
 
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -120,6 +120,7 @@
 	outlier      bool
 	outcomeCount float64
 	failureRate  float64
+	silence      silence
 }
 
 // StartIdentity identifies this start of the target: by id and start time, or by the id
@@ -325,7 +326,8 @@
 }
 
 // Choose returns the target for a call. Draining targets are never chosen, and banned
-// ones only if all others are banned as well.
+// ones only if all others are banned as well. A call that has had a target already goes
+// to a silent one only if all others are silent as well.
 func (tb *Table) Choose(criteria Criteria, now time.Duration) Choice {
 	c := Choice{}
 	found := tb.candidates(criteria, now)
@@ -494,6 +496,7 @@
 	}
 	found.sendable = append(found.sendable, limited...)
 	if len(found.sendable)+len(found.seated)+len(found.exhausted) > 0 {
+		found.avoidSilent(criteria)
 		return found
 	}
 	for _, t := range banned {
@@ -501,9 +504,33 @@
 			found.sendable = append(found.sendable, t)
 		}
 	}
+	found.avoidSilent(criteria)
 	return found
 }
 
+// avoidSilent removes the silent targets from those to which this box may send a call that has had another
+// target already, unless all are silent. New calls go to silent ones, too: when many are silent, the others
+// can't carry the calls of all, and streams at them end at their deadlines.
+func (found *candidateSet) avoidSilent(criteria Criteria) {
+	if len(criteria.Exclude) == 0 || !slices.ContainsFunc(found.sendable, (*Target).IsSilent) {
+		return
+	}
+	var others []*Target
+	unlimited := 0
+	for i, t := range found.sendable {
+		if t.IsSilent() {
+			continue
+		}
+		others = append(others, t)
+		if i < found.unlimited {
+			unlimited++
+		}
+	}
+	if len(others) > 0 {
+		found.sendable, found.unlimited = others, unlimited
+	}
+}
+
 func (tb *Table) leastLoaded(candidates []*Target) *Target {
 	var best *Target
 	bestCost := math.Inf(1)
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -131,11 +131,14 @@
 	reportWait time.Duration
 	// stallWait is stallLimit, and silentWait silentTimeout.
 	stallWait, silentWait time.Duration
+	silence               spread.SilenceTerms
 	pool                  *pool
 	retries               retryBudget
 
-	mu             sync.Mutex
-	targets        *spread.Table
+	mu      sync.Mutex
+	targets *spread.Table
+	// queries has the queries that are under way to find out whether targets are silent.
+	queries        map[*spread.Target]*silenceQuery
 	targetRevision uint64
 	// tableVersion and evacuationRevision are the versions of the routing table and of the
 	// evacuations that targets has.
@@ -177,8 +180,8 @@
 	if opts.IsCongested == nil {
 		opts.IsCongested = func() bool { return false }
 	}
-	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, stallWait: stallLimit, silentWait: silentTimeout, pool: newPool(opts.Clock.Boot, opts.Meter, opts.IsCongested), targets: spread.NewTable(opts.DataCentre), ready: make(chan struct{}), breaks: map[*spread.Target]*targetBreaks{},
-		reach: reach.NewTracker(), nextProbe: map[string]int{}, checks: map[string]chan struct{}{}, seatWaiters: map[seatWaiter]chan struct{}{}}
+	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, stallWait: stallLimit, silentWait: silentTimeout, silence: spread.DefaultSilenceTerms(), pool: newPool(opts.Clock.Boot, opts.Meter, opts.IsCongested), targets: spread.NewTable(opts.DataCentre), ready: make(chan struct{}), breaks: map[*spread.Target]*targetBreaks{},
+		reach: reach.NewTracker(), nextProbe: map[string]int{}, checks: map[string]chan struct{}{}, seatWaiters: map[seatWaiter]chan struct{}{}, queries: map[*spread.Target]*silenceQuery{}}
 	f.pool.isLost, f.pool.relay, f.pool.dialled = f.isLost, f.dialRelay, f.recordDial
 	// Until control sends the fleet's clock, this box's wall clock is a close estimate.
 	f.fleet = rate.NewFleet(opts.Box, nil, time.Duration(opts.Clock.Wall().UnixNano())-f.started)
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -96,6 +96,9 @@
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.input.Read(p)
+	if n > 0 {
+		c.target.Hear()
+	}
 	c.closed = errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
 	c.lost = c.closed || errors.Is(err, syscall.ETIMEDOUT)
 	return n, err
--- /dev/null
+++ b/services/forward/silence.go
@@ -0,0 +1,195 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/models/spread"
+)
+
+const (
+	// headWaitShare is the share of its remaining time for which a repeatable call waits for the header
+	// of an answer at most, so that there is time for another target.
+	headWaitShare = 0.5
+	// silenceQueryFactor is how many times the wait for an answer a query stays open, so that a target
+	// that is silent is heard as soon as it goes on.
+	silenceQueryFactor = 4
+)
+
+// silenceQuery is a query for the load report of a target, to find out whether the target is silent.
+type silenceQuery struct {
+	// decided is closed once the target has answered or not answered in time.
+	decided   chan struct{}
+	isDecided bool
+}
+
+// decide closes decided. The caller holds f.mu.
+func (q *silenceQuery) decide() {
+	if !q.isDecided {
+		q.isDecided = true
+		close(q.decided)
+	}
+}
+
+// canAsk reports whether a target can be asked for its load report.
+func (f *Forwarder) canAsk(t *spread.Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.opts.EngineAPI != nil && f.targets.IsEngine(t.Service)
+}
+
+// watchSilence begins to look whether bytes arrive from a target that has a call of this box.
+func (f *Forwarder) watchSilence(t *spread.Target) {
+	if f.opts.EngineAPI == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.targets.IsEngine(t.Service) && f.targets.Watch(t, f.opts.Clock.Boot()) {
+		f.lookLater(t)
+	}
+}
+
+func (f *Forwarder) lookLater(t *spread.Target) {
+	time.AfterFunc(f.silence.LookInterval(), func() { f.look(t) })
+}
+
+// look looks at a watched target, and asks it if it has been quiet for too long.
+func (f *Forwarder) look(t *spread.Target) {
+	mayAsk := !f.opts.IsCongested()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ask, watched := f.targets.Look(t, f.silence, mayAsk, f.opts.Clock.Boot())
+	if ask {
+		f.startQuery(t)
+	}
+	if watched {
+		f.lookLater(t)
+	}
+}
+
+// startQuery starts the query that has begun at a target. The caller holds f.mu.
+func (f *Forwarder) startQuery(t *spread.Target) *silenceQuery {
+	q := &silenceQuery{decided: make(chan struct{})}
+	f.queries[t] = q
+	go f.query(t, q)
+	return q
+}
+
+// query asks a target for its load report.
+func (f *Forwarder) query(t *spread.Target, q *silenceQuery) {
+	ctx, cancel := context.WithTimeout(context.Background(), silenceQueryFactor*f.silentWait)
+	defer cancel()
+	timer := time.AfterFunc(f.silentWait, func() { f.recordNoAnswer(t, q) })
+	defer timer.Stop()
+	c, err := f.pool.get(ctx, t, useReports, "")
+	if err == nil {
+		f.pool.put(c, 0)
+		_, _, err = f.request(ctx, t, useReports, http.MethodGet, f.opts.EngineAPI.ReportPath(), nil)
+	}
+	var timeout net.Error
+	timedOut := ctx.Err() != nil || err != nil && errors.As(err, &timeout) && timeout.Timeout()
+	if timedOut {
+		f.recordNoAnswer(t, q)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wasSilent := t.IsSilent()
+	t.EndQuery(!timedOut)
+	delete(f.queries, t)
+	q.decide()
+	if wasSilent && !timedOut {
+		f.opts.Logger.Info("target not silent any more", "target", t.ID)
+	}
+}
+
+// recordNoAnswer records that a query had no answer in time.
+func (f *Forwarder) recordNoAnswer(t *spread.Target, q *silenceQuery) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if q.isDecided {
+		return
+	}
+	t.RecordNoAnswer(f.silentWait, f.opts.Clock.Boot())
+	q.decide()
+	f.opts.Logger.Info("target answered no query", "target", t.ID, "silent", t.IsSilent(), "running", t.RunningCalls)
+}
+
+// isKnownSilent reports whether a target is known to be silent.
+func (f *Forwarder) isKnownSilent(t *spread.Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return t.IsSilent()
+}
+
+// isSilent reports whether a target is silent, and asks it if that is not known. An overloaded target
+// answers, or resets the connection.
+func (f *Forwarder) isSilent(ctx context.Context, t *spread.Target) bool {
+	if f.opts.IsCongested() || !f.canAsk(t) || f.isLimited(t) {
+		return false
+	}
+	f.mu.Lock()
+	now := f.opts.Clock.Boot()
+	if known := t.IsSilent(); known || t.AnsweredLately(f.silence, now) {
+		f.mu.Unlock()
+		return known
+	}
+	q := f.queries[t]
+	if q == nil && f.targets.BeginQuery(t, now) {
+		q = f.startQuery(t)
+	}
+	f.mu.Unlock()
+	select {
+	case <-q.decided:
+		return f.isKnownSilent(t)
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// headWait returns how long the call waits for the header of an answer before it goes to another target.
+func (fl *inflightCall) headWait() time.Duration {
+	limit := time.Duration(silenceFactor * float64(fl.route.GetObjective()) * float64(time.Millisecond))
+	if fl.route.GetKind() == statev1.Route_KIND_STREAM {
+		limit = max(limit, silenceFloor)
+	}
+	return min(limit, time.Duration(headWaitShare*float64(fl.remaining())))
+}
+
+// limitHeadWait starts the timer of a watchdog. It looks from time to time whether the target is known to
+// be silent: the wait ends then if there is another target.
+func (fl *inflightCall) limitHeadWait(w *watchdog, t *spread.Target, excluded map[string]bool) {
+	f, limit, began := fl.f, fl.headWait(), fl.now
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	first := limit
+	if f.canAsk(t) {
+		first = min(limit, f.silence.Quiet)
+	}
+	w.timer = time.AfterFunc(first, func() {
+		seen := w.progress.Load()
+		left := limit - (f.opts.Clock.Boot() - began)
+		if left <= 0 || w.answered.Load() || f.isKnownSilent(t) && f.hasOther(t, excluded) {
+			w.expire(f.stallWait)
+			return
+		}
+		w.lookAgain(seen, min(left, f.silence.Quiet))
+	})
+}
+
+// lookAgain sets the timer anew unless the target was heard since seen.
+func (w *watchdog) lookAgain(seen int64, wait time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.progress.Load() == seen {
+		w.timer.Reset(wait)
+	}
+}
--- a/services/forward/watchdog.go
+++ b/services/forward/watchdog.go
@@ -6,15 +6,10 @@
 import (
 	"context"
 	"maps"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
-	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/routing"
 	"havenwinch.dev/havenwinch/models/spread"
 )
@@ -40,6 +35,7 @@
 
 // startWatchdog starts the timeout for the header of an answer.
 func (fl *inflightCall) startWatchdog(ctx context.Context, t *spread.Target, cancel context.CancelFunc) *watchdog {
+	fl.f.watchSilence(t)
 	w := &watchdog{cancel: cancel, begun: fl.sink.started()}
 	if !routing.IsRepeatable(fl.route) || fl.possibleRuns+1 >= int(fl.route.GetMaxAttempts()) || fl.sendCount+1 >= maxSends {
 		return w
@@ -53,13 +49,7 @@
 		fl.retryTaken.Store(true)
 		return true
 	}
-	limit := time.Duration(silenceFactor * float64(fl.route.GetObjective()) * float64(time.Millisecond))
-	if fl.route.GetKind() == statev1.Route_KIND_STREAM {
-		limit = max(limit, silenceFloor)
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(limit, func() { w.expire(f.stallWait) })
+	fl.limitHeadWait(w, t, excluded)
 	return w
 }
 
@@ -118,22 +108,3 @@
 	defer f.mu.Unlock()
 	return f.targets.HasOther(t, excluded)
 }
-
-// isSilent reports whether a target gives no answer at all to a query for its load report. An overloaded
-// target answers, or resets the connection.
-func (f *Forwarder) isSilent(ctx context.Context, t *spread.Target) bool {
-	if f.opts.EngineAPI == nil || f.opts.IsCongested() || f.isLimited(t) {
-		return false
-	}
-	query, cancel := context.WithTimeout(ctx, f.silentWait)
-	defer cancel()
-	c, err := f.pool.get(query, t, useReports, "")
-	if err == nil {
-		f.pool.put(c, 0)
-		_, _, err = f.request(query, t, useReports, http.MethodGet, f.opts.EngineAPI.ReportPath(), nil)
-	}
-	var timeout net.Error
-	isSilent := ctx.Err() == nil && (query.Err() != nil || err != nil && errors.As(err, &timeout) && timeout.Timeout())
-	f.opts.Logger.Info("target asked about a stalled stream", "target", t.ID, "silent", isSilent)
-	return isSilent
-}
