services/forward: answers that flow, and long bodies that are not read, are not cut for slowness

The wait now ends with the header, and bodies that a receiver may have no room for have no user time-out until their connection is reused.

TestSlowBodyIsNotCut and TestLongBodyWaitsForATargetThatDoesNotRead failed before, so did TestTargetEndsDuringCall, stops answering and is replaced, the only target (waits for ever).

--- a/services/forward/buffered.go
+++ b/services/forward/buffered.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -21,10 +22,13 @@
 
 // bufferAnswer reads a complete answer before any of it is relayed, so that a broken one can be
 // requested again.
-func (fl *inflightCall) bufferAnswer(t *spread.Target, x *exchange, wd *watchdog, status int) attempt {
+func (fl *inflightCall) bufferAnswer(ctx context.Context, t *spread.Target, x *exchange, wd *watchdog, status int) attempt {
 	if fl.sink.started() {
 		return fl.handleLateFailure(t, x, status)
 	}
+	if !wd.answer() {
+		return fl.unanswered(ctx, t, x, wd, errNoAnswer)
+	}
 	body, err := io.ReadAll(io.LimitReader(x.body, maxBufferedAnswer))
 	if err != nil {
 		x.abandon()
@@ -33,7 +37,6 @@
 	}
 	got := &answer{status: status, fields: x.fields(), body: body, declaredLength: x.declaredLength(body)}
 	if len(body) == maxBufferedAnswer {
-		wd.stop()
 		return fl.forwardLong(t, x, got)
 	}
 	x.bodyComplete = true
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -85,6 +85,9 @@
 		x.abandon()
 		return nil, errors.Wrap(errNoAnswer, err.Error())
 	}
+	if len(call.Body) > windowBody {
+		limitUnacked(c.net, 0)
+	}
 	// A target may answer before it has read all of a long body.
 	x.upload = make(chan struct{})
 	go func() {
@@ -306,6 +309,9 @@
 		x.f.pool.drop(x.conn)
 		return
 	}
+	if len(x.call.Body) > windowBody {
+		limitUnacked(x.conn.net, unackedLimit)
+	}
 	x.f.pool.put(x.conn, keepAlive(string(x.head.Peek("Keep-Alive"))))
 }
 
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -39,9 +39,12 @@
 	probeIdle     = time.Second
 	probeInterval = time.Second
 	probeCount    = 2
-	// unackedLimit is how long sent bytes may remain unacknowledged.
+	// unackedLimit is how long sent bytes may remain unacknowledged. The kernel also ends a connection then
+	// whose receiver is alive and does not read, so that longer bodies than windowBody have no such limit.
 	unackedLimit = 2500 * time.Millisecond
-	readBuffer   = 4096
+	// windowBody is the length of a body, in bytes, for which a receiver has room without reading.
+	windowBody = 48 << 10
+	readBuffer = 4096
 )
 
 // conn is a connection to a target. It carries one request at a time.
@@ -317,19 +320,23 @@
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := c.(*net.TCPConn); ok {
-		setUserTimeout(tcp)
-	}
+	limitUnacked(c, unackedLimit)
 	return c, nil
 }
 
-func setUserTimeout(tcp *net.TCPConn) {
+// limitUnacked limits how long bytes sent on a TCP connection may remain unacknowledged, zero for the
+// kernel's own limit.
+func limitUnacked(c net.Conn, limit time.Duration) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return
 	}
 	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedLimit.Milliseconds()))
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
 	})
 }
 
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -314,8 +314,8 @@
 	return c, nil
 }
 
-// concludeAttempt records who carried an attempt and whether its target dropped the call. before is the
-// number of events that the caller had.
+// concludeAttempt records who carried an attempt, and whether its target dropped the call or had not begun
+// to answer it at the deadline. before is the number of events that the caller had.
 func (fl *inflightCall) concludeAttempt(a *attempt, c *conn, wd *watchdog, before uint64) {
 	if a.carried = c.isCarried(); a.carried {
 		fl.carriers = append(fl.carriers, c.carriedBy())
@@ -323,7 +323,8 @@
 	if wd.fired() {
 		a.givenUp, fl.gaveUp = true, true
 	}
-	if a.verdict == failing && (c.lost || wd.fired()) {
+	isOverdue := a.verdict == inconclusive && wd.isOverdue() && fl.tick() >= fl.deadline
+	if a.verdict == failing && (c.lost || wd.fired()) || isOverdue {
 		fl.recordBreak(c.target, fl.events.count == before)
 	}
 }
@@ -431,7 +432,7 @@
 	case fl.isStream(status):
 		return fl.forwardStream(ctx, c, x, wd, sent)
 	default:
-		return fl.bufferAnswer(t, x, wd, status)
+		return fl.bufferAnswer(ctx, t, x, wd, status)
 	}
 }
 
--- a/services/forward/silence_test.go
+++ b/services/forward/silence_test.go
@@ -4,11 +4,13 @@
 package forward
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -138,3 +140,54 @@
 		})
 	}
 }
+
+// Guards against answers that are cut while their bytes arrive.
+func TestSlowBodyIsNotCut(t *testing.T) {
+	body := strings.Repeat("x", 20)
+	one := newTarget(t, "one", func(c net.Conn, r received) {
+		_, _ = io.WriteString(c, head(r.id, fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))))
+		for i := range body {
+			time.Sleep(15 * time.Millisecond)
+			_, _ = io.WriteString(c, body[i:i+1])
+		}
+	})
+	two := newTarget(t, "two", respond(200, "another answer"))
+	f := newForwarder(t, &fakeLeases{}, one, two)
+	shortenObjectives(f)
+	sink := &collector{}
+	if err := f.Serve(context.Background(), newCall("safe"), sink); err != nil || !sink.ended || sink.body.String() != body {
+		t.Errorf("Serve returned %v, ended %v: %q", err, sink.ended, sink.body.String())
+	}
+	if n := len(two.requests()); n > 0 {
+		t.Errorf("the other target got %d calls, want none", n)
+	}
+}
+
+// Guards against connections that the kernel ends because a live target does not read for a while.
+func TestLongBodyWaitsForATargetThatDoesNotRead(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	call := newCall("unsafe")
+	call.Body = make([]byte, 2<<20)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		time.Sleep(2 * unackedLimit)
+		if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, req.Body)
+		}
+		respond(200, "answer")(c, received{id: call.ID})
+	}()
+	f := newForwarder(t, &fakeLeases{}, &target{t: t, name: "one", l: l})
+	sink := &collector{}
+	if err := f.Serve(context.Background(), call, sink); err != nil || !sink.ended || sink.body.String() != "answer" {
+		t.Errorf("Serve returned %v, ended %v: %q", err, sink.ended, sink.body.String())
+	}
+}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -19,10 +19,7 @@
 func (fl *inflightCall) forwardStream(ctx context.Context, c spread.Choice, x *exchange, wd *watchdog, sent time.Duration) attempt {
 	t := c.Target
 	if !wd.answer() {
-		x.abandon()
-		fl.noteLostOutput(ctx, wd)
-		fl.recordSend(t, endedBy(ctx, wd, "no answer"))
-		return attempt{verdict: fl.verdictOnTimeout(ctx, wd), err: errNoAnswer}
+		return fl.unanswered(ctx, t, x, wd, errNoAnswer)
 	}
 	mv := fl.mover(c)
 	defer mv.release()
--- a/services/forward/target_end_test.go
+++ b/services/forward/target_end_test.go
@@ -125,6 +125,8 @@
 		before, after func(f *Forwarder, address string)
 		// others is the number of other targets, which answer the call.
 		others int
+		// wait is how long the caller waits, zero for the time of the route.
+		wait time.Duration
 		want   []string
 	}{
 		"ends before the answer":   {route: "unsafe", then: closeConn(), ends: true, want: []string{"early one"}},
@@ -141,6 +143,9 @@
 		"announces that it is gone and ends": {route: "unsafe", then: closeConn(), ends: true, before: func(f *Forwarder, address string) {
 			row(f, "one", 0, address, statev1.RegisteredTarget_STATE_GONE, 9)
 		}},
+		"stops answering and is replaced, the only target": {route: "safe", wait: 400 * time.Millisecond, then: func(net.Conn, received) { select {} }, after: func(f *Forwarder, address string) {
+			row(f, "one", 5, address, statev1.RegisteredTarget_STATE_READY, 9)
+		}, want: []string{"early one"}},
 		"stops answering and is replaced": {route: "safe", others: 1, then: func(net.Conn, received) { select {} }, after: func(f *Forwarder, address string) {
 			row(f, "one", 5, address, statev1.RegisteredTarget_STATE_READY, 9)
 		}, want: []string{"early one"}},
@@ -184,7 +189,9 @@
 					c.before(f, one.l.Addr().String())
 				}
 			}()
-			_ = f.Serve(context.Background(), newCall(c.route), &collector{})
+			call := newCall(c.route)
+			call.MaxWait = c.wait
+			_ = f.Serve(context.Background(), call, &collector{})
 			if c.after != nil {
 				c.after(f, one.l.Addr().String())
 			}
--- a/services/forward/watchdog.go
+++ b/services/forward/watchdog.go
@@ -23,8 +23,9 @@
 	timer   *time.Timer
 	cancel  context.CancelFunc
 	expired atomic.Bool
-	// answered is set once the header has arrived or the attempt has ended.
-	answered bool
+	// answered is set once the header has arrived or the attempt has ended, and overdue once the wait for it
+	// was over before.
+	answered, overdue bool
 	// mayCancel reports whether another target may have the call, and takes a retry for it if so.
 	mayCancel func() bool
 	// handOver looks for a target that accepts the stream in place of the silent one; nil if the call
@@ -72,6 +73,7 @@
 	mayCancel := w.mayCancel()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.overdue = !w.answered
 	switch {
 	case w.answered:
 	case !mayCancel:
@@ -91,6 +93,13 @@
 // fired reports whether the attempt was given up for the silence of its target.
 func (w *watchdog) fired() bool { return w.expired.Load() }
 
+// isOverdue reports whether the wait for the header was over, and none has arrived.
+func (w *watchdog) isOverdue() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.overdue && !w.answered
+}
+
 // stop ends the wait for the header.
 func (w *watchdog) stop() {
 	w.mu.Lock()
