--- a/tests/soak/path_test.go
+++ b/tests/soak/path_test.go
@@ -34,6 +34,24 @@
 
 // startTestbed starts a fleet and its simulated platform, and waits until requests are served.
 func startTestbed(t *testing.T, f *fleet, seed int64, engines, plainServers int, prepare ...func(*platform)) *testbed {
+	t.Helper()
+	return startTestbedWith(t, f, seed, prepare, func(tb *testbed) {
+		for i := range engines + plainServers {
+			service := engineService
+			if i >= engines {
+				service = plainService
+			}
+			sv, err := tb.platform.startServer(fmt.Sprintf("i-%d", i), service, seed+int64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(sv.stop)
+		}
+	})
+}
+
+// startTestbedWith is like startTestbed with the servers that a function starts.
+func startTestbedWith(t *testing.T, f *fleet, seed int64, prepare []func(*platform), startServers func(*testbed)) *testbed {
 	t.Helper()
 	tb := &testbed{fleet: f}
 	tb.startAll(t)
@@ -46,17 +64,7 @@
 	if !tb.platform.configure(1, waitLimit) {
 		t.Fatal("the first configuration was not acknowledged")
 	}
-	for i := range engines + plainServers {
-		service := engineService
-		if i >= engines {
-			service = plainService
-		}
-		sv, err := tb.platform.startServer(fmt.Sprintf("i-%d", i), service, seed+int64(i))
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(sv.stop)
-	}
+	startServers(tb)
 	tb.ready(t)
 	c := tb.caller(1000)
 	for _, route := range []string{"plain/safe", "stream/resume"} {
