--- a/tests/soak/kept_test.go
+++ b/tests/soak/kept_test.go
@@ -57,8 +57,13 @@
 	// sentAt is when the last byte was sent, endedAt when the caller had the answer or the end of the
 	// connection.
 	sentAt, endedAt time.Time
-	status          int
-	complete        bool
+	// deadline is how long the caller waits, output the tokens that a stream may generate.
+	deadline time.Duration
+	output   uint64
+	status   int
+	complete bool
+	// closeTold is set if the request was sent behind one whose answer told the end of the connection.
+	closeTold bool
 	// reset is set if the connection was reset, as it is when the box leaves bytes unread.
 	reset bool
 }
@@ -69,18 +74,13 @@
 	// routes are those of the requests, outputs the tokens that a stream may generate.
 	routes  []string
 	outputs []uint64
-	// deadline is how long a caller waits, zero for keptDeadline.
-	deadline time.Duration
+	// deadlines are how long a caller may wait, empty for keptDeadline.
+	deadlines []time.Duration
 
 	mu       sync.Mutex
 	requests []keptRequest
-}
-
-func (k *keptCallers) callerDeadline() time.Duration {
-	if k.deadline > 0 {
-		return k.deadline
-	}
-	return keptDeadline
+	// behind has the requests sent behind one with whose answer the connection ended.
+	behind []keptRequest
 }
 
 // run starts callers that send requests until stop is closed, and waits for them.
@@ -142,16 +142,22 @@
 	return true
 }
 
-// ask sends one request, or two at once, and reads the answers.
+// ask sends one request in any form, or two at once, and reads the answers.
 func (c *keptCaller) ask() {
+	if c.connect() {
+		c.askIn(requestForm(c.rng.Intn(int(requestForms))))
+	}
+}
+
+func (c *keptCaller) askIn(form requestForm) {
 	if !c.connect() {
 		return
 	}
-	_ = c.conn.SetDeadline(time.Now().Add(c.all.callerDeadline() + answerLimit - keptDeadline))
-	form := requestForm(c.rng.Intn(int(requestForms)))
-	sent := []keptRequest{c.newRequest(form)}
+	deadline := c.deadline()
+	_ = c.conn.SetDeadline(time.Now().Add(deadline + answerLimit - keptDeadline))
+	sent := []keptRequest{c.newRequest(form, deadline)}
 	if form == formPair {
-		sent = append(sent, c.newRequest(form))
+		sent = append(sent, c.newRequest(form, deadline))
 	}
 	if err := c.write(sent); err != nil {
 		// The connection ended before the request was whole.
@@ -166,20 +172,34 @@
 		c.all.record(sent[i])
 		if c.conn == nil {
 			// Nothing may follow an answer that has announced the close or broken off.
+			c.all.recordBehind(sent[i], sent[i+1:])
 			return
 		}
 	}
 }
 
-func (c *keptCaller) newRequest(form requestForm) keptRequest {
+// deadline returns how long the caller waits for the next answer.
+func (c *keptCaller) deadline() time.Duration {
+	switch list := c.all.deadlines; len(list) {
+	case 0:
+		return keptDeadline
+	case 1:
+		return list[0]
+	default:
+		return list[c.rng.Intn(len(list))]
+	}
+}
+
+func (c *keptCaller) newRequest(form requestForm, deadline time.Duration) keptRequest {
 	c.count++
-	return keptRequest{id: fmt.Sprintf("kept-%d-%d-%d", c.all.tb.all.seed, c.n, c.count), route: c.all.routes[c.rng.Intn(len(c.all.routes))], form: form, box: c.box, local: c.conn.LocalAddr().String()}
+	return keptRequest{deadline: deadline, id: fmt.Sprintf("kept-%d-%d-%d", c.all.tb.all.seed, c.n, c.count), route: c.all.routes[c.rng.Intn(len(c.all.routes))], form: form, box: c.box, local: c.conn.LocalAddr().String()}
 }
 
 // write sends requests of one form.
 func (c *keptCaller) write(list []keptRequest) error {
 	var all bytes.Buffer
-	for _, r := range list {
+	for i := range list {
+		r := &list[i]
 		head, body := c.text(r)
 		switch r.form {
 		case formHalves:
@@ -206,11 +226,12 @@
 	return err
 }
 
-// text returns the head and the body of a request as they are sent.
-func (c *keptCaller) text(r keptRequest) (head, body string) {
+// text returns the head and the body of a request as they are sent, and sets the size of its output.
+func (c *keptCaller) text(r *keptRequest) (head, body string) {
 	body, extra := "body of "+r.id, ""
 	if strings.HasPrefix(r.route, "stream") {
-		extra = fmt.Sprintf("Token-Count: 200,%d\r\nPrompt-Prefix: aa:10,bb%d:20,%x:170\r\n", c.all.outputs[c.rng.Intn(len(c.all.outputs))], c.rng.Intn(5), c.rng.Int31())
+		r.output = c.all.outputs[c.rng.Intn(len(c.all.outputs))]
+		extra = fmt.Sprintf("Token-Count: 200,%d\r\nPrompt-Prefix: aa:10,bb%d:20,%x:170\r\n", r.output, c.rng.Intn(5), c.rng.Int31())
 	}
 	if r.form == formLong {
 		body += strings.Repeat(".", longBody)
@@ -224,7 +245,7 @@
 	if r.form == formExpect {
 		extra += "Expect: 100-continue\r\n"
 	}
-	return fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nApi-Key: key-large\r\n%s%s\r\n", r.route, r.id, c.all.callerDeadline().Milliseconds(), extra, framing), body
+	return fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nApi-Key: key-large\r\n%s%s\r\n", r.route, r.id, r.deadline.Milliseconds(), extra, framing), body
 }
 
 // read reads the answer to a request.
@@ -239,11 +260,24 @@
 	if got := a.Get("Attempt-Id"); got != "" && got != r.id {
 		p.recordViolation("request %s received the answer to %s", r.id, got)
 	}
+	if fault := r.bodyFault(string(a.Body)); fault != "" {
+		p.recordViolation("request %s (%s, %s) at %s: %s", r.id, r.route, r.form, r.box, fault)
+	}
 	if err != nil || a.Closes() {
 		c.disconnect()
 	}
 }
 
+// recordBehind records the requests that were sent behind one with whose answer the connection ended.
+func (k *keptCallers) recordBehind(last keptRequest, list []keptRequest) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range list {
+		r.endedAt, r.closeTold, r.reset = last.endedAt, last.complete, last.reset
+		k.behind = append(k.behind, r)
+	}
+}
+
 func (k *keptCallers) record(r keptRequest) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/tests/soak/paused_test.go
+++ b/tests/soak/paused_test.go
@@ -25,8 +25,6 @@
 	pausedDeadline = 15 * time.Second
 	// pausedEvents is the time between two events of a stream.
 	pausedEvents = 20 * time.Millisecond
-	// lateShare is the share of a request's time after which its end counts as one at its deadline.
-	lateShare = 0.7
 	// tableArrival is the time after which entry boxes have an acknowledged configuration.
 	tableArrival = 2 * time.Second
 	// pausedLength is how long servers pause in turn.
@@ -157,24 +155,6 @@
 	}
 }
 
-// lost returns descriptions of the requests whose connection ended with no complete answer although a box
-// that ran all the time had passed them to a server, long before their deadline.
-func (s *pausing) lost(requests []keptRequest) []string {
-	var list []string
-	for _, r := range requests {
-		after := r.endedAt.Sub(r.sentAt)
-		if r.complete || r.status == 0 && s.platform.runCount(r.id) == 0 || after.Seconds() > lateShare*pausedDeadline.Seconds() {
-			continue
-		}
-		i := slices.IndexFunc(s.boxes, func(b *box) bool { return b.name == r.box })
-		if s.boxes[i].wasDown(r.sentAt, r.endedAt) {
-			continue
-		}
-		list = append(list, fmt.Sprintf("request %s (%s, %s) at %s: status %d, the connection ended %s after its last byte; %v", r.id, r.route, r.form, r.box, r.status, after, requestLogLine(s.logOf(r.box), r.id)))
-	}
-	return list
-}
-
 // quickPauses are the cases that are played where SOAK_SHAPES is not set.
 var quickPauses = []string{"for two seconds", "full engines"}
 
@@ -214,7 +194,7 @@
 	if n, err := strconv.Atoi(os.Getenv("SOAK_SECONDS")); err == nil && n > 0 {
 		length = time.Duration(n) * time.Second
 	}
-	k := &keptCallers{tb: s.testbed, routes: []string{"stream/resume", "stream/resume", "stream/resume", "stream/once", "plain/safe"}, outputs: []uint64{100, 300, 600}, deadline: pausedDeadline}
+	k := &keptCallers{tb: s.testbed, routes: []string{"stream/resume", "stream/resume", "stream/resume", "stream/once", "plain/safe"}, outputs: []uint64{100, 300, 600}, deadlines: []time.Duration{pausedDeadline}}
 	if c.noResume {
 		k.routes = []string{"stream/once"}
 	}
@@ -237,7 +217,8 @@
 	close(stop)
 	wg.Wait()
 	complete, refused := 0, 0
-	for _, r := range k.requests {
+	requests := slices.Concat(k.requests, k.behind)
+	for _, r := range requests {
 		if r.complete {
 			complete++
 		}
@@ -245,8 +226,8 @@
 			refused++
 		}
 	}
-	lost := s.lost(k.requests)
-	t.Logf("%d of %d requests have a complete answer, %d of them refusals or failures; %d pauses of servers; %d lost", complete, len(k.requests), refused, s.total, len(lost))
+	lost := s.lost(t, requests)
+	t.Logf("%d of %d requests have a complete answer, %d of them refusals or failures; %d pauses of servers; %d lost", complete, len(requests), refused, s.total, len(lost))
 	if complete == 0 || s.total == 0 {
 		t.Error("some of the pauses were not played")
 	}
--- a/tests/soak/process_test.go
+++ b/tests/soak/process_test.go
@@ -40,6 +40,8 @@
 type serverLine struct {
 	// Address is set in the first line only.
 	Address string `json:",omitempty"`
+	// Arrived is a request that the server has received.
+	Arrived string `json:",omitempty"`
 	// Run is a request that the server begins to run, and Tenant and Prompt what it says about itself.
 	Run    string `json:",omitempty"`
 	Tenant string `json:",omitempty"`
@@ -113,6 +115,7 @@
 	}
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
+	s.tell(serverLine{Arrived: id})
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
@@ -218,6 +221,9 @@
 	if json.Unmarshal(text, &l) != nil {
 		return
 	}
+	if l.Arrived != "" {
+		pf.disruptions.recordWorker(l.Arrived, p.spec.ID)
+	}
 	if l.Run != "" {
 		pf.recordRun(l.Run, l.Tenant, l.Prompt)
 	}
