tests/soak: pauses with short deadlines, of one engine for long, and beside and after a restart of all boxes

What callers saw in these forms had not been played. The play now tells what each request ended with: status, whole or cut, at its deadline or not, and the outcome, attempts and reason of its box's log. The restart of all boxes leaves 8 s in place of 3 s for requests after it. Requests that may not be repeated and ran twice, or ran although they were refused, are violations.

--- a/tests/soak/paused_test.go
+++ b/tests/soak/paused_test.go
@@ -29,6 +29,8 @@
 	tableArrival = 2 * time.Second
 	// pausedLength is how long servers pause in turn.
 	pausedLength = 12 * time.Second
+	// afterRestart is how long requests go on after all boxes have started again.
+	afterRestart = 8 * time.Second
 )
 
 // pauses describes how servers pause.
@@ -41,10 +43,15 @@
 	boxesPause bool
 	// slots is how many requests an engine works on at once.
 	slots int
+	// engines is how many random engines pause each time, zero for all and the share in turn.
+	engines int
+	// deadlines are how long callers wait, empty for pausedDeadline.
+	deadlines []time.Duration
 	// noResume is set if all streams are of a route whose streams may not be resumed.
 	noResume bool
-	// restarts is set if all boxes are killed and started again at the end.
-	restarts bool
+	// restarts is set if all boxes are killed and started again at the end, pausesGoOn if servers pause
+	// beside that and after it, too.
+	restarts, pausesGoOn bool
 }
 
 // pausing is a fleet whose servers are processes that are paused by signals.
@@ -96,12 +103,7 @@
 		case <-time.After(time.Duration(500+rng.Intn(1500)) * time.Millisecond):
 		}
 		length := s.shortest + time.Duration(rng.Int63n(int64(s.longest-s.shortest)+1))
-		var paused []*serverProcess
-		for _, p := range s.servers {
-			if p.spec.Service == engineService && (n%2 == 0 || rng.Float64() < s.share) {
-				paused = append(paused, p)
-			}
-		}
+		paused := s.pausedServers(rng, n%2 == 0)
 		var box *box
 		if s.boxesPause {
 			entries := s.withRole("entry")
@@ -124,6 +126,24 @@
 	}
 }
 
+// pausedServers returns the servers that pause next.
+func (s *pausing) pausedServers(rng *rand.Rand, all bool) []*serverProcess {
+	if s.engines > 0 {
+		var list []*serverProcess
+		for _, i := range rng.Perm(pausedEngines)[:s.engines] {
+			list = append(list, s.servers[i])
+		}
+		return list
+	}
+	var list []*serverProcess
+	for _, p := range s.servers[:pausedEngines] {
+		if all || rng.Float64() < s.share {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
 // configuration returns the users' limits with changed routes, time-outs and idle times.
 func (s *pausing) configuration(version uint64, rng *rand.Rand) []byte {
 	var document map[string]any
@@ -162,14 +182,24 @@
 // limits of a small deployment. SOAK_SHAPES=all plays all cases, SOAK_SEEDS sets other seeds, SOAK_SECONDS
 // another length and HAVENWINCH_EARLIER_BIN an earlier daemon.
 func TestPausedServersLoseNoAnswer(t *testing.T) {
+	with := func(change func(*pauses)) pauses {
+		p := pauses{shortest: 1800 * time.Millisecond, longest: 2400 * time.Millisecond, share: 0.6, slots: 32}
+		change(&p)
+		return p
+	}
 	cases := map[string]pauses{
-		"for a second":             {shortest: 900 * time.Millisecond, longest: 1300 * time.Millisecond, share: 0.6, slots: 32},
-		"for two seconds":          {shortest: 1800 * time.Millisecond, longest: 2400 * time.Millisecond, share: 0.6, slots: 32},
-		"for four seconds":         {shortest: 3200 * time.Millisecond, longest: 4400 * time.Millisecond, share: 0.6, slots: 32},
-		"full engines":             {shortest: 1800 * time.Millisecond, longest: 2800 * time.Millisecond, share: 0.6, slots: 4},
-		"boxes pause, too":         {shortest: 1800 * time.Millisecond, longest: 2400 * time.Millisecond, share: 0.6, slots: 32, boxesPause: true},
-		"streams without resuming": {shortest: 1800 * time.Millisecond, longest: 2400 * time.Millisecond, share: 0.6, slots: 32, noResume: true},
-		"all boxes start again":    {shortest: 1800 * time.Millisecond, longest: 2400 * time.Millisecond, share: 0.6, slots: 32, restarts: true},
+		"for a second":     with(func(p *pauses) { p.shortest, p.longest = 900*time.Millisecond, 1300*time.Millisecond }),
+		"for two seconds":  with(func(*pauses) {}),
+		"for four seconds": with(func(p *pauses) { p.shortest, p.longest = 3200*time.Millisecond, 4400*time.Millisecond }),
+		"full engines":     with(func(p *pauses) { p.longest, p.slots = 2800*time.Millisecond, 4 }),
+		"one engine for long": with(func(p *pauses) {
+			p.shortest, p.longest, p.engines, p.deadlines = 6*time.Second, 6*time.Second, 1, []time.Duration{5 * time.Second, pausedDeadline}
+		}),
+		"short deadlines":          with(func(p *pauses) { p.deadlines = []time.Duration{3 * time.Second, pausedDeadline} }),
+		"boxes pause, too":         with(func(p *pauses) { p.boxesPause = true }),
+		"streams without resuming": with(func(p *pauses) { p.noResume = true }),
+		"all boxes start again":    with(func(p *pauses) { p.restarts = true }),
+		"engines register anew":    with(func(p *pauses) { p.restarts, p.pausesGoOn = true, true }),
 	}
 	for name, c := range cases {
 		if os.Getenv("SOAK_SHAPES") == "" && !slices.Contains(quickPauses, name) {
@@ -194,7 +224,10 @@
 	if n, err := strconv.Atoi(os.Getenv("SOAK_SECONDS")); err == nil && n > 0 {
 		length = time.Duration(n) * time.Second
 	}
-	k := &keptCallers{tb: s.testbed, routes: []string{"stream/resume", "stream/resume", "stream/resume", "stream/once", "plain/safe"}, outputs: []uint64{100, 300, 600}, deadlines: []time.Duration{pausedDeadline}}
+	k := &keptCallers{tb: s.testbed, routes: []string{"stream/resume", "stream/resume", "stream/resume", "stream/once", "plain/safe"}, outputs: []uint64{100, 300, 600}, deadlines: c.deadlines}
+	if len(c.deadlines) == 0 {
+		k.deadlines = []time.Duration{pausedDeadline}
+	}
 	if c.noResume {
 		k.routes = []string{"stream/once"}
 	}
@@ -206,32 +239,35 @@
 	pausesDone.Add(1)
 	go func() { defer pausesDone.Done(); s.pauseInSeries(rand.New(rand.NewSource(seed)), stopPauses) }()
 	time.Sleep(length)
-	close(stopPauses)
-	pausesDone.Wait()
+	if !c.pausesGoOn {
+		close(stopPauses)
+		pausesDone.Wait()
+	}
 	if c.restarts {
 		s.killAll()
 		s.startAll(t)
 		s.ready(t)
-		time.Sleep(3 * time.Second)
+		time.Sleep(afterRestart)
+	}
+	if c.pausesGoOn {
+		close(stopPauses)
+		pausesDone.Wait()
 	}
 	close(stop)
 	wg.Wait()
-	complete, refused := 0, 0
 	requests := slices.Concat(k.requests, k.behind)
+	complete := 0
 	for _, r := range requests {
 		if r.complete {
 			complete++
 		}
-		if r.status >= 400 {
-			refused++
-		}
 	}
 	lost := s.lost(t, requests)
-	t.Logf("%d of %d requests have a complete answer, %d of them refusals or failures; %d pauses of servers; %d lost", complete, len(requests), refused, s.total, len(lost))
+	t.Logf("%d of %d requests have a complete answer; %d pauses of servers; %d lost; outcomes:\n%s", complete, len(requests), s.total, len(lost), s.outcomes(t, requests))
 	if complete == 0 || s.total == 0 {
 		t.Error("some of the pauses were not played")
 	}
-	for i, v := range slices.Concat(lost, s.platform.violations, s.unexpectedExits()) {
+	for i, v := range slices.Concat(lost, s.repeated(requests), s.platform.violations, s.unexpectedExits()) {
 		if i == 10 {
 			t.Error("further violations are left out")
 			break
