tests/soak: lines of lost requests are looked up once per box

Now each log is parsed once. Nothing that callers see or that the check decides has changed; TestLostAnswersAreFound passes as before.

--- a/tests/soak/lost_test.go
+++ b/tests/soak/lost_test.go
@@ -70,12 +70,14 @@
 // owed one.
 func (tb *testbed) lost(t *testing.T, requests []keptRequest) []string {
 	var list []string
+	logs := requestLogs{}
 	for _, r := range requests {
 		why := r.whyLost(tb.platform.disruptions.hasWorker(r.id))
 		if why == "" || tb.boxNamed(t, r.box).wasDown(r.sentAt, r.endedAt) {
 			continue
 		}
-		list = append(list, fmt.Sprintf("request %s (%s, %s) at %s: %s; status %d, the connection ended %s after its last byte, deadline %s; %v", r.id, r.route, r.form, r.box, why, r.status, r.endedAt.Sub(r.sentAt), r.deadline, requestLogLine(tb.logOf(r.box), r.id)))
+		line, _ := logs.line(tb, r)
+		list = append(list, fmt.Sprintf("request %s (%s, %s) at %s: %s; status %d, the connection ended %s after its last byte, deadline %s; %s", r.id, r.route, r.form, r.box, why, r.status, r.endedAt.Sub(r.sentAt), r.deadline, line.text))
 	}
 	return list
 }
--- a/tests/soak/outcomes_test.go
+++ b/tests/soak/outcomes_test.go
@@ -29,6 +29,8 @@
 	Outcome         string   `json:"outcome"`
 	Targets         []string `json:"targets"`
 	NoFurtherTarget string   `json:"no_further_target"`
+	// text is the whole line.
+	text string
 }
 
 // requestLines returns the lines about requests in a box's log.
@@ -37,20 +39,30 @@
 	for text := range strings.Lines(log) {
 		var l requestLine
 		if strings.Contains(text, `"msg":"request `) && json.Unmarshal([]byte(text), &l) == nil {
+			l.text = strings.TrimSpace(text)
 			lines[l.Request] = l
 		}
 	}
 	return lines
 }
 
+// requestLogs has the lines about requests by box.
+type requestLogs map[string]map[string]requestLine
+
+// line returns the line about a request.
+func (l requestLogs) line(tb *testbed, r keptRequest) (requestLine, bool) {
+	if l[r.box] == nil {
+		l[r.box] = requestLines(tb.logOf(r.box))
+	}
+	line, ok := l[r.box][r.id]
+	return line, ok
+}
+
 // outcomes counts requests by what their callers saw and what the boxes' logs say about them.
 func (tb *testbed) outcomes(t *testing.T, requests []keptRequest) string {
-	logs, counts := map[string]map[string]requestLine{}, map[string]int{}
+	logs, counts := requestLogs{}, map[string]int{}
 	for _, r := range requests {
-		if logs[r.box] == nil {
-			logs[r.box] = requestLines(tb.logOf(r.box))
-		}
-		l, isLogged := logs[r.box][r.id]
+		l, isLogged := logs.line(tb, r)
 		kind := fmt.Sprintf("%d, complete", r.status)
 		if !r.complete {
 			kind = fmt.Sprintf("%d, cut", r.status)
