tests/soak: the outcomes of a play name the route of cut requests and one log line of each kind

After a play with one silent engine it could not be told which calls were held to their deadline. Nothing that the check decides has changed.

--- a/tests/soak/kept_test.go
+++ b/tests/soak/kept_test.go
@@ -62,8 +62,9 @@
 	output   uint64
 	status   int
 	complete bool
-	// closeTold is set if the request was sent behind one whose answer told the end of the connection.
-	closeTold bool
+	// isBehind is set if the request was sent behind one with whose answer the connection ended, closeTold
+	// if that answer was complete and told so.
+	isBehind, closeTold bool
 	// reset is set if the connection was reset, as it is when the box leaves bytes unread.
 	reset bool
 }
@@ -273,7 +274,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, r := range list {
-		r.endedAt, r.closeTold, r.reset = last.endedAt, last.complete, last.reset
+		r.endedAt, r.isBehind, r.closeTold, r.reset = last.endedAt, true, last.complete, last.reset
 		k.behind = append(k.behind, r)
 	}
 }
--- a/tests/soak/outcomes_test.go
+++ b/tests/soak/outcomes_test.go
@@ -58,14 +58,18 @@
 	return line, ok
 }
 
-// outcomes counts requests by what their callers saw and what the boxes' logs say about them.
+// outcomes counts requests by what their callers saw and what the boxes' logs say about them. It has the
+// line about the first one of each kind that was cut.
 func (tb *testbed) outcomes(t *testing.T, requests []keptRequest) string {
-	logs, counts := requestLogs{}, map[string]int{}
+	logs, counts, lines := requestLogs{}, map[string]int{}, map[string]string{}
 	for _, r := range requests {
 		l, isLogged := logs.line(tb, r)
 		kind := fmt.Sprintf("%d, complete", r.status)
 		if !r.complete {
-			kind = fmt.Sprintf("%d, cut", r.status)
+			kind = fmt.Sprintf("%d, cut, %s", r.status, r.route)
+			if r.isBehind {
+				kind += ", behind the end of another one"
+			}
 			if tb.boxNamed(t, r.box).wasDown(r.sentAt, r.endedAt) {
 				kind += ", box down"
 			}
@@ -86,10 +90,16 @@
 			}
 		}
 		counts[kind]++
+		if !r.complete && lines[kind] == "" {
+			lines[kind] = l.text
+		}
 	}
 	var b strings.Builder
 	for _, kind := range slices.Sorted(maps.Keys(counts)) {
 		fmt.Fprintf(&b, "%6d  %s\n", counts[kind], kind)
+		if lines[kind] != "" {
+			fmt.Fprintf(&b, "        %s\n", lines[kind])
+		}
 	}
 	return b.String()
 }
