--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -111,11 +111,8 @@
 	}
 }
 
-// hasBytes reports whether bytes have arrived that were not read.
+// hasBytes reports whether bytes have arrived since the last read from the network.
 func (c *conn) hasBytes() bool {
-	if c.reader.Buffered() > 0 {
-		return true
-	}
 	n, err := peekByte(c.net)
 	return n > 0 && err == nil
 }
@@ -129,6 +126,9 @@
 		}
 		n, err = c.input.Read(p)
 	}
+	if n > 0 {
+		c.target.Hear()
+	}
 	c.closed = errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
 	c.lost = c.closed || errors.Is(err, syscall.ETIMEDOUT)
 	return n, err
