--- a/services/forward/target_end_test.go
+++ b/services/forward/target_end_test.go
@@ -127,7 +127,7 @@
 		others int
 		// wait is how long the caller waits, zero for the time of the route.
 		wait time.Duration
-		want   []string
+		want []string
 	}{
 		"ends before the answer":   {route: "unsafe", then: closeConn(), ends: true, want: []string{"early one"}},
 		"resets before the answer": {route: "unsafe", then: resetConn(), ends: true, want: []string{"early one"}},
