tests/soak: a played box that serves one connection stands once

The tables of both checks for lost answers (cut_test.go, lost_test.go) set it up with the same lines.

--- a/tests/soak/cut_test.go
+++ b/tests/soak/cut_test.go
@@ -288,6 +288,24 @@
 	}
 }
 
+// playBox returns a testbed with a played box that serves one connection, and has got the signals by the
+// time it closes it.
+func playBox(t *testing.T, serve func(net.Conn), signals []syscall.Signal) *testbed {
+	t.Helper()
+	b := &box{name: "entry-1"}
+	tb := &testbed{fleet: &fleet{boxes: []*box{b}}, platform: newPlatform(nil)}
+	address := serveOnce(t, func(conn net.Conn) {
+		serve(conn)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		for _, s := range signals {
+			b.recordSignal(s)
+		}
+	})
+	tb.all = &callerPool{platform: tb.platform, entries: []string{address}, names: []string{b.name}}
+	return tb
+}
+
 func TestRequestsWithoutAnAnswerAreFound(t *testing.T) {
 	read := func(conn net.Conn) { _, _ = conn.Read(make([]byte, 4096)) }
 	closedBefore := func(net.Conn) {}
@@ -394,17 +412,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			b := &box{name: "entry-1"}
-			tb := &testbed{fleet: &fleet{boxes: []*box{b}}, platform: newPlatform(nil)}
-			address := serveOnce(t, func(conn net.Conn) {
-				c.serve(conn)
-				b.mu.Lock()
-				defer b.mu.Unlock()
-				for _, s := range c.signals {
-					b.recordSignal(s)
-				}
-			})
-			tb.all = &callerPool{platform: tb.platform, entries: []string{address}, names: []string{b.name}}
+			tb := playBox(t, c.serve, c.signals)
 			caller := tb.caller(1)
 			caller.patience = c.patience
 			if c.isMoved {
--- a/tests/soak/lost_test.go
+++ b/tests/soak/lost_test.go
@@ -172,17 +172,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			b := &box{name: "entry-1"}
-			tb := &testbed{fleet: &fleet{boxes: []*box{b}}, platform: newPlatform(nil)}
-			address := serveOnce(t, func(conn net.Conn) {
-				c.serve(conn)
-				b.mu.Lock()
-				defer b.mu.Unlock()
-				for _, s := range c.signals {
-					b.recordSignal(s)
-				}
-			})
-			tb.all = &callerPool{platform: tb.platform, entries: []string{address}, names: []string{b.name}}
+			tb := playBox(t, c.serve, c.signals)
 			if c.deadline == 0 {
 				c.deadline = pausedDeadline
 			}
