--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -27,6 +27,7 @@
 	"havenwinch.dev/havenwinch/modules/http1"
 	"havenwinch.dev/havenwinch/modules/reply"
 	"havenwinch.dev/havenwinch/services/forward"
+	"havenwinch.dev/havenwinch/structs"
 )
 
 const (
@@ -346,6 +347,8 @@
 	}
 	var refusal *forward.Refusal
 	if a.State() == reply.None && errors.As(err, &refusal) {
+		// Over a new connection the caller reaches another box.
+		c.closeAfter = c.closeAfter || refusal.Kind == structs.KindBoxOverloaded
 		err = c.writeRefusal(a, h, refusal)
 	}
 	return err == nil && a.State() == reply.Ended && !c.closeAfter
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -111,6 +111,8 @@
 	// EngineAPI encodes the requests by which engines copy the state of running calls; nil where
 	// they can't.
 	EngineAPI EngineAPI
+	// Admission decides which calls are taken while the box's own link is full; nil to take all.
+	Admission Admission
 	// Meter counts the bytes on connections to targets; nil for none.
 	Meter *meter.Meter
 	// RetryRatio and RetryStock limit the retries of the whole fleet per window: to a ratio of
@@ -347,6 +349,10 @@
 	if refusal := fl.resolve(); refusal != nil {
 		return refusal
 	}
+	if refusal := fl.refuseIfLinkFull(); refusal != nil {
+		return refusal
+	}
+	defer fl.recordAnswer()
 	ctx, cancel := context.WithTimeout(ctx, fl.remaining())
 	defer cancel()
 	if refusal := fl.resolveSoftware(ctx); refusal != nil {
