--- a/models/lease/lease.go
+++ b/models/lease/lease.go
@@ -48,6 +48,8 @@
 	limit        limiter
 	// waiting are the requests that wait for the limit, in the order of their arrival.
 	waiting []*Waiter
+	// acknowledged is the number of the last sample that control has acknowledged.
+	acknowledged uint64
 }
 
 // rateWindow is the time constant of the exponential smoothing of demand.
@@ -71,9 +73,8 @@
 	ReportTime time.Duration
 	// sampledAt is the time of the last sample.
 	sampledAt time.Duration
-	// samples is the number of samples, acknowledged that of the last one that control has
-	// acknowledged.
-	samples, acknowledged uint64
+	// samples is the number of samples.
+	samples uint64
 	// waiting has the leases with requests that wait for the limit on unreported use.
 	waiting map[string]*Lease
 }
@@ -199,6 +200,7 @@
 	l := t.Of(organisation)
 	l.Allotted = max(l.Allotted, allotted)
 	l.limit.acknowledge(l.Allotted)
+	l.acknowledged = t.samples
 	l.Left, l.AnsweredAt, l.HasAnswer = left, now, true
 	available := l.Allotted - min(l.Allotted, l.Returned+l.Spent)
 	if l.need == 0 && available > keep {
--- a/models/lease/wait.go
+++ b/models/lease/wait.go
@@ -87,9 +87,6 @@
 	}
 }
 
-// Acknowledge records that control has received the last sample.
-func (t *Table) Acknowledge() { t.acknowledged = t.samples }
-
 // Decide decides about the requests that wait: it admits those whose tokens control knows of or
 // the limit admits, and refuses those that can't be admitted in time. While the box is not cut off,
 // a report may still end the wait of any of them. It returns the requests that do not wait any
@@ -112,7 +109,7 @@
 	for _, w := range l.waiting {
 		w.look(l, ahead, now)
 		switch {
-		case w.samples < t.acknowledged:
+		case w.samples < l.acknowledged:
 			w.Admitted = true
 		case w.AvailableIn == 0:
 			l.limit.take(w.Tokens)
--- a/services/gateway/report.go
+++ b/services/gateway/report.go
@@ -180,7 +180,6 @@
 		l.holders = int(resp.GetHolders())
 	}
 	l.setDirectory(resp.GetDirectory())
-	l.table.Acknowledge()
 	l.decideWaiting()
 	if len(l.waiting) > 0 {
 		// Their tokens are not in the sample that control has acknowledged.
--- a/services/gateway/shared_test.go
+++ b/services/gateway/shared_test.go
@@ -29,6 +29,10 @@
 	// "settlements"; "descriptors" means that the asking box has none for the connection.
 	loses   map[string]bool
 	settled chan string
+	// takes is how long an answer to a draw takes: it is lost if the draw does not wait as long.
+	takes time.Duration
+	// longestWait is the longest wait for tokens, in milliseconds, that a draw asked for.
+	longestWait int64
 }
 
 func (w *lossyConn) Draw(ctx context.Context, r *connect.Request[betweenv1.DrawRequest]) (*connect.Response[betweenv1.DrawResponse], error) {
@@ -39,6 +43,10 @@
 	if w.loses["descriptors"] {
 		return nil, connect.NewError(connect.CodeUnavailable, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", syscall.EMFILE)})
 	}
+	w.longestWait = max(w.longestWait, r.Msg.GetWait())
+	if deadline, _ := ctx.Deadline(); w.takes > 0 && time.Until(deadline) < w.takes {
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, errors.New("no answer in time"))
+	}
 	resp := w.leases.Draw(ctx, r.Msg)
 	if w.loses["answers"] {
 		return nil, lost
