lease, gateway: tests that waits serve calls that were refused for slow reports

Cause: nothing showed that the waits for the limit on unreported use help a busy box whose reports take long.

Change: a simulation of 600 calls of 3,600 tokens, or with each tenth of 60,000, in 6 s, and a test of the wait that a draw asks of the holder.

--- a/models/lease/wait_test.go
+++ b/models/lease/wait_test.go
@@ -283,3 +283,84 @@
 		}
 	})
 }
+
+// playWaits sends 100 calls a second, each tenth of large tokens and the others of 3,600, through a
+// box with a lease of 800,000 whose reports take reportTime. A call waits for the limit for at
+// most wait, zero to refuse it at once. It returns what the callers got and the longest wait of
+// a call that was admitted.
+func playWaits(large uint64, reportTime, wait time.Duration) (got callers, longest time.Duration) {
+	const (
+		size   = 800000
+		length = 6 * time.Second
+		step   = 10 * time.Millisecond
+	)
+	start := time.Second
+	tb := granted(size, start)
+	l := tb.Of(org)
+	arrived := map[*Waiter]time.Duration{}
+	nextReport, answerAt := start, time.Duration(-1)
+	for now := start; now < start+length; now += step {
+		if answerAt >= 0 && now >= answerAt {
+			tb.ApplyGrant(org, l.Spent+l.Reserved+size, 1<<40, 1<<40, now)
+			answerAt, nextReport = -1, now
+		}
+		if answerAt < 0 && now >= nextReport {
+			tb.ReportTime = reportTime
+			tb.Sample(now)
+			answerAt = now + reportTime
+		}
+		tokens := uint64(3600)
+		if got.calls%10 == 9 {
+			tokens = large
+		}
+		got.calls++
+		if !tb.Reserve(org, tokens, now) {
+			if w := tb.Wait(org, tokens, now+wait); w != nil {
+				arrived[w] = now
+			} else {
+				got.refused++
+			}
+		}
+		decided, _ := tb.Decide(false, now)
+		for _, w := range decided {
+			if w.Admitted {
+				longest = max(longest, now-arrived[w])
+			} else {
+				tb.AddRefused(org, w.Tokens)
+				got.refused++
+			}
+		}
+	}
+	return got, longest
+}
+
+// Guards against a box that refuses calls although its lease has enough tokens and its reports
+// are only slow.
+func TestWaitsForSlowReports(t *testing.T) {
+	cases := map[string]struct {
+		large      uint64
+		reportTime time.Duration
+		// most bounds the share of refused calls, least that of calls that do not wait.
+		most, least float64
+	}{
+		"reports take 300 ms":              {large: 3600, reportTime: 300 * time.Millisecond, least: 0.03},
+		"reports take 700 ms":              {large: 3600, reportTime: 700 * time.Millisecond, least: 0.2},
+		"large calls, reports take 300 ms": {large: 60000, reportTime: 300 * time.Millisecond, least: 0.03},
+		"large calls, reports take 700 ms": {large: 60000, reportTime: 700 * time.Millisecond, most: 0.1, least: 0.3},
+		"large calls, quick reports":       {large: 60000, reportTime: 20 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			with, longest := playWaits(c.large, c.reportTime, time.Second)
+			without, _ := playWaits(c.large, c.reportTime, 0)
+			t.Logf("of %d refused %d, %d without waits; longest wait %s", with.calls, with.refused, without.refused, longest)
+			share := func(r callers) float64 { return float64(r.refused) / float64(r.calls) }
+			if share(with) > c.most || longest > time.Second {
+				t.Fatalf("refused %.3f after at most %s, want at most %.3f", share(with), longest, c.most)
+			}
+			if share(without) < c.least {
+				t.Fatalf("refused %.3f without waits: the load needs none", share(without))
+			}
+		})
+	}
+}
--- a/services/gateway/limit_wait_test.go
+++ b/services/gateway/limit_wait_test.go
@@ -207,19 +207,35 @@
 // Guards against a draw that is refused after a share of the objective, although the holder has
 // enough tokens and its next report would be answered in time.
 func TestDrawWaitsForTheReportOfTheHolder(t *testing.T) {
-	f := newShared(func(int, bool) uint64 { return 100000 })
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	_, outcome, status := f.Reserve(ctx, "o", 60000, time.Millisecond)
-	if outcome != Short || !status.Limited {
-		t.Fatalf("%s, %+v without any report", outcome, status)
-	}
-	longest := int64(0)
-	for _, w := range f.wires {
-		longest = max(longest, w.longestWait)
+	cases := map[string]struct {
+		left           time.Duration
+		tokens         uint64
+		shortest, most int64
+	}{
+		"much time left":           {left: time.Minute, tokens: 60000, shortest: 1000, most: 1000},
+		"little time left":         {left: 3 * time.Second, tokens: 60000, shortest: 11, most: 750},
+		"the lease has too little": {left: time.Minute, tokens: 200000, most: 10},
 	}
-	if longest != maxLimitWait.Milliseconds() {
-		t.Fatalf("the holder was asked to wait %d ms, want %s", longest, maxLimitWait)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newShared(func(int, bool) uint64 { return 100000 })
+			for _, w := range f.wires {
+				w.loses["waits"] = true
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), c.left)
+			defer cancel()
+			_, outcome, status := f.Reserve(ctx, "o", c.tokens, 10*time.Millisecond)
+			if outcome != Short || status.Limited != (c.tokens < 100000) {
+				t.Fatalf("%s, %+v without any report", outcome, status)
+			}
+			longest := int64(0)
+			for _, w := range f.wires {
+				longest = max(longest, w.longestWait)
+			}
+			if longest < c.shortest || longest > c.most {
+				t.Fatalf("the holder was asked to wait %d ms, want %d to %d", longest, c.shortest, c.most)
+			}
+		})
 	}
 }
 
--- a/services/gateway/shared_test.go
+++ b/services/gateway/shared_test.go
@@ -25,8 +25,8 @@
 // lossyConn is a connection to a holder that can lose messages.
 type lossyConn struct {
 	leases *Leases
-	// loses has the kinds of messages that are lost: "asks", "answers" (of draws) and
-	// "settlements"; "descriptors" means that the asking box has none for the connection.
+	// loses has the kinds of messages that are lost: "asks", "answers" (of draws), "waits" (draws
+	// that may wait) and "settlements"; "descriptors" means that the asking box has none for the connection.
 	loses   map[string]bool
 	settled chan string
 	// takes is how long an answer to a draw takes: it is lost if the draw does not wait as long.
@@ -44,6 +44,9 @@
 		return nil, connect.NewError(connect.CodeUnavailable, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", syscall.EMFILE)})
 	}
 	w.longestWait = max(w.longestWait, r.Msg.GetWait())
+	if w.loses["waits"] && r.Msg.GetWait() > 0 {
+		return nil, lost
+	}
 	if deadline, _ := ctx.Deadline(); w.takes > 0 && time.Until(deadline) < w.takes {
 		return nil, connect.NewError(connect.CodeDeadlineExceeded, errors.New("no answer in time"))
 	}
