--- a/services/forward/paths.go
+++ b/services/forward/paths.go
@@ -236,7 +236,7 @@
 // noPathRefusal is the answer to a call whose service no box reaches.
 func (f *Forwarder) noPathRefusal(service string) *Refusal {
 	if f.opts.IsCongested() {
-		return fl.f.congestedRefusal(service)
+		return f.congestedRefusal(service)
 	}
 	return &Refusal{Kind: structs.KindNoTarget, Run: structs.RunNo, RetryAfter: noPathRetryAfter + time.Duration(rand.Int63n(int64(retryAfterJitter))),
 		Message: "no target of service " + service + " can be reached, also not through other boxes: ask again after the stated time"}
