services/forward: leave targets that send bytes without end

Cause: a head, a chunk's size line, its extension or comments that never end counted as an answer in progress, so that a call stayed at the target until 2.5 objectives or its deadline although another target was there. Comments were passed on without bound.

Change: once its first byte has arrived, a head or size line of a call that may go on elsewhere has half the objective (500 ms at least). A stall of a stream is measured between complete events, and a target from which bytes come, but no event, is left also if it answers queries. The rest of an answer that is not relayed is read for 200 ms at most.

--- a/services/forward/anomaly.go
+++ b/services/forward/anomaly.go
@@ -23,6 +23,10 @@
 	anomalyNotSigned = "not_signed"
 	// anomalyHead is a header that can't be parsed.
 	anomalyHead = "unreadable_head"
+	// anomalyChunk is a chunk whose framing is invalid or does not end in time.
+	anomalyChunk = "invalid_chunk"
+	// anomalyNoEvent is a stream from which bytes come, but no complete event.
+	anomalyNoEvent = "bytes_without_event"
 )
 
 // maxLoggedBytes limits the bytes of an invalid answer that are logged.
--- a/services/forward/buffered.go
+++ b/services/forward/buffered.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -29,12 +30,15 @@
 	if !wd.answer() {
 		return fl.unanswered(ctx, t, x, wd, errNoAnswer)
 	}
+	fl.limitLines(x, wd)
 	body, err := io.ReadAll(io.LimitReader(x.body, maxBufferedAnswer))
 	if err != nil {
 		x.abandon()
+		x.logBrokenBody(err, 0, len(body))
 		fl.recordSend(t, fmt.Sprintf("cut %d", status))
 		return attempt{verdict: failing, err: errors.Wrap(errNoAnswer, err.Error())}
 	}
+	x.onSlowLine = nil
 	got := &answer{status: status, fields: x.fields(), body: body, declaredLength: x.declaredLength(body)}
 	if len(body) == maxBufferedAnswer {
 		return fl.forwardLong(t, x, got)
@@ -48,6 +52,23 @@
 	return attempt{verdict: verdictOf(status), done: true, finished: true, err: fl.sendAnswer(got)}
 }
 
+// limitLines limits the time for the size lines of chunks if the call may go to another target. The data
+// of chunks may arrive slowly.
+func (fl *inflightCall) limitLines(x *exchange, wd *watchdog) {
+	if wd.mayCancel == nil {
+		return
+	}
+	f, c := fl.f, x.conn
+	x.lineWait = fl.partWait()
+	x.onSlowLine = func() bool {
+		if !f.opts.IsCongested() && wd.mayCancel() {
+			return true
+		}
+		_ = c.net.SetReadDeadline(time.Now().Add(f.stallWait))
+		return false
+	}
+}
+
 // verdictOf returns what the status of a target's answer says about its health.
 func verdictOf(status int) verdict {
 	if status >= http.StatusInternalServerError {
--- a/services/forward/events.go
+++ b/services/forward/events.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"strconv"
+	"time"
 
 	"havenwinch.dev/havenwinch/modules/http1"
 )
@@ -16,8 +17,8 @@
 //
 // An event is a block of lines that ends with an empty line. One of its fields is a decimal id
 // that must follow the previous one. A block of comments has no id. Only the first events of a
-// target may repeat events that the caller has, because the target may not know what the caller
-// received.
+// target may repeat events that the caller has, each once, because the target may not know what the
+// caller received.
 type eventSplitter struct {
 	pending []byte
 	// last is the id of the latest complete event, -1 for none.
@@ -26,8 +27,20 @@
 	count uint64
 	// advanced is set once the current target has sent a new event.
 	advanced bool
+	// repeated is the id of the latest event that was skipped, -1 for none of the current target.
+	repeated int64
 	// fault is set once invalid bytes arrived.
 	fault bool
+	// maxEvent limits the size of an event in bytes, defaultMaxEvent if zero.
+	maxEvent int
+	// now is the boot clock, by which comments are passed on; nil to pass all of them on.
+	now func() time.Duration
+	// comments and commentBytes count the comments since the latest event, and nextComment is
+	// when one may be passed on again.
+	comments, commentBytes int
+	nextComment            time.Duration
+	// blocks counts the complete events of the current target, with those that were skipped.
+	blocks uint64
 	// logAnomaly is called with the first invalid bytes; may be nil.
 	logAnomaly func(block []byte)
 }
@@ -39,14 +52,76 @@
 	forbiddenBytes = "\r\x00"
 )
 
-// maxEventSize limits the size of an event in bytes, so that a target that never ends one can't
-// exhaust the memory of the box.
-const maxEventSize = 1 << 20
+const (
+	// defaultMaxEvent limits the size of an event in bytes, so that a target that never ends one
+	// can't exhaust the memory of the box.
+	defaultMaxEvent = 1 << 20
+	// maxCommentBytes limits the comments between two events in bytes. Comments keep a connection
+	// alive; a few bytes every second are enough for that.
+	maxCommentBytes = 64 << 10
+	// commentInterval is the least time between two comments that are passed on. It is shorter than
+	// any time after which a proxy or a caller takes a quiet connection for dead.
+	commentInterval = time.Second
+)
 
 // startTarget prepares for the stream of the next target and discards the partial event of the
 // previous one.
 func (e *eventSplitter) startTarget() {
-	e.pending, e.advanced, e.fault = nil, false, false
+	e.pending, e.advanced, e.fault, e.repeated = nil, false, false, -1
+	e.comments, e.commentBytes, e.blocks = 0, 0, 0
+}
+
+// eventLimit returns the greatest size of an event in bytes.
+func (e *eventSplitter) eventLimit() int {
+	if e.maxEvent == 0 {
+		return defaultMaxEvent
+	}
+	return e.maxEvent
+}
+
+// isTooLong reports whether the pending bytes, which no separator ends yet, exceed what an event or
+// the comments between two events may have.
+func (e *eventSplitter) isTooLong() bool {
+	if len(e.pending) > e.eventLimit() {
+		return true
+	}
+	return e.commentBytes+len(e.pending) > maxCommentBytes && isComment(e.pending)
+}
+
+// isComment reports whether all lines of a block, the last of which may be incomplete, are comments.
+func isComment(block []byte) bool {
+	for line := range bytes.SplitSeq(block, eventEnd[:1]) {
+		if len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
+// acceptsComment reports whether a block of comments is to be relayed. It sets the fault if there
+// are too many between two events.
+func (e *eventSplitter) acceptsComment(block []byte) bool {
+	e.comments++
+	e.commentBytes += len(block)
+	if e.commentBytes > maxCommentBytes {
+		e.fail(block)
+		return false
+	}
+	if e.now == nil {
+		return true
+	}
+	now := e.now()
+	if now < e.nextComment {
+		return false
+	}
+	e.nextComment = now + commentInterval
+	return true
+}
+
+// recordEvent counts a complete event, relayed or skipped.
+func (e *eventSplitter) recordEvent() {
+	e.blocks++
+	e.comments, e.commentBytes = 0, 0
 }
 
 // split adds bytes and returns the new complete events; events up to the last id are skipped.
@@ -62,7 +137,7 @@
 	for ; ; from = 0 {
 		at := bytes.Index(e.pending[from:], eventEnd)
 		if at < 0 {
-			if len(e.pending) > maxEventSize {
+			if e.isTooLong() {
 				e.fail(e.pending)
 			}
 			return out
@@ -84,11 +159,13 @@
 	id, kind := readBlock(block)
 	switch {
 	case kind == blockComment:
-		return true
-	case kind == blockInvalid:
+		return e.acceptsComment(block)
+	case kind == blockInvalid || len(block) > e.eventLimit()+len(eventEnd):
 		e.fail(block)
 		return false
-	case id <= e.last && !e.advanced:
+	case id <= e.last && !e.advanced && id > e.repeated:
+		e.repeated = id
+		e.recordEvent()
 		return false
 	case e.last >= 0 && id != e.last+1:
 		e.fail(block)
@@ -96,6 +173,7 @@
 	}
 	e.last, e.advanced = id, true
 	e.count++
+	e.recordEvent()
 	return true
 }
 
--- a/services/forward/events_test.go
+++ b/services/forward/events_test.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -50,7 +51,15 @@
 		"a vendor field":             {last: -1, text: "weight-versions: 3\nid: 0\ndata: a\n\n", out: "weight-versions: 3\nid: 0\ndata: a\n\n"},
 		"other fields":               {last: -1, text: "id:0\nevent: made\nretry: 5\ndata\n\n", out: "id:0\nevent: made\nretry: 5\ndata\n\n"},
 		"a partial event":            {last: -1, text: event(0) + "id: 1\ndata", out: event(0), pending: "id: 1\ndata"},
-		"an event that is too long":  {last: -1, text: "id: 0\ndata: " + strings.Repeat("a", maxEventSize), fault: true},
+		"an event that is too long":  {last: -1, text: "id: 0\ndata: " + strings.Repeat("a", defaultMaxEvent), fault: true},
+		"a long event that ends":     {last: -1, text: "id: 0\ndata: " + strings.Repeat("a", defaultMaxEvent) + "\n\n", fault: true},
+		"events repeated twice":      {last: 3, text: event(2) + event(3) + event(2), fault: true},
+		"an event repeated forever":  {last: 3, text: event(3) + event(3), fault: true},
+		"comments without end":       {last: -1, text: event(0) + strings.Repeat(":\n\n", maxCommentBytes/3+1), out: event(0) + strings.Repeat(":\n\n", maxCommentBytes/3), fault: true},
+		"a comment without end":      {last: -1, text: event(0) + ":\n:" + strings.Repeat("a", maxCommentBytes), out: event(0), fault: true},
+		"empty lines without end":    {last: -1, text: strings.Repeat("\n", maxCommentBytes+2), out: strings.Repeat("\n", maxCommentBytes), fault: true},
+		"comments between events":    {last: -1, text: strings.Repeat(":\n\n", maxCommentBytes/4) + event(0) + strings.Repeat(":\n\n", maxCommentBytes/4), out: strings.Repeat(":\n\n", maxCommentBytes/4) + event(0) + strings.Repeat(":\n\n", maxCommentBytes/4)},
+		"a long event with comments": {last: -1, text: ":\nid: 0\ndata: " + strings.Repeat("a", maxCommentBytes) + "\n\n", out: ":\nid: 0\ndata: " + strings.Repeat("a", maxCommentBytes) + "\n\n"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -108,3 +117,31 @@
 		}
 	})
 }
+
+// Guards against comments that are passed on as fast as a target sends them.
+func TestCommentsArePassedOnOnceInAWhile(t *testing.T) {
+	now := time.Hour
+	e := &eventSplitter{last: -1, now: func() time.Duration { return now }}
+	e.startTarget()
+	var out []byte
+	for range 30 {
+		out = append(out, e.split([]byte(":\n\n"))...)
+		now += commentInterval / 10
+	}
+	out = append(out, e.split([]byte(event(0)))...)
+	if want := strings.Repeat(":\n\n", 3) + event(0); string(out) != want || e.fault {
+		t.Errorf("passed on %q, want %q, fault %v", out, want, e.fault)
+	}
+}
+
+// Guards against boxes with little memory that hold events of any size.
+func TestEventsAreLimitedByMemory(t *testing.T) {
+	for size, fault := range map[int]bool{1000: false, 2000: true} {
+		e := &eventSplitter{last: -1, maxEvent: 1024}
+		e.startTarget()
+		e.split([]byte("id: 0\ndata: " + strings.Repeat("a", size) + "\n\n"))
+		if e.fault != fault {
+			t.Errorf("an event of %d bytes: fault %v", size, e.fault)
+		}
+	}
+}
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -8,7 +8,6 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"net/http/httputil"
 	"strconv"
 	"strings"
 	"time"
@@ -33,8 +32,9 @@
 	errNotSent = errors.New("the target could not be reached")
 	// errNoAnswer means that the call was sent and may have run.
 	errNoAnswer = errors.New("the target did not answer")
-	// errGivenUp means that a stream goes on at another target as its own is silent.
-	errGivenUp = errors.New("the target is silent and another one has accepted the stream")
+	// errGivenUp means that a call goes on at another target as its own is silent or sends bytes
+	// without end that are no answer.
+	errGivenUp = errors.New("the target is silent or sends no answer, and the call goes on at another one")
 	// errNotNeeded means that a call was taken back from a target.
 	errNotNeeded = errors.New("the target that had the stream before has answered, or the call has ended")
 	// errQuarantined means that the call was not sent because targets crash while they run it.
@@ -60,6 +60,21 @@
 	upload chan struct{}
 	// bodyComplete is set once the body was read to its end.
 	bodyComplete bool
+	// lineWait limits the time for the rest of a size line of a chunk, once its first byte has
+	// arrived; zero for no limit. onSlowLine is called when it is over, and returns true if the read
+	// is to fail with errGivenUp.
+	lineWait   time.Duration
+	onSlowLine func() bool
+}
+
+// guardLine limits the time of the read of a size line.
+func (x *exchange) guardLine(read func() error) error {
+	if x.onSlowLine == nil {
+		return read()
+	}
+	x.conn.awaitBytes(x.lineWait, x.onSlowLine)
+	defer x.conn.awaitForever()
+	return read()
 }
 
 // send writes the request: the relayed fields, then added. All requests to targets go through
@@ -72,6 +87,7 @@
 	}
 	x := &exchange{f: f, conn: c, call: call, sent: now}
 	c.previousCall, c.lastCall = c.lastCall, call.name()
+	c.headBegan.Store(0)
 	x.stopWatching = context.AfterFunc(ctx, c.close)
 	head := writeHead(call, added)
 	if len(call.Body) <= maxInlineBody {
@@ -173,11 +189,16 @@
 		if x.head.StatusCode() >= http.StatusOK {
 			return nil
 		}
+		x.conn.headBegan.Store(0)
 	}
 	return errors.Errorf("received more than %d interim answers", maxInterim)
 }
 
 func (x *exchange) readHead() error {
+	if _, err := x.conn.reader.Peek(1); err != nil {
+		return err
+	}
+	x.conn.headBegan.CompareAndSwap(0, int64(x.f.opts.Clock.Boot()))
 	head, err := http1.PeekHead(x.conn.reader)
 	if err != nil {
 		return err
@@ -220,7 +241,17 @@
 		return
 	}
 	seen, _ := x.conn.reader.Peek(min(maxLoggedBytes, x.conn.reader.Buffered()))
-	x.f.logAnomaly(x.call, x.conn.target, anomalyHead, 0, seen, slog.String("reason", err.Error()), slog.Bool("reused", x.conn.reused), slog.String("before", x.conn.previousCall))
+	x.f.logAnomaly(x.call, x.conn.target, anomalyHead, 0, seen, slog.String("reason", err.Error()), slog.Int("bytes", x.conn.reader.Buffered()), slog.Bool("reused", x.conn.reused), slog.String("before", x.conn.previousCall))
+}
+
+// logBrokenBody logs a body that ends with err if its framing is invalid or did not end in time. events
+// and size are the number of events and of bytes of the body before.
+func (x *exchange) logBrokenBody(err error, events uint64, size int) {
+	if !http1.IsErrMalformedChunk(err) && !errors.Is(err, errGivenUp) {
+		return
+	}
+	seen, _ := x.conn.reader.Peek(min(maxLoggedBytes, x.conn.reader.Buffered()))
+	x.f.logAnomaly(x.call, x.conn.target, anomalyChunk, events, seen, slog.String("reason", err.Error()), slog.Int("bytes", size))
 }
 
 // setBody sets up the body reader from the framing in the header.
@@ -236,7 +267,7 @@
 	case length >= 0:
 		x.body = &sizedBody{r: x.conn.reader, left: int64(length)}
 	case length == -1:
-		x.body = &chunkedBody{x: x, r: httputil.NewChunkedReader(x.conn.reader)}
+		x.body = http1.NewChunkedReader(x.conn.reader, x.guardLine)
 	default:
 		x.framed = false
 		x.body = x.conn.reader
@@ -279,23 +310,6 @@
 	return n, err
 }
 
-// chunkedBody reads a chunked body and the empty trailer after it.
-type chunkedBody struct {
-	x *exchange
-	r io.Reader
-}
-
-func (c *chunkedBody) Read(p []byte) (int, error) {
-	n, err := c.r.Read(p)
-	if err == io.EOF {
-		var end [2]byte
-		if _, short := io.ReadFull(c.x.conn.reader, end[:]); short != nil || string(end[:]) != "\r\n" {
-			return n, io.ErrUnexpectedEOF
-		}
-	}
-	return n, err
-}
-
 // abandon closes the connection, which makes the target cancel the call.
 func (x *exchange) abandon() {
 	x.stopWatching()
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -113,6 +113,8 @@
 	EngineAPI EngineAPI
 	// Meter counts the bytes on connections to targets; nil for none.
 	Meter *meter.Meter
+	// MaxEventBytes is the greatest size of an event of a stream, 1 MB if zero.
+	MaxEventBytes int
 	// RetryRatio and RetryStock limit the retries of the whole fleet per window: to a ratio of
 	// the calls, and a fixed reserve on top.
 	RetryRatio float64
@@ -129,7 +131,9 @@
 	reportWait time.Duration
 	// stallWait is stallLimit, and silentWait silentTimeout.
 	stallWait, silentWait time.Duration
-	silence               spread.SilenceTerms
+	// partLimit replaces the limit of partWait if it is not zero.
+	partLimit time.Duration
+	silence   spread.SilenceTerms
 	// heardWithin is heardLimit.
 	heardWithin time.Duration
 	pool        *pool
@@ -336,7 +340,7 @@
 // it got nothing, and another error when the answer was cut off.
 func (f *Forwarder) Serve(ctx context.Context, call *Call, sink Sink) error {
 	fl := &inflightCall{f: f, call: call, sink: &trackingSink{Sink: sink, now: f.opts.Clock.Boot}, excluded: map[string]bool{}}
-	fl.events.last = call.LastEvent
+	fl.events.last, fl.events.maxEvent, fl.events.now = call.LastEvent, f.opts.MaxEventBytes, f.opts.Clock.Boot
 	err := fl.serve(timeline.WithRequest(ctx, call.ID))
 	fl.log(ctx, err)
 	return err
--- a/services/forward/fuzz_test.go
+++ b/services/forward/fuzz_test.go
@@ -9,8 +9,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -28,7 +30,6 @@
 func FuzzAnswers(f *testing.F) {
 	const start = "HTTP/1.1 200 OK\r\nX-Signed: s\r\nX-Id: ID\r\n"
 	stream := start + "Transfer-Encoding: chunked\r\n\r\n"
-	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 	fails := func(status int) string {
 		return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Signed: s\r\nX-Id: ID\r\nContent-Length: 2\r\n\r\nno", status)
 	}
@@ -42,6 +43,12 @@
 		strings.Repeat(start+"Content-Length: 2\r\n\r\nok", 2), "HTTP/1.1 413 " + start + "Content-Length: 2\r\n\r\nok",
 		stream + chunk(event(1)) + "0\r\n\r\n" + fails(500), fails(413) + stream + chunk(event(1)),
 	}
+	for _, name := range slices.Sorted(maps.Keys(endless)) {
+		seeds = append(seeds, endless[name][0]+strings.Repeat(endless[name][1], 300))
+	}
+	for _, name := range slices.Sorted(maps.Keys(endlessStreams)) {
+		seeds = append(seeds, stream+chunk(event(1))+strings.Repeat(endlessStreams[name], 100))
+	}
 	for i, s := range seeds {
 		for again := range 2 {
 			f.Add([]byte(s), []byte(seeds[(i+7)%len(seeds)]), byte(2*i+again))
--- a/services/forward/handover.go
+++ b/services/forward/handover.go
@@ -40,11 +40,16 @@
 }
 
 // handOver looks for a target that accepts the stream in place of from, which is silent on the
-// connection c. It returns nil if the stream is to stay.
-func (fl *inflightCall) handOver(ctx context.Context, from *spread.Target, c *conn) *successor {
+// connection c, or sends bytes without events if mustLeave is set. It returns nil if the stream is to
+// stay.
+func (fl *inflightCall) handOver(ctx context.Context, from *spread.Target, c *conn, mustLeave bool) *successor {
 	quiet, stop := whileQuiet(ctx, c)
+	if mustLeave {
+		stop()
+		quiet, stop = context.WithCancel(ctx)
+	}
 	defer stop()
-	if reason := fl.whyStay(quiet, from); reason != "" {
+	if reason := fl.whyStay(quiet, from, mustLeave); reason != "" {
 		fl.f.logKept(fl.call.ID, from, reason)
 		return nil
 	}
@@ -53,7 +58,7 @@
 	fl.resumption, fl.excluded[start] = nil, true
 	next := fl.offerToOthers(ctx, quiet)
 	reason := keptDeclined
-	if next != nil && (ctx.Err() != nil || c.hasBytes()) {
+	if next != nil && (ctx.Err() != nil || !mustLeave && c.hasBytes()) {
 		fl.withdraw(next)
 		next, reason = nil, keptAnswered
 	}
@@ -66,7 +71,7 @@
 	c.close()
 	resumption.release()
 	next.waitingTokens, fl.waitingTokens = fl.waitingTokens, 0
-	fl.f.opts.Logger.Info("stream leaves a silent target", "request", fl.call.ID, "target", from.ID, "next", next.choice.Target.ID, "last_event", fl.events.last)
+	fl.f.opts.Logger.Info("stream leaves a silent target", "request", fl.call.ID, "target", from.ID, "next", next.choice.Target.ID, "last_event", fl.events.last, "bytes_without_event", mustLeave)
 	return next
 }
 
@@ -88,8 +93,9 @@
 	return ctx, cancel
 }
 
-// whyStay returns why the stream can't leave a target from which nothing comes, empty if it may.
-func (fl *inflightCall) whyStay(quiet context.Context, from *spread.Target) string {
+// whyStay returns why the stream can't leave a target from which nothing comes, or only bytes without
+// events if mustLeave is set, empty if it may.
+func (fl *inflightCall) whyStay(quiet context.Context, from *spread.Target, mustLeave bool) string {
 	f, service := fl.f, fl.service.GetName()
 	if !fl.hasAttempt() {
 		return stopNoAttempt
@@ -101,7 +107,7 @@
 	if !fl.retryTaken.Load() && !f.hasRetry(service) {
 		return stopNoRetry
 	}
-	isSilent := f.isSilent(quiet, from)
+	isSilent := mustLeave || f.isSilent(quiet, from)
 	fl.tick()
 	switch {
 	case quiet.Err() != nil:
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -65,6 +65,8 @@
 	// prompt tokens that it has yet to prefill.
 	waitingTokens int
 	events        eventSplitter
+	// eventsSent is the number of events that the pauses between events were measured for.
+	eventsSent uint64
 	// lostOutput is set when a target may have generated any number of tokens that did not
 	// arrive, missedTail when it can only have generated a few more events.
 	lostOutput bool
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -72,6 +73,11 @@
 	// onStall is called when a read has got nothing for the time of awaitBytes; nil to wait on. It
 	// returns true if the read is to fail with errGivenUp.
 	onStall func() bool
+	// received counts the bytes that were read.
+	received uint64
+	// headBegan is when the first byte of the head that is being read arrived, in nanoseconds on the
+	// boot clock; zero if none has. It remains set while answers to other calls are skipped.
+	headBegan atomic.Int64
 	// lastCall names the last request sent on this connection, a request of this system by its
 	// path. previousCall is the one before it.
 	lastCall, previousCall string
@@ -130,6 +136,7 @@
 		n, err = c.input.Read(p)
 	}
 	if n > 0 {
+		c.received += uint64(n)
 		c.target.Hear()
 	}
 	c.closed = errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -30,6 +30,9 @@
 	// silentTimeout how long that waits for an answer.
 	stallLimit    = 1500 * time.Millisecond
 	silentTimeout = 500 * time.Millisecond
+	// drainLimit is how long the rest of an answer that is not relayed may take: a new connection
+	// costs less.
+	drainLimit = 200 * time.Millisecond
 	// minOtherWait and maxOtherWait are the first and the greatest limit of the random time between two looks
 	// for a target or a retry by a call that has left a silent target.
 	minOtherWait = 300 * time.Millisecond
@@ -465,7 +468,9 @@
 		x.abandon()
 		return
 	}
+	x.conn.awaitBytes(drainLimit, func() bool { return true })
 	n, err := io.Copy(io.Discard, io.LimitReader(x.body, maxStrayBody))
+	x.conn.awaitForever()
 	x.bodyComplete = err == nil && n < maxStrayBody
 	x.finish()
 }
--- a/services/forward/silence.go
+++ b/services/forward/silence.go
@@ -22,6 +22,11 @@
 	// silenceQueryFactor is how many times the wait for an answer a query stays open, so that a target
 	// that is silent is heard as soon as it goes on.
 	silenceQueryFactor = 4
+	// partWaitShare, in latency objectives of the route, and minPartWait, which covers a lost packet,
+	// set how long a head or a size line of a chunk may take from its first byte on, if the call may
+	// go to another target. Half of the objective leaves time for that one.
+	partWaitShare = 0.5
+	minPartWait   = 500 * time.Millisecond
 )
 
 // silenceQuery is a query for the load report of a target, to find out whether the target is silent.
@@ -167,23 +172,40 @@
 	return min(limit, time.Duration(headWaitShare*float64(fl.remaining())))
 }
 
+// partWait returns how long a head or a size line may take from its first byte on.
+func (fl *inflightCall) partWait() time.Duration {
+	wait := time.Duration(partWaitShare * float64(fl.route.GetObjective()) * float64(time.Millisecond))
+	wait = max(wait, minPartWait)
+	if fl.f.partLimit > 0 {
+		wait = fl.f.partLimit
+	}
+	return min(wait, fl.headWait())
+}
+
+// isHeadLate reports whether the head of an answer on the connection has begun and is not complete within
+// wait. It never is while the box's own link is congested, as that delays bytes, too.
+func (f *Forwarder) isHeadLate(c *conn, wait time.Duration) bool {
+	began := time.Duration(c.headBegan.Load())
+	return began > 0 && f.opts.Clock.Boot()-began >= wait && !f.opts.IsCongested()
+}
+
 // limitHeadWait starts the timer of a watchdog. It looks from time to time whether the target is known to
-// be silent: the wait ends then if there is another target.
-func (fl *inflightCall) limitHeadWait(w *watchdog, t *spread.Target, excluded map[string]bool) {
-	f, limit, began, id := fl.f, fl.headWait(), fl.now, fl.software
+// be silent, or whether a head has begun and does not end: the wait ends then if there is another target.
+func (fl *inflightCall) limitHeadWait(w *watchdog, c *conn, excluded map[string]bool) {
+	f, t, limit, part, began, id := fl.f, c.target, fl.headWait(), fl.partWait(), fl.now, fl.software
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	first := limit
+	look := min(limit, part)
 	if f.canAsk(t) {
-		first = min(limit, f.silence.Quiet)
+		look = min(look, f.silence.Quiet)
 	}
-	w.timer = time.AfterFunc(first, func() {
+	w.timer = time.AfterFunc(look, func() {
 		left := limit - (f.opts.Clock.Boot() - began)
-		if left <= 0 || f.isKnownSilent(t) && f.hasOther(t, excluded, id) {
+		if left <= 0 || f.isHeadLate(c, part) || f.isKnownSilent(t) && f.hasOther(t, excluded, id) {
 			w.expire(f.stallWait)
 			return
 		}
-		w.lookAgain(min(left, f.silence.Quiet))
+		w.lookAgain(min(left, look))
 	})
 }
 
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -11,7 +11,6 @@
 
 	"github.com/pkg/errors"
 
-	"havenwinch.dev/havenwinch/models/software"
 	"havenwinch.dev/havenwinch/models/spread"
 )
 
@@ -26,8 +25,8 @@
 	fl.events.startTarget()
 	fl.events.logAnomaly = func(event []byte) { fl.f.logAnomaly(fl.call, t, anomalyEvent, fl.events.count, event) }
 	buffer := make([]byte, readBuffer)
+	p := fl.limitStall(x, wd)
 	for {
-		fl.limitStall(x.conn, wd)
 		n, err := x.body.Read(buffer)
 		if n > 0 {
 			fl.recordPrefill(t, sent)
@@ -37,6 +36,7 @@
 				fl.recordSend(t, "caller left")
 				return attempt{verdict: inconclusive, done: true, err: errBegun{sinkErr}}
 			}
+			p.record()
 			mv.start(ctx)
 		}
 		if err != nil || fl.events.fault {
@@ -72,29 +72,14 @@
 		}
 	}
 	x.abandon()
+	if wd.next == nil {
+		x.logBrokenBody(err, fl.events.count, len(fl.events.pending))
+	}
 	fl.noteLostTail(ctx, closedByTarget, wd)
 	fl.recordSend(t, fmt.Sprintf("%s after event %d", endedBy(ctx, wd, "broke off"), fl.events.last))
 	return attempt{verdict: fl.verdictOnTimeout(ctx, wd), next: wd.next, err: errors.Errorf("the stream broke off (invalid event: %v): %v", fault, err)}
 }
 
-// limitStall limits the wait for the next bytes of a stream that may go on at another target. One of
-// unverified software can go on nowhere else.
-func (fl *inflightCall) limitStall(c *conn, wd *watchdog) {
-	if wd.handOver == nil || fl.software == software.Unverified {
-		c.awaitForever()
-		return
-	}
-	wait := fl.f.stallWait
-	c.awaitBytes(wait, func() bool {
-		if wd.next = wd.handOver(); wd.next != nil {
-			wd.expired.Store(true)
-			return true
-		}
-		_ = c.net.SetReadDeadline(time.Now().Add(wait))
-		return false
-	})
-}
-
 // forwardEvents relays complete events, preceded by the header of the first target.
 func (fl *inflightCall) forwardEvents(ctx context.Context, x *exchange, p []byte) error {
 	if len(p) == 0 {
@@ -103,7 +88,10 @@
 	fl.recordPartsServed()
 	fl.bindSoftware(ctx, x.conn)
 	fl.rebindSoftware(ctx, x.conn.target)
-	fl.sink.recordEvents()
+	if fl.events.count > fl.eventsSent {
+		fl.eventsSent = fl.events.count
+		fl.sink.recordEvents()
+	}
 	if !fl.sink.started() {
 		if err := fl.sink.Begin(x.head.StatusCode(), x.fields(), -1); err != nil {
 			return err
--- a/services/forward/watchdog.go
+++ b/services/forward/watchdog.go
@@ -28,9 +28,9 @@
 	answered, overdue bool
 	// mayCancel reports whether another target may have the call, and takes a retry for it if so.
 	mayCancel func() bool
-	// handOver looks for a target that accepts the stream in place of the silent one; nil if the call
-	// may not be sent to another target.
-	handOver func() *successor
+	// handOver looks for a target that accepts the stream in place of one that is silent, or that sends
+	// bytes without events, which mustLeave says; nil if the call may not be sent to another target.
+	handOver func(mustLeave bool) *successor
 	// next is the target that has accepted the stream.
 	next *successor
 	// mu is held while it is decided whether the attempt is canceled.
@@ -46,9 +46,10 @@
 		return w
 	}
 	f, t, call, service, excluded, begun, id := fl.f, c.target, fl.call.ID, fl.service.GetName(), maps.Clone(fl.excluded), fl.sink.started(), fl.software
+	part := fl.partWait()
 	w.mayCancel = func() bool {
 		switch {
-		case begun && !f.isSilent(ctx, t):
+		case begun && !f.isHeadLate(c, part) && !f.isSilent(ctx, t):
 			f.logKept(call, t, keptAlive)
 		case !f.hasOther(t, excluded, id):
 			f.logKept(call, t, stopNoTarget)
@@ -61,9 +62,9 @@
 		return false
 	}
 	if fl.route.GetKind() == statev1.Route_KIND_STREAM {
-		w.handOver = func() *successor { return fl.handOver(callCtx, t, c) }
+		w.handOver = func(mustLeave bool) *successor { return fl.handOver(callCtx, t, c, mustLeave) }
 	}
-	fl.limitHeadWait(w, t, excluded)
+	fl.limitHeadWait(w, c, excluded)
 	return w
 }
 
