routers/gateway, services/forward: bound what a box holds for slow peers

Cause: nothing bounded the sum of bodies and buffered answers on a box. A caller that did not read held its call and its target for 20 s a write, and a refusal before the body was read could be lost, as the kernel resets a connection that is closed with unread bytes.

A request without room is refused with 503 overloaded_box before its body is read, and its connection is closed once the caller had time to read that. An answer without room is relayed as it arrives. A write to a caller ends after 4 s in which neither it nor the kernel's send buffer makes progress; the rest is dropped and logged with its size. Events have at most 256 KB on boxes with less than 128 MB. Gauge held_bytes.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -16,6 +16,7 @@
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	models "havenwinch.dev/havenwinch/models/seats"
 	"havenwinch.dev/havenwinch/models/state"
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 	"havenwinch.dev/havenwinch/modules/meter"
 	"havenwinch.dev/havenwinch/modules/periodic"
 	"havenwinch.dev/havenwinch/platform"
@@ -42,6 +43,12 @@
 	// callerShare is the share of the descriptors that connections of callers may take. A call needs
 	// another one for its target, and boxes, checks and files take the rest.
 	callerShare = 0.45
+	// bodyShare is the share of the memory that bodies of requests and buffered answers may take. Those of
+	// requests may be there twice while they are parsed.
+	bodyShare = 0.25
+	// smallMemoryMB is the memory in MB below which a box takes events up to smallMaxEvent bytes only.
+	smallMemoryMB = 128
+	smallMaxEvent = 256 << 10
 )
 
 // entryRole forwards callers' calls to targets.
@@ -64,6 +71,7 @@
 
 func newEntryRole(b *forwardBox) *entryRole {
 	e := &entryRole{forwardBox: b, meter: &meter.Meter{}}
+	held := bytebudget.New(int64(bodyShare * float64(b.Settings.MemoryMB) * mebibyte))
 	e.overload = &overload.Watcher{Link: b.Settings.LinkMbps, Meter: e.meter, Clock: b.Clock, Logger: b.Logger}
 	e.leases = gateway.NewLeases(gateway.LeasesOptions{
 		Box: b.Settings.Box, Process: newIncarnation(), Address: b.Settings.BetweenAddress(), DataCentre: b.Settings.DataCentre,
@@ -99,12 +107,14 @@
 			Box: b.Settings.Box, DataCentre: b.Settings.DataCentre, Directory: e.leases.Directory, Connect: b.Peers.Seats, Own: e.seats,
 			Clock: b.Clock, Logger: b.Logger,
 		}),
-		Streams:     e.streams,
-		IsCongested: e.overload.IsCongested,
-		Meter:       e.meter,
-		RetryRatio:  b.Settings.RetryRatio,
-		RetryStock:  b.Settings.RetryStock,
-		RetryWindow: b.Settings.RetryWindow,
+		Streams:       e.streams,
+		IsCongested:   e.overload.IsCongested,
+		Meter:         e.meter,
+		Memory:        held,
+		MaxEventBytes: maxEventBytes(b.Settings.MemoryMB),
+		RetryRatio:    b.Settings.RetryRatio,
+		RetryStock:    b.Settings.RetryStock,
+		RetryWindow:   b.Settings.RetryWindow,
 	})
 	e.leases.Placement = e.forwarder
 	e.relays = relay.NewServer(relay.ServerOptions{Targets: e.forwarder, Meter: e.meter, IsCongested: e.overload.IsCongested, Count: b.Metrics.Relay})
@@ -121,6 +131,7 @@
 		Clock:                  b.Clock,
 		Logger:                 b.Logger,
 		ShouldCloseConnections: e.overload.ShouldCloseConnections,
+		Memory:                 held,
 		MaxConnections:         int(callerShare * float64(b.Settings.MaxDescriptors)),
 		BaseContext:            b.Graceful.WorkContext(),
 	})
@@ -128,6 +139,7 @@
 		rows, _ := b.Store.Evacuations()
 		return float64(len(state.ActiveEvacuations(rows)))
 	})
+	b.Metrics.Gauge("held_bytes", "Bytes of requests' bodies and of answers that this box holds.", func() float64 { return float64(held.Held()) })
 	b.Metrics.Gauge("unreachable_services", "Services to which this box has lost its own links.", func() float64 { return float64(e.forwarder.LostServices()) })
 	b.Metrics.Gauge("relayed_connections", "Open connections of this box to targets that other boxes carry.", func() float64 { return float64(dialer.Open()) })
 	b.Metrics.Gauge("carried_connections", "Open connections to targets that this box carries for others.", func() float64 { return float64(e.relays.Carried()) })
@@ -142,6 +154,14 @@
 	return e
 }
 
+// maxEventBytes returns the greatest size of an event on a box with so much memory, zero for the default.
+func maxEventBytes(memoryMB int) int {
+	if memoryMB < smallMemoryMB {
+		return smallMaxEvent
+	}
+	return 0
+}
+
 // seatedTargets lists targets by the forwarder, which is made after the seats.
 type seatedTargets struct{ e *entryRole }
 
--- a/modules/meter/meter.go
+++ b/modules/meter/meter.go
@@ -69,6 +69,9 @@
 	m *Meter
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.m.AddReceived(n)
--- a/modules/reply/reply.go
+++ b/modules/reply/reply.go
@@ -20,8 +20,14 @@
 	"github.com/pkg/errors"
 )
 
-// bufferSize is the size of a connection's write buffer, in bytes.
-const bufferSize = 4 << 10
+const (
+	// bufferSize is the size of a connection's write buffer, in bytes.
+	bufferSize = 4 << 10
+	// writeSize is the most bytes that are written at a time, so that slow progress is seen.
+	writeSize = 16 << 10
+	// looks is how many times within WriteTimeout a write that waits is looked at for progress.
+	looks = 4
+)
 
 // Field is one field of a head.
 type Field struct {
@@ -66,8 +72,14 @@
 
 // Options configure a Conn.
 type Options struct {
-	// WriteTimeout is the time within which the caller must accept the bytes of one write.
+	// WriteTimeout is how long a write may make no progress because the caller does not read.
 	WriteTimeout time.Duration
+	// Unsent returns how many bytes the kernel holds that the caller has not acknowledged; nil if that is
+	// not known. Its decrease is progress: a full buffer takes more only once a third of it is free.
+	Unsent func() int
+	// OnStall is called when a write has failed for that, with the number of bytes of it that are left
+	// and of those that the kernel holds; may be nil.
+	OnStall func(left int)
 	// CloseAfter is called when a head is written, and reports whether the connection will be
 	// closed after this answer.
 	CloseAfter func() bool
@@ -75,7 +87,6 @@
 
 // Conn writes the answers of one connection. It is not safe for concurrent use.
 type Conn struct {
-	net     net.Conn
 	w       *bufio.Writer
 	opts    Options
 	current *Answer
@@ -83,7 +94,7 @@
 
 // NewConn returns a Conn that writes to c. The caller remains responsible for closing c.
 func NewConn(c net.Conn, opts Options) *Conn {
-	return &Conn{net: c, w: bufio.NewWriterSize(c, bufferSize), opts: opts}
+	return &Conn{w: bufio.NewWriterSize(&steadyWriter{c, opts}, bufferSize), opts: opts}
 }
 
 // Next returns the answer to the next request, which has the given method. If the
@@ -118,7 +129,6 @@
 	if a.state != None {
 		return a.rejectStep("ask for the request's body")
 	}
-	a.conn.setWriteDeadline()
 	_, _ = a.conn.w.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
 	return a.flush()
 }
@@ -136,7 +146,6 @@
 	a.state = Begun
 	a.bodyless = a.isHead || status == http.StatusNoContent || status == http.StatusNotModified
 	a.chunked, a.remaining = length < 0, max(0, length)
-	a.conn.setWriteDeadline()
 	a.statusLine(status)
 	for _, f := range fields {
 		a.field(f.Name, f.Value)
@@ -181,7 +190,6 @@
 	if len(p) == 0 || a.bodyless {
 		return a.flush()
 	}
-	a.conn.setWriteDeadline()
 	if a.chunked {
 		_, err := httputil.NewChunkedWriter(a.conn.w).Write(p)
 		if err != nil {
@@ -248,6 +256,3 @@
 	}
 	return err
 }
-
-// setWriteDeadline limits the time for the bytes that are written next.
-func (c *Conn) setWriteDeadline() { _ = c.net.SetWriteDeadline(time.Now().Add(c.opts.WriteTimeout)) }
--- a/routers/gateway/answer.go
+++ b/routers/gateway/answer.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 	"havenwinch.dev/havenwinch/modules/http1"
 	"havenwinch.dev/havenwinch/modules/reply"
 	"havenwinch.dev/havenwinch/services/forward"
@@ -37,6 +38,7 @@
 	structs.KindVersionUnknown:      http.StatusServiceUnavailable,
 	structs.KindVersionGone:         http.StatusServiceUnavailable,
 	structs.KindOverloaded:          http.StatusTooManyRequests,
+	structs.KindBoxOverloaded:       http.StatusServiceUnavailable,
 	structs.KindDeadlinePast:        http.StatusServiceUnavailable,
 	structs.KindDeadlineCannotBeMet: http.StatusGatewayTimeout,
 	structs.KindQuarantined:         http.StatusServiceUnavailable,
@@ -104,8 +106,9 @@
 }
 
 // readBody reads the whole body of a request, asking for it first if the caller
-// sent Expect: 100-continue. A request without a body yields nil.
-func (c *connection) readBody(a *reply.Answer, h *fasthttp.RequestHeader, limits *statev1.CallerLimits) ([]byte, *forward.Refusal) {
+// sent Expect: 100-continue. A request without a body yields nil. One that held has no room for is
+// refused, before it is read if its length is known.
+func (c *connection) readBody(a *reply.Answer, h *fasthttp.RequestHeader, limits *statev1.CallerLimits, held *bytebudget.Hold) ([]byte, *forward.Refusal) {
 	maxBytes := int64(limits.GetMaxBodyBytes())
 	length := h.ContentLength()
 	if int64(length) > maxBytes {
@@ -115,6 +118,9 @@
 	if length == 0 || length == -2 {
 		return nil, nil
 	}
+	if length > 0 && !held.Grow(length) {
+		return nil, c.refuseForMemory(h, held, length)
+	}
 	if expectsContinue(h) {
 		if err := a.Continue(); err != nil {
 			return nil, malformed(errors.New("the body was not sent: wait for 100 Continue and send it"))
@@ -128,12 +134,15 @@
 		}
 		return body, nil
 	}
-	return c.readChunkedBody(maxBytes)
+	return c.readChunkedBody(h, maxBytes, held)
 }
 
 // readChunkedBody reads a body in chunked encoding, of at most maxBytes bytes.
-func (c *connection) readChunkedBody(maxBytes int64) ([]byte, *forward.Refusal) {
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.reader), maxBytes+1))
+func (c *connection) readChunkedBody(h *fasthttp.RequestHeader, maxBytes int64, held *bytebudget.Hold) ([]byte, *forward.Refusal) {
+	body, roomy, err := readWithin(httputil.NewChunkedReader(c.reader), maxBytes+1, held)
+	if !roomy {
+		return nil, c.refuseForMemory(h, held, len(body))
+	}
 	if err != nil {
 		return nil, malformed(errors.New("the chunks of the body can't be read: end each with its length and the body with an empty one"))
 	}
--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -23,6 +23,7 @@
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/modules/accept"
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/http1"
 	"havenwinch.dev/havenwinch/modules/reply"
@@ -45,8 +46,13 @@
 	closedAtFailure = 32
 	// limitLogInterval is the time between two log lines about closed connections beyond MaxConnections.
 	limitLogInterval = time.Second
-	// writeTimeout is the time within which a caller must accept the bytes of one write.
-	writeTimeout = 20 * time.Second
+	// defaultWriteTimeout is the WriteTimeout if the options set none. Targets abort an answer that is
+	// not read for some seconds.
+	defaultWriteTimeout = 4 * time.Second
+	// lingerTime and lingerBytes limit what is read from a connection after an answer to a request whose
+	// body was not read: closed with unread bytes, it would be reset, and the answer may be lost.
+	lingerTime  = time.Second
+	lingerBytes = 1 << 20
 )
 
 // Translator converts requests of one caller-facing dialect into calls.
@@ -78,6 +84,11 @@
 	// StopLinger is how long a stopping box waits, after an answer that did not announce the close, for a
 	// request that its caller has sent meanwhile; 200 ms if zero.
 	StopLinger time.Duration
+	// Memory limits the bytes of bodies of requests that are held; nil for no limit.
+	Memory *bytebudget.Budget
+	// WriteTimeout is how long a write to a caller may make no progress before its call is ended, 4 s if
+	// zero.
+	WriteTimeout time.Duration
 	// BaseContext is the parent context of all calls; canceling it aborts those in progress.
 	BaseContext context.Context
 }
@@ -99,6 +110,9 @@
 	if opts.StopLinger <= 0 {
 		opts.StopLinger = defaultStopLinger
 	}
+	if opts.WriteTimeout <= 0 {
+		opts.WriteTimeout = defaultWriteTimeout
+	}
 	return &Server{opts: opts, idle: newIdleConns()}
 }
 
@@ -225,6 +239,8 @@
 	pipelined atomic.Bool
 	// late is true if the box was stopping when the current request's turn came.
 	late bool
+	// call is the ID of the current call.
+	call string
 }
 
 // serveConn handles the requests of one connection, one after the other, and closes
@@ -233,7 +249,7 @@
 	defer conn.Close()
 	limits := s.limits()
 	c := &connection{server: s, conn: conn, reader: bufio.NewReaderSize(conn, int(limits.GetMaxHeaderBytes()))}
-	c.writer = reply.NewConn(conn, reply.Options{WriteTimeout: writeTimeout, CloseAfter: c.shouldClose})
+	c.writer = reply.NewConn(conn, reply.Options{WriteTimeout: s.opts.WriteTimeout, Unsent: c.unsent, OnStall: c.dropUnread, CloseAfter: c.shouldClose})
 	defer c.logDropped()
 	for !c.closeAfter && c.awaitRequest(s.limits()) {
 		if !c.handleRequest(s.limits()) {
@@ -300,11 +316,15 @@
 		c.closeAfter = true
 		return c.refuseLate(a, h)
 	}
-	body, refusal := c.readBody(a, h, limits)
+	held := &bytebudget.Hold{Budget: c.server.opts.Memory}
+	defer held.Release()
+	body, refusal := c.readBody(a, h, limits, held)
 	c.pipelined.Store(c.reader.Buffered() > 0)
 	if refusal != nil {
 		c.closeAfter = true
-		return c.writeRefusal(a, h, refusal) == nil
+		err := c.writeRefusal(a, h, refusal)
+		c.lingerClose()
+		return err == nil
 	}
 	if c.late {
 		return c.refuseLate(a, h)
@@ -338,6 +358,7 @@
 func (c *connection) forwardCall(a *reply.Answer, h *fasthttp.RequestHeader, call *forward.Call) bool {
 	ctx, cancel := context.WithCancel(c.server.opts.BaseContext)
 	defer cancel()
+	c.call = call.ID
 	stopWatch := c.watchDisconnect(cancel)
 	err := c.server.opts.Forwarder.Serve(ctx, call, a)
 	disconnected := stopWatch()
--- a/services/forward/buffered.go
+++ b/services/forward/buffered.go
@@ -17,9 +17,34 @@
 	"havenwinch.dev/havenwinch/models/spread"
 )
 
-// maxBufferedAnswer is the longest answer, in bytes, that is buffered before it is relayed;
-// longer ones are relayed as they arrive.
-const maxBufferedAnswer = 256 << 10
+const (
+	// maxBufferedAnswer is the longest answer, in bytes, that is buffered before it is relayed;
+	// longer ones are relayed as they arrive, as are those that the box has no memory for.
+	maxBufferedAnswer = 256 << 10
+	// firstBuffer is the size of the first buffer in bytes, which is not counted as held.
+	firstBuffer = 512
+)
+
+// readBuffered reads a body as far as it may be buffered. whole is set if that is all of it.
+func (fl *inflightCall) readBuffered(r io.Reader) (body []byte, whole bool, err error) {
+	body = make([]byte, 0, firstBuffer)
+	for {
+		if size := cap(body); len(body) == size {
+			if size >= maxBufferedAnswer || !fl.held.Grow(size) {
+				return body, false, nil
+			}
+			body = append(make([]byte, 0, 2*size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, true, nil
+		}
+		if err != nil {
+			return body, false, err
+		}
+	}
+}
 
 // bufferAnswer reads a complete answer before any of it is relayed, so that a broken one can be
 // requested again.
@@ -31,8 +56,10 @@
 		return fl.unanswered(ctx, t, x, wd, errNoAnswer)
 	}
 	fl.limitLines(x, wd)
-	body, err := io.ReadAll(io.LimitReader(x.body, maxBufferedAnswer))
+	before := fl.held.Size()
+	body, whole, err := fl.readBuffered(x.body)
 	if err != nil {
+		fl.held.ShrinkTo(before)
 		x.abandon()
 		x.logBrokenBody(err, 0, len(body))
 		fl.recordSend(t, fmt.Sprintf("cut %d", status))
@@ -40,7 +67,7 @@
 	}
 	x.onSlowLine = nil
 	got := &answer{status: status, fields: x.fields(), body: body, declaredLength: x.declaredLength(body)}
-	if len(body) == maxBufferedAnswer {
+	if !whole {
 		return fl.forwardLong(t, x, got)
 	}
 	x.bodyComplete = true
--- a/services/forward/events.go
+++ b/services/forward/events.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 	"havenwinch.dev/havenwinch/modules/http1"
 )
 
@@ -33,6 +34,8 @@
 	fault bool
 	// maxEvent limits the size of an event in bytes, defaultMaxEvent if zero.
 	maxEvent int
+	// hold counts the pending bytes beyond smallEvent.
+	hold bytebudget.Hold
 	// now is the boot clock, by which comments are passed on; nil to pass all of them on.
 	now func() time.Duration
 	// comments and commentBytes count the comments since the latest event, and nextComment is
@@ -59,6 +62,9 @@
 	// maxCommentBytes limits the comments between two events in bytes. Comments keep a connection
 	// alive; a few bytes every second are enough for that.
 	maxCommentBytes = 64 << 10
+	// smallEvent is the size in bytes up to which an incomplete event is not counted as held: most
+	// events are shorter.
+	smallEvent = 16 << 10
 	// commentInterval is the least time between two comments that are passed on. It is shorter than
 	// any time after which a proxy or a caller takes a quiet connection for dead.
 	commentInterval = time.Second
@@ -68,6 +74,7 @@
 // previous one.
 func (e *eventSplitter) startTarget() {
 	e.pending, e.advanced, e.fault, e.repeated = nil, false, false, -1
+	e.hold.Release()
 	e.comments, e.commentBytes, e.blocks = 0, 0, 0
 }
 
@@ -80,14 +87,24 @@
 }
 
 // isTooLong reports whether the pending bytes, which no separator ends yet, exceed what an event or
-// the comments between two events may have.
+// the comments between two events may have, or the memory that is left for them.
 func (e *eventSplitter) isTooLong() bool {
-	if len(e.pending) > e.eventLimit() {
+	if len(e.pending) > e.eventLimit() || !e.countPending() {
 		return true
 	}
 	return e.commentBytes+len(e.pending) > maxCommentBytes && isComment(e.pending)
 }
 
+// countPending counts the pending bytes as held, and reports whether there is room for them.
+func (e *eventSplitter) countPending() bool {
+	large := max(0, len(e.pending)-smallEvent)
+	if large > e.hold.Size() {
+		return e.hold.Grow(large - e.hold.Size())
+	}
+	e.hold.ShrinkTo(large)
+	return true
+}
+
 // isComment reports whether all lines of a block, the last of which may be incomplete, are comments.
 func isComment(block []byte) bool {
 	for line := range bytes.SplitSeq(block, eventEnd[:1]) {
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -16,6 +16,7 @@
 	"havenwinch.dev/havenwinch/models/reach"
 	"havenwinch.dev/havenwinch/models/routing"
 	"havenwinch.dev/havenwinch/models/spread"
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/meter"
 	"havenwinch.dev/havenwinch/services/gateway"
@@ -113,6 +114,8 @@
 	EngineAPI EngineAPI
 	// Meter counts the bytes on connections to targets; nil for none.
 	Meter *meter.Meter
+	// Memory limits the bytes of answers that are held before they are relayed; nil for no limit.
+	Memory *bytebudget.Budget
 	// MaxEventBytes is the greatest size of an event of a stream, 1 MB if zero.
 	MaxEventBytes int
 	// RetryRatio and RetryStock limit the retries of the whole fleet per window: to a ratio of
@@ -341,6 +344,9 @@
 func (f *Forwarder) Serve(ctx context.Context, call *Call, sink Sink) error {
 	fl := &inflightCall{f: f, call: call, sink: &trackingSink{Sink: sink, now: f.opts.Clock.Boot}, excluded: map[string]bool{}}
 	fl.events.last, fl.events.maxEvent, fl.events.now = call.LastEvent, f.opts.MaxEventBytes, f.opts.Clock.Boot
+	fl.held.Budget, fl.events.hold.Budget = f.opts.Memory, f.opts.Memory
+	defer fl.held.Release()
+	defer fl.events.hold.Release()
 	err := fl.serve(timeline.WithRequest(ctx, call.ID))
 	fl.log(ctx, err)
 	return err
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -17,6 +17,7 @@
 	"havenwinch.dev/havenwinch/models/routing"
 	"havenwinch.dev/havenwinch/models/software"
 	"havenwinch.dev/havenwinch/models/spread"
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 	"havenwinch.dev/havenwinch/modules/reply"
 	"havenwinch.dev/havenwinch/services/gateway"
 	"havenwinch.dev/havenwinch/structs"
@@ -67,6 +68,8 @@
 	events        eventSplitter
 	// eventsSent is the number of events that the pauses between events were measured for.
 	eventsSent uint64
+	// held counts the answers that the call holds.
+	held bytebudget.Hold
 	// lostOutput is set when a target may have generated any number of tokens that did not
 	// arrive, missedTail when it can only have generated a few more events.
 	lostOutput bool
--- a/structs/structs.go
+++ b/structs/structs.go
@@ -43,6 +43,7 @@
 	KindVersionUnknown      Kind = "version_unknown"
 	KindVersionGone         Kind = "version_gone"
 	KindOverloaded          Kind = "overloaded"
+	KindBoxOverloaded       Kind = "overloaded_box"
 	KindTargetFailed        Kind = "target_failed"
 	KindQuarantined         Kind = "quarantined"
 	KindAnswerTruncated     Kind = "answer_truncated"
