services/forward: keep large bodies from targets that have stopped reading

Cause: the write of a body waited for a target without a trace, and further large bodies were sent to the same target.

Change: a body without progress for 2 s is logged with the bytes left. Calls with bodies above 48 KB go to other targets of the service, if there are any, until it reads again; the stalled call goes on up to its deadline. The writer that limits the time without progress moves from modules/reply to modules/steady and serves both sides.

--- a/modules/reply/reply.go
+++ b/modules/reply/reply.go
@@ -18,17 +18,13 @@
 	"time"
 
 	"github.com/pkg/errors"
-)
 
-const (
-	// bufferSize is the size of a connection's write buffer, in bytes.
-	bufferSize = 4 << 10
-	// writeSize is the most bytes that are written at a time, so that slow progress is seen.
-	writeSize = 16 << 10
-	// looks is how many times within WriteTimeout a write that waits is looked at for progress.
-	looks = 4
+	"havenwinch.dev/havenwinch/modules/steady"
 )
 
+// bufferSize is the size of a connection's write buffer, in bytes.
+const bufferSize = 4 << 10
+
 // Field is one field of a head.
 type Field struct {
 	Name  string
@@ -74,9 +70,6 @@
 type Options struct {
 	// WriteTimeout is how long a write may make no progress because the caller does not read.
 	WriteTimeout time.Duration
-	// Unsent returns how many bytes the kernel holds that the caller has not acknowledged; nil if that is
-	// not known. Its decrease is progress: a full buffer takes more only once a third of it is free.
-	Unsent func() int
 	// OnStall is called when a write has failed for that, with the number of bytes of it that are left
 	// and of those that the kernel holds; may be nil.
 	OnStall func(left int)
@@ -94,7 +87,14 @@
 
 // NewConn returns a Conn that writes to c. The caller remains responsible for closing c.
 func NewConn(c net.Conn, opts Options) *Conn {
-	return &Conn{w: bufio.NewWriterSize(&steadyWriter{c, opts}, bufferSize), opts: opts}
+	tcp := steady.TCPConn(c)
+	w := &steady.Writer{Conn: c, Timeout: opts.WriteTimeout, Unsent: func() int { return steady.Unsent(tcp) }, OnStall: func(left int) bool {
+		if opts.OnStall != nil {
+			opts.OnStall(left)
+		}
+		return false
+	}}
+	return &Conn{w: bufio.NewWriterSize(w, bufferSize), opts: opts}
 }
 
 // Next returns the answer to the next request, which has the given method. If the
--- a/modules/reply/steady_test.go
+++ b/modules/steady/steady_test.go
@@ -1,10 +1,9 @@
 // Copyright 2026 The Havenwinch Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-package reply
+package steady
 
 import (
-	"net"
 	"os"
 	"testing"
 	"time"
@@ -12,10 +11,21 @@
 	"github.com/pkg/errors"
 )
 
+// Guards against writes that end although they may go on.
+func TestWriteGoesOnAfterStall(t *testing.T) {
+	stalls := 0
+	w := &Writer{Conn: &slowConn{takes: make([]int, 2*looks)}, Timeout: time.Hour, OnStall: func(int) bool {
+		stalls++
+		return true
+	}}
+	if n, err := w.Write(make([]byte, 10)); n != 10 || err != nil || stalls != 2 {
+		t.Errorf("wrote %d bytes after %d stalls: %v", n, stalls, err)
+	}
+}
+
 // slowConn takes a number of bytes at each write that ends at its deadline, and all bytes once there are no
 // more of these.
 type slowConn struct {
-	net.Conn
 	takes []int
 	got   int
 }
@@ -53,15 +63,18 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c, left := &slowConn{takes: test.takes}, 0
-			opts := Options{WriteTimeout: time.Hour, OnStall: func(n int) { left = n }, CloseAfter: func() bool { return false }}
+			w := &Writer{Conn: c, Timeout: time.Hour, OnStall: func(n int) bool {
+				left = n
+				return false
+			}}
 			if test.unsent != nil {
-				opts.Unsent = func() int {
+				w.Unsent = func() int {
 					n := test.unsent[0]
 					test.unsent = test.unsent[1:]
 					return n
 				}
 			}
-			n, err := (&steadyWriter{c, opts}).Write(make([]byte, size))
+			n, err := w.Write(make([]byte, size))
 			if left != test.left || n != c.got || errors.Is(err, os.ErrDeadlineExceeded) != (test.left > 0) || test.left == 0 && n != size {
 				t.Errorf("wrote %d of %d bytes, left %d, want %d: %v", n, size, left, test.left, err)
 			}
--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -249,7 +249,7 @@
 	defer conn.Close()
 	limits := s.limits()
 	c := &connection{server: s, conn: conn, reader: bufio.NewReaderSize(conn, int(limits.GetMaxHeaderBytes()))}
-	c.writer = reply.NewConn(conn, reply.Options{WriteTimeout: s.opts.WriteTimeout, Unsent: c.unsent, OnStall: c.dropUnread, CloseAfter: c.shouldClose})
+	c.writer = reply.NewConn(conn, reply.Options{WriteTimeout: s.opts.WriteTimeout, OnStall: c.dropUnread, CloseAfter: c.shouldClose})
 	defer c.logDropped()
 	for !c.closeAfter && c.awaitRequest(s.limits()) {
 		if !c.handleRequest(s.limits()) {
--- a/routers/gateway/slow.go
+++ b/routers/gateway/slow.go
@@ -6,13 +6,12 @@
 import (
 	"io"
 	"math/rand"
-	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 
 	"havenwinch.dev/havenwinch/modules/bytebudget"
+	"havenwinch.dev/havenwinch/modules/steady"
 	"havenwinch.dev/havenwinch/services/forward"
 	"havenwinch.dev/havenwinch/structs"
 )
@@ -24,38 +23,10 @@
 	maxOverloadedRetry = 60 * time.Millisecond
 )
 
-// tcpConn returns the TCP connection below c, nil if there is none.
-func tcpConn(c net.Conn) *net.TCPConn {
-	for {
-		switch v := c.(type) {
-		case *net.TCPConn:
-			return v
-		case interface{ NetConn() net.Conn }:
-			c = v.NetConn()
-		default:
-			return nil
-		}
-	}
-}
-
-// unsent returns how many bytes the kernel holds for the caller, zero if that is not known.
-func (c *connection) unsent() (n int) {
-	tcp := tcpConn(c.conn)
-	if tcp == nil {
-		return 0
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return n
-}
-
 // dropUnread is called when the caller has read nothing for a while. What the kernel holds for it is
 // dropped with the connection.
 func (c *connection) dropUnread(left int) {
-	if tcp := tcpConn(c.conn); tcp != nil {
+	if tcp := steady.TCPConn(c.conn); tcp != nil {
 		_ = tcp.SetLinger(0)
 	}
 	c.server.opts.Logger.Warn("caller does not read", "request", c.call, "bytes_left", left, "caller", c.conn.RemoteAddr().String(), "limit_ms", c.server.opts.WriteTimeout.Milliseconds())
@@ -64,7 +35,7 @@
 // lingerClose ends the sending side of the connection, and drops what the caller still sends until it has
 // had time to read the answer.
 func (c *connection) lingerClose() {
-	tcp := tcpConn(c.conn)
+	tcp := steady.TCPConn(c.conn)
 	if tcp == nil || tcp.CloseWrite() != nil {
 		return
 	}
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -107,7 +107,7 @@
 	// A target may answer before it has read all of a long body.
 	x.upload = make(chan struct{})
 	go func() {
-		if _, err := c.Write(call.Body); err == nil {
+		if x.writeBody() == nil {
 			close(x.upload)
 		}
 	}()
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -134,6 +134,8 @@
 	reportWait time.Duration
 	// stallWait is stallLimit, and silentWait silentTimeout.
 	stallWait, silentWait time.Duration
+	// uploadStall is the constant of this name.
+	uploadStall time.Duration
 	// partLimit replaces the limit of partWait if it is not zero.
 	partLimit time.Duration
 	silence   spread.SilenceTerms
@@ -144,6 +146,8 @@
 
 	mu      sync.Mutex
 	targets *spread.Table
+	// uploadStalls counts, by target, the bodies of whose writes none has made progress for a while.
+	uploadStalls map[*spread.Target]int
 	// queries has the queries that are under way to find out whether targets are silent.
 	queries        map[*spread.Target]*silenceQuery
 	targetRevision uint64
@@ -187,7 +191,7 @@
 	if opts.IsCongested == nil {
 		opts.IsCongested = func() bool { return false }
 	}
-	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, stallWait: stallLimit, silentWait: silentTimeout, heardWithin: heardLimit, silence: spread.DefaultSilenceTerms(), pool: newPool(opts.Clock.Boot, opts.Meter, opts.IsCongested), targets: spread.NewTable(opts.DataCentre), ready: make(chan struct{}), breaks: map[*spread.Target]*targetBreaks{},
+	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, stallWait: stallLimit, silentWait: silentTimeout, uploadStall: uploadStall, uploadStalls: map[*spread.Target]int{}, heardWithin: heardLimit, silence: spread.DefaultSilenceTerms(), pool: newPool(opts.Clock.Boot, opts.Meter, opts.IsCongested), targets: spread.NewTable(opts.DataCentre), ready: make(chan struct{}), breaks: map[*spread.Target]*targetBreaks{},
 		reach: reach.NewTracker(), nextProbe: map[string]int{}, checks: map[string]chan struct{}{}, seatWaiters: map[seatWaiter]chan struct{}{}, queries: map[*spread.Target]*silenceQuery{}}
 	f.pool.isLost, f.pool.relay, f.pool.dialled = f.isLost, f.dialRelay, f.recordDial
 	// Until control sends the fleet's clock, this box's wall clock is a close estimate.
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,7 +24,9 @@
 	mv := fl.mover(c)
 	defer mv.release()
 	fl.events.startTarget()
-	fl.events.logAnomaly = func(event []byte) { fl.f.logAnomaly(fl.call, t, anomalyEvent, fl.events.count, event) }
+	fl.events.logAnomaly = func(event []byte) {
+		fl.f.logAnomaly(fl.call, t, anomalyEvent, fl.events.count, event, slog.Int("bytes", len(event)), slog.Int("comment_bytes", fl.events.commentBytes))
+	}
 	buffer := make([]byte, readBuffer)
 	p := fl.limitStall(x, wd)
 	for {
