--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -16,6 +16,7 @@
 	"havenwinch.dev/havenwinch/models/reach"
 	"havenwinch.dev/havenwinch/models/routing"
 	"havenwinch.dev/havenwinch/models/spread"
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/meter"
 	"havenwinch.dev/havenwinch/services/gateway"
@@ -115,6 +116,10 @@
 	EngineAPI EngineAPI
 	// Meter counts the bytes on connections to targets; nil for none.
 	Meter *meter.Meter
+	// Memory limits the bytes of answers that are held before they are relayed; nil for no limit.
+	Memory *bytebudget.Budget
+	// MaxEventBytes is the greatest size of an event of a stream, 1 MB if zero.
+	MaxEventBytes int
 	// RetryRatio and RetryStock limit the retries of the whole fleet per window: to a ratio of
 	// the calls, and a fixed reserve on top.
 	RetryRatio float64
@@ -131,7 +136,11 @@
 	reportWait time.Duration
 	// stallWait is stallLimit, and silentWait silentTimeout.
 	stallWait, silentWait time.Duration
-	silence               spread.SilenceTerms
+	// uploadStall is the constant of this name.
+	uploadStall time.Duration
+	// partLimit replaces the limit of partWait if it is not zero.
+	partLimit time.Duration
+	silence   spread.SilenceTerms
 	// heardWithin is heardLimit.
 	heardWithin time.Duration
 	pool        *pool
@@ -139,6 +148,8 @@
 
 	mu      sync.Mutex
 	targets *spread.Table
+	// uploadStalls counts, by target, the bodies of whose writes none has made progress for a while.
+	uploadStalls map[*spread.Target]int
 	// queries has the queries that are under way to find out whether targets are silent.
 	queries        map[*spread.Target]*silenceQuery
 	targetRevision uint64
@@ -182,7 +193,7 @@
 	if opts.IsCongested == nil {
 		opts.IsCongested = func() bool { return false }
 	}
-	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, stallWait: stallLimit, silentWait: silentTimeout, heardWithin: heardLimit, silence: spread.DefaultSilenceTerms(), pool: newPool(opts.Clock.Boot, opts.Meter, opts.IsCongested), targets: spread.NewTable(opts.DataCentre), ready: make(chan struct{}), breaks: map[*spread.Target]*targetBreaks{},
+	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, stallWait: stallLimit, silentWait: silentTimeout, uploadStall: uploadStall, uploadStalls: map[*spread.Target]int{}, heardWithin: heardLimit, silence: spread.DefaultSilenceTerms(), pool: newPool(opts.Clock.Boot, opts.Meter, opts.IsCongested), targets: spread.NewTable(opts.DataCentre), ready: make(chan struct{}), breaks: map[*spread.Target]*targetBreaks{},
 		reach: reach.NewTracker(), nextProbe: map[string]int{}, checks: map[string]chan struct{}{}, seatWaiters: map[seatWaiter]chan struct{}{}, queries: map[*spread.Target]*silenceQuery{}}
 	f.pool.isLost, f.pool.relay, f.pool.dialled = f.isLost, f.dialRelay, f.recordDial
 	// Until control sends the fleet's clock, this box's wall clock is a close estimate.
@@ -338,7 +349,10 @@
 // it got nothing, and another error when the answer was cut off.
 func (f *Forwarder) Serve(ctx context.Context, call *Call, sink Sink) error {
 	fl := &inflightCall{f: f, call: call, sink: &trackingSink{Sink: sink, now: f.opts.Clock.Boot}, excluded: map[string]bool{}}
-	fl.events.last = call.LastEvent
+	fl.events.last, fl.events.maxEvent, fl.events.now = call.LastEvent, f.opts.MaxEventBytes, f.opts.Clock.Boot
+	fl.held.Budget, fl.events.hold.Budget = f.opts.Memory, f.opts.Memory
+	defer fl.held.Release()
+	defer fl.events.hold.Release()
 	err := fl.serve(timeline.WithRequest(ctx, call.ID))
 	fl.log(ctx, err)
 	return err
--- a/services/forward/link.go
+++ b/services/forward/link.go
@@ -45,17 +45,23 @@
 	return x.writeParts(ctx, body[overload.BodyPart:])
 }
 
-// writeParts writes bytes of a long body as the link has room.
+// writeParts writes bytes of a body in parts, a long one as the link has room.
 func (x *exchange) writeParts(ctx context.Context, body []byte) error {
 	for len(body) > 0 {
-		if x.f.opts.Link != nil {
-			x.f.opts.Link.AwaitWrite(ctx)
-		}
-		n := min(len(body), overload.BodyPart)
-		if _, err := x.conn.Write(body[:n]); err != nil {
+		part := x.nextPart(ctx, body)
+		if _, err := x.conn.Write(part); err != nil {
 			return errors.WithStack(err)
 		}
-		body = body[n:]
+		body = body[len(part):]
 	}
 	return nil
 }
+
+// nextPart waits until the link has room for the next part of a long body, and returns it.
+func (x *exchange) nextPart(ctx context.Context, body []byte) []byte {
+	if x.f.opts.Link == nil {
+		return body[:min(len(body), uploadPart)]
+	}
+	x.f.opts.Link.AwaitWrite(ctx)
+	return body[:min(len(body), overload.BodyPart)]
+}
