speed: weigh targets by the speeds that all boxes have measured

Cause: engines differ in speed, but all get the same share of the prompts, and a box has too few calls at each to tell how fast it is. Change: boxes sum up the time to the first event and between events per start of a target and report the sums; control adds them up, decayed over 10 s, and sends changed speeds by revision; boxes place calls by weighted rendezvous hashing, with bounds in proportion to the weights.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -138,6 +138,12 @@
 			set(float64(n), k.Service, k.Version)
 		}
 	})
+	b.Metrics.GaugeVec("target_weight", "Weights of targets by their speed, other than 1, of at most 128 targets.", []string{"service", "target"}, func(set func(float64, ...string)) {
+		for _, w := range e.forwarder.TargetWeights() {
+			set(w.Weight, w.Service, w.Target)
+		}
+	})
+	b.Metrics.Gauge("target_speeds_age_seconds", "Time since control last sent the speeds of targets, -1 if it never has.", e.forwarder.SpeedsAge)
 	e.ready = newReadyServer(platform.ReadyHandler(e.isReady))
 	return e
 }
--- a/models/spread/prefill.go
+++ b/models/spread/prefill.go
@@ -11,8 +11,9 @@
 // While a target prefills a long prompt, each step of its batch carries a chunk of it,
 // which delays the events of all streams that run there. Where their pauses get too
 // long, long prompts are prefilled on dedicated targets: the first few targets of the
-// service by the hash of their identities. Whether that is needed, which prompts are
-// long and how many targets it takes are derived from the calls of this box.
+// service by weight and then by the hash of their identities. Whether that is needed,
+// which prompts are long and how many targets it takes are derived from the calls of
+// this box.
 const (
 	// longPrefillShare is the share of the longest allowed pause of a stream from which on the
 	// prefill of one prompt counts as long.
@@ -182,7 +183,8 @@
 
 // DedicatedTargets returns how many targets of a service are dedicated to long prompts.
 func (tb *Table) DedicatedTargets(service string, boxes int, now time.Duration) int {
-	return tb.prefillOf(service).dedicatedTargets(len(tb.services[service]), boxes, now)
+	list := tb.services[service]
+	return fastest(list, tb.prefillOf(service).dedicatedTargets(len(list), boxes, now))
 }
 
 // PrefillLoads returns the prefill time per second of this box's long prompts, by
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -10,7 +10,6 @@
 package spread
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"strconv"
@@ -22,7 +21,6 @@
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/rate"
 	"havenwinch.dev/havenwinch/models/software"
-	"havenwinch.dev/havenwinch/modules/hashing"
 )
 
 const (
@@ -97,6 +95,8 @@
 
 	hash  uint64
 	start string
+	// weight is the target's share of the calls, as a ratio to that of a target of usual speed.
+	weight float64
 	// revision is that of the row from which the target was last updated.
 	revision uint64
 	// coldUntil is until when the target has reported to be cold, suspectUntil until when it
@@ -147,7 +147,7 @@
 	byID       map[string]*Target
 	// hasTargets is set once the table has had targets, from the second update on.
 	hasTargets bool
-	// services holds the targets of each service, sorted by hash.
+	// services holds the targets of each service, the fastest first, then by hash.
 	services map[string][]*Target
 	prefill  map[string]*prefillStats
 
@@ -167,6 +167,10 @@
 	pressure           map[string]*limitPressure
 	// unannounced are the targets whose limits are to be announced to the other boxes.
 	unannounced []*Target
+	// weightsUntil is until when the weights count. weightedTargets counts the targets whose
+	// weight is not 1, weightChanges the changes since they were last read.
+	weightsUntil                   time.Duration
+	weightedTargets, weightChanges int
 }
 
 // NewTable returns an empty table for a box in the given data centre.
@@ -199,7 +203,7 @@
 		}
 		t = &Target{
 			ID: row.GetId(), Born: row.GetBorn(), Service: row.GetService(), Address: row.GetAddress(), DataCentre: row.GetDataCentre(), Version: row.GetVersion(), Software: software.Of(row),
-			hash: xxhash.Sum64String(row.GetId()), start: startIdentity(row.GetId(), row.GetBorn()), fillingUntil: filling,
+			hash: xxhash.Sum64String(row.GetId()), weight: 1, start: startIdentity(row.GetId(), row.GetBorn()), fillingUntil: filling,
 		}
 		tb.byID[t.ID] = t
 		tb.insert(t)
@@ -225,10 +229,10 @@
 		t.DataCentre == row.GetDataCentre() && t.Version == row.GetVersion()
 }
 
-// insert adds a target to its service, in the order of hashes.
+// insert adds a target to its service, in the order of weights and hashes.
 func (tb *Table) insert(t *Target) {
 	list := tb.services[t.Service]
-	at, _ := slices.BinarySearchFunc(list, t, func(a, b *Target) int { return cmp.Compare(a.hash, b.hash) })
+	at, _ := slices.BinarySearchFunc(list, t, comparePlaces)
 	tb.services[t.Service] = slices.Insert(list, at, t)
 	tb.listRevision++
 }
@@ -239,6 +243,7 @@
 	}
 	t.Draining = true
 	delete(tb.byID, t.ID)
+	tb.countWeighted(t, -1)
 	tb.listRevision++
 	list := tb.services[t.Service]
 	for i, other := range list {
@@ -330,6 +335,7 @@
 // to a silent one only if all others are silent as well.
 func (tb *Table) Choose(criteria Criteria, now time.Duration) Choice {
 	c := Choice{}
+	tb.ExpireSpeeds(now)
 	found := tb.candidates(criteria, now)
 	candidates := found.sendable
 	c.LimitedTargets = len(found.exhausted) + len(found.seated)
@@ -349,7 +355,7 @@
 	// Targets with limits come last and are never dedicated to long prompts: the set of
 	// dedicated targets must not change from window to window, and querying their queues
 	// would use up the limits.
-	n := min(r.dedicatedTargets(len(candidates), criteria.Boxes, now), found.unlimited)
+	n := fastest(candidates, min(r.dedicatedTargets(len(candidates), criteria.Boxes, now), found.unlimited))
 	dedicated, others := candidates[:n], candidates[n:]
 	c.Target = tb.pick(criteria, others, now)
 	if long && len(dedicated) > 0 {
@@ -390,17 +396,23 @@
 // fleet.
 func targetsToQuery(dedicated []*Target, affinity uint64) []*Target {
 	list := slices.Clone(dedicated)
-	slices.SortFunc(list, func(a, b *Target) int { return cmp.Compare(hashing.Mix(b.hash^affinity), hashing.Mix(a.hash^affinity)) })
+	slices.SortFunc(list, func(a, b *Target) int {
+		if outscores(a, a.affinityHash(affinity), b, b.affinityHash(affinity)) {
+			return -1
+		}
+		return 1
+	})
 	return list[:min(maxQueried, len(list))]
 }
 
-// leastWaiting returns the target with the fewest waiting prompt tokens.
+// leastWaiting returns the target with the fewest waiting prompt tokens for its weight.
 func leastWaiting(candidates []*Target, affinity uint64) *Target {
-	least := math.MaxInt
+	waiting := func(t *Target) float64 { return float64(t.WaitingTokens) / t.weight }
+	least := math.Inf(1)
 	for _, t := range candidates {
-		least = min(least, t.WaitingTokens)
+		least = min(least, waiting(t))
 	}
-	return highestScore(candidates, affinity, func(t *Target) bool { return t.WaitingTokens == least })
+	return highestScore(candidates, affinity, func(t *Target) bool { return waiting(t) == least })
 }
 
 // RecordPrefill records the time from a call to its first event, for a prompt with the
@@ -420,10 +432,12 @@
 		total += t.RunningCalls
 	}
 	boxes := max(1, criteria.Boxes)
-	bound := loadBound*float64(total)/float64(len(candidates)) + loadSlack/float64(boxes)
-	belowBound := func(t *Target) bool { return float64(t.RunningCalls) <= bound }
-	share := tb.prefillOf(criteria.Service).tokensIn(maxWaitingTime, defaultMaxWaitingTokens) / boxes
-	fewWaiting := func(t *Target) bool { return belowBound(t) && t.WaitingTokens < share }
+	sum := sumWeights(candidates)
+	bound, slack := loadBound*float64(total)/sum, loadSlack/float64(boxes)
+	belowBound := func(t *Target) bool { return float64(t.RunningCalls) <= bound*t.weight+slack }
+	share := float64(tb.prefillOf(criteria.Service).tokensIn(maxWaitingTime, defaultMaxWaitingTokens) / boxes)
+	mean := sum / float64(len(candidates))
+	fewWaiting := func(t *Target) bool { return belowBound(t) && float64(t.WaitingTokens)*mean < share*t.weight }
 	if t := tb.coldSubstitute(criteria, candidates, now); t != nil && fewWaiting(t) {
 		return t
 	}
@@ -440,13 +454,13 @@
 // among the eligible candidates, nil if there is none.
 func highestScore(candidates []*Target, affinity uint64, eligible func(*Target) bool) *Target {
 	var best *Target
-	bestScore := uint64(0)
+	bestHash := uint64(0)
 	for _, t := range candidates {
 		if !eligible(t) {
 			continue
 		}
-		if score := hashing.Mix(t.hash ^ affinity); best == nil || score > bestScore {
-			best, bestScore = t, score
+		if hash := t.affinityHash(affinity); best == nil || outscores(t, hash, best, bestHash) {
+			best, bestHash = t, hash
 		}
 	}
 	return best
@@ -454,8 +468,8 @@
 
 // candidateSet holds the candidates for a call.
 type candidateSet struct {
-	// sendable are the targets to which this box may send now, sorted by hash: first those
-	// without a limit, unlimited in number, then those with one.
+	// sendable are the targets to which this box may send now, the fastest first, then by
+	// hash: first those without a limit, unlimited in number, then those with one.
 	sendable  []*Target
 	unlimited int
 	// seated are the targets at which a seat has to be granted first.
@@ -531,11 +545,12 @@
 	}
 }
 
+// leastLoaded returns the target with the least load for its weight, of several the fastest.
 func (tb *Table) leastLoaded(candidates []*Target) *Target {
 	var best *Target
 	bestCost := math.Inf(1)
 	for _, t := range candidates {
-		cost := float64(t.RunningCalls) + 4*t.failureRate
+		cost := float64(t.RunningCalls)/t.weight + 4*t.failureRate
 		if t.DataCentre != tb.dataCentre {
 			cost += remoteCost
 		}
--- a/services/control/gateway.go
+++ b/services/control/gateway.go
@@ -42,6 +42,7 @@
 	entryBoxes directory
 	readings   readings
 	limits     limits
+	speeds     speeds
 	rejections rejectionLimits
 	wallClocks map[string]wallClockReading
 	throttle   sweepThrottle
@@ -60,6 +61,8 @@
 	stamp      *statev1.LeaseStamp
 	answeredAt time.Duration
 	wallClocks []*statev1.DayTime
+	// speedsSample is the number of the last sample whose speeds of targets were counted.
+	speedsSample uint64
 }
 
 // Submit commits a change of the routing table, of targets or of an evacuation, or a
@@ -113,6 +116,7 @@
 	}
 	resp := &betweenv1.LeaseResponse{Holders: uint32(holders), Directory: directoryMessage(directory, r.GetDirectory()), Readings: g.recordReadings(r)}
 	g.recordLimits(r, resp)
+	g.recordSpeeds(r, resp)
 	sync := &statev1.LeaseSync{Holder: r.GetHolder(), Box: r.GetBox(), Stamp: stamp, Leaving: r.GetLeaving()}
 	at := make([]int, 0, len(r.GetReports()))
 	g.Machine.Read(func(s *state.State) {
--- a/services/forward/buffered.go
+++ b/services/forward/buffered.go
@@ -42,6 +42,7 @@
 	x.bodyComplete = true
 	x.finish()
 	fl.recordSend(t, fmt.Sprint(status))
+	fl.sampleAnswer(t, status)
 	if status >= http.StatusInternalServerError && routing.IsRepeatable(fl.route) {
 		return attempt{verdict: failing, finished: true, failure: got, err: errors.Errorf("the target answered %d", status)}
 	}
--- a/services/forward/choose.go
+++ b/services/forward/choose.go
@@ -87,7 +87,9 @@
 	fl.f.mu.Lock()
 	defer fl.f.mu.Unlock()
 	fl.clearWaitingTokens(t)
-	fl.f.targets.RecordPrefill(t, int(fl.call.UnsharedTokens), fl.f.opts.Clock.Boot()-sent)
+	first := fl.f.opts.Clock.Boot() - sent
+	fl.f.targets.RecordPrefill(t, int(fl.call.UnsharedTokens), first)
+	fl.samplePrompt(t, first)
 }
 
 // recordPause records the longest pause of a stream that came from one target alone: a pause
@@ -99,6 +101,7 @@
 	fl.f.mu.Lock()
 	defer fl.f.mu.Unlock()
 	fl.f.targets.RecordStreamPause(t, fl.sink.longestPause, time.Duration(fl.route.GetPause())*time.Millisecond)
+	fl.sampleStream(t)
 }
 
 // releaseWaitingTokens ends the count of the call's prompt tokens as not prefilled yet.
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -15,6 +15,7 @@
 	"havenwinch.dev/havenwinch/models/rate"
 	"havenwinch.dev/havenwinch/models/reach"
 	"havenwinch.dev/havenwinch/models/routing"
+	"havenwinch.dev/havenwinch/models/speed"
 	"havenwinch.dev/havenwinch/models/spread"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/meter"
@@ -165,6 +166,11 @@
 	limitsList     string
 	limitsRevision uint64
 	limitsInReport []*spread.Target
+	// speedSamples are the speeds that this box has measured, speeds those that control has sent,
+	// and weightsLogged is when changes of weights were last logged.
+	speedSamples  speed.Collector
+	speeds        speed.List
+	weightsLogged time.Duration
 	// controlHeard is set once control has answered a report, and with it told the limits of targets.
 	controlHeard bool
 	// seatWaiters has, for each call that waits for a seat, a channel that wakes it.
@@ -287,6 +293,7 @@
 		case <-ticker.C:
 		}
 		f.pool.sweep(f.isTargetReady)
+		f.expireSpeeds()
 		f.pruneBreaks()
 		f.probe(ctx)
 	}
--- a/services/forward/inflight.go
+++ b/services/forward/inflight.go
@@ -113,6 +113,9 @@
 	now          func() time.Duration
 	lastEventAt  time.Duration
 	longestPause time.Duration
+	// firstEventAt is when the first events were sent, firstEvents how many these were.
+	firstEventAt time.Duration
+	firstEvents  uint64
 	// heads is how many headers were sent. ended is set once the answer was completed.
 	heads int
 	ended bool
@@ -123,11 +126,14 @@
 // started reports whether the header was sent to the caller.
 func (s *trackingSink) started() bool { return s.heads > 0 }
 
-// recordEvents measures the pause before the events that are about to be sent.
-func (s *trackingSink) recordEvents() {
+// recordEvents measures the pause before the events that are about to be sent. count is the number of
+// events up to the last one of them.
+func (s *trackingSink) recordEvents(count uint64) {
 	now := s.now()
 	if s.lastEventAt > 0 {
 		s.longestPause = max(s.longestPause, now-s.lastEventAt)
+	} else {
+		s.firstEventAt, s.firstEvents = now, count
 	}
 	s.lastEventAt = now
 }
--- a/services/forward/limits.go
+++ b/services/forward/limits.go
@@ -188,6 +188,7 @@
 	r.LimitsList, r.LimitsRevision = f.limitsList, f.limitsRevision
 	f.limitsInReport = f.targets.TakeAnnouncements(max(1, fleetLimitsPerRound/max(1, f.fleet.Boxes())))
 	now := f.opts.Clock.Boot()
+	f.tellSpeeds(r, now)
 	r.RejectionLimits = f.tellRejectionLimits(now)
 	for _, t := range f.limitsInReport {
 		r.Limits = append(r.Limits, t.Statement().Message(t.ID, t.Born, t.Service, now))
@@ -205,6 +206,7 @@
 		return
 	}
 	f.limitsInReport = nil
+	f.takeSpeeds(resp, f.opts.Clock.Boot())
 	f.controlHeard = true
 	f.learnRejectionLimits(resp)
 	f.markReady(f.opts.Store.Index())
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -103,7 +103,7 @@
 	fl.recordPartsServed()
 	fl.bindSoftware(ctx, x.conn)
 	fl.rebindSoftware(ctx, x.conn.target)
-	fl.sink.recordEvents()
+	fl.sink.recordEvents(fl.events.count)
 	if !fl.sink.started() {
 		if err := fl.sink.Begin(x.head.StatusCode(), x.fields(), -1); err != nil {
 			return err
--- a/services/gateway/leases.go
+++ b/services/gateway/leases.go
@@ -56,13 +56,13 @@
 	Client     *Client
 	Clock      clock.Clock
 	Logger     *slog.Logger
-	// Placement exchanges prefill loads and rate limits with control through the
-	// reports. It is nil for a box that places no calls.
+	// Placement exchanges prefill loads, rate limits and speeds of targets with control
+	// through the reports. It is nil for a box that places no calls.
 	Placement Placement
 }
 
 // Placement decides which targets serve calls. For that it needs the prefill load of
-// the long prompts of all boxes, and the rate limits of targets.
+// the long prompts of all boxes, and the rate limits and the speeds of targets.
 type Placement interface {
 	// Readings returns the prefill load of this box's long prompts by service.
 	Readings() []*betweenv1.ReadingLoad
@@ -70,8 +70,8 @@
 	SetReadings(all []*betweenv1.ReadingLoad)
 	// HasLimits reports whether there are rate limits to report to control.
 	HasLimits() bool
-	// TellLimits adds the rate limits to report to control, and the revision of
-	// control's list that this box has.
+	// TellLimits adds the rate limits and the speeds to report to control, and the
+	// revisions of control's lists that this box has.
 	TellLimits(r *betweenv1.LeaseRequest)
 	// TakeLimits handles control's answer to r, nil if there was none. boxes is nil
 	// while the entry boxes are not known.
