--- a/models/speed/aggregate.go
+++ b/models/speed/aggregate.go
@@ -95,10 +95,10 @@
 	step := max(quantileStep, 1/float64(k.samples))
 	if each > k.value {
 		k.extendRun(&k.above, &k.below, min(each, k.nearest), each)
-		k.value *= math.Exp(step * quantile)
+		k.value = min(each, k.value*math.Exp(step*quantile))
 	} else {
 		k.extendRun(&k.below, &k.above, max(each, k.nearest), each)
-		k.value *= math.Exp(-step * (1 - quantile))
+		k.value = max(each, k.value*math.Exp(-step*(1-quantile)))
 	}
 	if k.above < runLength && k.below < runLength {
 		return
