speed: the fastest targets take long prompts, without being sampled for it

Cause: prompts queue at dedicated targets, which looked slow for that and lost their place: in a simulated load, 40% of the capacity, another set was dedicated every other second. Their number was also reduced by weight where its bound, and not the load, set it. Change: no prompt samples of dedicated targets; the number is reduced only below what the load requires; the simulation asks dedicated targets for their queues as boxes do.

--- a/models/spread/prefill.go
+++ b/models/spread/prefill.go
@@ -164,7 +164,8 @@
 	return r.load(now) * time.Duration(max(1, boxes))
 }
 
-// dedicatedTargets returns how many of a service's targets are dedicated to long prompts.
+// dedicatedTargets returns how many of a service's targets are dedicated to long prompts, if all
+// are of usual speed.
 func (r *prefillStats) dedicatedTargets(targets, boxes int, now time.Duration) int {
 	wanted := r.fleetLoad(boxes, now).Seconds()/dedicatedUtilisation - minDedicatedLoad
 	if n := int(math.Ceil(wanted)); n > r.dedicated || n <= 0 || wanted < float64(r.dedicated-1)-releaseSlack {
@@ -173,6 +174,14 @@
 	return min(targets/dedicatedDivisor, r.dedicated)
 }
 
+// fastestDedicated returns how many of a service's targets, the fastest first, are dedicated to long
+// prompts: as many as do the work of the targets of usual speed that the load requires, and no more
+// than if all were of usual speed.
+func (r *prefillStats) fastestDedicated(list []*Target, boxes int, now time.Duration) int {
+	n := r.dedicatedTargets(len(list), boxes, now)
+	return fastest(list[:n], float64(r.dedicated))
+}
+
 // RecordStreamPause records the longest pause of a stream from a target, and the longest
 // pause that its route allows; a limit of zero means that there is none.
 func (tb *Table) RecordStreamPause(t *Target, pause, limit time.Duration) {
@@ -183,8 +192,7 @@
 
 // DedicatedTargets returns how many targets of a service are dedicated to long prompts.
 func (tb *Table) DedicatedTargets(service string, boxes int, now time.Duration) int {
-	list := tb.services[service]
-	return fastest(list, tb.prefillOf(service).dedicatedTargets(len(list), boxes, now))
+	return tb.prefillOf(service).fastestDedicated(tb.services[service], boxes, now)
 }
 
 // PrefillLoads returns the prefill time per second of this box's long prompts, by
--- a/models/spread/speed_sim_test.go
+++ b/models/spread/speed_sim_test.go
@@ -111,6 +111,7 @@
 	tokens := min(60000, 6000*math.Exp(0.8*s.rnd.NormFloat64()))
 	unshared := tokens / 2
 	c := b.table.Choose(Criteria{Service: "s", Affinity: prefix * 0x9e3779b97f4a7c15, UnsharedTokens: int(unshared), MaxPause: 400 * time.Millisecond, Boxes: simBoxes}, s.now)
+	s.askDedicated(&c)
 	t, engine := c.Target, s.engines[c.Target.ID]
 	read := unshared
 	if !engine.cached[prefix] {
@@ -126,7 +127,9 @@
 	s.after(first, func() {
 		t.WaitingTokens -= int(tokens)
 		b.table.RecordPrefill(t, int(unshared), first)
-		b.samples.AddPrompt(t.instance(), int(unshared), first, s.now)
+		if !c.IsDedicated {
+			b.samples.AddPrompt(t.instance(), int(unshared), first, s.now)
+		}
 		if sent >= simWarmUp {
 			s.calls++
 			s.callsAt[t.ID]++
@@ -142,6 +145,27 @@
 	})
 }
 
+// setLatePauses lets all boxes have seen too long pauses of streams.
+func (s *speedSim) setLatePauses() {
+	for _, b := range s.boxes {
+		recordStreams(b.table, 1)
+	}
+}
+
+// askDedicated chooses the dedicated target with the shortest queue for a long prompt, or the target
+// that caches its prefix if that is too long.
+func (s *speedSim) askDedicated(c *Choice) {
+	const maxQueue = 500 * time.Millisecond
+	for _, t := range c.Dedicated {
+		if s.engines[t.ID].freeAt < s.engines[c.Target.ID].freeAt {
+			c.Target = t
+		}
+	}
+	if c.IsDedicated && s.engines[c.Target.ID].freeAt-s.now > maxQueue {
+		c.Target, c.IsDedicated = c.AffinityTarget, false
+	}
+}
+
 func (s *speedSim) report(i int, b *speedBox) {
 	s.after(time.Second, func() { s.report(i, b) })
 	if !s.hasWeights || s.isCut {
@@ -177,18 +201,28 @@
 	tests := map[string]struct {
 		speeds    []float64
 		perSecond float64
+		// hasLatePauses is set if streams have too long pauses, so that long prompts go to dedicated
+		// targets.
+		hasLatePauses bool
 		// gain is how much more of the prompts are served in time with weights at least.
 		gain float64
 	}{
-		"uneven, 40% of the capacity": {speeds: uneven, perSecond: 150, gain: 0.05},
-		"uneven, 64% of the capacity": {speeds: uneven, perSecond: 250, gain: 0.1},
-		"equal, 40% of the capacity":  {speeds: equal, perSecond: 150, gain: -0.01},
-		"equal, 64% of the capacity":  {speeds: equal, perSecond: 250, gain: -0.03},
+		"uneven, 40% of the capacity":                    {speeds: uneven, perSecond: 150, gain: 0.05},
+		"uneven, 64% of the capacity":                    {speeds: uneven, perSecond: 250, gain: 0.1},
+		"uneven, dedicated targets, 27% of the capacity": {speeds: uneven, perSecond: 100, hasLatePauses: true, gain: 0.05},
+		"uneven, dedicated targets, 40% of the capacity": {speeds: uneven, perSecond: 150, hasLatePauses: true, gain: 0.1},
+		"uneven, dedicated targets, 53% of the capacity": {speeds: uneven, perSecond: 200, hasLatePauses: true, gain: 0.05},
+		"equal, 40% of the capacity":                     {speeds: equal, perSecond: 150, gain: -0.01},
+		"equal, 64% of the capacity":                     {speeds: equal, perSecond: 250, gain: -0.03},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			without, with := newSpeedSim(1, test.perSecond, test.speeds...), newSpeedSim(1, test.perSecond, test.speeds...)
 			without.hasWeights = false
+			if test.hasLatePauses {
+				without.setLatePauses()
+				with.setLatePauses()
+			}
 			without.runUntil(simEnd)
 			with.runUntil(simEnd)
 			t.Logf("prompts in time: %.3f without weights, %.3f with them", without.shareInTime(), with.shareInTime())
--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -355,7 +355,7 @@
 	// Targets with limits come last and are never dedicated to long prompts: the set of
 	// dedicated targets must not change from window to window, and querying their queues
 	// would use up the limits.
-	n := fastest(candidates, min(r.dedicatedTargets(len(candidates), criteria.Boxes, now), found.unlimited))
+	n := min(r.fastestDedicated(candidates, criteria.Boxes, now), found.unlimited)
 	dedicated, others := candidates[:n], candidates[n:]
 	c.Target = tb.pick(criteria, others, now)
 	if long && len(dedicated) > 0 {
--- a/models/spread/weights.go
+++ b/models/spread/weights.go
@@ -124,16 +124,17 @@
 	return sum
 }
 
-// fastest returns how many of the first targets do the work of n of weight 1, at most n.
-func fastest(list []*Target, n int) int {
+// fastest returns how many of the first targets have the wanted weight together, all if they have
+// less.
+func fastest(list []*Target, wanted float64) int {
 	sum := 0.0
-	for i, t := range list[:n] {
-		if sum >= float64(n) {
+	for i, t := range list {
+		if sum >= wanted {
 			return i
 		}
 		sum += t.weight
 	}
-	return n
+	return len(list)
 }
 
 // outscores reports whether a has a higher rendezvous score for a shared prefix than b, given
--- a/models/spread/weights_test.go
+++ b/models/spread/weights_test.go
@@ -5,6 +5,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"math"
 	"math/rand"
 	"slices"
@@ -141,27 +143,33 @@
 	}
 }
 
-// Long prompts go to the fastest targets, fewer of which are needed.
+// Long prompts go to the fastest targets. Fewer of them are dedicated where their weight is enough for
+// the load, but none fewer where the bound on their number is what limits them.
 func TestDedicatedTargetsAreTheFastest(t *testing.T) {
-	tb := newTableWithLatePauses()
-	criteria := longPrompt(5)
-	for range 40 {
-		tb.Choose(criteria, 0)
-	}
-	n := tb.DedicatedTargets("s", criteria.Boxes, 0)
-	if n != 12/dedicatedDivisor {
-		t.Fatalf("%d targets are dedicated", n)
-	}
-	setTestWeights(tb, map[string]float64{"t4": 2, "t5": 2})
-	if got := tb.DedicatedTargets("s", criteria.Boxes, 0); got != 2 {
-		t.Fatalf("%d targets of weight 2 are dedicated in place of %d", got, n)
-	}
-	used := map[string]bool{}
-	for key := range uint64(50) {
-		used[tb.Choose(longPrompt(hashing.Mix(key+1)), 0).Target.ID] = true
-	}
-	if len(used) != 2 || !used["t4"] || !used["t5"] {
-		t.Fatalf("long prompts go to %v, want t4 and t5", used)
+	tests := map[string]struct {
+		load time.Duration
+		want string
+	}{
+		"four targets required": {load: 1500 * time.Millisecond, want: "[t4 t5]"},
+		"ten targets required":  {load: 4 * time.Second, want: "[t2 t3 t4 t5]"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tb := newTableWithLatePauses()
+			tb.SetFleetPrefillLoad("s", test.load, 0)
+			if n := tb.DedicatedTargets("s", 7, 0); n != 12/dedicatedDivisor {
+				t.Fatalf("%d targets of equal weights are dedicated", n)
+			}
+			setTestWeights(tb, map[string]float64{"t2": 1.4, "t3": 1.4, "t4": 2, "t5": 2})
+			used := map[string]bool{}
+			for key := range uint64(200) {
+				used[tb.Choose(longPrompt(hashing.Mix(key+1)), 0).Target.ID] = true
+			}
+			got := fmt.Sprint(slices.Sorted(maps.Keys(used)))
+			if n := tb.DedicatedTargets("s", 7, 0); got != test.want || n != len(used) {
+				t.Fatalf("%d targets are dedicated, long prompts go to %s, want %s", n, got, test.want)
+			}
+		})
 	}
 }
 
--- a/services/forward/speed.go
+++ b/services/forward/speed.go
@@ -29,9 +29,10 @@
 	return fl.sendCount == 1 && !fl.resumed && fl.call.LastEvent < 0 && !fl.f.opts.IsCongested()
 }
 
-// samplePrompt adds the time to the first event to the samples. The caller holds f.mu.
+// samplePrompt adds the time to the first event to the samples, unless the target is dedicated to long
+// prompts: these queue there, and the target would look slow for that. The caller holds f.mu.
 func (fl *inflightCall) samplePrompt(t *spread.Target, first time.Duration) {
-	if fl.service.GetEngine() != nil && fl.isSample() {
+	if fl.service.GetEngine() != nil && !fl.lastChoice.IsDedicated && fl.isSample() {
 		fl.f.speedSamples.AddPrompt(instanceOf(t), int(fl.call.UnsharedTokens), first, fl.f.opts.Clock.Boot())
 	}
 }
