speed: a late answer keeps the speeds that it goes on from

Cause: an answer that came after the speeds had expired, to a report sent before, cleared them but kept the revision: unchanged speeds were not sent again. Change: the list is cleared only where the next report asks for it from the start.

--- a/models/speed/list.go
+++ b/models/speed/list.go
@@ -43,11 +43,9 @@
 	if resp.GetSpeedsList() == "" {
 		return false
 	}
-	changed := len(resp.GetSpeeds()) > 0
-	if !l.IsFresh(now) {
-		*l = List{}
-		changed = true
-	}
+	// The answer to a report that was sent while the speeds counted goes on from them, also if
+	// they have expired in the meantime.
+	changed := len(resp.GetSpeeds()) > 0 || !l.IsFresh(now)
 	l.heardAt, l.isHeard = now, true
 	if resp.GetSpeedsList() != l.name {
 		l.follow(resp.GetSpeedsList(), now)
--- a/models/speed/speed_test.go
+++ b/models/speed/speed_test.go
@@ -215,6 +215,10 @@
 	if name, revision := l.Position(MaxAge - 1); name != "one" || revision != 9 {
 		t.Fatalf("the box has list %s up to %d within the age", name, revision)
 	}
+	late := *l
+	if !late.Apply(&betweenv1.LeaseResponse{SpeedsList: "one", SpeedsRevision: 9}, MaxAge+1) || !late.Speed(Instance{Target: "a"}).IsKnown() {
+		t.Fatal("a late answer to a report with revision 9 has lost the speeds up to it")
+	}
 	if name, revision := l.Position(MaxAge); name != "" || revision != 0 || l.IsFresh(MaxAge) {
 		t.Fatalf("the box has list %s up to %d after the age", name, revision)
 	}
