--- a/models/speed/weights.go
+++ b/models/speed/weights.go
@@ -29,7 +29,7 @@
 	// unevenRatio is the ratio between the ninth and the first decile of the slowness from
 	// which on the targets of a service count as uneven, evenRatio that below which they
 	// don't any more. In a simulated load the deciles of equal targets differ by a factor of
-	// 1.2 at 40% utilisation and of 1.6 at 77%.
+	// 1.1 at 40% of the capacity, of 1.2 at 64% and of 1.6 at 77%.
 	unevenRatio = 1.8
 	evenRatio   = 1.6
 	// outlierRatio and outlierRelease take the place of engageRatio and releaseRatio while
--- a/models/spread/weights.go
+++ b/models/spread/weights.go
@@ -14,8 +14,8 @@
 )
 
 // Targets of a service may differ in speed. Each has a weight, 1 where nothing else is
-// known, and gets its share of the calls by weighted rendezvous hashing (Mosharaf-Dehkordi
-// 2015, "logarithmic method"): a change of one weight moves only the prefixes that this
+// known, and gets its share of the calls by weighted rendezvous hashing (Schindelhauer and
+// Schomaker 2005, "Weighted Distributed Hash Tables"): a change of one weight moves only the prefixes that this
 // target gains or loses. If all weights are equal, calls are placed as without them.
 
 // instance identifies the start of the target for its speed.
