--- a/models/speed/weights.go
+++ b/models/speed/weights.go
@@ -16,9 +16,14 @@
 	promptShare = 0.75
 	// stepsPerDouble is how many steps of weights double it: each is about a fifth.
 	stepsPerDouble = 4
-	// minStep and maxStep bound the weights, in steps from 1: 0.42 and 2.
-	minStep = -5
-	maxStep = stepsPerDouble
+	// speedExponent is the power of the speed that a weight is. Targets are loaded below half of
+	// their capacity as a rule, where the queues of slow ones delay more streams than those of
+	// fast ones: in a simulated load at 40% of the capacity, 0.940 of the prompts are in time with
+	// 1.5 and 0.928 with 1; at 64% 0.870 and 0.874.
+	speedExponent = 1.5
+	// minStep and maxStep bound the weights, in steps from 1: 0.25 and 2.4.
+	minStep = -2 * stepsPerDouble
+	maxStep = stepsPerDouble + 1
 	// stepSlack is by how many steps a weight must be off before it moves. Moving it moves
 	// some of the prefixes of its target, whose caches are elsewhere then.
 	stepSlack = 1.25
@@ -131,7 +136,7 @@
 	if slowness < ratio && slowness > 1/ratio {
 		return 1
 	}
-	at := -stepsPerDouble * math.Log2(slowness)
+	at := -speedExponent * stepsPerDouble * math.Log2(slowness)
 	step := stepsPerDouble * math.Log2(present)
 	if math.Abs(at-step) > stepSlack {
 		step = math.Round(at)
