--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -93,7 +93,7 @@
 	fl.rebindSoftware(ctx, x.conn.target)
 	if fl.events.count > fl.eventsSent {
 		fl.eventsSent = fl.events.count
-		fl.sink.recordEvents()
+		fl.sink.recordEvents(fl.events.count)
 	}
 	if !fl.sink.started() {
 		if err := fl.sink.Begin(x.head.StatusCode(), x.fields(), -1); err != nil {
