--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -77,6 +77,9 @@
 	// ShouldCloseConnections reports whether connections should be closed after their current answer,
 	// to shed load; nil means never.
 	ShouldCloseConnections func() bool
+	// AwaitRead waits until the link has room to read a part of a long body, or the context is done;
+	// nil to read at once.
+	AwaitRead func(ctx context.Context)
 	// MaxConnections is how many connections of callers may be open at a time, zero for any number.
 	// Beyond it a new one takes the place of the one that has been idle for longest, and is closed
 	// unread if none is.
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -101,6 +101,8 @@
 	ReportGone func(ctx context.Context, target string, born int64) error
 	// IsCongested reports whether the box's own link is congested; nil for never.
 	IsCongested func() bool
+	// Link paces long bodies and tells when callers may come back; nil for a link that is never full.
+	Link Link
 	// ReportNow makes this box report to control immediately; nil where it doesn't report.
 	ReportNow func()
 	// Relays dials targets through other boxes; nil for never.
--- a/services/forward/upload.go
+++ b/services/forward/upload.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"context"
 	"maps"
 	"net"
 	"time"
@@ -22,12 +23,11 @@
 )
 
 // writeBody writes a long body. It waits for a target that does not read until the connection is closed.
-func (x *exchange) writeBody() error {
+func (x *exchange) writeBody(ctx context.Context) error {
 	c, body := x.conn, x.call.Body
 	tcp, ok := c.net.(*net.TCPConn)
 	if !ok {
-		_, err := c.Write(body)
-		return err
+		return x.writeParts(ctx, body)
 	}
 	stalled := false
 	defer func() {
@@ -35,7 +35,7 @@
 		_ = tcp.SetWriteDeadline(time.Time{})
 	}()
 	for len(body) > 0 {
-		part := body[:min(len(body), uploadPart)]
+		part := x.nextPart(ctx, body)
 		rest := len(body) - len(part)
 		w := &steady.Writer{Conn: tcp, Timeout: x.f.uploadStall, Unsent: func() int { return steady.Unsent(tcp) }, OnStall: func(left int) bool {
 			if !stalled && !x.f.opts.IsCongested() {
--- a/services/overload/overload.go
+++ b/services/overload/overload.go
@@ -3,7 +3,8 @@
 
 // Package overload detects that the traffic of a box approaches the capacity of its network
 // link. Such a box reports itself as not ready to the load balancer and closes persistent
-// connections after the current answer, so that callers move to other boxes.
+// connections after the current answer, so that callers move to other boxes. It also paces long
+// bodies, so that short calls do not wait behind them.
 package overload
 
 import (
@@ -26,9 +27,8 @@
 	// direction.
 	busyAbove  = 0.5
 	quietBelow = 0.3
-	// shedAfter is how long a box must be busy before it closes connections. By then
-	// the load balancer has noticed that the box is not ready.
-	shedAfter = 2200 * time.Millisecond
+	// shedAfter is how long a box must be busy before it closes connections.
+	shedAfter = movedAfter
 	// maxBusy is the maximum time for which a box reports itself as not ready, so that
 	// a box whose load does not move to others is still ready most of the time.
 	maxBusy = 8 * time.Second
@@ -53,6 +53,7 @@
 	// crowded is set while the load of the link is so high that packets may be queued.
 	crowded atomic.Bool
 	samples watchState
+	pacers  pacers
 }
 
 // watchState is used only by the goroutine that samples the meter.
