tests/soak: hard load, as cases of their own and in the random mix

Cause: nothing played targets of uneven speed, an organisation that loads a few boxes, callers or targets that read slowly, and targets that send without end.

--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -68,6 +68,12 @@
 	entry int
 	// prefix is the Prompt-Prefix of the caller's streams, empty for one of the usual ones.
 	prefix string
+	// prompt is the length of the caller's prompts in tokens, zero for one of the usual lengths.
+	prompt int
+	// padding is how many bytes follow the usual body of a request.
+	padding int
+	// deadline is the time that the caller gives the box, zero for keptDeadline.
+	deadline time.Duration
 	// box is the name of the entry box that conn leads to.
 	box string
 	// patience is how long the caller waits for an answer, zero for answerLimit.
@@ -134,7 +140,7 @@
 
 // send sends one request with the default body and reads its answer.
 func (c *caller) send(id, route, key string) outcome {
-	return c.sendBody(id, route, key, "body of "+id)
+	return c.sendBody(id, route, key, "body of "+id+strings.Repeat(".", c.padding))
 }
 
 // connect dials an entry box unless the caller has a connection.
@@ -193,6 +199,9 @@
 	tokens, body := "", o.sent
 	if strings.HasPrefix(o.route, "stream") {
 		prompt := 200 + c.rng.Intn(400)
+		if c.prompt > 0 {
+			prompt = c.prompt
+		}
 		if c.all.seed >= faultyAnswersFrom && key == "key-large" && c.rng.Intn(4) == 0 {
 			prompt += 2 * longPromptTokens
 		}
@@ -202,7 +211,14 @@
 		}
 		tokens = fmt.Sprintf("Token-Count: %d,%d\r\nPrompt-Prefix: %s\r\n", prompt, outputLimit, prefix)
 	}
-	return fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 8000\r\nApi-Key: %s\r\nTenant: forged\r\n%sContent-Length: %d\r\n\r\n%s", o.route, o.id, key, tokens, len(body), body)
+	if c.padding > 0 {
+		tokens += fmt.Sprintf("%s: %d\r\n", paddingHeader, c.padding)
+	}
+	deadline := time.Duration(keptDeadline)
+	if c.deadline > 0 {
+		deadline = c.deadline
+	}
+	return fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nApi-Key: %s\r\nTenant: forged\r\n%sContent-Length: %d\r\n\r\n%s", o.route, o.id, deadline.Milliseconds(), key, tokens, len(body), body)
 }
 
 func (c *caller) readAnswer(o outcome) outcome {
@@ -246,6 +262,8 @@
 			b.WriteString(event(o.id, n))
 		}
 		want = b.String()
+		p.platform.checkComments(o)
+		o.body = withoutComments(o.body)
 	}
 	// If an answer has neither a length nor chunks, its truncation goes unnoticed.
 	truncated := strings.HasPrefix(want, o.body) && (!o.complete || p.platform.wasTruncated(o.id))
--- a/tests/soak/disruptions_test.go
+++ b/tests/soak/disruptions_test.go
@@ -92,7 +92,7 @@
 		for _, other := range tb.boxes {
 			tb.platform.disruptions.recordFault(other.name, length)
 		}
-	case "delay", "silent", "one way", "reset", "dropped answers":
+	case "delay", "silent", "one way", "reset", "dropped answers", "bodies unread":
 		tb.platform.disruptions.recordFault(sv.id, length)
 	case "mute":
 		for _, other := range tb.platform.all() {
--- a/tests/soak/engine_test.go
+++ b/tests/soak/engine_test.go
@@ -65,8 +65,14 @@
 	return p.launch(&server{id: old.id, service: old.service, zone: old.zone, version: version, link: old.link, registerAfter: registerAfter}, seed)
 }
 
-// prefill processes a prompt; a long one stalls all streams of the engine.
+// prefill processes a prompt; a long one stalls all streams of the engine, any one if it has a speed.
 func (sv *server) prefill(tokens uint64) {
+	if speed := sv.currentSpeed(); speed > 0 {
+		sv.prefillMu.Lock()
+		time.Sleep(time.Duration(float64(tokens) * float64(promptTokenTime) / speed))
+		sv.prefillMu.Unlock()
+		return
+	}
 	if tokens < longPromptTokens {
 		return
 	}
--- a/tests/soak/link_test.go
+++ b/tests/soak/link_test.go
@@ -26,9 +26,19 @@
 	linkSilent
 	// linkOneWay forwards requests but no answers.
 	linkOneWay
+	// linkBodiesWait forwards no more than longRequest bytes of a request.
+	linkBodiesWait
 )
 
-const linkDelay = 150 * time.Millisecond
+const (
+	linkDelay = 150 * time.Millisecond
+	// longRequest is the size of a request in bytes from which on a link with linkBodiesWait does not
+	// read it.
+	longRequest = 16 << 10
+	// smallBuffer is the kernel's receive buffer of a link in bytes while long bodies wait, so that
+	// what it does not read remains with the sender.
+	smallBuffer = 64 << 10
+)
 
 // link is a loopback proxy in front of a server that injects network faults.
 type link struct {
@@ -42,6 +52,8 @@
 	// muted has a flag for each open pair of connections; a pair whose flag is set
 	// forwards nothing for the rest of its life.
 	muted map[*atomic.Bool]bool
+	// hasSmallBuffers is set if new connections get receive buffers of smallBuffer.
+	hasSmallBuffers bool
 }
 
 // plainTCP opens listeners without Multipath TCP, whose sockets take no packet filters.
@@ -83,6 +95,9 @@
 func (l *link) connect(caller net.Conn) {
 	l.mu.Lock()
 	target := l.target
+	if tcp, ok := caller.(*net.TCPConn); ok && l.hasSmallBuffers {
+		_ = tcp.SetReadBuffer(smallBuffer)
+	}
 	l.mu.Unlock()
 	server, err := net.Dial("tcp", target)
 	if err != nil {
@@ -95,8 +110,10 @@
 	l.muted[muted] = true
 	l.mu.Unlock()
 	done := make(chan struct{}, 2)
-	go l.forward(server, caller, false, muted, done)
-	go l.forward(caller, server, true, muted, done)
+	// unanswered is how many bytes have come since the last ones of an answer.
+	unanswered := &atomic.Int64{}
+	go l.forward(server, caller, false, muted, unanswered, done)
+	go l.forward(caller, server, true, muted, unanswered, done)
 	<-done
 	_ = caller.Close()
 	_ = server.Close()
@@ -108,9 +125,9 @@
 	delete(l.conns, server)
 }
 
-func (l *link) forward(to io.Writer, from io.Reader, answers bool, muted *atomic.Bool, done chan<- struct{}) {
+func (l *link) forward(to io.Writer, from io.Reader, answers bool, muted *atomic.Bool, unanswered *atomic.Int64, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
-	buffer := make([]byte, 4096)
+	buffer := make([]byte, l.readSize())
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
@@ -119,7 +136,12 @@
 		if muted.Load() {
 			continue
 		}
-		for l.mustWait(answers) {
+		if answers {
+			unanswered.Store(0)
+		} else {
+			unanswered.Add(int64(n))
+		}
+		for l.mustWait(answers, unanswered.Load()) {
 			time.Sleep(10 * time.Millisecond)
 		}
 		if _, err := to.Write(buffer[:n]); err != nil {
@@ -128,8 +150,18 @@
 	}
 }
 
+// readSize returns how many bytes are read at once. Long bodies need fewer reads.
+func (l *link) readSize() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.hasSmallBuffers {
+		return smallBuffer
+	}
+	return 4096
+}
+
 // mustWait reports whether bytes must still wait. A delayed link sleeps here once instead.
-func (l *link) mustWait(answers bool) bool {
+func (l *link) mustWait(answers bool, unanswered int64) bool {
 	l.mu.Lock()
 	mode := l.mode
 	l.mu.Unlock()
@@ -137,7 +169,7 @@
 		time.Sleep(linkDelay)
 		return false
 	}
-	return mode == linkSilent || mode == linkOneWay && answers
+	return mode == linkSilent || mode == linkOneWay && answers || mode == linkBodiesWait && !answers && unanswered > longRequest
 }
 
 func (l *link) set(mode linkMode) {
--- a/tests/soak/path_test.go
+++ b/tests/soak/path_test.go
@@ -9,10 +9,12 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 )
@@ -25,6 +27,8 @@
 	all *callerPool
 	// lastCopy makes the ids of repeated calls unique.
 	lastCopy int
+	// load is the load of the callers that faults have started.
+	load sync.WaitGroup
 }
 
 func newTestbed(t *testing.T, seed int64, controls, entries, engines, plainServers int) *testbed {
@@ -88,7 +92,9 @@
 	tb.checkCut(t)
 	tb.platform.mu.Lock()
 	defer tb.platform.mu.Unlock()
-	for tenant, most := range map[string]uint64{"large": prepaid, "small": prepaidSmall} {
+	budgets := map[string]uint64{"large": prepaid, "small": prepaidSmall}
+	maps.Copy(budgets, tb.platform.organisations)
+	for tenant, most := range budgets {
 		if tb.platform.tokensUsed[tenant] > most {
 			tb.platform.violations = append(tb.platform.violations, fmt.Sprintf("tenant %s used %d tokens, budget %d", tenant, tb.platform.tokensUsed[tenant], most))
 		}
--- a/tests/soak/platform_test.go
+++ b/tests/soak/platform_test.go
@@ -5,9 +5,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand"
 	"net"
 	"net/http"
@@ -77,6 +79,15 @@
 	failedUnderRejections int
 	// evacuated has, by zone, when its evacuation was acknowledged.
 	evacuated map[string]time.Time
+	// organisations has the budgets of organisations besides "large" and "small", whose key is their
+	// name after "key-", and maxBody is the size of the largest body in bytes, zero for
+	// defaultMaxBody. They must be set before the first configuration.
+	organisations map[string]uint64
+	maxBody       int
+	// endless has the requests that a server began to answer without end, by id, with the form, and
+	// endlessSent counts them by service.
+	endless     map[string]string
+	endlessSent map[string]int
 }
 
 // addCleanup registers a function to call at the end of the test.
@@ -107,7 +118,7 @@
 }
 
 func newPlatform(control []string) *platform {
-	return &platform{control: control, eventPause: eventPause, runs: map[string]int{}, tokensUsed: map[string]uint64{}, promptCounted: map[string]bool{}, crashes: map[string]int{}, visits: map[string]*visits{}, failures: map[string]map[int]bool{}, truncated: map[string]bool{}, copies: map[string]int{}, disruptions: newDisruptions(), evacuated: map[string]time.Time{}}
+	return &platform{control: control, eventPause: eventPause, runs: map[string]int{}, tokensUsed: map[string]uint64{}, promptCounted: map[string]bool{}, crashes: map[string]int{}, visits: map[string]*visits{}, failures: map[string]map[int]bool{}, truncated: map[string]bool{}, copies: map[string]int{}, disruptions: newDisruptions(), evacuated: map[string]time.Time{}, endless: map[string]string{}, endlessSent: map[string]int{}}
 }
 
 // recordViolation records a violation, which fails the test at its end.
@@ -187,10 +198,17 @@
 	// arrivals are the times of the requests received under a rate limit, oldest first.
 	arrivals []time.Time
 	// room limits the requests that the server works on at once; nil for no limit.
-	room     *room
-	rng      *rand.Rand
-	quit     chan struct{}
-	stopping sync.Once
+	room *room
+	// speed is how fast the server works, 1 at the nominal speed; zero if nothing takes time but the
+	// pauses between events and long prompts.
+	speed float64
+	// calls counts the requests received.
+	calls int
+	// isEndless is set if the server answers without end.
+	isEndless bool
+	rng       *rand.Rand
+	quit      chan struct{}
+	stopping  sync.Once
 }
 
 // all returns all servers started so far, including those that have stopped.
@@ -339,6 +357,7 @@
 	}
 	sv.mu.Lock()
 	left, fails := sv.drainAckedAt, sv.rng.Float64() < sv.failShare
+	sv.calls++
 	sv.recordLimited(w.Header())
 	sv.recordCold()
 	sv.mu.Unlock()
@@ -382,10 +401,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Server-Signature", sv.id)
+	if sv.sendEndless(w, r, id) {
+		return
+	}
 	if sv.sendFaulty(w, r, id, sv.answerForm(r)) {
 		return
 	}
 	if strings.HasPrefix(r.URL.Path, "/plain/") {
+		sv.sleepAtSpeed(plainWork)
 		_, _ = io.WriteString(w, "answer to "+id)
 		return
 	}
@@ -429,6 +452,7 @@
 	w.WriteHeader(http.StatusOK)
 	run := sv.startRun(id)
 	defer sv.endRun(id)
+	filler, _ := strconv.Atoi(r.Header.Get(fillerHeader))
 	for n := first; n < events(limit); n++ {
 		sv.prefillMu.RLock()
 		//lint:ignore SA2001 events are only held up while a prompt is read
@@ -440,10 +464,10 @@
 			panic(http.ErrAbortHandler)
 		case <-sv.quit:
 			panic(http.ErrAbortHandler)
-		case <-time.After(sv.platform.eventPause):
+		case <-time.After(sv.eventPause()):
 		}
 		sv.platform.recordTokens(r.Header.Get("Tenant"), stride)
-		if _, err := io.WriteString(w, sv.event(id, n)); err != nil {
+		if _, err := io.WriteString(w, withFiller(sv.event(id, n), filler)); err != nil {
 			return
 		}
 		w.(http.Flusher).Flush()
@@ -458,6 +482,9 @@
 	prepaidSmall = 12_000
 )
 
+// defaultMaxBody is the size of the largest body of a request in bytes.
+const defaultMaxBody = 64 << 10
+
 // configuration returns a configuration document in which the given keys are additional
 // API keys of tenant "large".
 func (p *platform) configuration(version uint64, keys ...string) []byte {
@@ -479,12 +506,17 @@
 			map[string]any{"name": engineService, "health_path": "/healthz", "max_connections": 100, "cold_per_s": p.coldRate, "cold_start_s": coldStart.Seconds(), "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000, "stride": stride, "moves": true}},
 			map[string]any{"name": plainService, "health_path": "/healthz", "max_connections": 100},
 		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": cmp.Or(p.maxBody, defaultMaxBody), "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{
 			map[string]any{"name": "large", "api_keys": append([]string{"key-large"}, keys...), "priority": 1, "prepaid": prepaid},
 			map[string]any{"name": "small", "api_keys": []string{"key-small"}, "priority": 1, "prepaid": prepaidSmall},
 		},
 	}
+	tenants := document["tenants"].([]any)
+	for _, name := range slices.Sorted(maps.Keys(p.organisations)) {
+		tenants = append(tenants, map[string]any{"name": name, "api_keys": []string{"key-" + name}, "priority": 1, "prepaid": p.organisations[name]})
+	}
+	document["tenants"] = tenants
 	body, _ := json.Marshal(document)
 	return body
 }
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -37,7 +37,7 @@
 // TestSoak injects random faults, with the seeds of SOAK_SEEDS ("first,count") or with a
 // few fixed seeds and the regressions.
 func TestSoak(t *testing.T) {
-	seeds := []int64{11, 7007, 8008, 10_001, 70_001}
+	seeds := []int64{11, 7007, 8008, 10_001, 70_001, 90_001}
 	for seed := range regressions {
 		seeds = append(seeds, seed)
 	}
@@ -124,6 +124,7 @@
 	}
 	close(stop)
 	wg.Wait()
+	tb.load.Wait()
 	crashed := tb.platform.crashCount(<-crashingBody)
 	t.Logf("the repeated call crashed %d servers", crashed)
 	if crashed > maxCrashesUnderFaults {
@@ -170,7 +171,7 @@
 // faultKinds are the kinds of faults, in the order in which they were added. Seeds below
 // crashKindsFrom use the first kinds only, those below limitKindsFrom and faultyAnswersFrom
 // correspondingly more, so that old seeds keep their schedules.
-var faultKinds = []string{"kill", "term", "hup", "pause", "kill all", "wipe disk", "delay", "silent", "one way", "reset", "dropped answers", "replace server", "crash", "mute", "rate limit", "faulty answers", "faulty answers", "restart engine", "restart engine", "end engine", "end engine", "rejection limit", "rejection limit"}
+var faultKinds = []string{"kill", "term", "hup", "pause", "kill all", "wipe disk", "delay", "silent", "one way", "reset", "dropped answers", "replace server", "crash", "mute", "rate limit", "faulty answers", "faulty answers", "restart engine", "restart engine", "end engine", "end engine", "rejection limit", "rejection limit", "speeds", "speeds", "hot boxes", "hot boxes", "slow callers", "slow callers", "endless answers", "endless answers", "bodies unread", "bodies unread"}
 
 const (
 	kindsBefore7000   = 12
@@ -181,10 +182,14 @@
 	faultyAnswersFrom = 9000
 	kindsBefore10000  = 17
 	kindsBefore70000  = 21
+	kindsBefore90000  = 23
 	// From rejectionLimitsFrom on plain servers have a limited room, and at times a rejection limit.
 	rejectionLimitsFrom = 70_000
 	// From pairsFrom on callers at times send their next request right behind a stream.
 	pairsFrom = 80_000
+	// From hardLoadFrom on servers differ in speed, send without end or stop reading, and some callers read
+	// slowly or all use the same boxes.
+	hardLoadFrom = 90_000
 	// From softwareFrom on engines run two versions of their software, and callers take their streams up.
 	softwareFrom = 10_000
 )
@@ -209,6 +214,8 @@
 		kinds = faultKinds[:kindsBefore10000]
 	case tb.all.seed < rejectionLimitsFrom:
 		kinds = faultKinds[:kindsBefore70000]
+	case tb.all.seed < hardLoadFrom:
+		kinds = faultKinds[:kindsBefore90000]
 	}
 	kind := kinds[rng.Intn(len(kinds))]
 	t.Logf("%s on %s and %s for %s", kind, b.name, sv.id, duration)
@@ -280,6 +287,20 @@
 		tb.restartEngine(t, rng)
 	case "end engine":
 		tb.endEngine(t, rng)
+	case "speeds":
+		for _, other := range tb.platform.all() {
+			other.setSpeed(unevenSpeeds[rng.Intn(len(unevenSpeeds))])
+		}
+	case "hot boxes":
+		tb.callHotBoxes(rng, duration)
+	case "slow callers":
+		tb.startSlowCallers(rng, duration)
+	case "endless answers":
+		sv.setEndless(true)
+		afterwards(func() { sv.setEndless(false) })
+	case "bodies unread":
+		sv.link.set(linkBodiesWait)
+		afterwards(func() { sv.link.set(linkNormal) })
 	case "dropped answers":
 		sv.setFailShare(0.5)
 		afterwards(func() { sv.setFailShare(0) })
@@ -337,6 +358,7 @@
 		sv.link.set(linkNormal)
 		sv.setFailShare(0)
 		sv.setFaultyShare(0)
+		sv.setEndless(false)
 		sv.withdrawLimit()
 		sv.withdrawRejectionLimit()
 	}
