tests/soak: servers have no speed any more when all faults end

Cause: endFaults left the speeds that a fault had set, so that the checks after all faults ran against slow servers.

Change: endFaults withdraws the speeds.

--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -359,6 +359,7 @@
 		sv.setFailShare(0)
 		sv.setFaultyShare(0)
 		sv.setEndless(false)
+		sv.setSpeed(0)
 		sv.withdrawLimit()
 		sv.withdrawRejectionLimit()
 	}
