forward, overload, gateway: mends of the review of paced bodies and draws

Cause, by a reviewer's failing tests: a body could wait for the link for ever and end as 400; the wait for the head of an answer counted the time for which this box held the body back, so that it was sent to a second target; a call that ended meanwhile counted as a failure of its target; one silent lease holder used up the whole search on a congested link; a link of unknown capacity was paced in parts all the same.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -109,7 +109,7 @@
 		}),
 		Streams:       e.streams,
 		IsCongested:   e.overload.IsCongested,
-		Link:          e.overload,
+		Link:          e.pacedLink(),
 		Meter:         e.meter,
 		Memory:        held,
 		MaxEventBytes: maxEventBytes(b.Settings.MemoryMB),
@@ -170,6 +170,14 @@
 	return 0
 }
 
+// pacedLink returns the link that long bodies wait for, nil if its capacity is not known.
+func (e *entryRole) pacedLink() forward.Link {
+	if e.Settings.LinkMbps <= 0 {
+		return nil
+	}
+	return e.overload
+}
+
 // seatedTargets lists targets by the forwarder, which is made after the seats.
 type seatedTargets struct{ e *entryRole }
 
--- a/routers/gateway/answer.go
+++ b/routers/gateway/answer.go
@@ -146,7 +146,7 @@
 		_, err := io.ReadFull(c.reader, body)
 		return err
 	}
-	ctx, cancel := context.WithTimeout(c.server.opts.BaseContext, bodyReadTimeout)
+	ctx, cancel := context.WithTimeout(c.server.opts.BaseContext, overload.MaxPace)
 	defer cancel()
 	for len(body) > 0 {
 		n := min(len(body), overload.BodyPart)
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -88,6 +88,7 @@
 	x := &exchange{f: f, conn: c, call: call, sent: now}
 	c.previousCall, c.lastCall = c.lastCall, call.name()
 	c.headBegan.Store(0)
+	c.pacedAt.Store(0)
 	x.stopWatching = context.AfterFunc(ctx, c.close)
 	head := writeHead(call, added)
 	if len(call.Body) <= maxInlineBody {
--- a/services/forward/handover.go
+++ b/services/forward/handover.go
@@ -175,7 +175,7 @@
 	next := &successor{choice: choice, sent: fl.now, head: make(chan error, 1), startCheck: fl.checkStart(ctx, c)}
 	next.ctx, next.cancel = fl.attemptContext(ctx)
 	var failure *attempt
-	if next.x, failure = fl.send(next.ctx, choice, c, next.sent); failure != nil {
+	if next.x, failure = fl.send(next.ctx, choice, c, &watchdog{}, next.sent); failure != nil {
 		next.cancel()
 		return nil, *failure
 	}
--- a/services/forward/link.go
+++ b/services/forward/link.go
@@ -42,13 +42,16 @@
 	if _, err := x.conn.Write(append(head, body[:overload.BodyPart]...)); err != nil {
 		return errors.WithStack(err)
 	}
-	return x.writeParts(ctx, body[overload.BodyPart:])
+	pace, cancel := context.WithTimeout(ctx, overload.MaxPace)
+	defer cancel()
+	return x.writeParts(pace, body[overload.BodyPart:])
 }
 
-// writeParts writes bytes of a body in parts, a long one as the link has room.
-func (x *exchange) writeParts(ctx context.Context, body []byte) error {
+// writeParts writes bytes of a body in parts, as the link has room. It does not wait any more once pace
+// is done.
+func (x *exchange) writeParts(pace context.Context, body []byte) error {
 	for len(body) > 0 {
-		part := x.nextPart(ctx, body)
+		part := x.nextPart(pace, body)
 		if _, err := x.conn.Write(part); err != nil {
 			return errors.WithStack(err)
 		}
@@ -58,10 +61,11 @@
 }
 
 // nextPart waits until the link has room for the next part of a long body, and returns it.
-func (x *exchange) nextPart(ctx context.Context, body []byte) []byte {
+func (x *exchange) nextPart(pace context.Context, body []byte) []byte {
 	if x.f.opts.Link == nil {
 		return body[:min(len(body), uploadPart)]
 	}
-	x.f.opts.Link.AwaitWrite(ctx)
+	x.f.opts.Link.AwaitWrite(pace)
+	x.conn.pacedAt.Store(int64(x.f.opts.Clock.Boot()))
 	return body[:min(len(body), overload.BodyPart)]
 }
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -64,6 +64,9 @@
 	// startVerified is set once the target has told, after the dial, that it runs in its registered
 	// start.
 	startVerified bool
+	// pacedAt is the boot time in nanoseconds until which the body of the present request has waited for
+	// this box's link, zero if it has not.
+	pacedAt atomic.Int64
 	// idleUntil is when an idle connection expires.
 	idleUntil time.Duration
 	reused    bool
--- a/services/forward/run.go
+++ b/services/forward/run.go
@@ -338,7 +338,7 @@
 // attemptOn sends the call over a connection and reads the answer.
 func (fl *inflightCall) attemptOn(ctx context.Context, choice spread.Choice, c *conn, wd *watchdog) attempt {
 	sent := fl.now
-	x, failure := fl.send(ctx, choice, c, sent)
+	x, failure := fl.send(ctx, choice, c, wd, sent)
 	if failure != nil {
 		return *failure
 	}
@@ -349,7 +349,7 @@
 }
 
 // send sends the call over a connection and counts it, or returns the result of the attempt.
-func (fl *inflightCall) send(ctx context.Context, choice spread.Choice, c *conn, sent time.Duration) (*exchange, *attempt) {
+func (fl *inflightCall) send(ctx context.Context, choice spread.Choice, c *conn, wd *watchdog, sent time.Duration) (*exchange, *attempt) {
 	fl.call.Resumes = fl.resumption != nil
 	x, err := fl.f.send(ctx, c, fl.call, fl.addedFields(choice), sent)
 	if errors.Is(err, errLimited) || errors.Is(err, errEvacuated) {
@@ -359,8 +359,9 @@
 	fl.possibleRuns++
 	fl.sendCount++
 	if err != nil {
-		fl.recordSend(choice.Target, "broken")
-		return nil, &attempt{verdict: failing, err: err}
+		// A body that waited for this box's link may not have been sent when the call ended.
+		fl.recordSend(choice.Target, endedBy(ctx, wd, "broken"))
+		return nil, &attempt{verdict: fl.verdictOnTimeout(ctx, wd), err: err}
 	}
 	return x, nil
 }
--- a/services/forward/upload.go
+++ b/services/forward/upload.go
@@ -11,6 +11,7 @@
 
 	"havenwinch.dev/havenwinch/models/spread"
 	"havenwinch.dev/havenwinch/modules/steady"
+	"havenwinch.dev/havenwinch/services/overload"
 )
 
 const (
@@ -25,9 +26,11 @@
 // writeBody writes a long body. It waits for a target that does not read until the connection is closed.
 func (x *exchange) writeBody(ctx context.Context) error {
 	c, body := x.conn, x.call.Body
+	pace, cancel := context.WithTimeout(ctx, overload.MaxPace)
+	defer cancel()
 	tcp, ok := c.net.(*net.TCPConn)
 	if !ok {
-		return x.writeParts(ctx, body)
+		return x.writeParts(pace, body)
 	}
 	stalled := false
 	defer func() {
@@ -35,7 +38,7 @@
 		_ = tcp.SetWriteDeadline(time.Time{})
 	}()
 	for len(body) > 0 {
-		part := x.nextPart(ctx, body)
+		part := x.nextPart(pace, body)
 		rest := len(body) - len(part)
 		w := &steady.Writer{Conn: tcp, Timeout: x.f.uploadStall, Unsent: func() int { return steady.Unsent(tcp) }, OnStall: func(left int) bool {
 			if !stalled && !x.f.opts.IsCongested() {
--- a/services/gateway/limit_wait_test.go
+++ b/services/gateway/limit_wait_test.go
@@ -8,8 +8,11 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
+	"havenwinch.dev/havenwinch/gen/havenwinch/between/v1/betweenv1connect"
 	"havenwinch.dev/havenwinch/modules/clock"
 )
 
@@ -255,3 +258,40 @@
 	}
 	return true
 }
+
+// silentHolder never answers a draw.
+type silentHolder struct{ *lossyConn }
+
+func (h silentHolder) Draw(ctx context.Context, _ *connect.Request[betweenv1.DrawRequest]) (*connect.Response[betweenv1.DrawResponse], error) {
+	<-ctx.Done()
+	return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+}
+
+// inTime does not answer a draw whose time is over.
+type inTime struct{ *lossyConn }
+
+func (h inTime) Draw(ctx context.Context, r *connect.Request[betweenv1.DrawRequest]) (*connect.Response[betweenv1.DrawResponse], error) {
+	if ctx.Err() != nil {
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	}
+	return h.lossyConn.Draw(ctx, r)
+}
+
+// Guards against calls that are refused on a congested link since one holder does not answer, while
+// another one has the tokens.
+func TestSilentHolderOnACongestedLink(t *testing.T) {
+	f := newShared(func(int, bool) uint64 { return 1 << 20 })
+	f.IsCongested = func() bool { return true }
+	first := f.Leases.Directory().Holders("o", f.Leases.DataCentre)[0]
+	f.Dial = func(address string) betweenv1connect.DrawServiceClient {
+		if address == first.Address {
+			return silentHolder{f.wires[address]}
+		}
+		return inTime{f.wires[address]}
+	}
+	for range 4 {
+		if _, outcome, _ := f.Reserve(context.Background(), "o", 1000, 100*time.Millisecond); outcome != Reserved {
+			t.Fatalf("%s, although a holder has the tokens", outcome)
+		}
+	}
+}
--- a/services/gateway/shared.go
+++ b/services/gateway/shared.go
@@ -105,7 +105,7 @@
 }
 
 func (s *SharedLeases) reserve(ctx context.Context, q drawTerms) offer {
-	asking, cancel := context.WithTimeout(ctx, max(s.drawTimeout(), time.Duration(reserveTimeoutFactor*float64(q.wait))))
+	asking, cancel := context.WithTimeout(ctx, max(s.searchTimeout(), time.Duration(reserveTimeoutFactor*float64(q.wait))))
 	defer cancel()
 	directory := s.Leases.Directory()
 	near, richest := s.tryWithoutWaiting(asking, s.localBoxes(directory, q.organisation), q)
@@ -153,6 +153,15 @@
 	return drawTimeout
 }
 
+// searchTimeout bounds the draws for one reservation. On a congested link it leaves time for a second
+// holder after one that does not answer, as that one is not suspended.
+func (s *SharedLeases) searchTimeout() time.Duration {
+	if s.isCongested() {
+		return 2 * congestedDrawTimeout
+	}
+	return drawTimeout
+}
+
 func (s *SharedLeases) isCongested() bool { return s.IsCongested != nil && s.IsCongested() }
 
 // localBoxes returns the boxes of this data centre that may have tokens: this one first, if
--- a/services/overload/pace.go
+++ b/services/overload/pace.go
@@ -19,6 +19,9 @@
 	LongBody = 4 << 10
 	// BodyPart is how many bytes of a long body are read or sent at a time.
 	BodyPart = 2 << 10
+	// MaxPace limits the time that one body waits for the link in one direction. Other traffic may
+	// need all of the link for longer than a call can wait.
+	MaxPace = 500 * time.Millisecond
 	// maxPaceSleep bounds the time between two looks at the link.
 	maxPaceSleep = 20 * time.Millisecond
 	// movedAfter is how long after a box has reported not ready the load balancer assigns its callers
--- a/services/overload/pace_test.go
+++ b/services/overload/pace_test.go
@@ -67,3 +67,18 @@
 		})
 	}
 }
+
+// Guards against a body that waits for ever while other traffic needs all of the link.
+func TestBodiesWaitABoundedTime(t *testing.T) {
+	w := &Watcher{Link: 10, Meter: &meter.Meter{}, Clock: clock.NewFake(), Logger: logging.Discard()}
+	w.AwaitRead(context.Background())
+	w.Meter.AddReceived(1 << 20)
+	ctx, cancel := context.WithTimeout(context.Background(), MaxPace)
+	defer cancel()
+	// The fake clock stands still, so that the link never has room again.
+	w.AwaitRead(ctx)
+	w.AwaitRead(ctx)
+	if ctx.Err() == nil {
+		t.Fatal("the body did not wait for a full link")
+	}
+}
