forward, http1, bytebudget, gateway, spread: mends of the review of slow peers

Cause, by a reviewer's failing tests: a long body that went to a target which does not read stayed counted as a call that waits; callers that read 8 to 16 KB/s were cut after 8 s; seven announced bodies of 4 MB kept all other calls with a body out; comment lines without an empty line made a live target be left; a chunk size with 16 digits was refused.

--- a/modules/bytebudget/bytebudget.go
+++ b/modules/bytebudget/bytebudget.go
@@ -7,6 +7,10 @@
 
 import "sync/atomic"
 
+// smallHold is how many bytes an owner that shares the budget may hold of all of it. Beyond it the owner may
+// not take the last half, so that a few large owners leave room for small ones.
+const smallHold = 64 << 10
+
 // Budget limits the bytes that are held at a time. It is safe for concurrent use. A nil Budget has
 // no limit and counts nothing.
 type Budget struct {
@@ -19,11 +23,14 @@
 
 // TryAcquire counts n bytes as held. It returns false, and counts nothing, if that would exceed the
 // limit.
-func (b *Budget) TryAcquire(n int64) bool {
+func (b *Budget) TryAcquire(n int64) bool { return b.tryWithin(n, 1) }
+
+// tryWithin is like TryAcquire, for the part of the limit that remains after a division.
+func (b *Budget) tryWithin(n, divisor int64) bool {
 	if b == nil {
 		return true
 	}
-	if b.held.Add(n) > b.limit {
+	if b.held.Add(n) > b.limit/divisor {
 		b.held.Add(-n)
 		return false
 	}
@@ -54,8 +61,19 @@
 }
 
 // Grow acquires n more bytes, and reports whether there was room for them.
-func (h *Hold) Grow(n int) bool {
-	if !h.Budget.TryAcquire(int64(n)) {
+func (h *Hold) Grow(n int) bool { return h.growWithin(n, 1) }
+
+// GrowShared is like Grow, but leaves the last half of the budget to owners of at most smallHold bytes.
+func (h *Hold) GrowShared(n int) bool {
+	divisor := int64(1)
+	if h.held+int64(n) > smallHold {
+		divisor = 2
+	}
+	return h.growWithin(n, divisor)
+}
+
+func (h *Hold) growWithin(n int, divisor int64) bool {
+	if !h.Budget.tryWithin(int64(n), divisor) {
 		return false
 	}
 	h.held += int64(n)
--- a/modules/bytebudget/bytebudget_test.go
+++ b/modules/bytebudget/bytebudget_test.go
@@ -54,3 +54,30 @@
 		t.Errorf("%d bytes are held at the end", b.Held())
 	}
 }
+
+// Guards against a few large owners that leave no room for small ones.
+func TestLargeOwnersLeaveRoomForSmallOnes(t *testing.T) {
+	b := New(1 << 20)
+	var large []*Hold
+	for {
+		h := &Hold{Budget: b}
+		if !h.GrowShared(2 * smallHold) {
+			break
+		}
+		large = append(large, h)
+	}
+	if len(large) == 0 || b.Held() > 1<<19 {
+		t.Fatalf("%d large owners hold %d bytes", len(large), b.Held())
+	}
+	small := &Hold{Budget: b}
+	if !small.GrowShared(smallHold) || small.GrowShared(1) {
+		t.Fatalf("a small owner holds %d bytes", small.Size())
+	}
+	small.Release()
+	for _, h := range large {
+		h.Release()
+	}
+	if b.Held() != 0 {
+		t.Fatalf("%d bytes are held by nobody", b.Held())
+	}
+}
--- a/modules/http1/chunked.go
+++ b/modules/http1/chunked.go
@@ -16,7 +16,7 @@
 	// MaxChunkLine bounds the line before a chunk in bytes: its size and its extension,
 	// with the line end. Senders that use extensions need far less.
 	MaxChunkLine = 256
-	// maxSizeDigits bounds the hexadecimal digits of a chunk's size, so that it fits into
+	// maxSizeDigits bounds the hexadecimal digits of a chunk's size without leading zeros, so that it fits into
 	// 64 bits.
 	maxSizeDigits = 15
 	// maxFraming bounds the bytes of size lines and line ends that a body may have beyond
@@ -169,11 +169,12 @@
 	}
 	digits, _, _ := bytes.Cut(text, []byte(";"))
 	digits = bytes.TrimRight(digits, " \t")
-	if len(digits) == 0 || len(digits) > maxSizeDigits {
+	significant := bytes.TrimLeft(digits, "0")
+	if len(digits) == 0 || len(significant) > maxSizeDigits {
 		return 0, malformedChunk("%q is no size", truncate(line))
 	}
 	var size int64
-	for _, d := range digits {
+	for _, d := range significant {
 		v := bytes.IndexByte([]byte("0123456789abcdef"), d|0x20)
 		if v < 0 || d < '0' {
 			return 0, malformedChunk("%q is no size", truncate(line))
--- a/modules/http1/chunked_test.go
+++ b/modules/http1/chunked_test.go
@@ -77,3 +77,19 @@
 		}
 	})
 }
+
+// Guards against a size with leading zeros that is refused for its number of digits.
+func TestChunkSizeWithLeadingZeros(t *testing.T) {
+	for text, valid := range map[string]bool{
+		"0000000000000005\r\nhello\r\n0\r\n\r\n":             true,
+		"5\r\nhello\r\n00000000000000000000\r\n\r\n":         true,
+		"1000000000000005\r\nhello\r\n0\r\n\r\n":             false,
+		"00001000000000000005\r\nhello\r\n0\r\n\r\n":         false,
+		strings.Repeat("0", MaxChunkLine) + "5\r\nhello\r\n": false,
+	} {
+		got, err := io.ReadAll(NewChunkedReader(bufio.NewReader(strings.NewReader(text)), nil))
+		if (err == nil) != valid || valid && string(got) != "hello" {
+			t.Errorf("%.24q: %q, %v", text, got, err)
+		}
+	}
+}
--- a/routers/gateway/answer.go
+++ b/routers/gateway/answer.go
@@ -120,7 +120,7 @@
 	if length == 0 || length == -2 {
 		return nil, nil
 	}
-	if length > 0 && !held.Grow(length) {
+	if length > 0 && !held.GrowShared(length) {
 		return nil, c.refuseForMemory(h, held, length)
 	}
 	if expectsContinue(h) {
--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -46,9 +46,10 @@
 	closedAtFailure = 32
 	// limitLogInterval is the time between two log lines about closed connections beyond MaxConnections.
 	limitLogInterval = time.Second
-	// defaultWriteTimeout is the WriteTimeout if the options set none. Targets abort an answer that is
-	// not read for some seconds.
-	defaultWriteTimeout = 4 * time.Second
+	// defaultWriteTimeout is the WriteTimeout if the options set none. A caller that reads steadily
+	// acknowledges nothing for seconds once its window is full: with 4 s, callers that read 16 KB/s were
+	// cut.
+	defaultWriteTimeout = 20 * time.Second
 	// lingerTime and lingerBytes limit what is read from a connection after an answer to a request whose
 	// body was not read: closed with unread bytes, it would be reset, and the answer may be lost.
 	lingerTime  = time.Second
@@ -89,7 +90,7 @@
 	StopLinger time.Duration
 	// Memory limits the bytes of bodies of requests that are held; nil for no limit.
 	Memory *bytebudget.Budget
-	// WriteTimeout is how long a write to a caller may make no progress before its call is ended, 4 s if
+	// WriteTimeout is how long a write to a caller may make no progress before its call is ended, 20 s if
 	// zero.
 	WriteTimeout time.Duration
 	// BaseContext is the parent context of all calls; canceling it aborts those in progress.
--- a/routers/gateway/slow.go
+++ b/routers/gateway/slow.go
@@ -58,7 +58,7 @@
 	for {
 		if size := cap(body); len(body) == size {
 			more := max(minBodyBuffer, size)
-			if !held.Grow(more) {
+			if !held.GrowShared(more) {
 				return body, false, nil
 			}
 			body = append(make([]byte, 0, size+more), body...)
--- a/services/forward/choose.go
+++ b/services/forward/choose.go
@@ -55,7 +55,8 @@
 func (fl *inflightCall) chooseNow(ctx context.Context, criteria spread.Criteria) spread.Choice {
 	f := fl.f
 	f.mu.Lock()
-	c := f.chooseReader(criteria, len(fl.call.Body), fl.now)
+	criteria.Avoid = f.slowReaders(len(fl.call.Body))
+	c := f.targets.Choose(criteria, fl.now)
 	f.mu.Unlock()
 	if c.IsDedicated {
 		t, load := f.leastBusyDedicated(ctx, c)
--- a/services/forward/endless_test.go
+++ b/services/forward/endless_test.go
@@ -207,3 +207,23 @@
 		})
 	}
 }
+
+// Guards against a live target that is left since it keeps its connection alive by comment lines without an
+// empty line after them.
+func TestCommentLinesKeepAStreamAlive(t *testing.T) {
+	slow := func(c net.Conn, r received) {
+		_, _ = io.WriteString(c, strings.ReplaceAll(chunkedHead, "ID", r.id)+chunk(event(0)))
+		for range 4 {
+			time.Sleep(60 * time.Millisecond)
+			_, _ = io.WriteString(c, chunk(": keep-alive\n"))
+		}
+		_, _ = io.WriteString(c, chunk(event(1))+"0\r\n\r\n")
+	}
+	one, two := newTarget(t, "one", slow), newTarget(t, "two", chunks(true, event(1)))
+	f := newHastyForwarder(t, one, two)
+	log := &lockedBuffer{}
+	f.opts.Logger = slog.New(slog.NewJSONHandler(log, nil))
+	if err := f.Serve(context.Background(), newCall("resume"), &collector{}); err != nil || strings.Contains(log.String(), "stream leaves") {
+		t.Errorf("the live target was left: %v\n%s", err, log.String())
+	}
+}
--- a/services/forward/events.go
+++ b/services/forward/events.go
@@ -115,6 +115,15 @@
 	return true
 }
 
+// pendingComments returns the number of comment lines that have arrived since the last event or block of
+// comments, zero if anything else has.
+func (e *eventSplitter) pendingComments() int {
+	if !bytes.HasSuffix(e.pending, eventEnd[:1]) || !isComment(e.pending) {
+		return 0
+	}
+	return bytes.Count(e.pending, eventEnd[:1])
+}
+
 // acceptsComment reports whether a block of comments is to be relayed. It sets the fault if there
 // are too many between two events.
 func (e *eventSplitter) acceptsComment(block []byte) bool {
--- a/services/forward/progress.go
+++ b/services/forward/progress.go
@@ -29,6 +29,8 @@
 	blocks                 uint64
 	comments, firstComment int
 	received               uint64
+	// firstLine is the number of comment lines without an end at the start of the present stall.
+	firstLine int
 }
 
 // limitStall limits the wait for the next event of a stream that may go on at another target. One of
@@ -64,6 +66,7 @@
 // restart begins to wait for the next event.
 func (p *progress) restart() {
 	p.firstComment, p.comments = p.fl.events.comments, p.fl.events.comments
+	p.firstLine = p.fl.events.pendingComments()
 	p.x.conn.awaitBytes(p.fl.f.stallWait, p.stall)
 }
 
@@ -72,7 +75,7 @@
 func (p *progress) stall() bool {
 	fl, c := p.fl, p.x.conn
 	extra := c.received - p.received
-	mustLeave := extra > maxStallBytes && !fl.f.opts.IsCongested()
+	mustLeave := extra > maxStallBytes && !p.isKeptAlive() && !fl.f.opts.IsCongested()
 	if p.wd.next = p.wd.handOver(mustLeave); p.wd.next != nil {
 		if mustLeave {
 			fl.f.logAnomaly(fl.call, c.target, anomalyNoEvent, fl.events.count, fl.events.pending, slog.Uint64("bytes", extra), slog.Int("comments", fl.events.comments))
@@ -84,3 +87,10 @@
 	p.restart()
 	return false
 }
+
+// isKeptAlive reports whether all that waits for its end is comment lines, few enough to keep a connection
+// alive. A comment needs no empty line after it.
+func (p *progress) isKeptAlive() bool {
+	lines := p.fl.events.pendingComments()
+	return lines > 0 && lines-p.firstLine <= maxStallComments
+}
--- a/services/forward/silence.go
+++ b/services/forward/silence.go
@@ -191,6 +191,7 @@
 
 // limitHeadWait starts the timer of a watchdog. It looks from time to time whether the target is known to
 // be silent, or whether a head has begun and does not end: the wait ends then if there is another target.
+// The time for which the body waits for this box's own link does not count.
 func (fl *inflightCall) limitHeadWait(w *watchdog, c *conn, excluded map[string]bool) {
 	f, t, limit, part, began, id := fl.f, c.target, fl.headWait(), fl.partWait(), fl.now, fl.software
 	w.mu.Lock()
@@ -200,7 +201,8 @@
 		look = min(look, f.silence.Quiet)
 	}
 	w.timer = time.AfterFunc(look, func() {
-		left := limit - (f.opts.Clock.Boot() - began)
+		since := max(began, time.Duration(c.pacedAt.Load()))
+		left := limit - (f.opts.Clock.Boot() - since)
 		if left <= 0 || f.isHeadLate(c, part) || f.isKnownSilent(t) && f.hasOther(t, excluded, id) {
 			w.expire(f.stallWait)
 			return
--- a/services/forward/upload.go
+++ b/services/forward/upload.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"time"
 
@@ -76,19 +75,15 @@
 	}
 }
 
-// chooseReader selects a target by criteria, for a long body one that reads what it is sent where there is
-// one: bodies that a target does not read add to what it has to hold. The caller holds f.mu.
-func (f *Forwarder) chooseReader(criteria spread.Criteria, bodyBytes int, now time.Duration) spread.Choice {
+// slowReaders returns the starts of targets that do not read what they are sent, for a long body: bodies
+// that a target does not read add to what it has to hold. The caller holds f.mu.
+func (f *Forwarder) slowReaders(bodyBytes int) map[string]bool {
 	if bodyBytes <= windowBody || len(f.uploadStalls) == 0 {
-		return f.targets.Choose(criteria, now)
+		return nil
 	}
-	readers := criteria
-	readers.Exclude = maps.Clone(criteria.Exclude)
+	starts := make(map[string]bool, len(f.uploadStalls))
 	for t := range f.uploadStalls {
-		readers.Exclude[t.StartIdentity()] = true
+		starts[t.StartIdentity()] = true
 	}
-	if c := f.targets.Choose(readers, now); c.Target != nil || len(c.Seated) > 0 {
-		return c
-	}
-	return f.targets.Choose(criteria, now)
+	return starts
 }
