models/allot: the last tokens of a budget are not split among the holders

Change: below 8,000 tokens for each holder, and 5% of the prepaid amount, holders return what no request has reserved, and whoever needs tokens is granted them.

--- a/models/allot/lease.go
+++ b/models/allot/lease.go
@@ -55,6 +55,11 @@
 	// leaseFloorFraction is the fraction of a prepaid amount that is spread evenly
 	// before demand is known.
 	leaseFloorFraction = 0.3
+	// fragment is the number of tokens, for each holder, below which the rest of a budget is too little to be
+	// split: a holder's part would often be less than one request needs. lastFraction limits that to
+	// the last part of the prepaid amount, so that small budgets are split as long as they last.
+	fragment     = 8000
+	lastFraction = 0.05
 	// grantBelow is the fraction of its target below which a box is granted more.
 	grantBelow = 0.8
 	// returnAbove is the multiple of its target above which a box has to return
@@ -79,13 +84,22 @@
 		decision.Keep = max(target, d.Available+decision.Grant)
 	case available > returnAbove*wanted:
 		decision.Keep = target
+	case isNearlySpent(s):
+		decision.Keep = min(d.Available, target)
 	}
 	return decision
 }
 
+// isNearlySpent reports whether too little of a budget is left to be split among the holders. It is then
+// kept unallotted, and granted to whoever has a request that needs it.
+func isNearlySpent(s LeaseState) bool {
+	left := float64(s.Unallotted + s.Free)
+	return left < fragment*float64(s.Holders) && left < lastFraction*float64(s.Prepaid)
+}
+
 // leaseTarget returns the number of tokens that a box should have available.
 func leaseTarget(s LeaseState, d LeaseDemand) uint64 {
-	if d.Role != LeaseHolder {
+	if d.Role != LeaseHolder || isNearlySpent(s) {
 		return d.Reserved + d.Need
 	}
 	pool := leasePoolFraction * float64(s.Unallotted+s.Free)
