--- a/models/spread/spread.go
+++ b/models/spread/spread.go
@@ -21,6 +21,7 @@
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/rate"
 	"havenwinch.dev/havenwinch/models/software"
+	"havenwinch.dev/havenwinch/models/speed"
 )
 
 const (
@@ -171,6 +172,10 @@
 	// weight is not 1, weightChanges the changes since they were last read.
 	weightsUntil                   time.Duration
 	weightedTargets, weightChanges int
+	// speeds returns the speed of a target; it is nil before the first speeds. unweighed has the
+	// services whose targets have changed since their weights were set.
+	speeds    func(speed.Instance) speed.Speed
+	unweighed map[string]bool
 }
 
 // NewTable returns an empty table for a box in the given data centre.
@@ -178,7 +183,7 @@
 	return &Table{
 		dataCentre: dataCentre, byID: map[string]*Target{}, services: map[string][]*Target{},
 		prefill: map[string]*prefillStats{}, evacuations: map[string]*statev1.Evacuation{}, pressure: map[string]*limitPressure{},
-		rooms: map[string]*roomStats{},
+		rooms: map[string]*roomStats{}, unweighed: map[string]bool{},
 	}
 }
 
@@ -234,6 +239,7 @@
 	list := tb.services[t.Service]
 	at, _ := slices.BinarySearchFunc(list, t, comparePlaces)
 	tb.services[t.Service] = slices.Insert(list, at, t)
+	tb.unweighed[t.Service] = true
 	tb.listRevision++
 }
 
@@ -244,6 +250,7 @@
 	t.Draining = true
 	delete(tb.byID, t.ID)
 	tb.countWeighted(t, -1)
+	tb.unweighed[t.Service] = true
 	tb.listRevision++
 	list := tb.services[t.Service]
 	for i, other := range list {
@@ -338,7 +345,7 @@
 // to a silent one only if all others are silent as well.
 func (tb *Table) Choose(criteria Criteria, now time.Duration) Choice {
 	c := Choice{}
-	tb.ExpireSpeeds(now)
+	tb.UpdateWeights(now)
 	found := tb.candidates(criteria, now)
 	candidates := found.sendable
 	c.LimitedTargets = len(found.exhausted) + len(found.seated)
--- a/models/spread/weights_test.go
+++ b/models/spread/weights_test.go
@@ -231,6 +231,49 @@
 	}
 }
 
+// Guards against boxes that have the same speeds and targets but other weights, as the list came before
+// or after a target's registration: they would place the same prefix at different targets.
+func TestWeightsFollowTargets(t *testing.T) {
+	list := map[string]time.Duration{"a": 1000, "b": 1000, "c": 3000, "d": 3000, "e": 3000}
+	speeds := func(i speed.Instance) speed.Speed { return speed.Speed{PromptTokenTime: list[i.Target]} }
+	weights := func(tb *Table) string {
+		tb.Choose(Criteria{Service: "s"}, 0)
+		found := map[string]float64{}
+		for id, t := range tb.byID {
+			found[id] = t.weight
+		}
+		return fmt.Sprint(found)
+	}
+	tableOf := func(ids ...string) *Table {
+		tb := NewTable("dc-a")
+		for _, id := range ids {
+			tb.Put(registeredTarget(id, 7), 0)
+		}
+		return tb
+	}
+	early := tableOf("a", "b", "c")
+	early.SetSpeeds(speeds, time.Hour)
+	for _, id := range []string{"d", "e"} {
+		early.Put(registeredTarget(id, 7), 0)
+	}
+	late := tableOf("a", "b", "c", "d", "e")
+	late.SetSpeeds(speeds, time.Hour)
+	if got, want := weights(early), weights(late); got != want {
+		t.Fatalf("after targets joined the weights are %s, want %s", got, want)
+	}
+	early.RetainOnly(map[string]bool{"a": true, "b": true, "c": true})
+	late = tableOf("a", "b", "c")
+	late.SetSpeeds(speeds, time.Hour)
+	if got, want := weights(early), weights(late); got != want {
+		t.Fatalf("after targets left the weights are %s, want %s", got, want)
+	}
+	early.Put(registeredTarget("d", 7), time.Hour)
+	early.Choose(Criteria{Service: "s"}, time.Hour)
+	if early.weightedTargets != 0 {
+		t.Fatalf("%d targets have weights after the speeds have expired", early.weightedTargets)
+	}
+}
+
 func registeredTarget(id string, born int64) *statev1.RegisteredTarget {
 	return &statev1.RegisteredTarget{Id: id, Born: born, Service: "s", Address: "10.0.0.1:80", DataCentre: "dc-a", Version: "v1", State: statev1.RegisteredTarget_STATE_READY}
 }
--- a/services/forward/speed.go
+++ b/services/forward/speed.go
@@ -79,12 +79,13 @@
 	f.logWeights(now)
 }
 
-// expireSpeeds sets all weights to 1 once the speeds are too old.
+// expireSpeeds updates the weights where targets have changed, and sets all to 1 once the speeds
+// are too old.
 func (f *Forwarder) expireSpeeds() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opts.Clock.Boot()
-	f.targets.ExpireSpeeds(now)
+	f.targets.UpdateWeights(now)
 	f.logWeights(now)
 }
 
