models/speed: boxes report new speed samples once a second at most

Lease holders report every 300 ms, with up to 64 samples each time: by calculation, 6 KB/s of the 22 KB/s that a box may use. The collector keeps the sums until a second has passed since the last new ones. Sums that control has not acknowledged are still in every report, as a report without them under the same number would make control miss them.

--- a/models/speed/collector.go
+++ b/models/speed/collector.go
@@ -21,6 +21,10 @@
 	// maxSampleAge is the age from which on sums that were never acknowledged are
 	// dropped: they tell how fast a target was, not how fast it is.
 	maxSampleAge = 10 * time.Second
+	// takeInterval is the least time between reports with new sums. Lease holders report every
+	// 300 ms: at about 30 bytes each, MaxPerMessage sums in each report would take 6 KB/s of the
+	// 22 KB/s that a box may use.
+	takeInterval = time.Second
 )
 
 // Collector holds the sums that a box has measured and that control has not acknowledged.
@@ -31,6 +35,8 @@
 	// unchanged until they are acknowledged, so that control can tell a repeated report.
 	inReport []*betweenv1.SpeedSample
 	takenAt  time.Duration
+	// nextTake is the earliest time at which new sums are taken.
+	nextTake time.Duration
 }
 
 type sums struct {
@@ -88,11 +94,17 @@
 }
 
 // Take returns the sums for the next report: those of the last one if it was not
-// acknowledged, or else the MaxPerMessage largest.
+// acknowledged, or else the MaxPerMessage largest, once in takeInterval at most. Until then they
+// go on growing. Sums that were not acknowledged are in each report: control counts the reports of
+// one number once, and would miss them if the first that it receives had none.
 func (c *Collector) Take(now time.Duration) []*betweenv1.SpeedSample {
 	if c.inReport != nil && now-c.takenAt < maxSampleAge {
 		return c.inReport
 	}
+	c.inReport = nil
+	if now < c.nextTake {
+		return nil
+	}
 	largest := make([]*sums, 0, len(c.pending))
 	for i, s := range c.pending {
 		if now-s.since >= maxSampleAge {
@@ -104,7 +116,10 @@
 	slices.SortFunc(largest, func(a, b *sums) int {
 		return cmp.Or(cmp.Compare(b.duration(), a.duration()), cmp.Compare(a.sample.GetTarget(), b.sample.GetTarget()))
 	})
-	c.inReport, c.takenAt = nil, now
+	if len(largest) == 0 {
+		return nil
+	}
+	c.takenAt, c.nextTake = now, now+takeInterval
 	for _, s := range largest[:min(MaxPerMessage, len(largest))] {
 		c.inReport = append(c.inReport, s.sample)
 		delete(c.pending, Instance{Target: s.sample.GetTarget(), Born: s.sample.GetBorn()})
--- a/models/speed/speed_test.go
+++ b/models/speed/speed_test.go
@@ -42,6 +42,50 @@
 	}
 }
 
+// Guards against lease holders, which report every 300 ms, that spend most of the bytes a box may use on
+// samples: new ones go out once in takeInterval at most, and none is lost or sent twice.
+func TestCollectorTakesOncePerInterval(t *testing.T) {
+	c := &Collector{}
+	const reportInterval = 300 * time.Millisecond
+	var tokens, added uint64
+	last := time.Duration(-1)
+	for now := time.Duration(0); now < 30*time.Second; now += reportInterval {
+		for i := range 10 {
+			c.AddPrompt(Instance{Target: fmt.Sprint("t", i)}, 1000, time.Second, now)
+			added += 1000
+		}
+		list := c.Take(now)
+		c.Acknowledge()
+		if len(list) == 0 {
+			continue
+		}
+		if last >= 0 && (now-last < takeInterval || now-last >= takeInterval+reportInterval) {
+			t.Fatalf("new samples at %s, the ones before at %s", now, last)
+		}
+		last = now
+		for _, m := range list {
+			tokens += m.GetPromptTokens()
+		}
+	}
+	for _, m := range c.Take(31 * time.Second) {
+		tokens += m.GetPromptTokens()
+	}
+	if tokens != added {
+		t.Fatalf("samples of %d prompt tokens were taken, want %d", tokens, added)
+	}
+}
+
+// Guards against samples that are lost as a report without them has the number of one with them.
+func TestCollectorRepeatsWithinTheInterval(t *testing.T) {
+	c := &Collector{}
+	c.AddPrompt(Instance{Target: "t"}, 1000, time.Second, 0)
+	for now := time.Duration(0); now < takeInterval; now += takeInterval / 4 {
+		if list := c.Take(now); len(list) != 1 {
+			t.Fatalf("%d samples in the report at %s without an answer to the ones before", len(list), now)
+		}
+	}
+}
+
 func TestCollectorIgnoresUnusableCalls(t *testing.T) {
 	c, i := &Collector{}, Instance{Target: "t"}
 	c.AddPrompt(i, minPromptTokens-1, time.Second, 0)
