One piece for what two places had: instance of a target, list IDs, retry times

Cause: the read-through found the start of a target for its speed, the ID of a control list and the retry time of 20 to 60 ms written twice, an alias of a constant, and a writer made anew for each part of a body. Change: Target.Instance, newListID and forward.RetryElsewhere serve both sides; one steady.Writer for a body; shedAfter is gone. Behaviour is the same.

--- a/models/spread/speed_sim_test.go
+++ b/models/spread/speed_sim_test.go
@@ -128,7 +128,7 @@
 		t.WaitingTokens -= int(tokens)
 		b.table.RecordPrefill(t, int(unshared), first)
 		if !c.IsDedicated {
-			b.samples.AddPrompt(t.instance(), int(unshared), first, s.now)
+			b.samples.AddPrompt(t.Instance(), int(unshared), first, s.now)
 		}
 		if sent >= simWarmUp {
 			s.calls++
@@ -141,7 +141,7 @@
 	stream := time.Duration(simAnswerEvents * float64(simEventTime) / engine.speed)
 	s.after(first+stream, func() {
 		t.RunningCalls--
-		b.samples.AddStream(t.instance(), simAnswerEvents+1, simAnswerEvents, stream, s.now)
+		b.samples.AddStream(t.Instance(), simAnswerEvents+1, simAnswerEvents, stream, s.now)
 	})
 }
 
--- a/models/spread/weights.go
+++ b/models/spread/weights.go
@@ -18,8 +18,8 @@
 // Schomaker 2005, "Weighted Distributed Hash Tables"): a change of one weight moves only the prefixes that this
 // target gains or loses. If all weights are equal, calls are placed as without them.
 
-// instance identifies the start of the target for its speed.
-func (t *Target) instance() speed.Instance { return speed.Instance{Target: t.ID, Born: t.Born} }
+// Instance identifies the start of the target for its speed.
+func (t *Target) Instance() speed.Instance { return speed.Instance{Target: t.ID, Born: t.Born} }
 
 // Weight returns the weight of the target.
 func (t *Target) Weight() float64 { return t.weight }
@@ -39,7 +39,7 @@
 	list := tb.services[service]
 	rows := make([]speed.Row, len(list))
 	for i, t := range list {
-		rows[i].Speed = tb.speeds(t.instance())
+		rows[i].Speed = tb.speeds(t.Instance())
 	}
 	speed.Weigh(rows)
 	tb.setWeights(service, func(i int) float64 { return rows[i].Weight })
--- a/routers/gateway/slow.go
+++ b/routers/gateway/slow.go
@@ -5,7 +5,6 @@
 
 import (
 	"io"
-	"math/rand"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -16,13 +15,6 @@
 	"havenwinch.dev/havenwinch/structs"
 )
 
-// Bounds of the random time after which a caller that was refused for lack of memory asks again: the load
-// balancer is likely to take it to another box.
-const (
-	minOverloadedRetry = 20 * time.Millisecond
-	maxOverloadedRetry = 60 * time.Millisecond
-)
-
 // dropUnread is called when the caller has read nothing for a while. What the kernel holds for it is
 // dropped with the connection.
 func (c *connection) dropUnread(left int) {
@@ -45,10 +37,9 @@
 
 // refuseForMemory returns the refusal of a request whose body of n bytes the box has no memory for.
 func (c *connection) refuseForMemory(h *fasthttp.RequestHeader, held *bytebudget.Hold, n int) *forward.Refusal {
-	retry := minOverloadedRetry + time.Duration(rand.Int63n(int64(maxOverloadedRetry-minOverloadedRetry)))
 	_, id := c.server.opts.Translator.RequestID(h)
 	c.server.opts.Logger.Warn("request refused", "request", id, "outcome", structs.KindBoxOverloaded, "reason", "no memory for its body", "body_bytes", n, "read", held.Size(), "held_bytes", held.Budget.Held())
-	return &forward.Refusal{Kind: structs.KindBoxOverloaded, Run: structs.RunNo, RetryAfter: retry, Message: "this box holds too many bodies: ask again over a new connection after the stated time"}
+	return &forward.Refusal{Kind: structs.KindBoxOverloaded, Run: structs.RunNo, RetryAfter: forward.RetryElsewhere(), Message: "this box holds too many bodies: ask again over a new connection after the stated time"}
 }
 
 // readWithin reads r to its end, of at most maxBytes bytes, as far as there is room for it. roomy is false
--- a/services/control/limits.go
+++ b/services/control/limits.go
@@ -28,7 +28,7 @@
 // to a new leader the limits that they received from targets. A box obeys a limit that
 // it received from a target independently of this list.
 type limits struct {
-	// listID identifies this listID, as revisions of different lists are not comparable.
+	// listID identifies this list, as revisions of different lists are not comparable.
 	listID   string
 	entries  map[string]*limitEntry
 	revision uint64
@@ -115,6 +115,9 @@
 	l.changes = kept
 }
 
+// newListID returns the ID of a new list of this leader's own.
+func (g *Gateway) newListID() string { return fmt.Sprint(g.Self, " ", g.Clock.Wall().UnixNano()) }
+
 // recordLimits records the limits that a box received from targets, and fills in the
 // ones that the box may not know. Limits of unregistered targets are ignored.
 func (g *Gateway) recordLimits(r *betweenv1.LeaseRequest, resp *betweenv1.LeaseResponse) {
@@ -127,7 +130,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if g.limits.listID == "" {
-			g.limits.listID = fmt.Sprint(g.Self, " ", g.Clock.Wall().UnixNano())
+			g.limits.listID = g.newListID()
 		}
 		before := g.limits.revision
 		for _, m := range r.GetLimits() {
--- a/services/control/speeds.go
+++ b/services/control/speeds.go
@@ -4,8 +4,6 @@
 package control
 
 import (
-	"fmt"
-
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/speed"
@@ -30,7 +28,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if g.speeds.listID == "" {
-			g.speeds.listID = fmt.Sprint(g.Self, " ", g.Clock.Wall().UnixNano())
+			g.speeds.listID = g.newListID()
 		}
 		if g.countsSpeeds(r) {
 			samples := r.GetSpeedSamples()
--- a/services/forward/link.go
+++ b/services/forward/link.go
@@ -27,6 +27,12 @@
 	if f.opts.Link != nil {
 		return f.opts.Link.RetryAfter()
 	}
+	return RetryElsewhere()
+}
+
+// RetryElsewhere returns the Retry-After time, 20 to 60 ms at random, of a call that this box can't take and
+// another box can take at once.
+func RetryElsewhere() time.Duration {
 	return retryElsewhereMin + time.Duration(rand.Int63n(int64(retryElsewhereMax-retryElsewhereMin)+1))
 }
 
--- a/services/forward/reserve.go
+++ b/services/forward/reserve.go
@@ -27,7 +27,7 @@
 	// counts as unreachable.
 	staleLeaseAge = 1500
 	// retryElsewhereMin and retryElsewhereMax bound the random Retry-After time if this box's own
-	// link is the reason: another box can take the retry at once.
+	// link or memory is the reason: another box can take the retry at once.
 	retryElsewhereMin = 20 * time.Millisecond
 	retryElsewhereMax = 60 * time.Millisecond
 	// limitJitter is the greatest part of a Retry-After time that is added to it at random, so that
--- a/services/forward/speed.go
+++ b/services/forward/speed.go
@@ -8,7 +8,6 @@
 	"time"
 
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
-	"havenwinch.dev/havenwinch/models/speed"
 	"havenwinch.dev/havenwinch/models/spread"
 )
 
@@ -33,7 +32,7 @@
 // prompts: these queue there, and the target would look slow for that. The caller holds f.mu.
 func (fl *inflightCall) samplePrompt(t *spread.Target, first time.Duration) {
 	if fl.service.GetEngine() != nil && !fl.lastChoice.IsDedicated && fl.isSample() {
-		fl.f.speedSamples.AddPrompt(instanceOf(t), int(fl.call.UnsharedTokens), first, fl.f.opts.Clock.Boot())
+		fl.f.speedSamples.AddPrompt(t.Instance(), int(fl.call.UnsharedTokens), first, fl.f.opts.Clock.Boot())
 	}
 }
 
@@ -43,7 +42,7 @@
 		return
 	}
 	s := fl.sink
-	fl.f.speedSamples.AddStream(instanceOf(t), fl.events.count, fl.events.count-s.firstEvents, s.lastEventAt-s.firstEventAt, fl.f.opts.Clock.Boot())
+	fl.f.speedSamples.AddStream(t.Instance(), fl.events.count, fl.events.count-s.firstEvents, s.lastEventAt-s.firstEventAt, fl.f.opts.Clock.Boot())
 }
 
 // sampleAnswer adds an answer of a plain service to the samples.
@@ -54,11 +53,7 @@
 	now := fl.tick()
 	fl.f.mu.Lock()
 	defer fl.f.mu.Unlock()
-	fl.f.speedSamples.AddAnswer(instanceOf(t), now-fl.sentAt, now)
-}
-
-func instanceOf(t *spread.Target) speed.Instance {
-	return speed.Instance{Target: t.ID, Born: t.Born}
+	fl.f.speedSamples.AddAnswer(t.Instance(), now-fl.sentAt, now)
 }
 
 // tellSpeeds adds the samples to a report, and the position of the list of speeds. The caller
--- a/services/forward/upload.go
+++ b/services/forward/upload.go
@@ -31,22 +31,22 @@
 	if !ok {
 		return x.writeParts(pace, body)
 	}
-	stalled := false
+	stalled, rest := false, len(body)
+	w := &steady.Writer{Conn: tcp, Timeout: x.f.uploadStall, Unsent: func() int { return steady.Unsent(tcp) }, OnStall: func(left int) bool {
+		if !stalled && !x.f.opts.IsCongested() {
+			x.f.opts.Logger.Warn("target does not read", "request", x.call.ID, "target", c.target.ID, "bytes_left", rest+left, "body_bytes", len(x.call.Body))
+			x.f.recordUploadStall(c.target, stalled, true)
+			stalled = true
+		}
+		return true
+	}}
 	defer func() {
 		x.f.recordUploadStall(c.target, stalled, false)
 		_ = tcp.SetWriteDeadline(time.Time{})
 	}()
 	for len(body) > 0 {
 		part := x.nextPart(pace, body)
-		rest := len(body) - len(part)
-		w := &steady.Writer{Conn: tcp, Timeout: x.f.uploadStall, Unsent: func() int { return steady.Unsent(tcp) }, OnStall: func(left int) bool {
-			if !stalled && !x.f.opts.IsCongested() {
-				x.f.opts.Logger.Warn("target does not read", "request", x.call.ID, "target", c.target.ID, "bytes_left", rest+left, "body_bytes", len(x.call.Body))
-				x.f.recordUploadStall(c.target, stalled, true)
-				stalled = true
-			}
-			return true
-		}}
+		rest = len(body) - len(part)
 		n, err := w.Write(part)
 		c.meter.AddSent(n)
 		if err != nil {
--- a/services/overload/overload.go
+++ b/services/overload/overload.go
@@ -27,8 +27,6 @@
 	// direction.
 	busyAbove  = 0.5
 	quietBelow = 0.3
-	// shedAfter is how long a box must be busy before it closes connections.
-	shedAfter = movedAfter
 	// maxBusy is the maximum time for which a box reports itself as not ready, so that
 	// a box whose load does not move to others is still ready most of the time.
 	maxBusy = 8 * time.Second
@@ -86,7 +84,7 @@
 // ShouldCloseConnections reports whether persistent connections should be closed after the current answer.
 func (w *Watcher) ShouldCloseConnections() bool {
 	since := w.busySince.Load()
-	return since != 0 && w.Clock.Boot()-time.Duration(since) >= shedAfter
+	return since != 0 && w.Clock.Boot()-time.Duration(since) >= movedAfter
 }
 
 func (w *Watcher) sample() {
--- a/services/overload/pace.go
+++ b/services/overload/pace.go
@@ -25,7 +25,7 @@
 	// maxPaceSleep bounds the time between two looks at the link.
 	maxPaceSleep = 20 * time.Millisecond
 	// movedAfter is how long after a box has reported not ready the load balancer assigns its callers
-	// to other boxes at the latest.
+	// to other boxes at the latest. From then on the box closes connections.
 	movedAfter = 2200 * time.Millisecond
 	// minRetryAfter and retryAfterJitter make the Retry-After time of a call that another box may
 	// take.
