--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -27,6 +27,8 @@
 	Work time.Duration
 	// Engine makes it a model server.
 	Engine *Engine
+	// Listen is where the server listens if its address is that of a proxy, empty for Address.
+	Listen string
 	// OnRequest is called with each request that has reached the server; may be nil.
 	OnRequest func(r *http.Request)
 	// OnRun is called when the server begins to work on a request; may be nil.
@@ -55,7 +57,10 @@
 	if s.Slots == 0 {
 		s.Slots = 64
 	}
-	l, err := net.Listen("tcp4", s.Address)
+	if s.Listen == "" {
+		s.Listen = s.Address
+	}
+	l, err := net.Listen("tcp4", s.Listen)
 	if err != nil {
 		return err
 	}
@@ -135,6 +140,9 @@
 	s.ended = true
 	close(s.quit)
 	_ = s.http.Close()
+	if s.Engine != nil {
+		s.Engine.stop()
+	}
 	s.d.Record.Add("server %s has ended", s.ID)
 }
 
