--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -32,6 +32,8 @@
 	// OnBegin and OnEnd are called as the engine begins and ends to work on a request; may be nil.
 	OnBegin func(id string, resumed bool)
 	OnEnd   func(id string)
+	// OnEvent is called with each event that is sent, and its tokens; may be nil.
+	OnEvent func(id string, tokens int)
 	// KeepsOn makes the engine work on after the connection of a request has closed.
 	KeepsOn bool
 	// AnswerDelay returns how long the answer to an order is held back; nil for none.
@@ -256,6 +258,10 @@
 			panic(http.ErrAbortHandler)
 		case n, more := <-x.events:
 			if !more {
+				if !e.isWhole(x) {
+					// The run was stopped, or the server has ended: the stream has no end.
+					panic(http.ErrAbortHandler)
+				}
 				return
 			}
 			if !begun {
@@ -265,12 +271,21 @@
 				h.Set("Weight-Versions", "1")
 				h.Set("Content-Type", "text/event-stream")
 			}
+			if e.OnEvent != nil {
+				e.OnEvent(x.id, e.Stride)
+			}
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", n, x.id, n)
 			w.(http.Flusher).Flush()
 		}
 	}
 }
 
+func (e *Engine) isWhole(r *run) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return r.made >= r.limit
+}
+
 // order handles the requests of the system itself.
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
 	switch {
