review: control without a leader for good after one lost disk

Cause: a box that starts applies all changes of the group in its log on top of the stored members, so that a member that was added, lost its disk and was admitted again counts under its first disk.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,32 +1,33 @@
 // Copyright 2026 The Havenwinch Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-// Command 1 shows that a run that is moved goes to a server long after that has said that it drains.
+// Command 1 shows that control never has a leader again, and with it the acknowledged configuration never
+// comes back, after the loss of one disk when a member that was added later has lost its disk once before.
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
-	"strings"
-	"sync"
+	"syscall"
 	"time"
 
 	"havenwinch.dev/havenwinch/review/rig"
 )
 
 const (
-	service     = "lm-pool"
-	host        = "ficu95.example"
-	key         = "n2ctnfzs989anu6wsjnb"
-	engines     = 8
-	drain       = 2 * time.Second
-	serveOn     = time.Second
-	shortPrompt = 628
-	longPrompt  = 54000
-	longOutput  = 300
-	longCalls   = 6
-	prefix      = "5c1e07a2:512,91bd3f06:4870"
+	service = "memory-api"
+	// successorAfter is how long after a machine of the core has gone its empty successor comes.
+	successorAfter = 2 * time.Second
+	// down is how long a process is down at a kill.
+	down = 800 * time.Millisecond
+	// calm is how long nothing is disturbed in between, longer than catch_up_s.
+	calm = 10 * time.Second
+	// recover is recover_s, and readFor how long the operator reads after that.
+	recoverTime = 12 * time.Second
+	readFor     = 15 * time.Second
+	callLimit   = 1500 * time.Millisecond
 )
 
 func main() {
@@ -42,36 +43,15 @@
 	fmt.Println("HELD")
 }
 
-// scene is the deployment with what its stand-ins have seen.
-type scene struct {
-	d       *rig.Deployment
-	record  *rig.Record
-	servers map[string]*rig.Server
-
-	mu     sync.Mutex
-	orders []rig.Order
-	// arrivals are the requests of long calls, by the address of their server.
-	arrivals []arrival
-}
-
-type arrival struct {
-	address, id, from string
-	at                time.Time
-}
-
-func configuration() map[string]any {
+func configuration(version int) map[string]any {
 	return map[string]any{
-		"version": 7,
+		"version": version,
 		"routes": []any{map[string]any{
-			"name": "r-6y7z5k6", "hostname": host, "path_prefix": "/lohu930/", "type": "streaming", "timeout_ms": 15000, "target_latency_ms": 800,
-			"priority": 1, "service": service, "max_attempts": 1, "public": false, "session_affinity": true, "stream_resume": false, "itl_target_ms": 250,
-		}},
-		"services": []any{map[string]any{
-			"name": service, "health_path": "/healthz", "max_connections": 360, "protocol": "h1", "tls": false,
-			"engine": map[string]any{"slots": 64, "kv_capacity_tokens": 430964, "kv_bytes": 18432, "link_mbps": 370000.0, "moves": true, "backups": true, "stride": 6, "most": 12, "handle_ttl_s": 5.0, "models": []any{map[string]any{"name": "m"}}},
+			"name": "r-1", "hostname": "boka40.example", "path_prefix": fmt.Sprintf("/puxa%d/", version), "type": "safe", "timeout_ms": 4000, "target_latency_ms": 300,
+			"priority": 2, "service": service, "max_attempts": 2, "public": true, "session_affinity": false, "stream_resume": false,
 		}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "hule930", "api_keys": []any{key}, "priority": 1, "prepaid": 900000000}},
+		"services": []any{map[string]any{"name": service, "health_path": "/healthz", "max_connections": 110, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 }
 
@@ -80,157 +60,104 @@
 	if err != nil {
 		return false, err
 	}
-	d, err := rig.New(record, 3, 2)
+	d, err := rig.New(record, 3, 1)
 	if err != nil {
 		return false, err
 	}
 	defer d.Close()
-	s := &scene{d: d, record: record, servers: map[string]*rig.Server{}}
-	if err := s.start(); err != nil {
+	spare := d.Spare()
+	if err := d.StartAll(); err != nil {
 		return false, err
 	}
-	stop := make(chan struct{})
-	defer close(stop)
-	s.shortCalls(stop)
-	target, err := s.awaitMoves()
-	if err != nil {
+	if err := d.PutConfiguration(configuration(7)); err != nil {
 		return false, err
 	}
-	return s.play(target, trouble), nil
-}
-
-func (s *scene) start() error {
-	if err := s.d.StartAll(); err != nil {
-		return err
+	if err := d.StartServer(&rig.Server{Service: service, Zone: d.Zone(0), Slots: 6, Work: 20 * time.Millisecond}); err != nil {
+		return false, err
 	}
-	if err := s.d.PutConfiguration(configuration()); err != nil {
-		return err
+	if err := d.AwaitReady(d.Entry[0], 20*time.Second); err != nil {
+		return false, err
 	}
-	for i := range engines {
-		sv := &rig.Server{Service: service, Zone: s.d.Zone(i), Engine: &rig.Engine{
-			PrefillPerMs: 61.2, Step: 3370 * time.Microsecond, StepPerRun: 89 * time.Microsecond, Stride: 6, KVBytes: 18432, LinkMbps: 370000, ReportLag: 100 * time.Millisecond,
-		}}
-		sv.Engine.Find = s.engineAt
-		sv.Engine.OnOrder = s.recordOrder
-		sv.OnRequest = func(r *http.Request) { s.recordArrival(sv, r) }
-		if err := s.d.StartServer(sv); err != nil {
-			return err
+	time.Sleep(calm)
+	if trouble {
+		if err := disturb(d, spare); err != nil {
+			return false, err
 		}
-		s.mu.Lock()
-		s.servers[sv.Address] = sv
-		s.mu.Unlock()
 	}
-	for _, b := range s.d.Entry {
-		if err := s.d.AwaitReady(b, 20*time.Second); err != nil {
-			return err
+	if err := d.PutConfiguration(configuration(8)); err != nil {
+		return false, err
+	}
+	if trouble {
+		// The final fault: every process of the core is killed, and one machine loses its disk.
+		if err := killAll(d, d.Control[0]); err != nil {
+			return false, err
 		}
 	}
-	return nil
+	return !isReadBack(d, 8), nil
 }
 
-func (s *scene) engineAt(address string) *rig.Engine {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if sv := s.servers[address]; sv != nil {
-		return sv.Engine
+// disturb takes one machine of the core away for good, lets an empty one take its place, and later lets that one
+// lose its disk.
+func disturb(d *rig.Deployment, added *rig.Box) error {
+	gone := d.Control[2]
+	d.Signal(gone, syscall.SIGKILL)
+	gone.Await()
+	time.Sleep(successorAfter)
+	if err := d.Start(added); err != nil {
+		return err
+	}
+	d.Control = []*rig.Box{d.Control[0], d.Control[1], added}
+	time.Sleep(calm)
+	d.Signal(added, syscall.SIGKILL)
+	added.Await()
+	d.LoseDisk(added)
+	time.Sleep(down)
+	if err := d.Start(added); err != nil {
+		return err
 	}
+	time.Sleep(calm)
 	return nil
 }
 
-func (s *scene) recordOrder(o rig.Order, status int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.orders = append(s.orders, o)
-	s.record.Add("order to copy %s to %s, stop %v: %d", o.ID, o.Target, o.Last, status)
-}
-
-func (s *scene) recordArrival(sv *rig.Server, r *http.Request) {
-	if !strings.HasPrefix(r.Header.Get("Token-Count"), fmt.Sprint(longPrompt)) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.arrivals = append(s.arrivals, arrival{address: sv.Address, id: r.Header.Get("Attempt-Id"), from: r.Header.Get("Kv-From"), at: time.Now()})
-	s.record.Add("request %s reaches server %s at %s, Kv-From %q", r.Header.Get("Attempt-Id"), sv.ID, sv.Address, r.Header.Get("Kv-From"))
-}
-
-// call sends one call through the given entry box.
-func (s *scene) call(entry, prompt, output int, parts string) (string, rig.Answer) {
-	id := rig.NewID()
-	a := rig.Send(s.d.Entry[entry], rig.Request{ID: id, Method: "POST", Host: host, Path: "/lohu930/2f", Body: "{}", Limit: 15 * time.Second, Fields: []string{
-		"Api-Key: " + key, "Model: m", fmt.Sprintf("Token-Count: %d,%d", prompt, output), "Prompt-Prefix: " + parts,
-	}})
-	return id, a
-}
-
-// shortCalls sends short calls until stop is closed.
-func (s *scene) shortCalls(stop chan struct{}) {
-	go func() {
-		for n := 0; ; n++ {
-			select {
-			case <-stop:
-				return
-			case <-time.After(40 * time.Millisecond):
-			}
-			go s.call(n%2, shortPrompt, 290, fmt.Sprintf("a%07x:119,b%07x:79,c%07x:430", n%8, n%60, n))
-		}
-	}()
-}
-
-func (s *scene) longCall(n int) (string, rig.Answer) {
-	return s.call(0, longPrompt, longOutput, fmt.Sprintf("%s,e%07x:%d", prefix, n, longPrompt-5382))
-}
-
-// awaitMoves sends long calls until three in a row were moved to the same server, and returns its address.
-func (s *scene) awaitMoves() (string, error) {
-	for n := range 40 {
-		go s.longCall(n)
-		time.Sleep(900 * time.Millisecond)
-		s.mu.Lock()
-		var last []string
-		for _, o := range s.orders {
-			if o.Last {
-				last = append(last, o.Target)
-			}
-		}
-		s.mu.Unlock()
-		if k := len(last); k >= 3 && last[k-1] == last[k-2] && last[k-2] == last[k-3] {
-			time.Sleep(3 * time.Second)
-			return last[k-1], nil
+func killAll(d *rig.Deployment, wiped *rig.Box) error {
+	for _, b := range d.Control {
+		d.Signal(b, syscall.SIGKILL)
+	}
+	for _, b := range d.Control {
+		b.Await()
+	}
+	d.LoseDisk(wiped)
+	time.Sleep(down)
+	for _, b := range d.Control {
+		if err := d.Start(b); err != nil {
+			return err
 		}
 	}
-	return "", fmt.Errorf("no runs were moved")
+	return nil
 }
 
-// play sends long calls while the server that their runs move to drains, and reports whether one reached
-// it more than drain after the acknowledgement.
-func (s *scene) play(target string, trouble bool) bool {
-	s.record.Add("runs move to %s; now %d long calls", target, longCalls)
-	sv := s.servers[target]
-	var calls sync.WaitGroup
-	for n := range longCalls {
-		calls.Go(func() {
-			id, a := s.longCall(1000 + n)
-			s.record.Add("call %s: status %d, whole %v, %d events, first after %d ms, %d ms in all", id, a.Status, a.Whole, strings.Count(a.Body, "id: "), a.First.Milliseconds(), a.Took.Milliseconds())
-		})
-		time.Sleep(10 * time.Millisecond)
-	}
-	var acked time.Time
-	if trouble {
-		acked = sv.Drain()
-		// It serves on for drain and a little longer, as a leaving server does.
-		time.AfterFunc(drain+serveOn, sv.Leave)
-	}
-	calls.Wait()
-	time.Sleep(500 * time.Millisecond)
-	broken := false
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, a := range s.arrivals {
-		if trouble && a.address == target && a.at.After(acked.Add(drain)) {
-			s.record.Add("DRAIN broken: request %s reached the server %d ms after the acknowledgement", a.id, a.at.Sub(acked).Milliseconds())
-			broken = true
+// isReadBack reports whether the operator reads a configuration back that is not older than the given one.
+func isReadBack(d *rig.Deployment, version int) bool {
+	began := time.Now()
+	reads, refused := 0, 0
+	for time.Since(began) < recoverTime+readFor {
+		for _, b := range d.Control {
+			status, body := rig.Call(b, http.MethodGet, "/api/configuration", nil, callLimit)
+			var c struct {
+				Version int `json:"version"`
+			}
+			reads++
+			if status == http.StatusOK && json.Unmarshal(body, &c) == nil {
+				d.Record.Add("%s gives configuration %d, %d ms after the fault", b.Name, c.Version, time.Since(began).Milliseconds())
+				return c.Version >= version
+			}
+			if reads%20 == 1 {
+				d.Record.Add("read at %s: %d %s", b.Name, status, body)
+			}
+			refused++
 		}
+		time.Sleep(200 * time.Millisecond)
 	}
-	return broken
+	d.Record.Add("CONFIG broken: configuration %d was acknowledged; none of %d reads brought a configuration until %d s after all machines were back", version, refused, int(time.Since(began).Seconds()))
+	return false
 }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -58,8 +58,10 @@
 	Name, Role, IP, Zone string
 
 	dir string
-	cmd *exec.Cmd
-	log *os.File
+	// disk counts the disks that the box has had.
+	disk int
+	cmd  *exec.Cmd
+	log  *os.File
 	// started is set after the first start.
 	started bool
 	done    chan struct{}
@@ -75,6 +77,8 @@
 	subnet string
 	zones  []string
 	nextIP int
+	// boxes are all boxes, those that are gone included.
+	boxes []*Box
 }
 
 // New prepares a deployment of the given numbers of boxes in three zones, and starts none. It must be
@@ -102,7 +106,16 @@
 }
 
 func (d *Deployment) box(name, role string, host, zone int) *Box {
-	return &Box{Name: name, Role: role, IP: fmt.Sprintf("%s%d", d.subnet, host), Zone: d.zones[zone%len(d.zones)], dir: filepath.Join(d.Dir, name)}
+	b := &Box{Name: name, Role: role, IP: fmt.Sprintf("%s%d", d.subnet, host), Zone: d.zones[zone%len(d.zones)], dir: filepath.Join(d.Dir, name)}
+	d.boxes = append(d.boxes, b)
+	return b
+}
+
+// Spare returns a machine of the core that is not there at the first start.
+func (d *Deployment) Spare() *Box {
+	b := d.box(fmt.Sprintf("core-%d", len(d.Control)+1), "control", 10+len(d.Control), len(d.Control)-1)
+	b.started = true
+	return b
 }
 
 // freeSubnet returns the start of the addresses of a loopback subnet whose ports are free.
@@ -131,7 +144,7 @@
 		"LINK_MBPS=1000.0", "RETRY_RATIO=0.2", "RETRY_STOCK=52", "RETRY_WINDOW=10s", "STOP_LIMIT=8s", "SECRET_FILE=deploy/between.secret",
 	}
 	if b.Role == "control" {
-		values = append(values, fmt.Sprintf("REGISTRY_LISTEN=%s:%d", b.IP, controlPort), "DATA_DIR="+filepath.Join(b.dir, "data"))
+		values = append(values, fmt.Sprintf("REGISTRY_LISTEN=%s:%d", b.IP, controlPort), "DATA_DIR="+filepath.Join(b.dir, fmt.Sprint("data-", b.disk)))
 	} else {
 		values = append(values, fmt.Sprintf("CALLER_LISTEN=%s:%d", b.IP, callerPort), fmt.Sprintf("READY_LISTEN=%s:%d", b.IP, readyPort))
 	}
@@ -178,6 +191,12 @@
 	return nil
 }
 
+// LoseDisk gives a box whose process has ended an empty disk.
+func (d *Deployment) LoseDisk(b *Box) {
+	d.Record.Add("%s loses its disk", b.Name)
+	b.disk++
+}
+
 // Signal sends a signal to the process of a box.
 func (d *Deployment) Signal(b *Box, s syscall.Signal) {
 	d.Record.Add("signal %s to %s", s, b.Name)
@@ -199,7 +218,7 @@
 
 // Close ends all processes and removes the folder, unless KEEP is set.
 func (d *Deployment) Close() {
-	for _, b := range append(append([]*Box(nil), d.Control...), d.Entry...) {
+	for _, b := range d.boxes {
 		if b.cmd != nil {
 			_ = b.cmd.Process.Signal(syscall.SIGCONT)
 			_ = b.cmd.Process.Kill()
