review: the rig without what no case uses

Cause: it was there for trials that found nothing. Change: the proxy and the hooks of the trials go.

--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -29,15 +29,6 @@
 	ReportLag time.Duration
 	// OnOrder is called with each order to copy a run, and with its answer's status; may be nil.
 	OnOrder func(o Order, status int)
-	// OnBegin and OnEnd are called as the engine begins and ends to work on a request; may be nil.
-	OnBegin func(id string, resumed bool)
-	OnEnd   func(id string)
-	// OnEvent is called with each event that is sent, and its tokens; may be nil.
-	OnEvent func(id string, tokens int)
-	// KeepsOn makes the engine work on after the connection of a request has closed.
-	KeepsOn bool
-	// AnswerDelay returns how long the answer to an order is held back; nil for none.
-	AnswerDelay func() time.Duration
 	// Find returns the engine at an address.
 	Find func(address string) *Engine
 
@@ -63,10 +54,9 @@
 	id              string
 	unread, context int
 	made, limit     int
-	// first is the number of the first event that is sent here.
-	events  chan int
-	stopped chan struct{}
-	ended   bool
+	events          chan int
+	stopped         chan struct{}
+	ended           bool
 }
 
 type report struct {
@@ -174,9 +164,6 @@
 		return
 	}
 	r.ended = true
-	if e.OnEnd != nil {
-		e.OnEnd(r.id)
-	}
 	close(r.events)
 	delete(e.byID, r.id)
 	e.queue, e.running = without(e.queue, r), without(e.running, r)
@@ -213,23 +200,15 @@
 		delete(e.copies, from)
 		x := newRun(id, 0, kept.context, min(last*e.Stride, kept.limit), kept.limit)
 		e.running, e.byID[id] = append(e.running, x), x
-		e.begun(id, true)
 		e.wake.Signal()
 		return x
 	}
 	x := newRun(id, max(1, in), 0, last*e.Stride, max(1, out))
 	e.queue, e.byID[id] = append(e.queue, x), x
-	e.begun(id, false)
 	e.wake.Signal()
 	return x
 }
 
-func (e *Engine) begun(id string, resumed bool) {
-	if e.OnBegin != nil {
-		e.OnBegin(id, resumed)
-	}
-}
-
 // serve answers a request with its stream of events.
 func (e *Engine) serve(ctx context.Context, w http.ResponseWriter, r *http.Request) {
 	x := e.begin(r)
@@ -248,11 +227,6 @@
 	for {
 		select {
 		case <-ctx.Done():
-			if e.KeepsOn {
-				for range x.events {
-					continue
-				}
-			}
 			panic(http.ErrAbortHandler)
 		case <-x.stopped:
 			panic(http.ErrAbortHandler)
@@ -271,9 +245,6 @@
 				h.Set("Weight-Versions", "1")
 				h.Set("Content-Type", "text/event-stream")
 			}
-			if e.OnEvent != nil {
-				e.OnEvent(x.id, e.Stride)
-			}
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", n, x.id, n)
 			w.(http.Flusher).Flush()
 		}
@@ -354,9 +325,6 @@
 	} else if to == nil {
 		status = http.StatusServiceUnavailable
 	}
-	if e.AnswerDelay != nil {
-		time.Sleep(e.AnswerDelay())
-	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(map[string]any{"handle": handle, "made": made})
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -203,16 +203,6 @@
 	_ = b.cmd.Process.Signal(s)
 }
 
-// Runs reports whether the process of a box runs.
-func (b *Box) Runs() bool {
-	select {
-	case <-b.done:
-		return false
-	default:
-		return true
-	}
-}
-
 // Await waits until the process of a box has ended.
 func (b *Box) Await() { <-b.done }
 
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -27,8 +27,6 @@
 	Work time.Duration
 	// Engine makes it a model server.
 	Engine *Engine
-	// Listen is where the server listens if its address is that of a proxy, empty for Address.
-	Listen string
 	// OnRequest is called with each request that has reached the server; may be nil.
 	OnRequest func(r *http.Request)
 	// OnRun is called when the server begins to work on a request; may be nil.
@@ -57,10 +55,7 @@
 	if s.Slots == 0 {
 		s.Slots = 64
 	}
-	if s.Listen == "" {
-		s.Listen = s.Address
-	}
-	l, err := net.Listen("tcp4", s.Listen)
+	l, err := net.Listen("tcp4", s.Address)
 	if err != nil {
 		return err
 	}
