--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -141,6 +141,13 @@
 	s.d.Record.Add("server %s has ended", s.ID)
 }
 
+// HasEnded reports whether the server has ended.
+func (s *Server) HasEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
