modules/raft: a control box that elects no leader logs why

Cause: when a control group stays without a leader, neither logs nor metrics tell a member that gives no answer from one that refuses, one whose log is behind, and one whose vote isn't counted. Change: voters name the reason of a refusal (VoteResponse.refusal); a box whose campaign led to no leader logs each member's last answer, at most once a second.

--- a/modules/raft/core.go
+++ b/modules/raft/core.go
@@ -85,6 +85,9 @@
 	Restore   *betweenv1.InstallRequest
 	Committed []*betweenv1.LogEntry
 	Requests  []Request
+	// LostCampaign is set when the campaign of this box before the current one
+	// led to no leader.
+	LostCampaign *LostCampaign
 }
 
 // progress is a leader's replication state for one peer.
@@ -124,9 +127,12 @@
 	// leaderSince is when this box became leader.
 	leaderSince time.Duration
 	votes       map[string]bool
-	peers       map[string]*progress
-	out         Output
-	snapshot    []byte
+	// answers are the answers in the campaign of this box, nil if it has not
+	// campaigned since it last led or followed.
+	answers  map[string]*betweenv1.VoteResponse
+	peers    map[string]*progress
+	out      Output
+	snapshot []byte
 	// effectiveMembers are the committed members with the uncommitted changes in
 	// the log (pendingChanges) applied.
 	effectiveMembers map[string]string
--- a/modules/raft/core_election.go
+++ b/modules/raft/core_election.go
@@ -39,12 +39,30 @@
 // a leader when it reconnects.
 func (c *Core) campaign(now time.Duration, preVote bool) {
 	if preVote {
+		c.reportLostCampaign()
 		c.allFresh, c.freshPeers = false, map[string]bool{}
 		c.freshAttempts++
 	}
 	c.requestVotes(now, preVote)
 }
 
+// LostCampaign is a campaign that ended without a leader.
+type LostCampaign struct {
+	// Members maps each member, as this box counts them, to its admitted incarnation.
+	Members map[string]string
+	// Answers are the last answers of this campaign by member; members that did not
+	// answer are missing.
+	Answers map[string]*betweenv1.VoteResponse
+}
+
+// reportLostCampaign outputs the campaign before, unless it led to a leader.
+func (c *Core) reportLostCampaign() {
+	if c.answers != nil {
+		c.out.LostCampaign = &LostCampaign{Members: c.effectiveMembers, Answers: c.answers}
+	}
+	c.answers = map[string]*betweenv1.VoteResponse{}
+}
+
 // requestVotes sends the vote requests of a campaign.
 func (c *Core) requestVotes(now time.Duration, preVote bool) {
 	c.leader = ""
@@ -107,6 +125,7 @@
 func (c *Core) becomeLeader(now time.Duration) {
 	c.role = Leader
 	c.fresh = false
+	c.answers = nil
 	c.leader = c.opts.Self
 	c.peers = map[string]*progress{}
 	c.learners = map[string]time.Duration{}
@@ -124,25 +143,38 @@
 	if r.GetPreVote() && c.fresh && r.GetTerm() > c.term+1 {
 		c.becomeFollower(r.GetTerm()-1, "", now)
 	}
-	refusal := &betweenv1.VoteResponse{Term: c.term, Incarnation: c.incarnation, Fresh: c.fresh}
-	if !c.canVote(r) || c.effectiveMembers[r.GetCandidate()] != r.GetIncarnation() {
-		return refusal
-	}
-	// A leader's lease relies on voters refusing candidates for one election
-	// timeout after they last heard from the leader.
-	leaseMayBeValid := now-c.lastContact < c.opts.ElectionTimeout && !(c.fresh && r.GetAllFresh())
-	if c.role == Leader || leaseMayBeValid {
-		return refusal
-	}
-	if !c.isUpToDate(r) {
-		return refusal
+	if reason := c.refusalOf(r, now); reason != betweenv1.VoteRefusal_VOTE_REFUSAL_UNSPECIFIED {
+		return &betweenv1.VoteResponse{Term: c.term, Incarnation: c.incarnation, Fresh: c.fresh, Refusal: reason}
 	}
 	if r.GetPreVote() {
-		return &betweenv1.VoteResponse{Term: c.term, Granted: r.GetTerm() > c.term, Incarnation: c.incarnation, Fresh: c.fresh}
+		resp := &betweenv1.VoteResponse{Term: c.term, Granted: r.GetTerm() > c.term, Incarnation: c.incarnation, Fresh: c.fresh}
+		if !resp.GetGranted() {
+			resp.Refusal = betweenv1.VoteRefusal_VOTE_REFUSAL_VOTED
+		}
+		return resp
 	}
 	return c.castVote(r, now)
 }
 
+// refusalOf returns why this box does not vote for a candidate in any term, or
+// VOTE_REFUSAL_UNSPECIFIED if it may.
+func (c *Core) refusalOf(r *betweenv1.VoteRequest, now time.Duration) betweenv1.VoteRefusal {
+	// A leader's lease relies on voters refusing candidates for one election
+	// timeout after they last heard from the leader.
+	leaseMayBeValid := now-c.lastContact < c.opts.ElectionTimeout && !(c.fresh && r.GetAllFresh())
+	switch {
+	case !c.canVote(r):
+		return betweenv1.VoteRefusal_VOTE_REFUSAL_VOTER_NOT_ADMITTED
+	case c.effectiveMembers[r.GetCandidate()] != r.GetIncarnation():
+		return betweenv1.VoteRefusal_VOTE_REFUSAL_CANDIDATE_NOT_ADMITTED
+	case c.role == Leader || leaseMayBeValid:
+		return betweenv1.VoteRefusal_VOTE_REFUSAL_LEASE
+	case !c.isUpToDate(r):
+		return betweenv1.VoteRefusal_VOTE_REFUSAL_LOG_BEHIND
+	}
+	return betweenv1.VoteRefusal_VOTE_REFUSAL_UNSPECIFIED
+}
+
 // canVote reports whether this box's vote counts for a candidate. A box may
 // learn of its own admission only after the candidate needs its vote (Ongaro
 // 2014, section 4.1: servers process requests without consulting their own
@@ -165,7 +197,11 @@
 	if granted {
 		c.resetElectionDeadline(now)
 	}
-	return &betweenv1.VoteResponse{Term: c.term, Granted: granted, Incarnation: c.incarnation}
+	resp := &betweenv1.VoteResponse{Term: c.term, Granted: granted, Incarnation: c.incarnation}
+	if !granted {
+		resp.Refusal = betweenv1.VoteRefusal_VOTE_REFUSAL_VOTED
+	}
+	return resp
 }
 
 // isUpToDate reports whether the candidate's log is at least as up to date as this
@@ -179,6 +215,9 @@
 
 // HandleVoteResponse processes a member's answer to a vote request.
 func (c *Core) HandleVoteResponse(from string, request *betweenv1.VoteRequest, r *betweenv1.VoteResponse, now time.Duration) {
+	if c.answers != nil {
+		c.answers[from] = r
+	}
 	if r.GetTerm() > c.term {
 		c.becomeFollower(r.GetTerm(), "", now)
 		return
--- a/modules/raft/core_replicate.go
+++ b/modules/raft/core_replicate.go
@@ -91,6 +91,7 @@
 // followLeader follows the leader that sent a message and records the contact.
 func (c *Core) followLeader(term uint64, leader string, now time.Duration) {
 	c.fresh = false
+	c.answers = nil
 	c.becomeFollower(term, leader, now)
 	c.lastContact = now
 }
--- a/modules/raft/node.go
+++ b/modules/raft/node.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -56,6 +58,8 @@
 	defaultCompactAfter = 8 << 20
 	// maxBatch limits the proposals that share one sync.
 	maxBatch = 256
+	// lostCampaignInterval is the minimum time between log lines on lost campaigns.
+	lostCampaignInterval = time.Second
 	// ticksPerHeartbeat is the number of ticks of the Core per heartbeat interval.
 	ticksPerHeartbeat = 3
 )
@@ -77,6 +81,8 @@
 	stopErr error
 	// wasLeader is whether this box was leader after the last step, to log changes.
 	wasLeader bool
+	// lostCampaignLogged is when a lost campaign was last logged, zero if never.
+	lostCampaignLogged time.Duration
 	// snapshotting is set while a snapshot is encoded in the background.
 	snapshotting bool
 	proposals    chan proposal
@@ -297,6 +303,7 @@
 		n.sendAsync(r)
 	}
 	n.logLeadership()
+	n.logLostCampaign(out.LostCampaign)
 }
 
 // logLeadership logs when this box becomes leader or ceases to be.
@@ -313,6 +320,37 @@
 	n.opts.Logger.Info(message, "term", n.core.term, "commit", n.core.commit, "last", n.core.log.last(), "members", len(n.core.effectiveMembers), "all_started_anew", n.core.allFresh)
 }
 
+// logLostCampaign logs why a campaign of this box led to no leader, at most once
+// per lostCampaignInterval. The caller holds mu.
+func (n *Node) logLostCampaign(lost *LostCampaign) {
+	now := n.opts.Clock.Boot()
+	if lost == nil || n.lostCampaignLogged != 0 && now-n.lostCampaignLogged < lostCampaignInterval {
+		return
+	}
+	n.lostCampaignLogged = now
+	answers := make(map[string]string, len(lost.Members))
+	for name, incarnation := range lost.Members {
+		if name != n.opts.Self {
+			answers[name] = describeAnswer(lost.Answers[name], incarnation)
+		}
+	}
+	n.opts.Logger.Warn("no leader was elected", "term", n.core.term, "commit", n.core.commit, "last", n.core.log.last(), "last_term", n.core.log.lastTerm(), "disk", n.core.incarnation, "counted_as", lost.Members[n.opts.Self], "answers", answers)
+}
+
+// describeAnswer describes a member's answer to a vote request for the logs.
+func describeAnswer(r *betweenv1.VoteResponse, admitted string) string {
+	switch {
+	case r == nil:
+		return "no answer"
+	case r.GetIncarnation() != admitted:
+		return fmt.Sprintf("not counted: its disk is %s, the admitted one %s", r.GetIncarnation(), admitted)
+	case r.GetGranted():
+		return "granted"
+	}
+	reason := strings.TrimPrefix(r.GetRefusal().String(), "VOTE_REFUSAL_")
+	return fmt.Sprintf("refused in term %d: %s", r.GetTerm(), strings.ToLower(reason))
+}
+
 func (n *Node) storeOutput(out Output) error {
 	if out.Restore != nil {
 		return n.restore(out.Restore)
