modules/raft: committed members carry the index of the log that they reflect

Cause: the commit index is not stored. The admission of a later disk is no such entry, so the added box counted under its first disk: its vote was neither counted nor given.

Change: members have the index up to which they reflect the log, in the stored identity, in InstallRequest and in IdentifyResponse. Entries up to it are not applied again, and older members don't replace newer ones. Disks of earlier versions have no index; it is derived from the entries that admitted their members.

--- a/modules/raft/core.go
+++ b/modules/raft/core.go
@@ -108,13 +108,16 @@
 	incarnation string
 	// members are the committed members; like effectiveMembers it maps each box to
 	// its admitted incarnation.
-	members  map[string]string
-	role     Role
-	term     uint64
-	votedFor string
-	leader   string
-	log      entries
-	commit   uint64
+	members map[string]string
+	// membersIndex is the index up to which members reflects every entry of the log.
+	// It may be greater than commit, which is not stored.
+	membersIndex uint64
+	role         Role
+	term         uint64
+	votedFor     string
+	leader       string
+	log          entries
+	commit       uint64
 	// delivered is the last index that was output as committed.
 	delivered uint64
 	// lastContact is when a message of a leader last arrived.
@@ -163,6 +166,7 @@
 		opts:               opts,
 		incarnation:        stored.Incarnation,
 		members:            stored.Members,
+		membersIndex:       stored.MembersIndex,
 		term:               stored.Term,
 		votedFor:           stored.Vote,
 		log:                entries{index: stored.SnapshotIndex, term: stored.SnapshotTerm, list: stored.Entries},
@@ -181,14 +185,18 @@
 
 // Stored is the state that was read from the disk at start.
 type Stored struct {
-	Incarnation   string
-	Members       map[string]string
+	Incarnation string
+	Members     map[string]string
+	// MembersIndex is the index up to which Members reflects every entry of the log.
+	MembersIndex  uint64
 	Term          uint64
 	Vote          string
 	SnapshotIndex uint64
 	SnapshotTerm  uint64
 	Snapshot      []byte
 	Entries       []*betweenv1.LogEntry
+	// hasMembersIndex is set if the disk holds MembersIndex.
+	hasMembersIndex bool
 }
 
 // TakeOutput returns the pending output and clears it.
--- a/modules/raft/core_members.go
+++ b/modules/raft/core_members.go
@@ -32,6 +32,11 @@
 	return e.GetKind() == betweenv1.LogEntry_KIND_ADD || e.GetKind() == betweenv1.LogEntry_KIND_REMOVE
 }
 
+// isMembership reports whether an entry changes the members or the incarnation of one.
+func isMembership(e *betweenv1.LogEntry) bool {
+	return isChange(e) || e.GetKind() == betweenv1.LogEntry_KIND_MEMBER
+}
+
 // applyChange applies a membership entry to a table of members.
 func applyChange(members map[string]string, e *betweenv1.LogEntry) {
 	m := memberOf(e)
@@ -42,6 +47,12 @@
 	members[m.GetBox()] = m.GetIncarnation()
 }
 
+// isPending reports whether an entry is a change that the committed members don't
+// reflect yet.
+func (c *Core) isPending(e *betweenv1.LogEntry) bool {
+	return isChange(e) && e.GetIndex() > c.membersIndex
+}
+
 // trackChange updates the pending changes for an entry that was put into the
 // log; changes at its index or later were overwritten and are dropped.
 func (c *Core) trackChange(e *betweenv1.LogEntry) {
@@ -51,13 +62,14 @@
 			kept = append(kept, old)
 		}
 	}
-	if isChange(e) {
+	pending := c.isPending(e)
+	if pending {
 		kept = append(kept, e)
 		if e.GetKind() == betweenv1.LogEntry_KIND_ADD && memberOf(e).GetBox() == c.opts.Self {
 			c.removed = false
 		}
 	}
-	if len(kept) != len(c.pendingChanges) || isChange(e) {
+	if len(kept) != len(c.pendingChanges) || pending {
 		c.pendingChanges = kept
 		c.updateEffectiveMembers()
 	}
@@ -84,11 +96,14 @@
 	}
 }
 
-// loadPendingChanges collects the uncommitted changes of a log read from disk.
+// loadPendingChanges collects the changes of a log read from disk that the stored
+// members don't reflect. The commit index is not stored, so committed changes that
+// they do reflect may follow it in the log. Applying those again would bring back
+// incarnations that have been replaced since.
 func (c *Core) loadPendingChanges() {
 	c.pendingChanges = nil
 	for _, e := range c.log.list {
-		if e.GetIndex() > c.commit && isChange(e) {
+		if c.isPending(e) {
 			c.pendingChanges = append(c.pendingChanges, e)
 		}
 	}
@@ -180,14 +195,14 @@
 }
 
 // Leave makes this box a learner when another box has committed its removal: the
-// members that are committed there lack it, and the commit index there is not
-// behind this box's.
-func (c *Core) Leave(members map[string]string, commit uint64, now time.Duration) {
-	if _, member := members[c.opts.Self]; member || commit < c.commit || c.role == Leader {
+// members that are committed there lack it, and reflect no less of the log than
+// those of this box. index is the index up to which they reflect the log.
+func (c *Core) Leave(members map[string]string, index uint64, now time.Duration) {
+	if _, member := members[c.opts.Self]; member || index < c.membersIndex || c.role == Leader {
 		return
 	}
 	for _, e := range c.pendingChanges {
-		if e.GetIndex() > commit && memberOf(e).GetBox() == c.opts.Self {
+		if e.GetIndex() > index && memberOf(e).GetBox() == c.opts.Self {
 			return
 		}
 	}
--- a/modules/raft/core_replicate.go
+++ b/modules/raft/core_replicate.go
@@ -34,12 +34,13 @@
 	p.lastSent, p.inFlight = now, true
 	if p.next <= c.log.index {
 		c.send(Request{To: name, SentAt: now, Install: &betweenv1.InstallRequest{
-			Term:      c.term,
-			Leader:    c.opts.Self,
-			LastIndex: c.log.index,
-			LastTerm:  c.log.term,
-			Data:      c.snapshot,
-			Members:   c.memberList(),
+			Term:         c.term,
+			Leader:       c.opts.Self,
+			LastIndex:    c.log.index,
+			LastTerm:     c.log.term,
+			Data:         c.snapshot,
+			Members:      c.memberList(),
+			MembersIndex: c.membersIndex,
 		}})
 		return
 	}
@@ -231,14 +232,18 @@
 func (c *Core) setCommit(index uint64) {
 	for c.commit < min(index, c.log.last()) {
 		c.commit++
-		c.applyMembership(c.log.at(c.commit))
+		if c.commit > c.membersIndex {
+			c.membersIndex = c.commit
+			c.applyMembership(c.log.at(c.commit))
+		}
 	}
 }
 
-// applyMembership updates the committed members for a committed entry and stores
-// them. A MEMBER entry only renews the incarnation of a box that is a member.
+// applyMembership updates the committed members for a committed entry that they
+// don't reflect yet, and stores them. A MEMBER entry only renews the incarnation of
+// a box that is a member.
 func (c *Core) applyMembership(e *betweenv1.LogEntry) {
-	if e.GetKind() != betweenv1.LogEntry_KIND_MEMBER && !isChange(e) {
+	if !isMembership(e) {
 		return
 	}
 	members := maps.Clone(c.members)
@@ -267,7 +272,7 @@
 }
 
 func (c *Core) identity() *betweenv1.Identity {
-	return &betweenv1.Identity{Incarnation: c.incarnation, Members: c.memberList()}
+	return &betweenv1.Identity{Incarnation: c.incarnation, Members: c.memberList(), MembersIndex: proto.Uint64(c.membersIndex)}
 }
 
 // HandleInstall answers an install request. The leader's snapshot replaces the
@@ -285,7 +290,7 @@
 	c.log.reset(r.GetLastIndex(), r.GetLastTerm())
 	c.commit, c.delivered = r.GetLastIndex(), r.GetLastIndex()
 	c.snapshot = r.GetData()
-	c.members = membersFromProto(r.GetMembers())
+	c.adoptNewerMembers(r)
 	c.pendingChanges = nil
 	c.updateEffectiveMembers()
 	c.out.Restore = r
@@ -293,6 +298,17 @@
 	return resp
 }
 
+// adoptNewerMembers takes over the members of an install request, unless those of
+// this box reflect more of the log. They reflect at least what the snapshot covers,
+// also from a leader that doesn't say how much.
+func (c *Core) adoptNewerMembers(r *betweenv1.InstallRequest) {
+	index := max(r.GetMembersIndex(), r.GetLastIndex())
+	if index < c.membersIndex {
+		return
+	}
+	c.members, c.membersIndex = membersFromProto(r.GetMembers()), index
+}
+
 // HandleInstallResponse processes a peer's answer to an install request.
 func (c *Core) HandleInstallResponse(from string, request *betweenv1.InstallRequest, r *betweenv1.InstallResponse, sentAt, now time.Duration) {
 	if !c.acceptsResponse(r.GetTerm(), request.GetTerm(), now) {
--- a/modules/raft/core_test.go
+++ b/modules/raft/core_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 )
 
@@ -79,7 +81,7 @@
 // loseDisk restarts a member with an empty disk, whatever state the others are in.
 func (g *group) loseDisk(m *member) {
 	m.diskLosses++
-	id := &betweenv1.Identity{Incarnation: fmt.Sprintf("%s-%d", m.name, m.diskLosses), Members: membersToProto(m.core.members)}
+	id := &betweenv1.Identity{Incarnation: fmt.Sprintf("%s-%d", m.name, m.diskLosses), Members: membersToProto(m.core.members), MembersIndex: proto.Uint64(m.core.membersIndex)}
 	m.snapshot, m.records = nil, [][]byte{encode(g.t, &betweenv1.LogRecord{Record: &betweenv1.LogRecord_Identity{Identity: id}})}
 	g.boot(m)
 }
--- a/modules/raft/group_test.go
+++ b/modules/raft/group_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand"
 	"strings"
 	"testing"
@@ -58,6 +59,8 @@
 	network []message
 	// committed are the entries that any member has applied, in log order.
 	committed []string
+	// memberships are the members after each of the committed entries, the founders first.
+	memberships []map[string]string
 	// leaders maps each term to its leader.
 	leaders  map[uint64]string
 	proposed int
@@ -81,9 +84,10 @@
 			identity[name] = name + "-0"
 		}
 	}
+	g.memberships = []map[string]string{identity}
 	for _, name := range names {
 		m := &member{name: name}
-		id := &betweenv1.Identity{Incarnation: name + "-0", Members: membersToProto(identity)}
+		id := &betweenv1.Identity{Incarnation: name + "-0", Members: membersToProto(identity), MembersIndex: proto.Uint64(0)}
 		m.records = [][]byte{encode(t, &betweenv1.LogRecord{Record: &betweenv1.LogRecord_Identity{Identity: id}})}
 		g.members[name] = m
 		g.boot(m)
@@ -133,7 +137,7 @@
 	}
 	for _, e := range out.Committed {
 		m.applied = append(m.applied, fmt.Sprintf("%d:%x", e.GetTerm(), e.GetData()))
-		g.recordApplied(m, int(e.GetIndex()))
+		g.recordApplied(m, e)
 	}
 	if crash {
 		m.down = true
@@ -145,7 +149,8 @@
 }
 
 // recordApplied checks that an applied entry is the same as on every other member.
-func (g *group) recordApplied(m *member, index int) {
+func (g *group) recordApplied(m *member, e *betweenv1.LogEntry) {
+	index := int(e.GetIndex())
 	if index != len(m.applied) {
 		g.t.Fatalf("%s applied entry %d at position %d", m.name, index, len(m.applied))
 	}
@@ -157,6 +162,20 @@
 		return
 	}
 	g.committed = append(g.committed, value)
+	members := maps.Clone(g.memberships[index-1])
+	if _, known := members[memberOf(e).GetBox()]; isChange(e) || e.GetKind() == betweenv1.LogEntry_KIND_MEMBER && known {
+		applyChange(members, e)
+	}
+	g.memberships = append(g.memberships, members)
+}
+
+// checkMembers verifies that the committed members of a box are those of the log up
+// to the index that it states.
+func (g *group) checkMembers(m *member) {
+	want := g.memberships[m.core.membersIndex]
+	if !maps.Equal(m.core.members, want) {
+		g.t.Fatalf("%s has the members %v at index %d, want %v", m.name, m.core.members, m.core.membersIndex, want)
+	}
 }
 
 // deliver delivers a message, and queues the answer when it is a request. Messages
@@ -197,8 +216,8 @@
 	}
 }
 
-// check verifies the invariants: each term has at most one leader, and at most one
-// box holds a lease.
+// check verifies the invariants: each term has at most one leader, at most one box
+// holds a lease, and the members of each box are those of the log.
 func (g *group) check() {
 	leases := 0
 	for _, name := range g.names {
@@ -206,6 +225,7 @@
 		if m.down {
 			continue
 		}
+		g.checkMembers(m)
 		if m.core.role == Leader {
 			if other := g.leaders[m.core.term]; other != "" && other != name {
 				g.t.Fatalf("%s and %s are both leader in term %d", name, other, m.core.term)
--- a/modules/raft/node_exchange.go
+++ b/modules/raft/node_exchange.go
@@ -79,9 +79,9 @@
 func (n *Node) HandleIdentify() *betweenv1.IdentifyResponse {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	resp := &betweenv1.IdentifyResponse{Box: n.opts.Self, Incarnation: n.stored.Incarnation, Members: membersToProto(n.stored.Members)}
+	resp := &betweenv1.IdentifyResponse{Box: n.opts.Self, Incarnation: n.stored.Incarnation, Members: membersToProto(n.stored.Members), MembersIndex: n.stored.MembersIndex}
 	if n.core != nil {
-		resp.Members, resp.Commit = membersToProto(n.core.members), n.core.commit
+		resp.Members, resp.MembersIndex, resp.Commit = membersToProto(n.core.members), n.core.membersIndex, n.core.commit
 	}
 	return resp
 }
@@ -103,5 +103,11 @@
 // Leave makes this box a learner when another box's answer shows that the group
 // has removed it.
 func (n *Node) Leave(r *betweenv1.IdentifyResponse) {
-	n.step(func(now time.Duration) { n.core.Leave(membersFromProto(r.GetMembers()), r.GetCommit(), now) })
+	n.step(func(now time.Duration) { n.core.Leave(membersFromProto(r.GetMembers()), identifiedIndex(r), now) })
+}
+
+// identifiedIndex returns the index up to which the members of an answer reflect the
+// log: at least what the box that answered has committed.
+func identifiedIndex(r *betweenv1.IdentifyResponse) uint64 {
+	return max(r.GetMembersIndex(), r.GetCommit())
 }
--- a/modules/raft/node_join.go
+++ b/modules/raft/node_join.go
@@ -18,9 +18,9 @@
 // members, this box follows without a vote until its incarnation is admitted.
 func (n *Node) join(ctx context.Context) error {
 	for len(n.stored.Members) == 0 {
-		members := n.discoverMembers(ctx)
+		members, index := n.discoverMembers(ctx)
 		if members != nil {
-			if err := n.adoptMembers(members); err != nil {
+			if err := n.adoptMembers(members, index); err != nil {
 				return err
 			}
 			break
@@ -37,9 +37,10 @@
 	return nil
 }
 
-// discoverMembers asks the configured boxes for the members to start with. It
-// returns nil when the answers don't decide it yet.
-func (n *Node) discoverMembers(ctx context.Context) map[string]string {
+// discoverMembers asks the configured boxes for the members to start with, and for
+// the index up to which they reflect the log. It returns nil when the answers don't
+// decide it yet.
+func (n *Node) discoverMembers(ctx context.Context) (members map[string]string, index uint64) {
 	fresh := map[string]string{}
 	founder := slices.Contains(n.opts.Members, n.opts.Self)
 	if founder {
@@ -54,14 +55,14 @@
 			continue
 		}
 		if len(resp.GetMembers()) > 0 {
-			return membersFromProto(resp.GetMembers())
+			return membersFromProto(resp.GetMembers()), identifiedIndex(resp)
 		}
 		fresh[name] = resp.GetIncarnation()
 	}
 	if !founder || len(fresh) < len(n.opts.Members) {
-		return nil
+		return nil, 0
 	}
-	return fresh
+	return fresh, 0
 }
 
 func (n *Node) identify(ctx context.Context, name string) (*betweenv1.IdentifyResponse, error) {
@@ -71,10 +72,10 @@
 }
 
 // adoptMembers stores the discovered members.
-func (n *Node) adoptMembers(members map[string]string) error {
+func (n *Node) adoptMembers(members map[string]string, index uint64) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.stored.Members = members
+	n.stored.Members, n.stored.MembersIndex = members, index
 	n.opts.Members = memberNames(members)
 	if err := storeIdentity(n.log, n.stored); err != nil {
 		return err
--- a/modules/raft/random_test.go
+++ b/modules/raft/random_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"testing"
 	"time"
@@ -63,9 +64,7 @@
 	case "compact":
 		g.compact(g.pick("compact"))
 	case "wipe":
-		if g.size == 0 {
-			g.wipe(g.pick("wipe"))
-		}
+		g.wipe(g.pick("wipe"))
 	}
 }
 
@@ -106,19 +105,19 @@
 	}
 }
 
-// wipe loses a member's disk, but only when every member is up and has admitted
-// all disks, so that no second disk is lost before the first one is recovered.
+// wipe loses a member's disk, but only when every member is up, has admitted the
+// disks of all and knows no other change, so that no second disk is lost before the
+// first one is recovered.
 func (g *group) wipe(m *member) {
-	for _, name := range g.names {
-		other := g.members[name]
-		if other.down {
+	current := g.memberships[len(g.memberships)-1]
+	if _, found := current[m.name]; !found {
+		return
+	}
+	for name, incarnation := range current {
+		c := g.members[name].core
+		if g.members[name].down || c.incarnation != incarnation || !maps.Equal(c.effectiveMembers, current) || !maps.Equal(c.members, current) {
 			return
 		}
-		for _, admitted := range g.names {
-			if other.core.members[admitted] != g.members[admitted].core.incarnation {
-				return
-			}
-		}
 	}
 	g.loseDisk(m)
 }
@@ -192,7 +191,7 @@
 	if m.down || m.frozen || other.down || other.frozen {
 		return
 	}
-	g.run(m, func(c *Core) { c.Leave(other.core.members, other.core.commit, g.now) }, false)
+	g.run(m, func(c *Core) { c.Leave(other.core.members, other.core.membersIndex, g.now) }, false)
 }
 
 // TestRandomMembership runs a group through random schedules in which members are
@@ -203,11 +202,13 @@
 		g := newGroupWithSpares(t, 3, "a", "b", "c", "d", "e")
 		g.random = t
 		for range rapid.IntRange(50, 400).Draw(t, "steps") {
-			switch rapid.SampledFrom([]string{"step", "step", "step", "step", "step", "join", "join", "ask", "quiet"}).Draw(t, "kind") {
+			switch rapid.SampledFrom([]string{"step", "step", "step", "step", "step", "join", "join", "ask", "quiet", "restart"}).Draw(t, "kind") {
 			case "join":
 				g.requestJoin(g.pick("joining"))
 			case "ask":
 				g.queryMembership(g.pick("asking"), g.pick("answering"))
+			case "restart":
+				g.restart(g.names...)
 			case "quiet":
 				g.runRounds(rapid.IntRange(1, 60).Draw(t, "rounds"))
 			default:
--- a/modules/raft/store.go
+++ b/modules/raft/store.go
@@ -46,7 +46,7 @@
 }
 
 func storeIdentity(log *wal.Log, s Stored) error {
-	id := &betweenv1.Identity{Incarnation: s.Incarnation, Members: membersToProto(s.Members)}
+	id := &betweenv1.Identity{Incarnation: s.Incarnation, Members: membersToProto(s.Members), MembersIndex: proto.Uint64(s.MembersIndex)}
 	record, err := proto.Marshal(&betweenv1.LogRecord{Record: &betweenv1.LogRecord_Identity{Identity: id}})
 	if err != nil {
 		return errors.WithStack(err)
@@ -92,9 +92,35 @@
 		s.applyRecord(&record, &log)
 	}
 	s.Entries = log.list
+	if !s.hasMembersIndex {
+		s.MembersIndex = reflectedIndex(s.Members, s.Entries)
+	}
+	s.MembersIndex = max(s.MembersIndex, s.SnapshotIndex)
 	return s, nil
 }
 
+// reflectedIndex returns the index up to which members are known to reflect the
+// entries of a log, for disks of versions that didn't store it: an incarnation is
+// among the committed members only if the entry that admitted it, and with it every
+// entry before, is committed.
+func reflectedIndex(members map[string]string, list []*betweenv1.LogEntry) uint64 {
+	admitted := map[string]uint64{}
+	for _, e := range list {
+		m := memberOf(e)
+		if e.GetKind() == betweenv1.LogEntry_KIND_REMOVE || !isMembership(e) || members[m.GetBox()] != m.GetIncarnation() {
+			continue
+		}
+		if _, known := admitted[m.GetBox()]; !known {
+			admitted[m.GetBox()] = e.GetIndex()
+		}
+	}
+	var index uint64
+	for _, first := range admitted {
+		index = max(index, first)
+	}
+	return index
+}
+
 func (s *Stored) applyRecord(record *betweenv1.LogRecord, log *entries) {
 	switch r := record.GetRecord().(type) {
 	case *betweenv1.LogRecord_Hard:
@@ -111,6 +137,7 @@
 func (s *Stored) setIdentity(id *betweenv1.Identity) {
 	s.Incarnation = id.GetIncarnation()
 	s.Members = membersFromProto(id.GetMembers())
+	s.MembersIndex, s.hasMembersIndex = id.GetMembersIndex(), id.MembersIndex != nil
 }
 
 // encodeSnapshot encodes a Core's persistent state and the state machine's data.
