services/forward: a stream goes on only at a target that has told its start

What callers would see: a stream that holds events of two software versions, after a target that is cut off from control has started again in place with other software.

Cause: a connection that was dialled 1.5 s before the last news of control counted as one to the registered start, since a later start would have registered by then. One that can't reach control has not.

Change: whatever continues a stream asks the target for its start once for each connection, whatever its age, and so does a new stream that may be taken up. Targets with a rate limit are trusted as before, as a query would take the place of a call.

Cost: at most one more query for each connection to an engine.

--- a/services/forward/software.go
+++ b/services/forward/software.go
@@ -89,19 +89,21 @@
 	}
 }
 
-// mayBeLaterStart reports whether a start of the target that is not registered yet may have taken a
+// mayBeLaterStart reports whether a start of the target that is not registered may have taken a
 // connection. Only engines tell their start.
 func (fl *inflightCall) mayBeLaterStart(c *conn) bool {
-	f := fl.f
-	if c.target.Born == 0 || f.opts.EngineAPI == nil || fl.service.GetEngine() == nil || c.startVerified {
-		return false
-	}
-	return c.dialledAt+registrationTime > fl.now-f.opts.Store.Confirmed()
+	return c.target.Born != 0 && fl.f.opts.EngineAPI != nil && fl.service.GetEngine() != nil && !c.startVerified
+}
+
+// mayRegisterYet reports whether a start of the target that took a connection may not be registered only
+// because that takes some time.
+func (fl *inflightCall) mayRegisterYet(c *conn) bool {
+	return c.dialledAt+registrationTime > fl.now-fl.f.opts.Store.Confirmed()
 }
 
 // verifyStart finds out whether a stream that continues would reach the start of the target that is
-// registered. A target that has started again under its id may run other software, and its new
-// registration is on its way for some time. It returns nil if the stream may be sent.
+// registered. A target that has started again under its id may run other software. Its new registration
+// is on its way for some time, longer if it can't reach control. It returns nil if the stream may be sent.
 func (fl *inflightCall) verifyStart(ctx context.Context, c *conn) *attempt {
 	if fl.software == "" || fl.resumption != nil || !fl.mayBeLaterStart(c) {
 		return nil
@@ -138,6 +140,9 @@
 	answer := make(chan startAnswer, 1)
 	if fl.f.isLimited(c.target) {
 		// The query would take the place of a call.
+		if !fl.mayRegisterYet(c) {
+			return nil
+		}
 		answer <- startUnknown
 		return answer
 	}
--- a/services/forward/software_test.go
+++ b/services/forward/software_test.go
@@ -458,12 +458,15 @@
 	cases := map[string]struct {
 		// reports is what the near target answers to a query of its report.
 		reports script
-		target  string
+		// connectedFor is how long ago the connection to the near target was dialled, zero for a new one.
+		connectedFor time.Duration
+		target       string
 	}{
 		"the start that is registered": {reports: respond(200, "0 0 10"), target: "a"},
 		"a later start":                {reports: respond(200, "0 0 20"), target: "b"},
 		"it does not tell its start":   {reports: respond(200, "0 0"), target: "a"},
 		"it tells nothing":             {reports: closeConn(), target: "b"},
+		"a later start that can't register over an old connection": {reports: respond(200, "0 0 20"), connectedFor: 2 * registrationTime, target: "b"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -484,6 +487,14 @@
 			f.opts.Streams = &memory{records: map[resume.Key]software.Identity{resume.KeyOf("o", "s", "first"): "version v1"}}
 			call := newCall("resume")
 			call.LastEvent, call.FirstAttempt = 2, "first"
+			if c.connectedFor > 0 {
+				idle, err := f.pool.get(context.Background(), f.targets.ByID("a"), useCalls, "before")
+				if err != nil {
+					t.Fatal(err)
+				}
+				idle.dialledAt -= c.connectedFor
+				f.pool.put(idle, 0)
+			}
 			if err := f.Serve(context.Background(), call, &collector{}); err != nil {
 				t.Fatal(err)
 			}
