tests/soak: all entry boxes are killed while a software version comes or goes

Cause: a report from a system like this one: after a kill of all entry boxes streams that callers took up were joined from two software versions. No test here killed all boxes just before or after the last target of a version left. Change: four cases of TestStreamsGoOnAtTheirSoftwareVersion, one of them with control processes killed as well; servers of the test can leave; callers that insist.

--- a/tests/soak/platform_test.go
+++ b/tests/soak/platform_test.go
@@ -315,6 +315,20 @@
 	return defaultSlots
 }
 
+// leave deregisters the server and ends it once control has acknowledged that.
+func (sv *server) leave() error {
+	body := fmt.Appendf(nil, `{"born":%d}`, sv.startedAt)
+	var err error
+	for _, address := range sv.platform.control {
+		var status int
+		if status, err = send(http.MethodDelete, "http://"+address+"/api/instances/"+sv.id, body); status == http.StatusOK {
+			sv.stop()
+			return nil
+		}
+	}
+	return fmt.Errorf("no control box has acknowledged that %s leaves: %v", sv.id, err)
+}
+
 func (sv *server) drain() {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
@@ -323,8 +337,10 @@
 
 var httpClient = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 
-func put(url string, body []byte) (int, error) {
-	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+func put(url string, body []byte) (int, error) { return send(http.MethodPut, url, body) }
+
+func send(method, url string, body []byte) (int, error) {
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, err
 	}
--- a/tests/soak/software_test.go
+++ b/tests/soak/software_test.go
@@ -34,6 +34,8 @@
 	streamTime = 8 * time.Second
 	// redialPause is the pause after a connection that was refused.
 	redialPause = 20 * time.Millisecond
+	// insistentPause is the pause of an insistent caller after a refusal that does not tell it to return.
+	insistentPause = 100 * time.Millisecond
 	// maxReturns limits how often a caller takes its stream up again.
 	maxReturns = 4
 	// registrationDelay is how long the registration of an engine that has started again is on its
@@ -58,6 +60,8 @@
 	inTouch bool
 	// gone is the version of which no target is left, if any.
 	gone string
+	// afterStart is set if all boxes are killed: callers then return until their time is up.
+	afterStart bool
 }
 
 // Guards against streams that hold events of two software versions of a service, in one answer or
@@ -104,6 +108,28 @@
 			}
 			tb.killEntries(0)
 		}},
+		"all boxes are killed while two versions serve": {seed: 82, engines: two, afterStart: true, strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
+			for range 3 {
+				tb.killEntries(0, 1, 2, 3)
+				tb.startAll(t)
+				time.Sleep(faultAfter / 2)
+			}
+		}},
+		"all boxes are killed just after a version has left": {seed: 83, engines: two, afterStart: true, strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
+			leaveAll(t, engines["v1"])
+			tb.killEntries(0, 1, 2, 3)
+			tb.startAll(t)
+		}},
+		"all boxes are killed just before a version leaves": {seed: 84, engines: two, afterStart: true, strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
+			tb.killEntries(0, 1, 2, 3)
+			leaveAll(t, engines["v1"])
+			tb.startAll(t)
+		}},
+		"all processes are killed just after a version has left": {seed: 85, engines: two, afterStart: true, strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
+			leaveAll(t, engines["v1"])
+			tb.killAll()
+			tb.startAll(t)
+		}},
 		"targets start again at another version": {seed: 80, engines: two, inTouch: true, strike: func(t *testing.T, tb *testbed, engines map[string][]*server) {
 			tb.killEntries(0)
 			for n, sv := range engines["v1"][:2] {
@@ -136,6 +162,14 @@
 	}
 }
 
+// leaveAll lets servers leave and waits until control knows.
+func leaveAll(t *testing.T, servers []*server) {
+	t.Helper()
+	for _, sv := range servers {
+		waitFor(t, sv.id+" has left", func() bool { return sv.leave() == nil })
+	}
+}
+
 // endHalf ends half of the engines of each version.
 func endHalf(engines map[string][]*server) {
 	for _, list := range engines {
@@ -228,6 +262,8 @@
 	// refusal is the last answer that was not a stream.
 	refusal  *observe.Answer
 	complete bool
+	// insistent callers return until their time is up, also when they are not told to.
+	insistent bool
 	// notRun has the ids of the attempts that were refused as not run.
 	notRun []string
 	faults []string
@@ -245,6 +281,7 @@
 	var wg sync.WaitGroup
 	for n := range callersPerCase {
 		s := tb.newStream(fmt.Sprintf("s%d", n), n%len(tb.all.entries), streamEvents)
+		s.insistent = c.afterStart
 		streams = append(streams, s)
 		wg.Add(1)
 		go func() {
@@ -261,11 +298,14 @@
 
 // run reads the stream and takes it up again until it is complete or can't go on.
 func (s *returningStream) run(p *callerPool) {
-	for until := time.Now().Add(streamTime); !s.complete && s.tries <= maxReturns && time.Now().Before(until); {
+	for until := time.Now().Add(streamTime); !s.complete && (s.tries <= maxReturns || s.insistent) && time.Now().Before(until); {
 		pause, again := s.try(p)
-		if !again {
+		if !again && !s.insistent {
 			return
 		}
+		if !again {
+			pause = insistentPause
+		}
 		time.Sleep(pause)
 		s.entry = (s.entry + 1) % len(p.entries)
 	}
