services/gateway: the age of a message is read before its content

Cause: a control box stated how long ago it was in sync with the group after it had read the content of a message. A change that was applied in between was missing from the content, which counted as newer than that change. A box that goes by what control knows (Store.SoleSoftware) could take a service for one of a single software version although another had just been registered. Change: the age is read first.

--- a/services/gateway/follow.go
+++ b/services/gateway/follow.go
@@ -51,11 +51,12 @@
 	defer alive.Stop()
 	for {
 		changed := source.Changed()
-		resp := &betweenv1.FollowResponse{}
-		if isInSync(source) {
+		// The age is read before the content, which may be older than what comes into sync meanwhile.
+		resp, age := &betweenv1.FollowResponse{}, source.Confirmed()
+		if age <= maxSyncAge {
 			resp = source.After(has)
 		}
-		resp.Confirmed = source.Confirmed().Milliseconds()
+		resp.Confirmed = age.Milliseconds()
 		if err := send(resp); err != nil {
 			return err
 		}
@@ -73,12 +74,10 @@
 	}
 }
 
-func isInSync(source Source) bool { return source.Confirmed() <= maxSyncAge }
-
 // awaitSync waits until a source is in sync, the context is done or syncWait has passed.
 func awaitSync(ctx context.Context, source Source) {
 	for range syncWait / syncPoll {
-		if isInSync(source) || ctx.Err() != nil {
+		if source.Confirmed() <= maxSyncAge || ctx.Err() != nil {
 			return
 		}
 		periodic.Sleep(ctx, syncPoll)
--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -451,6 +451,41 @@
 	}
 }
 
+// changingSource is a Source that comes into sync with a change just after it was read.
+type changingSource struct {
+	*Store
+	read bool
+}
+
+func (s *changingSource) After(has Position) *betweenv1.FollowResponse {
+	s.read = true
+	return s.Store.After(has)
+}
+
+func (s *changingSource) Confirmed() time.Duration {
+	if s.read {
+		return 0
+	}
+	return maxSyncAge / 2
+}
+
+// Guards against a message that claims to be newer than its content: a box then takes a service for one
+// whose targets all run the same software although another one has just been registered.
+func TestServeStatesTheAgeOfItsContent(t *testing.T) {
+	store := NewStore(clock.System{})
+	if _, err := store.Apply(&betweenv1.FollowResponse{Targets: []*statev1.RegisteredTarget{row("a", ready, 1)}, TargetRevision: 1}); err != nil {
+		t.Fatal(err)
+	}
+	var first *betweenv1.FollowResponse
+	_ = Serve(context.Background(), &changingSource{Store: store}, &betweenv1.FollowRequest{}, func(r *betweenv1.FollowResponse) error {
+		first = r
+		return errors.New("enough")
+	})
+	if got := time.Duration(first.GetConfirmed()) * time.Millisecond; len(first.GetTargets()) != 1 || got != maxSyncAge/2 {
+		t.Errorf("%d targets confirmed %v ago, want 1 and %v", len(first.GetTargets()), got, maxSyncAge/2)
+	}
+}
+
 // askedFirst is a control box that records who asks it to follow, and ends their runs.
 type askedFirst struct {
 	betweenv1connect.GatewayServiceClient
