tests/soak: a server that has ended is not replaced a second time

Cause: a crash of a server that had crashed already started a second replacement, so that two processes with one id were alive for the rest of the run and registered in turn. The platform starts a server again under its id only after its end. Change: the second crash, or a restart in place, of a server that has ended does nothing.

--- a/tests/soak/crash_test.go
+++ b/tests/soak/crash_test.go
@@ -53,10 +53,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-// crash stops the server immediately and starts a replacement with the given id later.
+// crash stops the server immediately and starts a replacement with the given id later. A server that has
+// ended before is left alone: it would have two replacements under one id.
 func (sv *server) crash(id string) {
 	sv.platform.disruptions.recordFault(sv.id, serverRestartDelay)
-	sv.stop()
+	if !sv.end(sv.link.close) {
+		return
+	}
 	time.AfterFunc(serverRestartDelay, func() {
 		next := &server{id: id, service: sv.service, zone: defaultZone, version: sv.platform.nextVersion(sv)}
 		if fresh, err := sv.platform.launch(next, 0); err == nil {
--- a/tests/soak/engine_test.go
+++ b/tests/soak/engine_test.go
@@ -52,12 +52,12 @@
 }
 
 // restartEngine ends an engine and starts it again under its id and address, with software of the
-// given version. Its first registration is on its way for some time.
+// given version. Its first registration is on its way for some time. An engine that has ended before is
+// returned as it is.
 func (p *platform) restartEngine(old *server, version string, registerAfter time.Duration, seed int64) (*server, error) {
-	old.stopping.Do(func() {
-		close(old.quit)
-		_ = old.http.Close()
-	})
+	if !old.end(func() {}) {
+		return old, nil
+	}
 	for time.Now().UnixMilli() <= old.startedAt {
 		// A start is known by its id and its time of day in milliseconds.
 		time.Sleep(time.Millisecond)
--- a/tests/soak/platform_test.go
+++ b/tests/soak/platform_test.go
@@ -263,12 +263,17 @@
 	return sv, nil
 }
 
-func (sv *server) stop() {
+func (sv *server) stop() { sv.end(sv.link.close) }
+
+// end ends the server and calls then. It does nothing and returns false if the server has ended before.
+func (sv *server) end(then func()) (ended bool) {
 	sv.stopping.Do(func() {
 		close(sv.quit)
 		_ = sv.http.Close()
-		sv.link.close()
+		then()
+		ended = true
 	})
+	return ended
 }
 
 func (sv *server) sendHeartbeats() {
