modules/raft: boxes tell with votes what they know to be committed

Cause: the leader had admitted a new disk and was lost when only that disk had heard that its admission is committed. The other member held the entry without knowing so. It did not count the new disk, neither as a candidate nor as a voter, and won nothing alone.

Change: vote requests and answers carry the index and term up to which their box knows the log to be committed. A box whose log has the same entry takes that over before it decides or counts. What is committed is a fact about the log, whoever leads.

Measured: TestLeaderAfterOnlyTheAdmittedDiskKnowsOfIt failed before.

--- a/modules/raft/core_election.go
+++ b/modules/raft/core_election.go
@@ -90,6 +90,8 @@
 			Incarnation: c.incarnation,
 			Voter:       c.effectiveMembers[name],
 			AllFresh:    c.allFresh,
+			Commit:      c.commit,
+			CommitTerm:  c.log.termAt(c.commit),
 		}})
 	}
 }
@@ -138,8 +140,25 @@
 	c.Flush(now)
 }
 
+// learnCommit takes over what another box knows to be committed if the log holds the
+// same entry, and with it the same entries before. A leader may have told only the
+// disk that it has admitted of the admission before it was lost. Without this the
+// other members would not count that disk.
+func (c *Core) learnCommit(index, term uint64) {
+	if index > c.commit && term != 0 && c.log.termAt(index) == term {
+		c.setCommit(index)
+	}
+}
+
 // HandleVote answers a vote or pre-vote request.
 func (c *Core) HandleVote(r *betweenv1.VoteRequest, now time.Duration) *betweenv1.VoteResponse {
+	c.learnCommit(r.GetCommit(), r.GetCommitTerm())
+	resp := c.decideVote(r, now)
+	resp.Commit, resp.CommitTerm = c.commit, c.log.termAt(c.commit)
+	return resp
+}
+
+func (c *Core) decideVote(r *betweenv1.VoteRequest, now time.Duration) *betweenv1.VoteResponse {
 	if r.GetPreVote() && c.fresh && r.GetTerm() > c.term+1 {
 		c.becomeFollower(r.GetTerm()-1, "", now)
 	}
@@ -218,6 +237,7 @@
 	if c.answers != nil {
 		c.answers[from] = r
 	}
+	c.learnCommit(r.GetCommit(), r.GetCommitTerm())
 	if r.GetTerm() > c.term {
 		c.becomeFollower(r.GetTerm(), "", now)
 		return
--- a/modules/raft/group_test.go
+++ b/modules/raft/group_test.go
@@ -57,6 +57,8 @@
 	names   []string
 	members map[string]*member
 	network []message
+	// isLost reports whether the network loses a message; nil if it loses none.
+	isLost func(message) bool
 	// committed are the entries that any member has applied, in log order.
 	committed []string
 	// memberships are the members after each of the committed entries, the founders first.
@@ -185,7 +187,7 @@
 	if msg.answer != nil {
 		to = g.members[msg.from]
 	}
-	if to.down || to.frozen {
+	if to.down || to.frozen || g.isLost != nil && g.isLost(msg) {
 		return
 	}
 	if msg.answer != nil {
--- a/modules/raft/members_test.go
+++ b/modules/raft/members_test.go
@@ -74,6 +74,40 @@
 	}
 }
 
+// A group of three goes on without the leader that admitted a disk although only that disk has heard that its
+// admission is committed.
+func TestLeaderAfterOnlyTheAdmittedDiskKnowsOfIt(t *testing.T) {
+	g := settledGroup(t)
+	leader := g.leader()
+	var others []*member
+	for _, name := range g.names {
+		if m := g.members[name]; m != leader {
+			others = append(others, m)
+		}
+	}
+	admitted, behind := others[0], others[1]
+	before := behind.core.commit
+	g.isLost = func(msg message) bool {
+		return msg.answer == nil && msg.request.To == behind.name && msg.request.Append.GetCommit() > before
+	}
+	g.loseDisk(admitted)
+	for round := 0; !admitted.core.IsVoter(); round++ {
+		if round == 200 {
+			t.Fatal("the new disk was not admitted")
+		}
+		g.runRounds(1)
+	}
+	leader.down = true
+	g.isLost = nil
+	if behind.core.commit > before {
+		t.Fatal("the other member knows of the admission")
+	}
+	g.runRounds(400)
+	if !g.hasLeader() {
+		t.Fatal("no leader although two of three members are left")
+	}
+}
+
 // membershipLog is a log in which d is added, replaces c and is given a new disk.
 func membershipLog(t *testing.T) []*betweenv1.LogEntry {
 	entry := func(index uint64, kind betweenv1.LogEntry_Kind, box, incarnation string) *betweenv1.LogEntry {
