--- a/modules/raft/core_replicate.go
+++ b/modules/raft/core_replicate.go
@@ -307,6 +307,7 @@
 		return
 	}
 	c.members, c.membersIndex = membersFromProto(r.GetMembers()), index
+	c.removed = false
 }
 
 // HandleInstallResponse processes a peer's answer to an install request.
--- a/modules/raft/members_test.go
+++ b/modules/raft/members_test.go
@@ -224,6 +224,19 @@
 	}
 }
 
+// A box that has learned of its removal votes again once a snapshot says that it is a member.
+func TestSnapshotEndsTheRemovalOfABox(t *testing.T) {
+	c := newTestCore("d", Stored{Incarnation: "d-1", Members: currentMembers(), MembersIndex: 5})
+	c.Leave(map[string]string{"a": "a-0", "b": "b-0", "e": "e-0"}, 8, time.Hour)
+	if c.IsVoter() {
+		t.Fatal("a box that was removed votes")
+	}
+	c.HandleInstall(&betweenv1.InstallRequest{Term: 1, Leader: "a", LastIndex: 9, LastTerm: 1, Members: membersToProto(currentMembers()), MembersIndex: 9}, time.Hour)
+	if !c.IsVoter() {
+		t.Error("a box that is a member again doesn't vote")
+	}
+}
+
 // A box that has restarted stays a member whatever members an older disk holds.
 func TestMemberDoesNotLeaveForOlderMembers(t *testing.T) {
 	founders := map[string]string{"a": "a-0", "b": "b-0", "c": "c-0"}
