services/forward: an old connection without an answer is trusted as before

Change: without an answer a connection that is older than the time that a registration takes is trusted, as before; only an answer that names a later start counts against it. Targets with a limit are not asked over such a connection. softwareOf and unbindSoftware in smaller steps. Measured: two more cases of TestStreamOfAStartThatIsNotRegistered, of which "a later start that can't register over an old connection" fails without the query; go test ./services/... passed.

--- a/services/forward/software.go
+++ b/services/forward/software.go
@@ -108,6 +108,10 @@
 	if fl.software == "" || fl.resumption != nil || !fl.mayBeLaterStart(c) {
 		return nil
 	}
+	if fl.f.isLimited(c.target) && !fl.mayRegisterYet(c) {
+		// The query would take the place of a call.
+		return nil
+	}
 	answer := fl.f.queryStart(ctx, c.target)
 	fl.tick()
 	a := &attempt{verdict: inconclusive, notRun: true, notSent: true, err: errNotSent}
@@ -155,18 +159,30 @@
 	if fl.startCheck == nil {
 		return c.target.Software
 	}
+	switch fl.awaitStart(ctx) {
+	case startRegistered:
+		c.startVerified = true
+	case startLater:
+		return software.Unverified
+	case startUnknown:
+		if fl.mayRegisterYet(c) {
+			return software.Unverified
+		}
+	}
+	return c.target.Software
+}
+
+// awaitStart waits for the answer of the target that was asked for its start, bindWait at most.
+func (fl *inflightCall) awaitStart(ctx context.Context) startAnswer {
 	timer := time.NewTimer(bindWait)
 	defer timer.Stop()
 	select {
 	case answer := <-fl.startCheck:
-		c.startVerified = answer == startRegistered
-		if c.startVerified || answer == startNotTold {
-			return c.target.Software
-		}
+		return answer
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return software.Unverified
+	return startUnknown
 }
 
 // isReturn reports whether the caller takes up a stream of which it has events.
@@ -203,9 +219,13 @@
 // The events may be of either start: those of the former one may arrive late, and the later one may have
 // taken the connection before it was registered. The record at other boxes then counts as unknown.
 func (fl *inflightCall) unbindSoftware(ctx context.Context, c *conn) {
-	t := c.target
-	next := t.Successor()
-	if next == nil || next.Service == t.Service && next.Software == t.Software || fl.software != t.Software || c.startVerified && next.Born != t.Born {
+	t, next := c.target, c.target.Successor()
+	if next == nil || fl.software != t.Software {
+		return
+	}
+	isSame := next.Service == t.Service && next.Software == t.Software
+	isProven := c.startVerified && next.Born != t.Born
+	if isSame || isProven {
 		return
 	}
 	fl.f.opts.Logger.Warn("stream may be of a later start of its target", "request", fl.call.ID, "target", t.ID, "born", next.Born, "software", next.Software, "recorded", fl.software)
--- a/services/forward/software_test.go
+++ b/services/forward/software_test.go
@@ -452,6 +452,20 @@
 	f.Refresh()
 }
 
+// keepConnection leaves an idle connection to a target that was dialled some time ago, none for zero.
+func keepConnection(t *testing.T, f *Forwarder, id string, ago time.Duration) {
+	t.Helper()
+	if ago == 0 {
+		return
+	}
+	c, err := f.pool.get(context.Background(), f.targets.ByID(id), useCalls, "before")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.dialledAt -= ago
+	f.pool.put(c, 0)
+}
+
 // Guards against a stream that goes on at a target which has started again under its id, with other
 // software that this box has not heard of yet.
 func TestStreamDoesNotGoOnAtATargetThatStartedAgain(t *testing.T) {
@@ -487,14 +501,7 @@
 			f.opts.Streams = &memory{records: map[resume.Key]software.Identity{resume.KeyOf("o", "s", "first"): "version v1"}}
 			call := newCall("resume")
 			call.LastEvent, call.FirstAttempt = 2, "first"
-			if c.connectedFor > 0 {
-				idle, err := f.pool.get(context.Background(), f.targets.ByID("a"), useCalls, "before")
-				if err != nil {
-					t.Fatal(err)
-				}
-				idle.dialledAt -= c.connectedFor
-				f.pool.put(idle, 0)
-			}
+			keepConnection(t, f, "a", c.connectedFor)
 			if err := f.Serve(context.Background(), call, &collector{}); err != nil {
 				t.Fatal(err)
 			}
@@ -522,14 +529,18 @@
 	cases := map[string]struct {
 		// report is what the near target answers to a query of its report.
 		report script
-		want   string
-		record software.Identity
+		// connectedFor is how long ago the connection to the near target was dialled, zero for a new one.
+		connectedFor time.Duration
+		want         string
+		record       software.Identity
 	}{
 		"the start that is registered": {report: registered, want: whole, record: "version v1"},
 		"a later start":                {report: respond(200, "0 0 20"), want: begun, record: software.Unverified},
 		"it does not tell its start":   {report: respond(200, "0 0"), want: whole, record: "version v1"},
 		"it tells nothing":             {report: closeConn(), want: begun, record: software.Unverified},
 		"it tells nothing in time":     {report: func(net.Conn, received) { time.Sleep(3 * bindWait) }, want: begun, record: software.Unverified},
+		"a later start that can't register over an old connection": {report: respond(200, "0 0 20"), connectedFor: 2 * registrationTime, want: begun, record: software.Unverified},
+		"it tells nothing over an old connection":                  {report: closeConn(), connectedFor: 2 * registrationTime, want: whole, record: "version v1"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -552,6 +563,7 @@
 			m := &memory{}
 			f.opts.Streams = m
 			starts(f, map[string]string{"a": "v1", "b": "v1"}, 10)
+			keepConnection(t, f, "a", c.connectedFor)
 			got := &collector{}
 			_ = f.Serve(context.Background(), newCall("resume"), got)
 			if got.body.String() != c.want {
