services/forward: a test's target answers the same on all connections

The box dials for the call and for the report at the same time, so the call could come second (3 of 180 cases, and twice in runs of the whole package): the test failed. Change: both connections have the same script.

--- a/services/forward/software_test.go
+++ b/services/forward/software_test.go
@@ -625,7 +625,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			begun, restarted := make(chan struct{}), make(chan struct{})
-			one := newTarget(t, "a", func(conn net.Conn, r received) {
+			answer := func(conn net.Conn, r received) {
 				if r.path == "/report" {
 					c.report(conn, r)
 					return
@@ -637,7 +637,8 @@
 				<-restarted
 				chunk(event(1))
 				_ = conn.Close()
-			}, c.report)
+			}
+			one := newTarget(t, "a", answer, answer)
 			rest := func(conn net.Conn, r received) {
 				if r.path == "/report" {
 					registered(conn, r)
