--- a/modules/raft/members_test.go
+++ b/modules/raft/members_test.go
@@ -46,8 +46,7 @@
 	return true
 }
 
-// The membership of a box that was added and then lost its disk must outlast a
-// restart of all boxes, or the loss of another disk leaves no quorum.
+// Guards against members that count under a lost disk after a restart, which leaves no quorum.
 func TestLeaderAfterAddedMemberLostItsDisk(t *testing.T) {
 	tests := map[string]func(g *group){
 		"all restart": func(*group) {},
@@ -74,8 +73,7 @@
 	}
 }
 
-// A group of three goes on without the leader that admitted a disk although only that disk has heard that its
-// admission is committed.
+// Guards against a group without a leader when only the disk itself has heard that it is admitted.
 func TestLeaderAfterOnlyTheAdmittedDiskKnowsOfIt(t *testing.T) {
 	g := settledGroup(t)
 	leader := g.leader()
@@ -145,8 +143,7 @@
 	}
 }
 
-// Entries that a box receives or reads again must not bring back a disk that has been
-// replaced since, or the box refuses the votes of the disk that took its place.
+// Guards against entries that are received or read again and bring back a disk that was replaced.
 func TestMembersDoNotGoBack(t *testing.T) {
 	all := []uint64{1, 2, 3, 4, 5}
 	restart := func(t *testing.T, c *Core, records [][]byte) *Core {
@@ -224,7 +221,7 @@
 	}
 }
 
-// A box that has learned of its removal votes again once a snapshot says that it is a member.
+// Guards against a box that never votes again after it was removed and added while it was paused.
 func TestSnapshotEndsTheRemovalOfABox(t *testing.T) {
 	c := newTestCore("d", Stored{Incarnation: "d-1", Members: currentMembers(), MembersIndex: 5})
 	c.Leave(map[string]string{"a": "a-0", "b": "b-0", "e": "e-0"}, 8, time.Hour)
@@ -237,7 +234,7 @@
 	}
 }
 
-// A box that has restarted stays a member whatever members an older disk holds.
+// Guards against a box that has restarted and leaves its group because of an older disk's members.
 func TestMemberDoesNotLeaveForOlderMembers(t *testing.T) {
 	founders := map[string]string{"a": "a-0", "b": "b-0", "c": "c-0"}
 	tests := map[string]struct {
--- a/modules/raft/node_join_test.go
+++ b/modules/raft/node_join_test.go
@@ -27,6 +27,7 @@
 	return s.resp, nil
 }
 
+// Guards against an empty disk that applies entries on top of members that reflect them already.
 func TestEmptyDiskStoresHowMuchOfTheLogItsMembersReflect(t *testing.T) {
 	members := membersToProto(currentMembers())
 	tests := map[string]struct {
--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -469,8 +469,7 @@
 	return maxSyncAge / 2
 }
 
-// Guards against a message that claims to be newer than its content: a box then takes a service for one
-// whose targets all run the same software although another one has just been registered.
+// Guards against a message that claims to be newer than its content and hides a change from its box.
 func TestServeStatesTheAgeOfItsContent(t *testing.T) {
 	store := NewStore(clock.System{})
 	if _, err := store.Apply(&betweenv1.FollowResponse{Targets: []*statev1.RegisteredTarget{row("a", ready, 1)}, TargetRevision: 1}); err != nil {
