Review: one late heartbeat puts a running server out for good

Cause: a first heartbeat that arrives after the next incarnation has registered at the address ends that one, whose own heartbeats are acknowledged unheard.

--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -23,6 +23,10 @@
 	Handle func(s *Server, w http.ResponseWriter, r *http.Request)
 	// Own answers requests to the server's own interface; nil to answer 404.
 	Own http.Handler
+	// Daemons are the addresses of the control boxes for this server; those of the fleet if there are none.
+	Daemons []string
+	// OnArrival is called for each request that names this server; may be nil.
+	OnArrival func(s *Server, id string)
 
 	fleet  *Fleet
 	record *Record
@@ -69,6 +73,9 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
+	if s.OnArrival != nil {
+		s.OnArrival(s, id)
+	}
 	s.mu.Lock()
 	s.runs++
 	s.mu.Unlock()
@@ -114,7 +121,11 @@
 // BeatOnce sends one heartbeat and reports whether it was acknowledged.
 func (s *Server) BeatOnce() bool {
 	entry, client := s.Entry(), NewClient(callTime)
-	for _, address := range s.fleet.Registries() {
+	daemons := s.Daemons
+	if len(daemons) == 0 {
+		daemons = s.fleet.Registries()
+	}
+	for _, address := range daemons {
 		select {
 		case <-s.stop:
 			return false
