--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -202,3 +202,21 @@
 	}
 	_ = os.RemoveAll(f.dir)
 }
+
+// Leader returns the control box that was the last to say in its log that it leads, nil if none has.
+func (f *Fleet) Leader() *Box {
+	var leader *Box
+	last := ""
+	for _, b := range f.Controls {
+		data, err := os.ReadFile(filepath.Join(f.dir, b.Name+".log"))
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(data)) {
+			if strings.Contains(line, `"msg":"leads the control group"`) && line > last {
+				leader, last = b, line
+			}
+		}
+	}
+	return leader
+}
