Review: a planned stop loses what its cut streams had reserved

Cause: the last report goes out before the calls that run at the stop limit are cut and settled, and control forgets the holder at its first word of leaving.

--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -178,6 +178,19 @@
 	<-b.done
 }
 
+// Restart stops a box as the platform does, by SIGTERM and after the grace time by SIGKILL, and starts it
+// again.
+func (b *Box) Restart(grace time.Duration) error {
+	b.Signal(syscall.SIGTERM)
+	select {
+	case <-b.done:
+	case <-time.After(grace):
+		b.Kill()
+	}
+	b.fleet.Record.Printf("%s has ended", b.Name)
+	return b.Start(false)
+}
+
 // StartAll starts all boxes.
 func (f *Fleet) StartAll(first bool) error {
 	for _, b := range append(append([]*Box(nil), f.Controls...), f.Entries...) {
