services/forward: the log tells what ended an answer without a length

A whole answer that ends with its connection and one that was reset could not be told apart in the log, nor what had become of the request beside it. A line a such answer now has its end, what was received, how far the body was written and what ended that, and the error that a look for bytes has met; the failed write of a long body has a line of its own. No logic changes.

--- a/services/forward/buffered.go
+++ b/services/forward/buffered.go
@@ -59,6 +59,7 @@
 	before := fl.held.Size()
 	body, whole, err := fl.readBuffered(x.body)
 	if err != nil {
+		x.logEnd(err, 0)
 		fl.held.ShrinkTo(before)
 		x.abandon()
 		x.logBrokenBody(err, 0, len(body))
@@ -70,6 +71,7 @@
 	if !whole {
 		return fl.forwardLong(t, x, got)
 	}
+	x.logEnd(io.EOF, 0)
 	x.bodyComplete = true
 	x.finish()
 	fl.recordSend(t, fmt.Sprint(status))
@@ -127,9 +129,11 @@
 		_, err = io.Copy(writer{fl.sink}, x.body)
 	}
 	if err != nil {
+		x.logEnd(err, 0)
 		x.abandon()
 		return attempt{verdict: inconclusive, done: true, err: errBegun{err}}
 	}
+	x.logEnd(io.EOF, 0)
 	x.bodyComplete = true
 	x.finish()
 	return attempt{verdict: healthy, done: true, err: fl.sink.End()}
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -55,9 +55,9 @@
 	body         io.Reader
 	// framed is set if the header tells where the body ends other than by closing the connection.
 	framed bool
-	// upload is closed once the body of the call has been written; nil when it was written
-	// before the answer was read.
-	upload chan struct{}
+	// upload is the write of a long body, beside the read of the answer; nil if the body was written
+	// before that.
+	upload *upload
 	// bodyComplete is set once the body was read to its end.
 	bodyComplete bool
 	// lineWait limits the time for the rest of a size line of a chunk, once its first byte has
@@ -106,12 +106,7 @@
 		limitUnacked(c.net, 0)
 	}
 	// A target may answer before it has read all of a long body.
-	x.upload = make(chan struct{})
-	go func() {
-		if x.writeBody(ctx) == nil {
-			close(x.upload)
-		}
-	}()
+	x.startUpload(ctx)
 	return x, nil
 }
 
@@ -255,6 +250,22 @@
 	x.f.logAnomaly(x.call, x.conn.target, anomalyChunk, events, seen, slog.String("reason", err.Error()), slog.Int("bytes", size))
 }
 
+// logEnd logs what ended the body of an answer without a length, or of one that came before the request
+// had been written. events is the number of events before.
+func (x *exchange) logEnd(err error, events uint64) {
+	if x.framed && x.isUploaded() {
+		return
+	}
+	attrs := append([]slog.Attr{
+		slog.String("request", x.call.ID), slog.String("target", x.conn.target.ID), slog.Int("status", x.head.StatusCode()), slog.Bool("framed", x.framed),
+		slog.Uint64("events", events), slog.Uint64("received", x.conn.received), slog.String("end", err.Error()),
+	}, x.uploadAttrs()...)
+	if look := x.conn.lookErr.Load(); look != nil {
+		attrs = append(attrs, slog.String("look_ended_by", (*look).Error()))
+	}
+	x.f.opts.Logger.LogAttrs(context.Background(), slog.LevelInfo, "early or unframed answer ended", attrs...)
+}
+
 // setBody sets up the body reader from the framing in the header.
 func (x *exchange) setBody() {
 	length := x.head.ContentLength()
@@ -330,18 +341,6 @@
 	x.f.pool.put(x.conn, keepAlive(string(x.head.Peek("Keep-Alive"))))
 }
 
-func (x *exchange) isUploaded() bool {
-	if x.upload == nil {
-		return true
-	}
-	select {
-	case <-x.upload:
-		return true
-	default:
-		return false
-	}
-}
-
 // keepAlive parses the timeout of a Keep-Alive field; 0 when there is none.
 func keepAlive(value string) time.Duration {
 	for _, part := range strings.Split(value, ",") {
--- a/services/forward/link.go
+++ b/services/forward/link.go
@@ -58,7 +58,11 @@
 func (x *exchange) writeParts(pace context.Context, body []byte) error {
 	for len(body) > 0 {
 		part := x.nextPart(pace, body)
-		if _, err := x.conn.Write(part); err != nil {
+		n, err := x.conn.Write(part)
+		if x.upload != nil {
+			x.upload.written.Add(int64(n))
+		}
+		if err != nil {
 			return errors.WithStack(err)
 		}
 		body = body[len(part):]
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -76,6 +76,8 @@
 	// onStall is called when a read has got nothing for the time of awaitBytes; nil to wait on. It
 	// returns true if the read is to fail with errGivenUp.
 	onStall func() bool
+	// lookErr is the first error that a look for bytes has met.
+	lookErr atomic.Pointer[error]
 	// received counts the bytes that were read.
 	received uint64
 	// headBegan is when the first byte of the head that is being read arrived, in nanoseconds on the
@@ -126,6 +128,9 @@
 // hasBytes reports whether bytes have arrived since the last read from the network.
 func (c *conn) hasBytes() bool {
 	n, err := peekByte(c.net)
+	if err != nil && !errors.Is(err, unix.EAGAIN) {
+		c.lookErr.CompareAndSwap(nil, &err)
+	}
 	return n > 0 && err == nil
 }
 
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -44,6 +44,9 @@
 		}
 		if err != nil || fl.events.fault {
 			x.conn.awaitForever()
+			if err != nil {
+				x.logEnd(err, fl.events.count)
+			}
 			return fl.streamEnded(ctx, t, x, wd, mv, err)
 		}
 	}
--- a/services/forward/upload.go
+++ b/services/forward/upload.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"havenwinch.dev/havenwinch/models/spread"
@@ -22,6 +24,44 @@
 	uploadPart = 64 << 10
 )
 
+// upload is the write of a long body.
+type upload struct {
+	// written counts the bytes that the kernel has taken.
+	written atomic.Int64
+	// done is closed when the write has ended; err is what it failed with, to be read after that.
+	done chan struct{}
+	err  error
+}
+
+// startUpload writes a long body beside the read of the answer.
+func (x *exchange) startUpload(ctx context.Context) {
+	u := &upload{done: make(chan struct{})}
+	x.upload = u
+	go func() {
+		defer close(u.done)
+		if u.err = x.writeBody(ctx); u.err != nil && ctx.Err() == nil {
+			x.f.opts.Logger.Info("target broke off the request", "request", x.call.ID, "target", x.conn.target.ID, "body_written", u.written.Load(), "body_bytes", len(x.call.Body), "reason", u.err.Error())
+		}
+	}()
+}
+
+// isUploaded reports whether the whole body of the call has been written.
+func (x *exchange) isUploaded() bool {
+	return x.upload == nil || wasClosed(x.upload.done) && x.upload.err == nil
+}
+
+// uploadAttrs returns how far a long body has been written, for the log.
+func (x *exchange) uploadAttrs() []slog.Attr {
+	if x.upload == nil {
+		return nil
+	}
+	attrs := []slog.Attr{slog.Int64("body_written", x.upload.written.Load()), slog.Int("body_bytes", len(x.call.Body))}
+	if wasClosed(x.upload.done) && x.upload.err != nil {
+		attrs = append(attrs, slog.String("body_ended_by", x.upload.err.Error()))
+	}
+	return attrs
+}
+
 // writeBody writes a long body. It waits for a target that does not read until the connection is closed.
 func (x *exchange) writeBody(ctx context.Context) error {
 	c, body := x.conn, x.call.Body
@@ -49,6 +89,7 @@
 		rest = len(body) - len(part)
 		n, err := w.Write(part)
 		c.meter.AddSent(n)
+		x.upload.written.Add(int64(n))
 		if err != nil {
 			return err
 		}
