services/forward: every read after a reset returns it

What callers saw: a part of an answer without a length, or the first events of such a stream, ended as complete after its target had reset the connection.

Cause: the kernel tells the error that ended a connection to the first call that asks, and shows an orderly end to all later ones. Long bodies are written beside the read of the answer, and the box looks for bytes of a silent target; the read then got the end of the stream, which is how an answer without a length ends well.

Change: connections to targets keep the error (modules/tcpconn). A read at the end of a connection waits for a write that may have met it, and returns it. A look for bytes meets the end of the connection as well, so that the read goes on at once.

--- /dev/null
+++ b/modules/tcpconn/tcpconn.go
@@ -0,0 +1,144 @@
+// Copyright 2026 The Havenwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package tcpconn reads messages that end with their TCP connection. The kernel reports the error that
+// ended a connection once, to the first call that asks for it, and shows the end of the stream to all
+// later ones. Where a write or a look for bytes runs beside a read, the end of a connection that was
+// reset then reads as an orderly one. A Conn keeps the error, so that every read returns it.
+package tcpconn
+
+import (
+	"io"
+	"net"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// tcpClose is the state of a connection without peer, as in Linux' tcp_states.h.
+const tcpClose = 7
+
+// Conn is a TCP connection. Its reads return io.EOF only if the peer has ended its side in order.
+type Conn struct {
+	net.Conn
+	tcp *net.TCPConn
+	// writing is held during each write.
+	writing sync.Mutex
+	mu      sync.Mutex
+	// failure is the first error that ended the connection, other than EPIPE if any call has met another.
+	failure error
+}
+
+// New returns a Conn over a connection to which nothing else reads or writes.
+func New(c *net.TCPConn) *Conn { return &Conn{Conn: c, tcp: c} }
+
+// NetConn returns the connection below.
+func (c *Conn) NetConn() net.Conn { return c.tcp }
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.tcp.Read(p)
+	if err == io.EOF {
+		return n, c.endError()
+	}
+	c.record(err)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.tcp.Write(p)
+	c.record(err)
+	return n, err
+}
+
+// Peek returns the number of bytes, at most one, that can be read without waiting. The error is EAGAIN if
+// there are none yet, and io.EOF at an orderly end.
+func (c *Conn) Peek() (n int, err error) {
+	n, err = c.peek()
+	if n == 0 && err == nil {
+		return 0, c.endError()
+	}
+	return max(0, n), err
+}
+
+// peek looks for a byte. It holds c.mu so that no other call records what follows an error before the error
+// itself.
+func (c *Conn) peek() (n int, err error) {
+	raw, err := c.tcp.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	closed := raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	if closed != nil {
+		return 0, closed
+	}
+	c.recordLocked(err)
+	return n, err
+}
+
+// record keeps an error that ended the connection.
+func (c *Conn) record(err error) {
+	if err == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordLocked(err)
+}
+
+// recordLocked is record for callers that hold c.mu.
+func (c *Conn) recordLocked(err error) {
+	var number syscall.Errno
+	if !errors.As(err, &number) || number == syscall.EAGAIN || number == syscall.EINTR {
+		return
+	}
+	// After a failure that another call has met, or after an orderly end of the peer, the kernel says EPIPE.
+	if c.failure == nil || errors.Is(c.failure, syscall.EPIPE) {
+		c.failure = err
+	}
+}
+
+// endError returns what ended the connection, at whose end a read is: io.EOF if the peer has ended its
+// side, else the error that the kernel has reported to another call.
+func (c *Conn) endError() error {
+	if dead, err := c.isDead(); dead || err != nil {
+		c.awaitWrite()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failure == nil || errors.Is(c.failure, syscall.EPIPE) {
+		return io.EOF
+	}
+	return c.failure
+}
+
+// awaitWrite waits until a write that is under way has recorded its error. On a dead connection writes return
+// at once.
+func (c *Conn) awaitWrite() {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+}
+
+// isDead reports whether the connection was reset or has timed out, so that nothing can be sent any more;
+// false if its state is not known. The error is net.ErrClosed if this process has closed it.
+func (c *Conn) isDead() (bool, error) {
+	raw, err := c.tcp.SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	var info *unix.TCPInfo
+	if closed := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO) }); closed != nil {
+		return false, closed
+	}
+	return err == nil && info.State == tcpClose, nil
+}
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -260,9 +260,6 @@
 		slog.String("request", x.call.ID), slog.String("target", x.conn.target.ID), slog.Int("status", x.head.StatusCode()), slog.Bool("framed", x.framed),
 		slog.Uint64("events", events), slog.Uint64("received", x.conn.received), slog.String("end", err.Error()),
 	}, x.uploadAttrs()...)
-	if look := x.conn.lookErr.Load(); look != nil {
-		attrs = append(attrs, slog.String("look_ended_by", (*look).Error()))
-	}
 	x.f.opts.Logger.LogAttrs(context.Background(), slog.LevelInfo, "early or unframed answer ended", attrs...)
 }
 
--- a/services/forward/handover.go
+++ b/services/forward/handover.go
@@ -58,7 +58,7 @@
 	fl.resumption, fl.excluded[start] = nil, true
 	next := fl.offerToOthers(ctx, quiet)
 	reason := keptDeclined
-	if next != nil && (ctx.Err() != nil || !mustLeave && c.hasBytes()) {
+	if next != nil && (ctx.Err() != nil || !mustLeave && !c.isQuiet()) {
 		fl.withdraw(next)
 		next, reason = nil, keptAnswered
 	}
@@ -81,7 +81,7 @@
 	go func() {
 		ticker := time.NewTicker(quietPoll)
 		defer ticker.Stop()
-		for !c.hasBytes() {
+		for c.isQuiet() {
 			select {
 			case <-ctx.Done():
 				return
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -20,6 +20,8 @@
 	"havenwinch.dev/havenwinch/models/spread"
 	"havenwinch.dev/havenwinch/modules/dial"
 	"havenwinch.dev/havenwinch/modules/meter"
+	"havenwinch.dev/havenwinch/modules/steady"
+	"havenwinch.dev/havenwinch/modules/tcpconn"
 )
 
 const (
@@ -76,8 +78,6 @@
 	// onStall is called when a read has got nothing for the time of awaitBytes; nil to wait on. It
 	// returns true if the read is to fail with errGivenUp.
 	onStall func() bool
-	// lookErr is the first error that a look for bytes has met.
-	lookErr atomic.Pointer[error]
 	// received counts the bytes that were read.
 	received uint64
 	// headBegan is when the first byte of the head that is being read arrived, in nanoseconds on the
@@ -125,13 +125,15 @@
 	}
 }
 
-// hasBytes reports whether bytes have arrived since the last read from the network.
-func (c *conn) hasBytes() bool {
-	n, err := peekByte(c.net)
-	if err != nil && !errors.Is(err, unix.EAGAIN) {
-		c.lookErr.CompareAndSwap(nil, &err)
+// isQuiet reports whether nothing has arrived since the last read from the network: no bytes, and not the end
+// of the connection. Only that of a TCP connection is known.
+func (c *conn) isQuiet() bool {
+	tcp, ok := c.net.(*tcpconn.Conn)
+	if !ok {
+		return true
 	}
-	return n > 0 && err == nil
+	_, err := tcp.Peek()
+	return errors.Is(err, unix.EAGAIN)
 }
 
 // Read implements io.Reader.
@@ -255,34 +257,14 @@
 	if other, ok := c.(carriedConn); ok {
 		return other.IsReusable()
 	}
-	if _, ok := c.(*net.TCPConn); !ok {
+	tcp, ok := c.(*tcpconn.Conn)
+	if !ok {
 		return true
 	}
-	_, err := peekByte(c)
+	_, err := tcp.Peek()
 	return errors.Is(err, unix.EAGAIN)
 }
 
-// peekByte returns the number of bytes, at most one, that can be read from a TCP connection without
-// waiting. The error is EAGAIN if there are none yet; at the end of the connection there is no error.
-func peekByte(c net.Conn) (n int, err error) {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return 0, errors.New("not a TCP connection")
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	closed := raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	if closed != nil {
-		return 0, closed
-	}
-	return n, err
-}
-
 // carriedDialError is the error of a dial through another box.
 type carriedDialError struct{ error }
 
@@ -336,14 +318,17 @@
 		return nil, err
 	}
 	limitUnacked(c, unackedLimit)
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return tcpconn.New(tcp), nil
+	}
 	return c, nil
 }
 
 // limitUnacked limits how long bytes sent on a TCP connection may remain unacknowledged, zero for the
 // kernel's own limit.
 func limitUnacked(c net.Conn, limit time.Duration) {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
+	tcp := steady.TCPConn(c)
+	if tcp == nil {
 		return
 	}
 	raw, err := tcp.SyscallConn()
--- a/services/forward/upload.go
+++ b/services/forward/upload.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -67,12 +66,12 @@
 	c, body := x.conn, x.call.Body
 	pace, cancel := context.WithTimeout(ctx, overload.MaxPace)
 	defer cancel()
-	tcp, ok := c.net.(*net.TCPConn)
-	if !ok {
+	tcp := steady.TCPConn(c.net)
+	if tcp == nil {
 		return x.writeParts(pace, body)
 	}
 	stalled, rest := false, len(body)
-	w := &steady.Writer{Conn: tcp, Timeout: x.f.uploadStall, Unsent: func() int { return steady.Unsent(tcp) }, OnStall: func(left int) bool {
+	w := &steady.Writer{Conn: c.net, Timeout: x.f.uploadStall, Unsent: func() int { return steady.Unsent(tcp) }, OnStall: func(left int) bool {
 		if !stalled && !x.f.opts.IsCongested() {
 			x.f.opts.Logger.Warn("target does not read", "request", x.call.ID, "target", c.target.ID, "bytes_left", rest+left, "body_bytes", len(x.call.Body))
 			x.f.recordUploadStall(c.target, stalled, true)
@@ -82,7 +81,7 @@
 	}}
 	defer func() {
 		x.f.recordUploadStall(c.target, stalled, false)
-		_ = tcp.SetWriteDeadline(time.Time{})
+		_ = c.net.SetWriteDeadline(time.Time{})
 	}()
 	for len(body) > 0 {
 		part := x.nextPart(pace, body)
