services/forward: an answer that ends with its connection is confirmed

What callers saw: a part of an answer without a length passed as whole where its target closed the connection before it had read the request, as the end of a process does.

Cause: an orderly end was taken for the end of the answer at once. A peer that has closed rejects what still comes within a round trip, and one that has ended only its own side goes on to acknowledge it; the box waited for neither.

Change: such an answer is whole once all of the request is written and acknowledged, or nothing more is acknowledged or rejected for 500 ms. If a part of the request is rejected it is broken.

--- a/modules/tcpconn/tcpconn.go
+++ b/modules/tcpconn/tcpconn.go
@@ -12,13 +12,27 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"havenwinch.dev/havenwinch/modules/steady"
+)
+
+const (
+	// ConfirmTimeout is how long ConfirmEnd waits for a reset: several round trips of 40 ms between regions, and
+	// the first retransmission of what is lost.
+	ConfirmTimeout = 500 * time.Millisecond
+	// confirmPoll is the time between looks of ConfirmEnd.
+	confirmPoll = 2 * time.Millisecond
+	// tcpClose is the state of a connection without peer, as in Linux' tcp_states.h.
+	tcpClose = 7
 )
 
-// tcpClose is the state of a connection without peer, as in Linux' tcp_states.h.
-const tcpClose = 7
+// ErrRequestUnread is the error for a peer that has ended the connection in order, and rejected what was
+// still sent to it after that.
+var ErrRequestUnread = errors.New("the peer closed the connection without reading all that was sent to it")
 
 // Conn is a TCP connection. Its reads return io.EOF only if the peer has ended its side in order.
 type Conn struct {
@@ -142,3 +156,38 @@
 	}
 	return err == nil && info.State == tcpClose, nil
 }
+
+// hasFailed reports whether any call has met an error that ended the connection.
+func (c *Conn) hasFailed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failure != nil
+}
+
+// ConfirmEnd waits, after Read has returned io.EOF, until the peer has acknowledged all that was sent to it. sent
+// returns how many bytes have been written so far, and whether that is all. It returns ErrRequestUnread if the
+// peer rejects a part of it, as one that has closed its connection does, and nil if it neither acknowledges
+// nor rejects anything for ConfirmTimeout.
+func (c *Conn) ConfirmEnd(sent func() (bytes int64, all bool)) error {
+	last, unsent, limit := int64(0), -1, time.Time{}
+	for {
+		bytes, all := sent()
+		dead, err := c.isDead()
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		if dead || c.hasFailed() {
+			return errors.WithStack(ErrRequestUnread)
+		}
+		n := steady.Unsent(c.tcp)
+		if all && n == 0 {
+			return nil
+		}
+		if now := time.Now(); bytes != last || n != unsent {
+			last, unsent, limit = bytes, n, now.Add(ConfirmTimeout)
+		} else if now.After(limit) {
+			return nil
+		}
+		time.Sleep(confirmPoll)
+	}
+}
--- a/modules/tcpconn/tcpconn_test.go
+++ b/modules/tcpconn/tcpconn_test.go
@@ -128,3 +128,56 @@
 		writer.Wait()
 	}
 }
+
+// Guards against an end that counts as orderly though the peer has rejected what was sent to it.
+func TestConfirmEnd(t *testing.T) {
+	cases := map[string]struct {
+		end  func(peer *net.TCPConn)
+		size int
+		want error
+	}{
+		"all acknowledged":  {end: endsOrderly, size: 100},
+		"read on":           {end: func(peer *net.TCPConn) { endsOrderly(peer); _, _ = io.Copy(io.Discard, peer) }, size: 32 << 20},
+		"neither":           {end: endsOrderly, size: 32 << 20},
+		"rejected":          {end: func(peer *net.TCPConn) { endsOrderly(peer); reset(peer) }, size: 32 << 20, want: ErrRequestUnread},
+		"rejected, not all": {end: func(peer *net.TCPConn) { endsOrderly(peer); reset(peer) }, want: ErrRequestUnread},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c, peer := pair(t)
+			var mu sync.Mutex
+			written := 0
+			go func() {
+				n, _ := c.Write(make([]byte, test.size))
+				mu.Lock()
+				defer mu.Unlock()
+				written += n
+			}()
+			go test.end(peer)
+			if _, err := io.ReadAll(c); err != nil {
+				t.Fatal(err)
+			}
+			err := c.ConfirmEnd(func() (int64, bool) {
+				mu.Lock()
+				defer mu.Unlock()
+				return int64(written), test.size > 0 && written == test.size
+			})
+			if !errors.Is(err, test.want) {
+				t.Fatalf("got %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+// Guards against an answer that counts as whole after this process has closed its connection.
+func TestConfirmEndOfAClosedConnection(t *testing.T) {
+	c, peer := pair(t)
+	endsOrderly(peer)
+	if _, err := io.ReadAll(c); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Close()
+	if err := c.ConfirmEnd(func() (int64, bool) { return 0, false }); err == nil {
+		t.Fatal("the end is confirmed")
+	}
+}
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -279,10 +279,30 @@
 		x.body = http1.NewChunkedReader(x.conn.reader, x.guardLine)
 	default:
 		x.framed = false
-		x.body = x.conn.reader
+		x.body = &unframedBody{x}
 	}
 }
 
+// endConfirmer is a connection that tells after its end whether the peer has rejected a part of what was sent
+// to it. sent returns how many bytes have been written so far, and whether that is all.
+type endConfirmer interface {
+	ConfirmEnd(sent func() (bytes int64, all bool)) error
+}
+
+// unframedBody reads a body that ends with its connection. It is whole only if its target has not rejected a part
+// of the request.
+type unframedBody struct{ x *exchange }
+
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.x.conn.reader.Read(p)
+	if c, ok := b.x.conn.net.(endConfirmer); ok && err == io.EOF {
+		if failed := c.ConfirmEnd(b.x.uploaded); failed != nil {
+			return n, failed
+		}
+	}
+	return n, err
+}
+
 // hasNoBody reports whether the answer has no body, whatever length its header declares.
 func (x *exchange) hasNoBody() bool {
 	status := x.head.StatusCode()
--- a/services/forward/upload.go
+++ b/services/forward/upload.go
@@ -49,6 +49,14 @@
 	return x.upload == nil || wasClosed(x.upload.done) && x.upload.err == nil
 }
 
+// uploaded returns how many bytes of a long body have been written, and whether the whole body has.
+func (x *exchange) uploaded() (bytes int64, all bool) {
+	if x.upload == nil {
+		return 0, true
+	}
+	return x.upload.written.Load(), x.isUploaded()
+}
+
 // uploadAttrs returns how far a long body has been written, for the log.
 func (x *exchange) uploadAttrs() []slog.Attr {
 	if x.upload == nil {
