services/relay: a reset under a carried upload is no orderly end

What callers saw: over another box, a part of an answer without a length passed as whole after its target had reset the connection in the middle of an upload.

The write of the upload took the reset, and the read at the box that carries the connection got an orderly end, which went on to the box that has the call. A failed write also closed the connection before what the target had sent was read.

Change: carried connections are tcpconn connections as well, whose end is confirmed before it is told; the box that has the call takes no end for orderly that comes before all was sent. A failed write leaves the connection open for the read.

--- a/services/relay/conn.go
+++ b/services/relay/conn.go
@@ -127,6 +127,16 @@
 	return n, nil
 }
 
+// ConfirmEnd returns an error, after Read has returned io.EOF, unless all bytes had been sent to the other box
+// by then: it has confirmed the end for those that it had got. sent returns how many have been sent so far, and
+// whether that is all.
+func (c *Conn) ConfirmEnd(sent func() (bytes int64, all bool)) error {
+	if _, all := sent(); !all {
+		return errors.WithMessage(errOtherBox, "the connection ended before all was sent")
+	}
+	return nil
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	if err := c.stream.Send(&betweenv1.ConnectRequest{Data: p}); err != nil {
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -29,6 +29,7 @@
 	"havenwinch.dev/havenwinch/modules/dial"
 	"havenwinch.dev/havenwinch/modules/hlc"
 	"havenwinch.dev/havenwinch/modules/logging"
+	"havenwinch.dev/havenwinch/modules/tcpconn"
 	"havenwinch.dev/havenwinch/services/peers"
 	"havenwinch.dev/havenwinch/services/relay"
 )
@@ -55,7 +56,11 @@
 		return nil, relay.ErrUnknownTarget{Target: id}
 	default:
 		var d net.Dialer
-		return d.DialContext(ctx, "tcp", ts.address)
+		c, err := d.DialContext(ctx, "tcp", ts.address)
+		if err != nil {
+			return nil, err
+		}
+		return tcpconn.New(c.(*net.TCPConn)), nil
 	}
 }
 
@@ -224,6 +229,68 @@
 	}
 }
 
+// Guards against a part of an answer that looks whole since the carrying box's write took the reset.
+func TestResetDuringACarriedUploadIsNoOrderlyEnd(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"at once": 0, "after 5 ms": 5 * time.Millisecond, "after 50 ms": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			address := listen(t, func(c *net.TCPConn) {
+				readLine(c)
+				_, _ = io.WriteString(c, "part")
+				time.Sleep(delay)
+				_ = c.SetLinger(0)
+				_ = c.Close()
+			})
+			d := newDialer(newCarrier(t, "box", secret, &targets{address: address}))
+			for range 20 {
+				c, err := d.Dial(context.Background(), "service", "target")
+				if err != nil {
+					t.Fatal(err)
+				}
+				go func() { _, _ = io.WriteString(c, "question\n"+strings.Repeat("a", 8<<20)) }()
+				got, err := io.ReadAll(c)
+				if err == nil {
+					t.Fatalf("read %q and an orderly end", got)
+				}
+				_ = c.Close()
+			}
+		})
+	}
+}
+
+// Guards against an early answer over another box that is lost though its target reads on and ends the connection in
+// order.
+func TestOrderlyEndDuringACarriedUpload(t *testing.T) {
+	address := listen(t, func(c *net.TCPConn) {
+		readLine(c)
+		_, _ = io.WriteString(c, "answer")
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	})
+	c, err := newDialer(newCarrier(t, "box", secret, &targets{address: address})).Dial(context.Background(), "service", "target")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	var written atomic.Int64
+	go func() {
+		for range 64 {
+			n, _ := c.Write(make([]byte, 128<<10))
+			written.Add(int64(n))
+		}
+	}()
+	if _, err := io.WriteString(c, "question\n"); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(c)
+	if err != nil || string(got) != "answer" {
+		t.Fatalf("read %q: %v", got, err)
+	}
+	sent := func() (int64, bool) { return written.Load(), written.Load() == 8<<20 }
+	if err := c.(*relay.Conn).ConfirmEnd(sent); err != nil {
+		t.Fatalf("%v after %d bytes", err, written.Load())
+	}
+}
+
 // Guards against streams over another box that can't leave a silent target.
 func TestReadDeadlineOfCarriedConnection(t *testing.T) {
 	goOn := make(chan struct{})
--- a/services/relay/server.go
+++ b/services/relay/server.go
@@ -29,6 +29,9 @@
 	bufferSize = 8 << 10
 	// stopPoll is the time between looks at the connections that are left during a stop.
 	stopPoll = 50 * time.Millisecond
+	// settleTime is how long after bytes of another box no more are expected at the end of a connection: a round
+	// trip between regions.
+	settleTime = 50 * time.Millisecond
 )
 
 // Targets dials targets over the box's own links. The error is an ErrNoPath if the box has
@@ -63,6 +66,18 @@
 	stream ServerStream
 	// sending serializes the messages to the other box.
 	sending sync.Mutex
+	// mu guards received, the number of bytes of the other box, isWriting, which is set while the last of
+	// them are written to the target, and heardAt, when they came.
+	mu        sync.Mutex
+	received  int64
+	isWriting bool
+	heardAt   time.Time
+}
+
+// endConfirmer is a connection that tells after its end whether the peer has rejected a part of what was sent
+// to it.
+type endConfirmer interface {
+	ConfirmEnd(sent func() (bytes int64, all bool)) error
 }
 
 // ServerStream is the stream of a connection to another box.
@@ -156,22 +171,55 @@
 }
 
 // upload writes the other box's bytes to the target until the stream ends, which closes the
-// connection.
+// connection, or a write fails. What the target has sent before that can still be read.
 func (s *Server) upload(c *carried) {
-	defer c.target.Close()
 	for {
 		m, err := c.stream.Receive()
 		if err != nil {
+			_ = c.target.Close()
 			return
 		}
 		s.opts.Meter.AddReceived(len(m.GetData()))
 		s.opts.Meter.AddSent(len(m.GetData()))
-		if _, err := c.target.Write(m.GetData()); err != nil {
+		if err := c.write(m.GetData()); err != nil {
 			return
 		}
 	}
 }
 
+// write writes bytes of the other box to the target.
+func (c *carried) write(p []byte) error {
+	c.record(len(p), true)
+	defer c.record(0, false)
+	_, err := c.target.Write(p)
+	return errors.WithStack(err)
+}
+
+func (c *carried) record(received int, isWriting bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received += int64(received)
+	c.isWriting, c.heardAt = isWriting, time.Now()
+}
+
+// sent returns how many bytes of the other box have come, and whether no more are expected.
+func (c *carried) sent() (bytes int64, all bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received, !c.isWriting && time.Since(c.heardAt) >= settleTime
+}
+
+// end returns the error that tells the other box how its connection has ended.
+func (c *carried) end(err error) error {
+	if confirmer, ok := c.target.(endConfirmer); ok && err == io.EOF {
+		err = confirmer.ConfirmEnd(c.sent)
+	}
+	if err == nil || err == io.EOF {
+		return nil
+	}
+	return connect.NewError(connect.CodeAborted, errors.WithMessage(err, "the connection to the target broke off"))
+}
+
 // download sends the target's bytes to the other box until the target ends the connection.
 func (s *Server) download(c *carried) error {
 	buffer := make([]byte, bufferSize)
@@ -184,11 +232,8 @@
 				return errors.WithStack(sendErr)
 			}
 		}
-		switch {
-		case err == io.EOF:
-			return nil
-		case err != nil:
-			return connect.NewError(connect.CodeAborted, errors.WithMessage(err, "the connection to the target broke off"))
+		if err != nil {
+			return c.end(err)
 		}
 	}
 }
