modules/tcpconn: no end is confirmed because of an own close

Cause: ConfirmEnd looked at the state of the connection first and asked for the unsent bytes after that. A close by this process between the two (a deadline, a caller that leaves) made the second one unknown, which reads as zero, so that the end was confirmed with bytes that the peer had not acknowledged.

Change: the unsent bytes are read before the state.

--- a/modules/tcpconn/tcpconn.go
+++ b/modules/tcpconn/tcpconn.go
@@ -172,6 +172,8 @@
 	last, unsent, limit := int64(0), -1, time.Time{}
 	for {
 		bytes, all := sent()
+		// Before the state: nothing is known to be unsent on a connection that is closed now.
+		n := steady.Unsent(c.tcp)
 		dead, err := c.isDead()
 		if err != nil {
 			return errors.WithStack(err)
@@ -179,7 +181,6 @@
 		if dead || c.hasFailed() {
 			return errors.WithStack(ErrRequestUnread)
 		}
-		n := steady.Unsent(c.tcp)
 		if all && n == 0 {
 			return nil
 		}
