modules/tcpconn: silence confirms an end only if the peer has no room

Cause: ConfirmEnd returned nil whenever nothing had changed for 500 ms. That held also where the peer could not have answered: bytes that are lost on a cut or congested link, where a reset comes after the second retransmission or not at all, and a rest of the request that this process has not sent yet (MaxPace of services/overload is 500 ms as well, so that a starved writer is enough). A target whose process has ended then has its part of an answer pass as whole.

Change: after 500 ms the end is confirmed only if bytes are unsent and none is in flight, or the peer's window is closed, which shows that the connection is held. Otherwise the wait goes on to 2.5 s, the limit of unacknowledged bytes, and ends with ErrUnconfirmed. Where the kernel does not tell its state, 500 ms hold as before.

--- a/modules/tcpconn/confirm_test.go
+++ b/modules/tcpconn/confirm_test.go
@@ -6,6 +6,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 
 	"golang.org/x/sys/unix"
@@ -27,6 +28,43 @@
 	}
 }
 
+// Guards against an end that is confirmed though the bytes before it are still on their way to a peer that has closed.
+func TestConfirmEndOverACutLink(t *testing.T) {
+	c, peer := pair(t)
+	dropPackets(t, peer)
+	const size = 8 << 10
+	if n, err := c.Write(make([]byte, size)); n != size || err != nil {
+		t.Fatal(n, err)
+	}
+	_ = peer.Close()
+	if _, err := io.ReadAll(c); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.ConfirmEnd(func() (int64, bool) { return size, true }); err == nil {
+		t.Fatalf("the end is confirmed, the peer has acknowledged none of %d bytes", size)
+	}
+}
+
+// Guards against an end that is confirmed because nothing of the request has been sent for a while.
+func TestConfirmEndBeforeTheRestIsSent(t *testing.T) {
+	c, peer := pair(t)
+	endsOrderly(peer)
+	if _, err := io.ReadAll(c); err != nil {
+		t.Fatal(err)
+	}
+	var looks atomic.Int64
+	// The rest of the request is sent once ConfirmTimeout is long over, and rejected.
+	err := c.ConfirmEnd(func() (int64, bool) {
+		if n := looks.Add(1); n == 2*int64(ConfirmTimeout/confirmPoll) {
+			reset(peer)
+		}
+		return 0, false
+	})
+	if err == nil {
+		t.Fatalf("the end is confirmed after %d looks, all while nothing was sent", looks.Load())
+	}
+}
+
 // Guards against an end that is confirmed because this process has closed the connection.
 func TestConfirmEndBesideAClose(t *testing.T) {
 	const size = 8 << 10
--- a/modules/tcpconn/tcpconn.go
+++ b/modules/tcpconn/tcpconn.go
@@ -24,6 +24,9 @@
 	// ConfirmTimeout is how long ConfirmEnd waits for a reset: several round trips of 40 ms between regions, and
 	// the first retransmission of what is lost.
 	ConfirmTimeout = 500 * time.Millisecond
+	// UnheardTimeout is how long ConfirmEnd waits if the connection does not tell whether the peer still holds it: a
+	// link that is cut, or a rest of the request that is not sent yet. It is that of unacknowledged bytes.
+	UnheardTimeout = 2500 * time.Millisecond
 	// confirmPoll is the time between looks of ConfirmEnd.
 	confirmPoll = 2 * time.Millisecond
 	// tcpClose is the state of a connection without peer, as in Linux' tcp_states.h.
@@ -34,6 +37,10 @@
 // still sent to it after that.
 var ErrRequestUnread = errors.New("the peer closed the connection without reading all that was sent to it")
 
+// ErrUnconfirmed is the error for a peer that has ended the connection in order, and of which is not known whether it
+// would have taken the rest of what was to be sent to it.
+var ErrUnconfirmed = errors.New("the peer ended the connection before all was sent, and nothing was heard from it since")
+
 // Conn is a TCP connection. Its reads return io.EOF only if the peer has ended its side in order.
 type Conn struct {
 	net.Conn
@@ -146,15 +153,26 @@
 // isDead reports whether the connection was reset or has timed out, so that nothing can be sent any more;
 // false if its state is not known. The error is net.ErrClosed if this process has closed it.
 func (c *Conn) isDead() (bool, error) {
+	info, err := c.info()
+	return info != nil && info.State == tcpClose, err
+}
+
+// info returns the kernel's state of the connection, nil if that is not known. The error is net.ErrClosed if this
+// process has closed it.
+func (c *Conn) info() (info *unix.TCPInfo, err error) {
 	raw, err := c.tcp.SyscallConn()
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	var info *unix.TCPInfo
-	if closed := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO) }); closed != nil {
-		return false, closed
+	var unknown error
+	closed := raw.Control(func(fd uintptr) { info, unknown = unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO) })
+	if closed != nil {
+		return nil, closed
 	}
-	return err == nil && info.State == tcpClose, nil
+	if unknown != nil || info.State == 0 {
+		return nil, nil
+	}
+	return info, nil
 }
 
 // hasFailed reports whether any call has met an error that ended the connection.
@@ -166,29 +184,38 @@
 
 // ConfirmEnd waits, after Read has returned io.EOF, until the peer has acknowledged all that was sent to it. sent
 // returns how many bytes have been written so far, and whether that is all. It returns ErrRequestUnread if the
-// peer rejects a part of it, as one that has closed its connection does, and nil if it neither acknowledges
-// nor rejects anything for ConfirmTimeout.
+// peer rejects a part of it, as one that has closed its connection does, and nil if it has no room for more and
+// neither acknowledges nor rejects anything for ConfirmTimeout. If the rest is not sent, or on its way, for
+// UnheardTimeout, the error is ErrUnconfirmed.
 func (c *Conn) ConfirmEnd(sent func() (bytes int64, all bool)) error {
-	last, unsent, limit := int64(0), -1, time.Time{}
+	last, unsent, progress := int64(0), -1, time.Time{}
 	for {
 		bytes, all := sent()
 		// Before the state: nothing is known to be unsent on a connection that is closed now.
 		n := steady.Unsent(c.tcp)
-		dead, err := c.isDead()
+		info, err := c.info()
 		if err != nil {
 			return errors.WithStack(err)
 		}
-		if dead || c.hasFailed() {
+		if info != nil && info.State == tcpClose || c.hasFailed() {
 			return errors.WithStack(ErrRequestUnread)
 		}
 		if all && n == 0 {
 			return nil
 		}
-		if now := time.Now(); bytes != last || n != unsent {
-			last, unsent, limit = bytes, n, now.Add(ConfirmTimeout)
-		} else if now.After(limit) {
+		if bytes != last || n != unsent {
+			last, unsent, progress = bytes, n, time.Now()
+		}
+		switch idle := time.Since(progress); {
+		case idle >= ConfirmTimeout && (info == nil || n > 0 && hasNoRoom(info)):
 			return nil
+		case idle >= UnheardTimeout:
+			return errors.WithStack(ErrUnconfirmed)
 		}
 		time.Sleep(confirmPoll)
 	}
 }
+
+// hasNoRoom reports whether the peer holds the connection and has no room for more bytes: none are on their way to
+// it, or it has closed its window.
+func hasNoRoom(info *unix.TCPInfo) bool { return info.Unacked == 0 || info.Snd_wnd == 0 }
