routers/caller: a part of a body is no request

Cause: fasthttp ends the stream of a request's body with io.EOF when the caller ends its side before the declared length (requestStream.strictEOF is set for answers only). Bodies of more than 8 KB are read from that stream, so that a part was sent to a service as the whole request, answered with 200, and could be billed and recorded.

Change: a body that is shorter than its length is refused as malformed, not run, and the connection is closed.

Measured: TestPartsOfBodiesReachNoService failed before in 1 of 3 cases (of a body with a length: "the service got bodies of [50000] bytes, want none; the caller got HTTP/1.1 200 OK"), those with chunks passed; go test -race ./routers/caller passes with the change.

--- a/routers/caller/parse.go
+++ b/routers/caller/parse.go
@@ -202,7 +202,9 @@
 		return append([]byte(nil), x.ctx.PostBody()...), nil
 	}
 	body, err := io.ReadAll(io.LimitReader(stream, int64(c.opts.MaxBody)+1))
-	if err != nil {
+	// fasthttp ends the stream in order when the caller ends its side before the length.
+	if short := len(body) < min(x.ctx.Request.Header.ContentLength(), c.opts.MaxBody+1); err != nil || short {
+		x.ctx.SetConnectionClose()
 		return nil, &dispatch.Refusal{Kind: structs.KindMalformed, Run: structs.RunNo, Message: "the body did not arrive whole: send it again"}
 	}
 	if len(body) <= c.opts.MaxBody {
