services/relay: a carried end counts only for the bytes that had come

What callers saw: over another box, a part of an answer without a length passed as whole after its target had closed the connection early, where the rest of the request reached the carrying box later than 50 ms after the part before.

Cause: the carrying box confirms an end once nothing has come for 50 ms. It did not say for how much of the request, and the box that has the call compared with what it had sent, not with what had come there.

Change: the last message before an orderly end says how many bytes had come and are acknowledged. The box that has the call takes the end for orderly only if that is all it sent. A box of an earlier version does not say it, and one whose target does not read doesn't either; then the end counts as before.

--- a/services/relay/conn.go
+++ b/services/relay/conn.go
@@ -43,6 +43,9 @@
 	// err is the end of the stream: io.EOF if the target has closed the connection.
 	err     error
 	closing bool
+	// sent is how many bytes have been written, and received how many of them the other box had got by the orderly
+	// end of the connection; zero if it has not told.
+	sent, received int64
 }
 
 // newConn returns a connection over a stream that is open.
@@ -86,6 +89,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = c.closing || m.GetClosing()
+	c.received = max(c.received, m.GetReceived())
 	c.unread = append(c.unread, m.GetData()...)
 	c.changed.Broadcast()
 	for len(c.unread) > maxUnread && c.err == nil {
@@ -127,13 +131,18 @@
 	return n, nil
 }
 
-// ConfirmEnd returns an error, after Read has returned io.EOF, unless all bytes had been sent to the other box
-// by then: it has confirmed the end for those that it had got. sent returns how many have been sent so far, and
-// whether that is all.
+// ConfirmEnd returns an error, after Read has returned io.EOF, unless all bytes had been sent by then and had
+// reached the other box: it has confirmed the end for those that it had got. sent returns how many have been
+// sent so far, and whether that is all.
 func (c *Conn) ConfirmEnd(sent func() (bytes int64, all bool)) error {
 	if _, all := sent(); !all {
 		return errors.WithMessage(errOtherBox, "the connection ended before all was sent")
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.received > 0 && c.received < c.sent {
+		return errors.WithMessagef(errOtherBox, "the connection ended after %d of the %d bytes sent had come", c.received, c.sent)
+	}
 	return nil
 }
 
@@ -142,6 +151,9 @@
 	if err := c.stream.Send(&betweenv1.ConnectRequest{Data: p}); err != nil {
 		return 0, errors.WithMessage(errOtherBox, err.Error())
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent += int64(len(p))
 	return len(p), nil
 }
 
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -80,6 +80,12 @@
 
 // newCarrier starts a box that carries connections to the given targets.
 func newCarrier(t testing.TB, name, secret string, ts relay.Targets) *carrier {
+	t.Helper()
+	return newCarrierWith(t, name, secret, ts, func(s relay.ServerStream) relay.ServerStream { return s })
+}
+
+// newCarrierWith is like newCarrier with streams that wrap replaces.
+func newCarrierWith(t testing.TB, name, secret string, ts relay.Targets, wrap func(relay.ServerStream) relay.ServerStream) *carrier {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -89,7 +95,7 @@
 	c.server = relay.NewServer(relay.ServerOptions{Targets: ts, IsCongested: func() bool { return false }, Count: func(string) {}})
 	p := newPeers(name, secret)
 	mux := http.NewServeMux()
-	mux.Handle(betweenv1connect.NewRelayServiceHandler(handler{c.server}, p.HandlerOptions()...))
+	mux.Handle(betweenv1connect.NewRelayServiceHandler(handler{c.server, wrap}, p.HandlerOptions()...))
 	c.http = p.Server(mux)
 	c.http.ConnState = func(conn net.Conn, s http.ConnState) {
 		if s == http.StateNew {
@@ -113,10 +119,13 @@
 	}
 }
 
-type handler struct{ server *relay.Server }
+type handler struct {
+	server *relay.Server
+	wrap   func(relay.ServerStream) relay.ServerStream
+}
 
 func (h handler) Connect(ctx context.Context, stream *connect.BidiStream[betweenv1.ConnectRequest, betweenv1.ConnectResponse]) error {
-	return h.server.Serve(ctx, stream)
+	return h.server.Serve(ctx, h.wrap(stream))
 }
 
 const secret = "a secret for tests on loopback only"
@@ -257,6 +266,54 @@
 	}
 }
 
+// lateStream is a stream of which only the first messages come in time.
+type lateStream struct {
+	relay.ServerStream
+	left int
+	late <-chan struct{}
+}
+
+func (s *lateStream) Receive() (*betweenv1.ConnectRequest, error) {
+	if s.left--; s.left < 0 {
+		<-s.late
+	}
+	return s.ServerStream.Receive()
+}
+
+// Guards against a part of an answer that looks whole since its target closed before the rest of the request had
+// reached the carrying box.
+func TestOrderlyEndBeforeAllHasReachedTheCarryingBox(t *testing.T) {
+	address := listen(t, func(c *net.TCPConn) {
+		readLine(c)
+		_, _ = io.WriteString(c, "part")
+		_ = c.Close()
+	})
+	late := make(chan struct{})
+	defer close(late)
+	// The first message names the target, the second has the question.
+	box := newCarrierWith(t, "box", secret, &targets{address: address}, func(s relay.ServerStream) relay.ServerStream {
+		return &lateStream{ServerStream: s, left: 2, late: late}
+	})
+	c, err := newDialer(box).Dial(context.Background(), "service", "target")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	question, rest := "question\n", "the rest"
+	for _, text := range []string{question, rest} {
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := io.ReadAll(c)
+	if err == nil {
+		err = c.(*relay.Conn).ConfirmEnd(func() (int64, bool) { return int64(len(question + rest)), true })
+	}
+	if err == nil {
+		t.Fatalf("read %q and an end that is confirmed", got)
+	}
+}
+
 // Guards against an early answer over another box that is lost though its target reads on and ends the connection in
 // order.
 func TestOrderlyEndDuringACarriedUpload(t *testing.T) {
--- a/services/relay/server.go
+++ b/services/relay/server.go
@@ -209,13 +209,22 @@
 	return c.received, !c.isWriting && time.Since(c.heardAt) >= settleTime
 }
 
-// end returns the error that tells the other box how its connection has ended.
+// end tells the other box, at an orderly end, how much of what it has sent the target has acknowledged. It
+// returns the error that tells of another end.
 func (c *carried) end(err error) error {
+	received := int64(0)
 	if confirmer, ok := c.target.(endConfirmer); ok && err == io.EOF {
-		err = confirmer.ConfirmEnd(c.sent)
+		err = confirmer.ConfirmEnd(func() (bytes int64, all bool) {
+			bytes, all = c.sent()
+			received = 0
+			if all {
+				received = bytes
+			}
+			return bytes, all
+		})
 	}
 	if err == nil || err == io.EOF {
-		return nil
+		return errors.WithStack(c.send(&betweenv1.ConnectResponse{Received: received}))
 	}
 	return connect.NewError(connect.CodeAborted, errors.WithMessage(err, "the connection to the target broke off"))
 }
