services/relay: the end of a carried connection is confirmed without a settling time

Cause: the carrying box took what had come within 50 ms for all, and the box that has the call compared with what it had sent, not with what had come there.

Change: the carrying box tells that the target has ended its side and keeps the stream open; the box that has the call says when it has sent all of the request; the end of the stream then tells whether the target has rejected any. Boxes of an earlier version are treated as before.

--- a/services/relay/conn.go
+++ b/services/relay/conn.go
@@ -21,6 +21,9 @@
 // maxUnread is how many bytes of a target a Conn keeps until they are read.
 const maxUnread = 64 << 10
 
+// confirmPoll is the time between looks of ConfirmEnd.
+const confirmPoll = 2 * time.Millisecond
+
 // clientStream is a stream of RelayService.Connect.
 type clientStream = connect.BidiStreamForClient[betweenv1.ConnectRequest, betweenv1.ConnectResponse]
 
@@ -38,14 +41,13 @@
 	// expired is set once the read deadline has passed, and expiry ends the wait of a read then.
 	expired bool
 	expiry  *time.Timer
-	// changed is signalled when unread, err, closing or expired have changed.
+	// changed is signalled when unread, err, ended, closing or expired have changed.
 	changed *sync.Cond
-	// err is the end of the stream: io.EOF if the target has closed the connection.
+	// err is the end of the stream: io.EOF if the target has closed the connection. ended is set once the target
+	// has ended its side, which the other box confirms by the end of the stream.
 	err     error
+	ended   bool
 	closing bool
-	// sent is how many bytes have been written, and received how many of them the other box had got by the orderly
-	// end of the connection; zero if it has not told.
-	sent, received int64
 }
 
 // newConn returns a connection over a stream that is open.
@@ -88,8 +90,7 @@
 func (c *Conn) take(m *betweenv1.ConnectResponse) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = c.closing || m.GetClosing()
-	c.received = max(c.received, m.GetReceived())
+	c.closing, c.ended = c.closing || m.GetClosing(), c.ended || m.GetEnded()
 	c.unread = append(c.unread, m.GetData()...)
 	c.changed.Broadcast()
 	for len(c.unread) > maxUnread && c.err == nil {
@@ -113,14 +114,17 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.unread) == 0 && c.err == nil && !c.expired {
+	for len(c.unread) == 0 && c.err == nil && !c.ended && !c.expired {
 		c.changed.Wait()
 	}
-	if len(c.unread) == 0 && c.err == nil {
-		return 0, os.ErrDeadlineExceeded
-	}
-	if len(c.unread) == 0 {
+	switch {
+	case len(c.unread) > 0:
+	case c.err != nil:
 		return 0, c.err
+	case c.ended:
+		return 0, io.EOF
+	default:
+		return 0, os.ErrDeadlineExceeded
 	}
 	n := copy(p, c.unread)
 	c.unread = c.unread[n:]
@@ -131,19 +135,35 @@
 	return n, nil
 }
 
-// ConfirmEnd returns an error, after Read has returned io.EOF, unless all bytes had been sent by then and had
-// reached the other box: it has confirmed the end for those that it had got. sent returns how many have been
-// sent so far, and whether that is all.
+// ConfirmEnd waits, after Read has returned io.EOF, until the other box has confirmed the end: the target has
+// acknowledged all that was sent, or has no room for it. sent returns how many bytes have been sent so far, and
+// whether that is all. A box of an earlier version confirms the end only for what had come to it before.
 func (c *Conn) ConfirmEnd(sent func() (bytes int64, all bool)) error {
-	if _, all := sent(); !all {
-		return errors.WithMessage(errOtherBox, "the connection ended before all was sent")
+	for told := false; ; time.Sleep(confirmPoll) {
+		_, all := sent()
+		ended, err := c.ending()
+		switch {
+		case err == io.EOF && (ended || all):
+			return nil
+		case err == io.EOF:
+			return errors.WithMessage(errOtherBox, "the connection ended before all was sent")
+		case err != nil:
+			return err
+		case all && !told:
+			told = true
+			if err := c.stream.Send(&betweenv1.ConnectRequest{Finished: true}); err != nil && !errors.Is(err, io.EOF) {
+				return errors.WithMessage(errOtherBox, err.Error())
+			}
+		}
 	}
+}
+
+// ending reports whether the target has ended its side as the other box has told before the end of the stream, and
+// returns the end of the stream, nil if it is open.
+func (c *Conn) ending() (ended bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.received > 0 && c.received < c.sent {
-		return errors.WithMessagef(errOtherBox, "the connection ended after %d of the %d bytes sent had come", c.received, c.sent)
-	}
-	return nil
+	return c.ended, c.err
 }
 
 // Write implements net.Conn.
@@ -151,9 +171,6 @@
 	if err := c.stream.Send(&betweenv1.ConnectRequest{Data: p}); err != nil {
 		return 0, errors.WithMessage(errOtherBox, err.Error())
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.sent += int64(len(p))
 	return len(p), nil
 }
 
@@ -173,7 +190,7 @@
 func (c *Conn) IsReusable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.unread) == 0 && c.err == nil && !c.closing
+	return len(c.unread) == 0 && c.err == nil && !c.ended && !c.closing
 }
 
 // Box returns the name of the box that carries the connection.
--- a/services/relay/dialer.go
+++ b/services/relay/dialer.go
@@ -209,7 +209,7 @@
 	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
 	stream := d.client(b.Address).Connect(streamCtx)
-	err := stream.Send(&betweenv1.ConnectRequest{Target: target})
+	err := stream.Send(&betweenv1.ConnectRequest{Target: target, ConfirmsEnd: true})
 	if err == nil || errors.Is(err, io.EOF) {
 		// The error of a stream that has ended comes with the answer.
 		_, err = stream.Receive()
--- a/services/relay/server.go
+++ b/services/relay/server.go
@@ -29,8 +29,8 @@
 	bufferSize = 8 << 10
 	// stopPoll is the time between looks at the connections that are left during a stop.
 	stopPoll = 50 * time.Millisecond
-	// settleTime is how long after bytes of another box no more are expected at the end of a connection: a round
-	// trip between regions.
+	// settleTime is how long after bytes of a box that does not say when it has sent all no more are expected at
+	// the end of a connection: a round trip between regions.
 	settleTime = 50 * time.Millisecond
 )
 
@@ -66,12 +66,16 @@
 	stream ServerStream
 	// sending serializes the messages to the other box.
 	sending sync.Mutex
+	// confirmsEnd is set if the other box says when it has sent all of a request.
+	confirmsEnd bool
 	// mu guards received, the number of bytes of the other box, isWriting, which is set while the last of
-	// them are written to the target, and heardAt, when they came.
+	// them are written to the target, heardAt, when they came, and finished, which is set once the other box
+	// has sent all.
 	mu        sync.Mutex
 	received  int64
 	isWriting bool
 	heardAt   time.Time
+	finished  bool
 }
 
 // endConfirmer is a connection that tells after its end whether the peer has rejected a part of what was sent
@@ -104,7 +108,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	c, err := s.open(ctx, first.GetTarget(), stream)
+	c, err := s.open(ctx, first, stream)
 	if err != nil {
 		s.opts.Count(outcomeRefused)
 		return toConnect(err)
@@ -120,19 +124,19 @@
 	return s.download(c)
 }
 
-// open dials a target and adds the connection to those that are carried.
-func (s *Server) open(ctx context.Context, target string, stream ServerStream) (*carried, error) {
+// open dials the target that the first message names and adds the connection to those that are carried.
+func (s *Server) open(ctx context.Context, first *betweenv1.ConnectRequest, stream ServerStream) (*carried, error) {
 	if s.opts.IsCongested() {
 		return nil, errors.WithStack(ErrBusy{Reason: "its link is congested"})
 	}
 	if err := s.checkRoom(); err != nil {
 		return nil, err
 	}
-	conn, err := s.opts.Targets.DialTarget(ctx, target)
+	conn, err := s.opts.Targets.DialTarget(ctx, first.GetTarget())
 	if err != nil {
 		return nil, err
 	}
-	c := &carried{target: conn, stream: stream}
+	c := &carried{target: conn, stream: stream, confirmsEnd: first.GetConfirmsEnd()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.isStopping {
@@ -181,12 +185,21 @@
 		}
 		s.opts.Meter.AddReceived(len(m.GetData()))
 		s.opts.Meter.AddSent(len(m.GetData()))
+		if m.GetFinished() {
+			c.finish()
+		}
 		if err := c.write(m.GetData()); err != nil {
 			return
 		}
 	}
 }
 
+func (c *carried) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finished = true
+}
+
 // write writes bytes of the other box to the target.
 func (c *carried) write(p []byte) error {
 	c.record(len(p), true)
@@ -202,33 +215,38 @@
 	c.isWriting, c.heardAt = isWriting, time.Now()
 }
 
-// sent returns how many bytes of the other box have come, and whether no more are expected.
+// sent returns how many bytes of the other box have come, and whether these are all. Those of a box that does not
+// say so are taken for all once no more have come for settleTime.
 func (c *carried) sent() (bytes int64, all bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.confirmsEnd {
+		return c.received, c.finished && !c.isWriting
+	}
 	return c.received, !c.isWriting && time.Since(c.heardAt) >= settleTime
 }
 
-// end tells the other box, at an orderly end, how much of what it has sent the target has acknowledged. It
-// returns the error that tells of another end.
+// end returns the error that tells the other box how its connection has ended.
 func (c *carried) end(err error) error {
-	received := int64(0)
 	if confirmer, ok := c.target.(endConfirmer); ok && err == io.EOF {
-		err = confirmer.ConfirmEnd(func() (bytes int64, all bool) {
-			bytes, all = c.sent()
-			received = 0
-			if all {
-				received = bytes
-			}
-			return bytes, all
-		})
+		err = c.confirmEnd(confirmer)
 	}
 	if err == nil || err == io.EOF {
-		return errors.WithStack(c.send(&betweenv1.ConnectResponse{Received: received}))
+		return nil
 	}
 	return connect.NewError(connect.CodeAborted, errors.WithMessage(err, "the connection to the target broke off"))
 }
 
+// confirmEnd tells the other box of the orderly end of the target, and waits for all that it sends.
+func (c *carried) confirmEnd(confirmer endConfirmer) error {
+	if c.confirmsEnd {
+		if err := c.send(&betweenv1.ConnectResponse{Ended: true}); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return confirmer.ConfirmEnd(c.sent)
+}
+
 // download sends the target's bytes to the other box until the target ends the connection.
 func (s *Server) download(c *carried) error {
 	buffer := make([]byte, bufferSize)
