services/gateway: news of control count from when they were made

Cause: a follower dated the news of control by the time at which it read them. A message that had waited, in the buffers of a box that stood still or on a slow path, made an old list of targets count as present. A service whose second version had joined meanwhile then counted as one that runs one version only, and a stream of the new version whose record was lost or out of reach went on at the former one. The query for a target's start was left out for the same reason. The class is: the order in which messages arrive is taken for the order in which they were made.

Change: control tells how long after the follower's request a message was made, and the follower counts from when it asked. It asks anew every 30 s, as clocks drift, and after 2 s if the request was slow. A sender that does not tell counts as old, so that such streams are refused as not run. The age of the news is rounded up.

--- a/services/gateway/follow.go
+++ b/services/gateway/follow.go
@@ -38,13 +38,25 @@
 	// available within a second.
 	retryDelay      = 150 * time.Millisecond
 	firstRetryDelay = 50 * time.Millisecond
+	// renewInterval is the time after which a follower asks anew, as the clocks of two boxes drift
+	// apart, and soonRenewal that after a request that was on its way for longer than promptRequest.
+	renewInterval = 30 * time.Second
+	soonRenewal   = 2 * time.Second
+	promptRequest = 100 * time.Millisecond
+	// driftPart is the part of a time by which another box's clock may be fast, as a divisor: one
+	// millisecond a second.
+	driftPart = 1000
 )
 
+// errRenewal ends the following of a control box that is to be asked anew.
+var errRenewal = errors.New("the control box is asked anew")
+
 // Serve streams a source to a follower until the context is done or send fails. While the
 // source is out of sync, its messages have no content, as a follower discards it: after a
 // restart of the whole fleet all boxes ask each control box in turn, and the tables for them
 // would take the time that control needs to elect a leader.
 func Serve(ctx context.Context, source Source, r *betweenv1.FollowRequest, send func(*betweenv1.FollowResponse) error) error {
+	asked := source.Now()
 	has := Position{Version: r.GetRoutingVersion(), Targets: r.GetTargetRevision(), Quarantine: r.GetQuarantineRevision(), Evacuations: r.GetEvacuationRevision()}
 	awaitSync(ctx, source)
 	alive := time.NewTicker(keepaliveInterval)
@@ -52,11 +64,11 @@
 	for {
 		changed := source.Changed()
 		// The age is read before the content, which may be older than what comes into sync meanwhile.
-		resp, age := &betweenv1.FollowResponse{}, source.Confirmed()
+		resp, elapsed, age := &betweenv1.FollowResponse{}, source.Now()-asked, source.Confirmed()
 		if age <= maxSyncAge {
 			resp = source.After(has)
 		}
-		resp.Confirmed = age.Milliseconds()
+		resp.Elapsed, resp.Confirmed = elapsed.Milliseconds(), millisecondsUp(age)
 		if err := send(resp); err != nil {
 			return err
 		}
@@ -74,6 +86,9 @@
 	}
 }
 
+// millisecondsUp returns a duration in milliseconds, rounded up.
+func millisecondsUp(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
+
 // awaitSync waits until a source is in sync, the context is done or syncWait has passed.
 func awaitSync(ctx context.Context, source Source) {
 	for range syncWait / syncPoll {
@@ -130,6 +145,9 @@
 		}
 		address := addresses[next%uint64(len(addresses))]
 		err := f.follow(ctx, address)
+		for err == errRenewal {
+			err = f.follow(ctx, address)
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -150,13 +168,14 @@
 }
 
 // follow reads one control box's stream until it ends, sends nothing for silenceTimeout
-// or the box is out of sync. It always returns an error.
+// the box is out of sync, or it is time to ask anew. It always returns an error, errRenewal in the
+// last case.
 func (f *Follower) follow(ctx context.Context, address string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(silenceTimeout, cancel)
 	defer silence.Stop()
-	has := f.Store.Position()
+	has, d := f.Store.Position(), dating{askedAt: f.Store.Now()}
 	stream, err := f.Client.clientFor(address).Follow(ctx, connect.NewRequest(&betweenv1.FollowRequest{
 		Box: f.Box, RoutingVersion: has.Version, TargetRevision: has.Targets, QuarantineRevision: has.Quarantine, EvacuationRevision: has.Evacuations,
 	}))
@@ -174,9 +193,12 @@
 			f.connected = address
 			f.Logger.Info("dependency regained", "dependency", "control", "address", address)
 		}
-		if err := f.apply(message); err != nil {
+		if err := f.apply(message, d.madeAt(message)); err != nil {
 			return err
 		}
+		if d.isOver(message, f.Store.Now()) {
+			return errRenewal
+		}
 	}
 	if stream.Err() == nil {
 		return errors.New("the control box ended the stream")
@@ -184,8 +206,34 @@
 	return errors.WithStack(stream.Err())
 }
 
-func (f *Follower) apply(r *betweenv1.FollowResponse) error {
-	changes, err := f.Store.Apply(r)
+// dating tells when the messages of a control box were made, by this box's boot clock. The time at which
+// one is read proves nothing: it may have waited on its way or in the buffers of a box that stood still.
+// The control box got the request after askedAt, and says how long before the making of the message.
+type dating struct {
+	askedAt time.Duration
+	// renewAt is when the control box is to be asked anew, zero before the first message.
+	renewAt time.Duration
+}
+
+// madeAt returns the boot time before which a message was not made.
+func (d *dating) madeAt(r *betweenv1.FollowResponse) time.Duration {
+	elapsed := time.Duration(r.GetElapsed()) * time.Millisecond
+	return d.askedAt + elapsed - elapsed/driftPart
+}
+
+// isOver reports whether it is time to ask anew, after a message that was read by now.
+func (d *dating) isOver(r *betweenv1.FollowResponse, now time.Duration) bool {
+	if d.renewAt == 0 {
+		d.renewAt = d.askedAt + renewInterval
+		if now-d.madeAt(r) > promptRequest {
+			d.renewAt = now + soonRenewal
+		}
+	}
+	return now >= d.renewAt
+}
+
+func (f *Follower) apply(r *betweenv1.FollowResponse, madeAt time.Duration) error {
+	changes, err := f.Store.ApplyMadeAt(r, madeAt)
 	if err != nil {
 		return err
 	}
--- a/services/gateway/late_news_test.go
+++ b/services/gateway/late_news_test.go
@@ -118,3 +118,35 @@
 // maxSlowness bounds by how much more than the request was on its way news of the first seconds count as
 // older than they are.
 const maxSlowness = 50 * time.Millisecond
+
+// Guards against news that are dated by a request of long ago, by which another box's clock may have gone
+// ahead, and by one that was long on its way, by which they all count as old.
+func TestFollowersAskAnewInTime(t *testing.T) {
+	const askedAt = time.Hour
+	cases := map[string]struct {
+		// elapsed is what the control box tells in the first message, and read when it is read.
+		elapsed, read time.Duration
+		renewAt       time.Duration
+	}{
+		"prompt":                         {read: promptRequest, renewAt: renewInterval},
+		"control waited to be in sync":   {elapsed: syncWait, read: syncWait + promptRequest/2, renewAt: renewInterval},
+		"the request or answer was slow": {read: promptRequest + 1, renewAt: promptRequest + 1 + soonRenewal},
+		"a box that does not tell":       {read: syncWait, renewAt: syncWait + soonRenewal},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := dating{askedAt: askedAt}
+			if d.isOver(&betweenv1.FollowResponse{Elapsed: c.elapsed.Milliseconds()}, askedAt+c.read) {
+				t.Error("asks anew at once")
+			}
+			late := &betweenv1.FollowResponse{}
+			if d.isOver(late, askedAt+c.renewAt-1) || !d.isOver(late, askedAt+c.renewAt) {
+				t.Errorf("asks anew at %s, want %s", d.renewAt-askedAt, c.renewAt)
+			}
+		})
+	}
+	d, elapsed := dating{askedAt: askedAt}, renewInterval.Milliseconds()
+	if got, most := d.madeAt(&betweenv1.FollowResponse{Elapsed: elapsed}), askedAt+renewInterval-renewInterval/driftPart; got > most {
+		t.Errorf("a message is dated %s after the request, want %s at most for a clock that is fast", got-askedAt, most-askedAt)
+	}
+}
--- a/services/gateway/store.go
+++ b/services/gateway/store.go
@@ -42,6 +42,8 @@
 	// Confirmed returns how long ago the source was last in sync with the control
 	// group.
 	Confirmed() time.Duration
+	// Now returns the source's boot clock.
+	Now() time.Duration
 }
 
 // MachineSource is the Source of a control box: its replicated state.
@@ -89,6 +91,9 @@
 // Confirmed implements Source.
 func (m *MachineSource) Confirmed() time.Duration { return m.GroupSyncAge() }
 
+// Now implements Source.
+func (m *MachineSource) Now() time.Duration { return m.Clock.Boot() }
+
 // Store is a box's copy. Its versions and revisions never decrease.
 type Store struct {
 	// Quarantine lists the quarantined calls that control has sent.
@@ -184,6 +189,9 @@
 	return s.clock.Boot() - s.confirmedAt
 }
 
+// Now implements Source.
+func (s *Store) Now() time.Duration { return s.clock.Boot() }
+
 // After implements Source.
 func (s *Store) After(has Position) *betweenv1.FollowResponse {
 	s.mu.Lock()
@@ -209,18 +217,23 @@
 	return resp
 }
 
-// Apply applies a message of a control box and reports what it changed. A message that
-// can't be decoded, or whose delta has another base than the table in force, changes
-// nothing and returns an error. Older versions are ignored.
-func (s *Store) Apply(r *betweenv1.FollowResponse) (changes Changes, err error) {
+// Apply applies a message that is made now, as ApplyMadeAt does.
+func (s *Store) Apply(r *betweenv1.FollowResponse) (Changes, error) {
+	return s.ApplyMadeAt(r, s.clock.Boot())
+}
+
+// ApplyMadeAt applies a message of a control box and reports what it changed. madeAt is the boot
+// time of this box before which the message was not made. A message that can't be decoded, or
+// whose delta has another base than the table in force, changes nothing and returns an error.
+// Older versions are ignored.
+func (s *Store) ApplyMadeAt(r *betweenv1.FollowResponse, madeAt time.Duration) (changes Changes, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, err := s.tableOf(r)
 	if err != nil {
 		return Changes{}, err
 	}
-	s.confirmedAt = s.clock.Boot() - time.Duration(r.GetConfirmed())*time.Millisecond
-	s.everConfirmed = true
+	s.confirm(madeAt - time.Duration(r.GetConfirmed())*time.Millisecond)
 	if t != nil && t.GetVersion() > s.versionLocked() {
 		s.index = routing.NewIndex(t)
 		changes.Table = true
@@ -241,6 +254,15 @@
 	return changes, nil
 }
 
+// confirm records up to when the copy is complete. What was proved before stays true. The caller holds
+// s.mu.
+func (s *Store) confirm(at time.Duration) {
+	if !s.everConfirmed || at > s.confirmedAt {
+		s.confirmedAt = at
+	}
+	s.everConfirmed = true
+}
+
 // tableOf returns the routing table that a message brings, nil if there is none.
 func (s *Store) tableOf(r *betweenv1.FollowResponse) (*statev1.RoutingTable, error) {
 	switch {
