services/gateway: random schedules in which news wait

The schedules of versions handed each message of control to its box at once. Now messages wait for boxes that stand still, a part of them is read, and those on their way are lost when a box asks anew. The check also counts versions that still run, not only when each was last seen.

--- a/services/gateway/software_schedule_test.go
+++ b/services/gateway/software_schedule_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	betweenv1 "havenwinch.dev/havenwinch/gen/havenwinch/between/v1"
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/software"
 	"havenwinch.dev/havenwinch/models/state"
@@ -37,12 +38,24 @@
 	gateway *control.Gateway
 	source  *MachineSource
 	stores  []*Store
-	// lastSeen has when a target of each version of the service was last in control's state and took
-	// calls, a boot time.
-	lastSeen map[string]time.Duration
+	// seen has when targets of each version of the service were in control's state and took calls, as
+	// boot times.
+	seen     map[string][]time.Duration
 	sequence uint64
 	// late are registrations that are on their way.
 	late []*statev1.RegisteredTarget
+	// news are messages of control on their way to each box, in the order of their making, and datings
+	// tells when each box asked for them. A box that stands still leaves them where they are.
+	news  [][]*betweenv1.FollowResponse
+	asked []question
+}
+
+// question is a box's request to follow control.
+type question struct {
+	dating
+	// arrivedAt is when control got it, and has is what control has told since.
+	arrivedAt time.Duration
+	has       Position
 }
 
 func newSoftwareSchedule(t *testing.T, seed int64) *softwareSchedule {
@@ -50,12 +63,15 @@
 	fake.Advance(time.Hour)
 	machine := control.NewMachine()
 	s := &softwareSchedule{
-		t: t, seed: seed, rng: rand.New(rand.NewSource(seed)), clock: fake, machine: machine, lastSeen: map[string]time.Duration{},
+		t: t, seed: seed, rng: rand.New(rand.NewSource(seed)), clock: fake, machine: machine, seen: map[string][]time.Duration{},
 		gateway: &control.Gateway{Log: controltest.Log{Machine: machine}, Machine: machine, Clock: fake, Logger: logging.Discard()},
 		source:  &MachineSource{Machine: machine, Clock: fake, GroupSyncAge: func() time.Duration { return 0 }, Members: func() []string { return nil }},
 	}
 	for range 3 {
-		s.stores = append(s.stores, NewStore(fake))
+		s.stores, s.news, s.asked = append(s.stores, NewStore(fake)), append(s.news, nil), append(s.asked, question{})
+	}
+	for n := range s.stores {
+		s.ask(n)
 	}
 	return s
 }
@@ -132,7 +148,7 @@
 	s.machine.Read(func(st *state.State) {
 		for _, row := range st.Routing.Targets {
 			if row.GetService() == "s" && row.GetState() != gone {
-				s.lastSeen[row.GetVersion()] = s.clock.Boot()
+				s.seen[row.GetVersion()] = append(s.seen[row.GetVersion()], s.clock.Boot())
 			}
 		}
 	})
@@ -145,16 +161,22 @@
 	if !ok || confirmedAt < s.clock.Boot()-time.Second {
 		return false
 	}
-	for version, at := range s.lastSeen {
-		if other := software.Of(&statev1.RegisteredTarget{Version: version}); other != id && at > confirmedAt-softwareWindow && at <= confirmedAt {
-			s.t.Fatalf("seed %d: a box takes %q for the only software although %q ran %s before it heard from control", s.seed, id, version, confirmedAt-at)
+	for version, times := range s.seen {
+		if software.Of(&statev1.RegisteredTarget{Version: version}) == id {
+			continue
+		}
+		for _, at := range times {
+			if at > confirmedAt-softwareWindow && at <= confirmedAt {
+				s.t.Fatalf("seed %d: a box takes %q for the only software although %q ran %s before its news were made", s.seed, id, version, confirmedAt-at)
+			}
 		}
 	}
 	return true
 }
 
 // Guards against a service that is taken to have run one software only although another one ran within
-// the window, over random orders of registrations, ends, changes and news of them.
+// the window, over random orders of registrations, ends, changes and news of them, which wait for boxes
+// that stand still, arrive late or are lost.
 func TestRandomSchedulesOfVersions(t *testing.T) {
 	checks, sole := 0, 0
 	for seed := range seeded.Schedules(t, softwareSchedules) {
@@ -169,9 +191,18 @@
 			n := s.rng.Intn(len(s.stores))
 			if s.rng.Intn(20) == 0 {
 				s.stores[n] = NewStore(s.clock)
+				s.ask(n)
+			}
+			if s.rng.Intn(12) == 0 {
+				s.ask(n)
+			}
+			for i := range s.stores {
+				s.makeNews(i)
 			}
+			// What happens next is after the news.
+			s.clock.Advance(time.Millisecond)
 			if s.rng.Intn(4) > 0 {
-				s.follow(s.stores[n])
+				s.read(n)
 			}
 			checks++
 			if s.check(s.stores[n]) {
@@ -185,10 +216,34 @@
 	}
 }
 
-// follow passes control's changes on to a box.
-func (s *softwareSchedule) follow(box *Store) {
-	resp := s.source.After(box.Position())
-	if _, err := box.Apply(resp); err != nil {
-		s.t.Fatal(err)
+// ask lets a box ask control anew, which gets the request some time later. All that is on its way to the
+// box is lost.
+func (s *softwareSchedule) ask(n int) {
+	askedAt := s.clock.Boot()
+	s.clock.Advance(time.Duration(s.rng.Intn(300)) * time.Millisecond)
+	s.news[n], s.asked[n] = nil, question{dating: dating{askedAt: askedAt}, arrivedAt: s.clock.Boot(), has: s.stores[n].Position()}
+}
+
+// makeNews lets control make a message for a box.
+func (s *softwareSchedule) makeNews(n int) {
+	q := &s.asked[n]
+	resp := s.source.After(q.has)
+	resp.Elapsed = (s.clock.Boot() - q.arrivedAt).Milliseconds()
+	q.has.Targets = max(q.has.Targets, resp.GetTargetRevision())
+	s.news[n] = append(s.news[n], resp)
+}
+
+// read lets a box read the messages that are on their way to it: most often all, else only the oldest
+// ones, as one that has just stood still.
+func (s *softwareSchedule) read(n int) {
+	list := s.news[n]
+	if len(list) > 0 && s.rng.Intn(3) == 0 {
+		list = list[:1+s.rng.Intn(len(list))]
+	}
+	s.news[n] = s.news[n][len(list):]
+	for _, resp := range list {
+		if _, err := s.stores[n].ApplyMadeAt(resp, s.asked[n].madeAt(resp)); err != nil {
+			s.t.Fatal(err)
+		}
 	}
 }
