modules/raft: a test of a follower that stood still

A follower counts as caught up at the time at which it reads an append request, also where that waited while it stood still. Its control box then tells entry boxes that an old state is complete, until the next request arrives or they leave it after 1.1 s of silence. The follower would need a proof by its own clock, such as its clock reading in its answer that the leader sends back with what a quorum has confirmed.

--- a/modules/raft/caughtup_test.go
+++ b/modules/raft/caughtup_test.go
@@ -61,3 +61,27 @@
 		t.Fatal("a leader that has committed nothing in its term is caught up")
 	}
 }
+
+// Guards against a follower that stood still and takes what its leader had committed before for all that
+// is committed now: whoever reads its state takes old news for present ones.
+func TestFollowerThatStoodStillIsNotCaughtUp(t *testing.T) {
+	for name, waited := range map[string]time.Duration{"half a second": time.Second / 2, "a second": time.Second, "four seconds": 4 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			g := settledGroup(t)
+			leader := g.leader()
+			var follower *member
+			for _, name := range g.names {
+				if g.members[name] != leader {
+					follower = g.members[name]
+				}
+			}
+			c := follower.core
+			waiting, madeAt := &betweenv1.AppendRequest{Term: c.term, Leader: leader.name, PrevIndex: c.log.last(), PrevTerm: c.term, Commit: c.log.last()}, g.now
+			g.now += waited
+			g.run(follower, func(c *Core) { c.HandleAppend(waiting, g.now) }, false)
+			if got := c.CaughtUpAt(g.now); got > madeAt {
+				t.Errorf("caught up %s after the leader made its message", got-madeAt)
+			}
+		})
+	}
+}
