modules/wal: a compacted log without its file is corrupted

Cause: Open took a missing log file for an empty one.

Change: it is an ErrCorrupted.

Measured: TestLostLogFileIsReported failed before ("got <nil> and 0 records"); it and the packages modules/wal and modules/raft pass.

--- a/modules/wal/wal.go
+++ b/modules/wal/wal.go
@@ -118,6 +118,10 @@
 	}
 	content.Snapshot = snapshot
 	data, err := l.disk.ReadFile(l.logName())
+	if disk.IsNotExist(err) && l.generation > 0 {
+		// Compact writes the log before the snapshot.
+		return content, errors.WithStack(ErrCorrupted{File: l.logName()})
+	}
 	if err != nil && !disk.IsNotExist(err) {
 		return content, err
 	}
--- a/modules/wal/wal_test.go
+++ b/modules/wal/wal_test.go
@@ -170,3 +170,15 @@
 		t.Error("Err() = nil after a write error")
 	}
 }
+
+// Guards against records that are lost without a word: a log that was compacted and whose file is gone.
+func TestLostLogFileIsReported(t *testing.T) {
+	d := disktest.New()
+	l, _ := open(t, d)
+	must(t, l.Compact([]byte("state"), []byte("first")))
+	must(t, l.Append([]byte("second")))
+	must(t, d.Remove("log-00000001"))
+	if _, content, err := Open(d); !IsErrCorrupted(err) {
+		t.Errorf("got %v and %d records, want ErrCorrupted", err, len(content.Records))
+	}
+}
