modules/tcpconn: bytes acknowledged after the end confirm it at once

Cause: ConfirmEnd went on as long as the peer acknowledged anything. A whole answer of a target that slowly reads on was held from its caller until all of the request was read, and was lost when the call's time was over first. Over another box the end was refused whenever the rest of the request came more than 50 ms late.

Change: a peer that has closed rejects what is sent to it after its end. Once it acknowledges more than had been sent when the end came, it holds the connection, and the end is confirmed.

--- a/modules/tcpconn/tcpconn.go
+++ b/modules/tcpconn/tcpconn.go
@@ -29,6 +29,8 @@
 	UnheardTimeout = 2500 * time.Millisecond
 	// confirmPoll is the time between looks of ConfirmEnd.
 	confirmPoll = 2 * time.Millisecond
+	// synBytes is what the kernel counts as acknowledged beside the bytes that were sent.
+	synBytes = 1
 	// tcpClose is the state of a connection without peer, as in Linux' tcp_states.h.
 	tcpClose = 7
 )
@@ -184,11 +186,13 @@
 
 // ConfirmEnd waits, after Read has returned io.EOF, until the peer has acknowledged all that was sent to it. sent
 // returns how many bytes have been written so far, and whether that is all. It returns ErrRequestUnread if the
-// peer rejects a part of it, as one that has closed its connection does, and nil if it has no room for more and
+// peer rejects a part of it, as one that has closed its connection does. It returns nil at once if the peer
+// acknowledges bytes that were sent after its end had come, which one that has closed does not, and if it has no room for more and
 // neither acknowledges nor rejects anything for ConfirmTimeout. If the rest is not sent, or on its way, for
 // UnheardTimeout, the error is ErrUnconfirmed.
 func (c *Conn) ConfirmEnd(sent func() (bytes int64, all bool)) error {
 	last, unsent, progress := int64(0), -1, time.Time{}
+	var sentBefore uint64
 	for {
 		bytes, all := sent()
 		// Before the state: nothing is known to be unsent on a connection that is closed now.
@@ -203,6 +207,12 @@
 		if all && n == 0 {
 			return nil
 		}
+		if info != nil && sentBefore == 0 {
+			sentBefore = info.Bytes_sent + synBytes
+		}
+		if info != nil && info.Bytes_acked > sentBefore {
+			return nil
+		}
 		if bytes != last || n != unsent {
 			last, unsent, progress = bytes, n, time.Now()
 		}
