services/relay: a test sends from one goroutine at a time

Cause: TestOrderlyEndDuringACarriedUpload wrote the question beside the rest, while a stream takes one message at a time; the carrying box then could not parse it, which read as a reset.

Change: the question is written before the rest. Nothing else is asked of the code, nothing less.

--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -328,6 +328,9 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
+	if _, err := io.WriteString(c, "question\n"); err != nil {
+		t.Fatal(err)
+	}
 	var written atomic.Int64
 	go func() {
 		for range 64 {
@@ -335,9 +338,6 @@
 			written.Add(int64(n))
 		}
 	}()
-	if _, err := io.WriteString(c, "question\n"); err != nil {
-		t.Fatal(err)
-	}
 	got, err := io.ReadAll(c)
 	if err != nil || string(got) != "answer" {
 		t.Fatalf("read %q: %v", got, err)
