modules/tcpconn: a request that was acknowledged is no reason to refuse an answer

Cause: ConfirmEnd refused an end as soon as the connection was reset, also if the peer had acknowledged all of the request and ended its side before that, as a server does that gives the connection up after its last byte.

Change: where the kernel's counters show that all was acknowledged before the reset, the end is confirmed.

--- a/modules/tcpconn/confirm_test.go
+++ b/modules/tcpconn/confirm_test.go
@@ -97,3 +97,24 @@
 		_ = peer.Close()
 	}
 }
+
+// Guards against a sound answer that is refused: its target has read all of the request, ends the answer in order and
+// only then gives the connection up.
+func TestConfirmEndOfARequestThatWasRead(t *testing.T) {
+	c, peer := pair(t)
+	const size = 8 << 10
+	if _, err := c.Write(make([]byte, size)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(peer, make([]byte, size)); err != nil {
+		t.Fatal(err)
+	}
+	endsOrderly(peer)
+	reset(peer)
+	if _, err := io.ReadAll(c); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.ConfirmEnd(func() (int64, bool) { return size, true }); err != nil {
+		t.Fatalf("all %d bytes were read by the peer before the end: %v", size, err)
+	}
+}
--- a/modules/tcpconn/tcpconn.go
+++ b/modules/tcpconn/tcpconn.go
@@ -186,10 +186,10 @@
 
 // ConfirmEnd waits, after Read has returned io.EOF, until the peer has acknowledged all that was sent to it. sent
 // returns how many bytes have been written so far, and whether that is all. It returns ErrRequestUnread if the
-// peer rejects a part of it, as one that has closed its connection does. It returns nil at once if the peer
-// acknowledges bytes that were sent after its end had come, which one that has closed does not, and if it has no room for more and
-// neither acknowledges nor rejects anything for ConfirmTimeout. If the rest is not sent, or on its way, for
-// UnheardTimeout, the error is ErrUnconfirmed.
+// peer rejects a part of it, as one that has closed its connection does. It returns nil earlier if the peer holds the
+// connection: it acknowledges bytes that were sent after its end had come, or it has no room for more and neither
+// acknowledges nor rejects anything for ConfirmTimeout. If the rest is not sent, or on its way, for UnheardTimeout,
+// the error is ErrUnconfirmed.
 func (c *Conn) ConfirmEnd(sent func() (bytes int64, all bool)) error {
 	last, unsent, progress := int64(0), -1, time.Time{}
 	var sentBefore uint64
@@ -201,12 +201,13 @@
 		if err != nil {
 			return errors.WithStack(err)
 		}
-		if info != nil && info.State == tcpClose || c.hasFailed() {
-			return errors.WithStack(ErrRequestUnread)
-		}
-		if all && n == 0 {
+		dead := info != nil && info.State == tcpClose
+		if all && n == 0 && (!dead || hasAcknowledged(info)) {
 			return nil
 		}
+		if dead || c.hasFailed() {
+			return errors.WithStack(ErrRequestUnread)
+		}
 		if info != nil && sentBefore == 0 {
 			sentBefore = info.Bytes_sent + synBytes
 		}
@@ -226,6 +227,11 @@
 	}
 }
 
+// hasAcknowledged reports whether the peer had acknowledged all bytes before the connection ended.
+func hasAcknowledged(info *unix.TCPInfo) bool {
+	return info.Bytes_acked >= synBytes && info.Bytes_acked >= info.Bytes_sent
+}
+
 // hasNoRoom reports whether the peer holds the connection and has no room for more bytes: none are on their way to
 // it, or it has closed its window.
 func hasNoRoom(info *unix.TCPInfo) bool { return info.Unacked == 0 || info.Snd_wnd == 0 }
