modules/tcpconn, services/forward: tests of rejected requests don't race with their targets

A target of these tests ended its side and reset the connection right after that. What the box sent between the two could be acknowledged, which confirms the end by now, so that the tests depended on the scheduler. The targets now close before the rest of the request is sent, which they then reject; what is expected is as strict as before.

--- a/modules/tcpconn/tcpconn_test.go
+++ b/modules/tcpconn/tcpconn_test.go
@@ -139,12 +139,16 @@
 		"all acknowledged":  {end: endsOrderly, size: 100},
 		"read on":           {end: func(peer *net.TCPConn) { endsOrderly(peer); _, _ = io.Copy(io.Discard, peer) }, size: 32 << 20},
 		"neither":           {end: endsOrderly, size: 32 << 20},
-		"rejected":          {end: func(peer *net.TCPConn) { endsOrderly(peer); reset(peer) }, size: 32 << 20, want: ErrRequestUnread},
+		"rejected":          {end: func(peer *net.TCPConn) { _ = peer.Close() }, size: 32 << 20, want: ErrRequestUnread},
 		"rejected, not all": {end: func(peer *net.TCPConn) { endsOrderly(peer); reset(peer) }, want: ErrRequestUnread},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			c, peer := pair(t)
+			if test.want != nil {
+				// What is written after that is rejected.
+				test.end(peer)
+			}
 			var mu sync.Mutex
 			written := 0
 			go func() {
@@ -153,7 +157,9 @@
 				defer mu.Unlock()
 				written += n
 			}()
-			go test.end(peer)
+			if test.want == nil {
+				go test.end(peer)
+			}
 			if _, err := io.ReadAll(c); err != nil {
 				t.Fatal(err)
 			}
--- a/services/forward/reset_test.go
+++ b/services/forward/reset_test.go
@@ -145,17 +145,27 @@
 	}
 }
 
+// heldLink is a link that has room for the rest of a body once it is released.
+type heldLink struct{ released chan struct{} }
+
+func (l heldLink) AwaitWrite(context.Context) { <-l.released }
+
+func (l heldLink) RetryAfter() time.Duration { return 0 }
+
 // Guards against an answer that ends as complete though its target closed without reading the request.
 func TestCloseDuringTheRequestIsNoAnswer(t *testing.T) {
 	for _, route := range []string{"unsafe", "stream"} {
 		t.Run(route, func(t *testing.T) {
+			closed := make(chan struct{})
 			f := newForwarder(t, &fakeLeases{}, earlyTarget(t, "one", func(conn *net.TCPConn, id string) {
 				_, _ = io.WriteString(conn, head(id, "\r\n")+event(0))
-				_ = conn.CloseWrite()
-				reset(conn)
+				// It has read all that has come so far, so that this ends its side in order.
+				_ = conn.Close()
+				close(closed)
 			}))
+			f.opts.Link = heldLink{released: closed}
 			call, sink := newCall(route), &collector{}
-			call.Body = make([]byte, 32<<20)
+			call.Body = make([]byte, 1<<20)
 			if err := f.Serve(context.Background(), call, sink); err == nil || sink.ended {
 				t.Fatalf("Serve returned %v, ended %v: %q", err, sink.ended, sink.body.String())
 			}
