services/forward: test of cut answers to orders to move a run

An answer to an order that is cut after its head, is longer than the limit or has broken chunks counts as a whole one: its status is used although its read failed, and its handle is that part of the handle which arrived. The run then continues nowhere: a stream that may not be repeated is truncated, any other is run twice and billed 20090 tokens, want 20020.

go test -race -run TestPartOfAnAnswerToAnOrderIsNone ./services/forward: fails in the cases with a whole head; those with a cut or an invalid one pass.

--- a/services/forward/move_order_test.go
+++ b/services/forward/move_order_test.go
@@ -227,6 +227,18 @@
 	e.end(true)
 }
 
+// stopsCut carries the order out, writes a part of an answer and ends the connection.
+func stopsCut(part string, end func(c *net.TCPConn)) func(*movingEngines, net.Conn) {
+	return func(e *movingEngines, c net.Conn) {
+		e.end(false)
+		_, _ = io.WriteString(c, part)
+		end(c.(*net.TCPConn))
+	}
+}
+
+// closes ends a connection in order.
+func closes(c *net.TCPConn) { _ = c.Close() }
+
 // refuses answers with a status, and does nothing else.
 func refuses(status int) func(*movingEngines, net.Conn) {
 	return func(_ *movingEngines, c net.Conn) { answerJSON(c, status, "") }
@@ -284,6 +296,42 @@
 	}
 }
 
+// Guards against a part of an answer to an order that counts as a whole one, with what it says of the copy.
+func TestPartOfAnAnswerToAnOrderIsNone(t *testing.T) {
+	parts := map[string]string{
+		"head":          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+		"no body":       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+		"body":          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh",
+		"body of a 503": "HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\nh",
+		"body of a 404": "HTTP/1.1 404 X\r\nContent-Length: 2\r\n\r\nh",
+		"body of a 409": "HTTP/1.1 409 X\r\nContent-Length: 2\r\n\r\nh",
+		"chunk":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nh",
+		"no last chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nh\r\n",
+		"broken chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nhx",
+		"too long":      fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxEngineAnswer+1, strings.Repeat("h", maxEngineAnswer+1)),
+		"status 000":    "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nh2",
+		"field name":    "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 2\r\n\r\nh2",
+	}
+	ends := map[string]func(c *net.TCPConn){"close": closes, "reset": reset}
+	for part, text := range parts {
+		for name, end := range ends {
+			for _, route := range []string{"stream", "resume"} {
+				t.Run(fmt.Sprintf("%s, %s, %s", part, name, route), func(t *testing.T) {
+					t.Parallel()
+					e := newMovingEngines()
+					e.stops = []func(*movingEngines, net.Conn){stopsCut(text, end), stops(200)}
+					serveMoved(t, e, route, false, 1)
+					e.mu.Lock()
+					defer e.mu.Unlock()
+					if e.orders < 2 {
+						t.Errorf("%d orders to stop the run, want another one after the part of an answer", e.orders)
+					}
+				})
+			}
+		}
+	}
+}
+
 // serveMoved serves a call whose run is moved, and checks what its caller and the engines got.
 func serveMoved(t *testing.T, e *movingEngines, route string, stopsForGood bool, mostRuns int) {
 	t.Helper()
