services/forward: a cut answer to an order is none

roundTrip returned the status of an answer whose body could not be read to its end, and the mover took that for the result of its order. It also cut answers that are too long without an error. Both are errors without a status now, so that the outcome of the order is not known and the order is sent again.

TestPartOfAnAnswerToAnOrderIsNone failed before in the cases with a whole head (truncated streams; 2 runs, want 1; billed 20090, want 20020). With -race and -count=3, with the other tests of moves and orders: passed.

--- a/services/forward/move.go
+++ b/services/forward/move.go
@@ -268,7 +268,7 @@
 	// An order that is sent again belongs to a run that may have been stopped already.
 	call := &Call{Method: http.MethodPost, URI: path, Body: body, Internal: true, Resumes: m.outcome != stopNone}
 	status, answer, err := m.fl.f.roundTrip(ctx, m.from, useOnce, call)
-	if status == 0 {
+	if err != nil {
 		return 0, err
 	}
 	if handle, err := m.fl.f.opts.EngineAPI.ParseHandle(answer); err == nil && handle != "" {
@@ -277,14 +277,15 @@
 	return status, nil
 }
 
-// request sends a request of this system's own to a target, and waits moveTimeout for the answer.
+// request sends a request of this system's own to a target, and waits moveTimeout for the whole answer.
 func (f *Forwarder) request(ctx context.Context, t *spread.Target, u connUse, method, path string, body []byte) (status int, answer []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	return f.roundTrip(ctx, t, u, &Call{Method: method, URI: path, Body: body, Internal: true})
 }
 
-// roundTrip sends a request of this system's own to a target. The status is 0 if there was no answer.
+// roundTrip sends a request of this system's own to a target. An answer of which a part is missing, or that
+// is longer than maxEngineAnswer, is an errNoAnswer; the status is 0 then.
 func (f *Forwarder) roundTrip(ctx context.Context, t *spread.Target, u connUse, call *Call) (status int, answer []byte, err error) {
 	c, err := f.pool.get(ctx, t, u, "")
 	if err != nil {
@@ -302,10 +303,16 @@
 		x.abandon()
 		return 0, nil, err
 	}
-	answer, err = io.ReadAll(io.LimitReader(x.body, maxEngineAnswer))
-	x.bodyComplete = err == nil && len(answer) < maxEngineAnswer
+	answer, err = io.ReadAll(io.LimitReader(x.body, maxEngineAnswer+1))
+	if err == nil && len(answer) > maxEngineAnswer {
+		err = errors.Errorf("the answer is longer than %d bytes", maxEngineAnswer)
+	}
+	x.bodyComplete = err == nil
 	x.finish()
-	return x.head.StatusCode(), answer, err
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", errNoAnswer, err)
+	}
+	return x.head.StatusCode(), answer, nil
 }
 
 // resume returns where the run continues after its stream was closed; nil if no order has stopped it, or
