services/forward: a head must end while its bytes arrive

A call that may not go to another server waited for the end of a head until the buffer of 4096 bytes was full or its deadline passed, if the bytes came in a trickle. Bytes of one line that arrive for 3 s, or for 6 s before the end of the head, are no answer in progress: the call is refused, and whether it ran is not known. Only the time in which bytes arrive counts, of a silence half a second, so that neither a silent server nor a sound head in many small parts is cut.

--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -142,6 +142,7 @@
 
 // read reads the header of the answer to the call id and skips answers to other calls.
 func (x *exchange) read(id string) error {
+	defer x.limitHead()()
 	for stray := 0; ; stray++ {
 		if err := x.readFinal(); err != nil {
 			x.logUnreadableHead(err)
@@ -170,6 +171,7 @@
 		if stray == maxStray || !x.framed {
 			return errors.Wrap(errNoAnswer, "received answers to other calls instead")
 		}
+		x.conn.trickle.isSkipping = true
 		if n, err := io.Copy(io.Discard, io.LimitReader(x.body, maxStrayBody)); err != nil || n == maxStrayBody {
 			return errors.Wrap(errNoAnswer, "received an answer to another call that is incomplete or too long")
 		}
@@ -191,6 +193,7 @@
 }
 
 func (x *exchange) readHead() error {
+	x.conn.trickle.nextHead()
 	if _, err := x.conn.reader.Peek(1); err != nil {
 		return err
 	}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -141,6 +141,8 @@
 	uploadStall time.Duration
 	// partLimit replaces the limit of partWait if it is not zero.
 	partLimit time.Duration
+	// headLimit replaces headLineLimit, and half of the constant headLimit, if it is not zero.
+	headLimit time.Duration
 	silence   spread.SilenceTerms
 	// heardWithin is heardLimit.
 	heardWithin time.Duration
--- a/services/forward/pool.go
+++ b/services/forward/pool.go
@@ -78,6 +78,8 @@
 	// onStall is called when a read has got nothing for the time of awaitBytes; nil to wait on. It
 	// returns true if the read is to fail with errGivenUp.
 	onStall func() bool
+	// trickle limits the time for which bytes arrive while a head is read; nil otherwise.
+	trickle *trickle
 	// received counts the bytes that were read.
 	received uint64
 	// headBegan is when the first byte of the head that is being read arrived, in nanoseconds on the
@@ -138,6 +140,9 @@
 
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.trickle != nil && c.trickle.expired {
+		return 0, errHeadTrickles
+	}
 	n, err := c.input.Read(p)
 	for n == 0 && c.onStall != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		if c.onStall() {
@@ -148,6 +153,9 @@
 	if n > 0 {
 		c.received += uint64(n)
 		c.target.Hear()
+		if c.trickle != nil {
+			c.trickle.record(p[:n])
+		}
 	}
 	c.closed = errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
 	c.lost = c.closed || errors.Is(err, syscall.ETIMEDOUT)
