--- a/services/forward/whole_test.go
+++ b/services/forward/whole_test.go
@@ -29,10 +29,7 @@
 )
 
 // carrierBox is a box that carries connections to targets by their addresses.
-type carrierBox struct {
-	server  *relay.Server
-	address string
-}
+type carrierBox struct{ server *relay.Server }
 
 func (carrierBox) DialTarget(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
