services/engine: single calls read their answers strictly

Cause: the codec of the library takes any three digits as a status, 000 as 200, other versions, blanks and control bytes in fields, two framings; the end of a body without a length was not confirmed; bodies were read by doubling copies without a bound for all calls together. Change: CallService uses modules/httpcall. The body is kept in parts that count in a budget, and goes to the caller as a stream that ends its count.

--- a/cmd/havenwinchd/wire.go
+++ b/cmd/havenwinchd/wire.go
@@ -75,7 +75,7 @@
 			return timeline.New(settings.Box, settings.DataCentre, stamps)
 		},
 		metrics.New,
-		engine.New,
+		func(l *slog.Logger) *engine.Client { return engine.New(engine.Options{Logger: l}) },
 		newPeers,
 		newControlClient,
 		newControlPart,
--- a/routers/caller/requests.go
+++ b/routers/caller/requests.go
@@ -173,7 +173,7 @@
 	c.recordOutcome(x.id, x.organisation, "done")
 	x.ctx.SetStatusCode(answer.Code)
 	x.ctx.SetContentType(answer.ContentType)
-	x.ctx.SetBody(answer.Body)
+	x.ctx.SetBodyStream(answer.Body, answer.Length)
 }
 
 func (c *Caller) parseService(x *exchange) (*dispatch.ServiceRequest, *dispatch.Refusal) {
--- a/services/engine/engine.go
+++ b/services/engine/engine.go
@@ -12,6 +12,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net"
 	"strconv"
 	"syscall"
@@ -19,6 +20,9 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 )
 
 const (
@@ -102,14 +106,17 @@
 
 func (e ErrStatus) Error() string { return fmt.Sprintf("the target answered with status %d", e.Code) }
 
-// ErrBroken means that a connection failed when the target may already have received the
-// request.
+// ErrBroken means that a connection failed, or carried no answer, when the target may already have received
+// the request.
 type ErrBroken struct{ Cause error }
 
 func (e ErrBroken) Error() string {
 	return "the connection to the target broke: " + e.Cause.Error()
 }
 
+// Unwrap returns the cause.
+func (e ErrBroken) Unwrap() error { return e.Cause }
+
 // ErrWrongRun means that a stream contained an event of another run.
 type ErrWrongRun struct{ Want, Got string }
 
@@ -117,14 +124,26 @@
 	return fmt.Sprintf("the target sent an event of run %q in the stream of run %q", e.Got, e.Want)
 }
 
+// Options configure a Client.
+type Options struct {
+	// Memory is what the answers that the client holds are counted in; nil for no limit.
+	Memory *bytebudget.Budget
+	// Logger gets a line for each answer that is none, at a bounded rate.
+	Logger *slog.Logger
+}
+
 // Client calls engines and services.
 type Client struct {
+	opts Options
+	// refused bounds the rate of log lines.
+	refused *rate.Limiter
 	// queries is for short queries, which may share connections.
 	queries *fasthttp.Client
 }
 
-func New() *Client {
-	return &Client{queries: &fasthttp.Client{
+// New returns a client.
+func New(opts Options) *Client {
+	return &Client{opts: opts, refused: rate.NewLimiter(refusedPerSecond, refusedBurst), queries: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                neverRetry,
 		ReadTimeout:               queryTimeout,
--- a/services/engine/service.go
+++ b/services/engine/service.go
@@ -7,8 +7,9 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"havenwinch.dev/havenwinch/modules/httpcall"
 )
 
 // ServiceCall is one call to a plain service.
@@ -26,22 +27,18 @@
 type ServiceAnswer struct {
 	Code        int
 	ContentType string
-	Body        []byte
+	// Length is the size of the body in bytes. Where the answer has none it is what the server declared,
+	// negative if it declared nothing.
+	Length int
+	// Body must be closed, which ends its count as held.
+	Body *httpcall.Body
 }
 
 // CallService sends a call once. It returns ErrNotSent if the service certainly did not
 // receive the call, ErrBroken if it may have.
 func (c *Client) CallService(ctx context.Context, address string, call ServiceCall) (*ServiceAnswer, error) {
-	s, err := newSingleUseConn(ctx, address, call.Timeout)
-	if err != nil {
-		return nil, err
-	}
-	defer s.close()
-	stop := context.AfterFunc(ctx, s.close)
-	defer stop()
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(call.Method)
 	req.SetRequestURI("http://" + address + call.Path)
 	req.Header.Set("X-Request-Id", call.ID)
@@ -49,12 +46,26 @@
 		req.Header.SetContentType(call.ContentType)
 	}
 	req.SetBodyRaw(call.Body)
-	if err := s.do(req, resp); err != nil {
-		return nil, errors.WithStack(ErrBroken{Cause: err})
+	x, err := c.send(ctx, address, call.ID, call.Timeout, req)
+	if err != nil {
+		return nil, err
+	}
+	defer x.close()
+	body, err := x.readBody(maxServiceBody)
+	if err != nil {
+		return nil, err
+	}
+	return &ServiceAnswer{Code: x.answer.Status, ContentType: x.answer.Field("content-type"), Length: x.lengthOf(call.Method, body), Body: body}, nil
+}
+
+// lengthOf returns the length to declare for a body that was read.
+func (x *exchange) lengthOf(method string, body *httpcall.Body) int {
+	switch {
+	case x.answer.HasBody(method):
+		return body.Len()
+	case x.answer.Sized:
+		return int(x.answer.Length)
+	default:
+		return -1
 	}
-	return &ServiceAnswer{
-		Code:        resp.StatusCode(),
-		ContentType: string(resp.Header.ContentType()),
-		Body:        append([]byte(nil), resp.Body()...),
-	}, nil
 }
