--- a/services/engine/orders.go
+++ b/services/engine/orders.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -46,7 +45,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	return o.Client.post(ctx, "http://"+address+"/orders", body)
+	return o.Client.post(ctx, address, "/orders", "order", body)
 }
 
 // InForce returns the token of the order of a kind that a target has carried out last, zero
@@ -57,31 +56,34 @@
 		return 0, errors.Errorf("target %s is not listed", target)
 	}
 	var order wireOrder
-	err := o.Client.query(ctx, fasthttp.MethodGet, "http://"+address+"/orders/"+kindName(kind), &order)
+	err := o.Client.query(ctx, fasthttp.MethodGet, address, "/orders/"+kindName(kind), "order in force", order.parse)
 	return order.Token, err
 }
 
-func (c *Client) post(ctx context.Context, url string, body []byte) error {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+func (c *Client) post(ctx context.Context, address, path, id string, body []byte) error {
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI(url)
+	req.SetRequestURI("http://" + address + path)
 	req.SetBodyRaw(body)
-	if err := c.queries.DoDeadline(req, resp, deadlineOf(ctx)); err != nil {
-		return errors.WithStack(ErrBroken{Cause: err})
-	}
-	if resp.StatusCode() >= fasthttp.StatusBadRequest {
-		return errors.WithStack(ErrStatus{Code: resp.StatusCode()})
-	}
-	return nil
+	return c.ask(ctx, address, id, req, func(status int, _ []byte) error {
+		if status < fasthttp.StatusOK || status >= fasthttp.StatusMultipleChoices {
+			return ErrStatus{Code: status}
+		}
+		return nil
+	})
 }
 
-// deadlineOf returns the deadline of a context, but at most queryTimeout from now.
-func deadlineOf(ctx context.Context) time.Time {
-	deadline := time.Now().Add(queryTimeout)
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		return d
+func (o *wireOrder) parse(body []byte) error {
+	var wire struct {
+		Token *uint64 `json:"token"`
 	}
-	return deadline
+	if err := json.Unmarshal(body, &wire); err != nil {
+		return err
+	}
+	if wire.Token == nil {
+		return errNoField("token")
+	}
+	o.Token = *wire.Token
+	return nil
 }
