--- a/cmd/havenwinchd/box.go
+++ b/cmd/havenwinchd/box.go
@@ -17,6 +17,7 @@
 
 	"havenwinch.dev/havenwinch/models/target"
 	"havenwinch.dev/havenwinch/modules/accept"
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/graceful"
 	"havenwinch.dev/havenwinch/modules/periodic"
@@ -68,6 +69,7 @@
 	Recorder   *timeline.Recorder
 	Metrics    *metrics.Metrics
 	Engines    *engine.Client
+	Memory     *bytebudget.Budget
 	Clock      clock.Clock
 }
 
@@ -89,6 +91,7 @@
 	recorder   *timeline.Recorder
 	metrics    *metrics.Metrics
 	orders     *orders.Sender
+	memory     *bytebudget.Budget
 
 	// workCtx is the context of background work and of services for other boxes. At a
 	// stop it is cancelled after the callers have been served.
@@ -114,6 +117,7 @@
 		caller:     p.Caller,
 		recorder:   p.Recorder,
 		metrics:    p.Metrics,
+		memory:     p.Memory,
 	}
 	b.workCtx, b.cancelWork = context.WithCancel(p.Graceful.WorkContext())
 	b.orders = newOrders(b, p.Engines, p.Clock)
@@ -123,6 +127,7 @@
 
 func (b *box) registerGauges() {
 	b.metrics.Gauge("configuration_revision", "Revision of the configuration in force.", func() float64 { return float64(b.store.Revision()) })
+	b.metrics.Gauge("held_bytes", "Bytes of targets' answers that this box holds.", func() float64 { return float64(b.memory.Held()) })
 	b.metrics.Gauge("requests_queued", "Requests that wait for a target.", func() float64 { return float64(b.dispatcher.Status().Queued) })
 	if b.keeper != nil {
 		b.metrics.Gauge("keeper_records", "Records in the ledger.", func() float64 { return float64(b.keeper.Stats().Records) })
--- a/cmd/havenwinchd/wire.go
+++ b/cmd/havenwinchd/wire.go
@@ -18,6 +18,7 @@
 	"havenwinch.dev/havenwinch/models/allot"
 	"havenwinch.dev/havenwinch/models/ledger"
 	"havenwinch.dev/havenwinch/models/target"
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/disk"
 	"havenwinch.dev/havenwinch/modules/graceful"
@@ -75,7 +76,10 @@
 			return timeline.New(settings.Box, settings.DataCentre, stamps)
 		},
 		metrics.New,
-		func(l *slog.Logger) *engine.Client { return engine.New(engine.Options{Logger: l}) },
+		newMemory,
+		func(memory *bytebudget.Budget, l *slog.Logger) *engine.Client {
+			return engine.New(engine.Options{Memory: memory, Logger: l})
+		},
 		newPeers,
 		newControlClient,
 		newControlPart,
@@ -97,6 +101,11 @@
 	return c, nil
 }
 
+// newMemory returns the budget of the answers that the box holds.
+func newMemory(s *setting.Settings) *bytebudget.Budget {
+	return bytebudget.New(int64(bodyShare * float64(s.MemoryMB) * mebibyte))
+}
+
 func newPeers(s *setting.Settings, c clock.Clock, stamps *hlc.Clock) (*peers.Peers, error) {
 	tls, err := peers.LoadTLS(s.BetweenCert, s.BetweenKey, s.BetweenCA)
 	if err != nil {
@@ -253,7 +262,7 @@
 	return &targetlist.Poller{Lister: &targetlist.HTTPLister{URL: s.PlatformURL}, Reporter: engines, Targets: d, Logger: l}
 }
 
-func newCaller(s *setting.Settings, d *dispatch.Dispatcher, store *configuration.Store, m *metrics.Metrics, r *timeline.Recorder, l *slog.Logger, g *graceful.Manager) *caller.Caller {
+func newCaller(s *setting.Settings, memory *bytebudget.Budget, d *dispatch.Dispatcher, store *configuration.Store, m *metrics.Metrics, r *timeline.Recorder, l *slog.Logger, g *graceful.Manager) *caller.Caller {
 	return caller.New(caller.Options{
 		Dispatcher:  d,
 		Config:      store,
@@ -262,6 +271,7 @@
 		Logger:      l,
 		Work:        g.WorkContext(),
 		MaxBody:     s.MaxBody,
+		Memory:      memory,
 		MaxWait:     s.MaxWait,
 		ReadTimeout: s.ReadTimeout,
 		NewID:       uuid.NewString,
--- a/modules/setting/flags.go
+++ b/modules/setting/flags.go
@@ -72,6 +72,7 @@
 		durationFlag("max-wait", 24*time.Hour, "longest deadline of a request", &s.MaxWait),
 		durationFlag("read-timeout", 30*time.Second, "time within which a request must arrive completely", &s.ReadTimeout),
 		&cli.IntFlag{Name: "max-body", Value: 4 << 20, Usage: "maximum size of a request body in bytes", Destination: &s.MaxBody, Sources: envSource("max-body")},
+		&cli.IntFlag{Name: "memory-mb", Value: 1024, Usage: "memory available to this process in MB; a quarter may hold answers of targets", Destination: &s.MemoryMB, Sources: envSource("memory-mb")},
 		stringFlag("log-level", "info", "debug, info, warn or error", &s.LogLevel),
 		stringFlag("routing-policy", "cache-load", "cache-load, two-choices, least-load, longest-prefix or round-robin", &s.Policy),
 	}
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -60,8 +60,10 @@
 	MaxWait         time.Duration
 	ReadTimeout     time.Duration
 	MaxBody         int
-	LogLevel        string
-	Policy          string
+	// MemoryMB is the memory available to the process in MB.
+	MemoryMB int
+	LogLevel string
+	Policy   string
 
 	// Secret is read from SecretFile.
 	Secret []byte
@@ -196,6 +198,7 @@
 	c.require(s.MaxWait > 0, "max-wait", "must be above zero")
 	c.require(s.ReadTimeout > 0, "read-timeout", "must be above zero")
 	c.require(s.MaxBody >= 1024, "max-body", "must be at least 1024 bytes")
+	c.require(s.MemoryMB >= minMemoryMB, "memory-mb", "must be at least %d", minMemoryMB)
 }
 
 func (s *Settings) checkFiles(c *checker) {
--- a/routers/caller/caller.go
+++ b/routers/caller/caller.go
@@ -23,6 +23,7 @@
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/state"
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 	"havenwinch.dev/havenwinch/services/dispatch"
 	"havenwinch.dev/havenwinch/services/engine"
 	"havenwinch.dev/havenwinch/services/timeline"
@@ -76,6 +77,8 @@
 	Work context.Context
 	// MaxBody is the largest accepted body, in bytes.
 	MaxBody int
+	// Memory is what the events of answers that are not streamed are counted in; nil for no limit.
+	Memory *bytebudget.Budget
 	// MaxWait caps the time from a request's arrival to its deadline.
 	MaxWait time.Duration
 	// ReadTimeout bounds the time to read one request.
--- a/routers/caller/chat.go
+++ b/routers/caller/chat.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 	"havenwinch.dev/havenwinch/services/dispatch"
 	"havenwinch.dev/havenwinch/services/engine"
 	"havenwinch.dev/havenwinch/structs"
@@ -165,8 +166,12 @@
 
 // serveJSON runs a request and answers with one JSON object.
 func (c *Caller) serveJSON(x *exchange, a *dispatch.Admission, r *dispatch.Request) {
-	sink := &dispatch.BufferedSink{Disconnected: disconnectCheck(x.ctx.Conn())}
+	sink := &dispatch.BufferedSink{Disconnected: disconnectCheck(x.ctx.Conn()), Hold: bytebudget.Hold{Budget: c.opts.Memory}}
+	defer sink.Reset()
 	result, refusal := c.opts.Dispatcher.Serve(c.opts.Work, a, sink)
+	if sink.Overflowed {
+		refusal = answerTooLarge(result, refusal)
+	}
 	if refusal != nil {
 		c.refuse(x, refusal)
 		return
@@ -187,6 +192,16 @@
 	})
 }
 
+// answerTooLarge returns the refusal of an answer that the box has no memory for.
+func answerTooLarge(result dispatch.Result, refusal *dispatch.Refusal) *dispatch.Refusal {
+	too := &dispatch.Refusal{Kind: structs.KindBoxOverloaded, Run: structs.RunYes, Billed: result.Billed,
+		Message: "the request was run, and this box has no memory for the whole answer: read it as a stream under its idempotency key, or send it with stream set"}
+	if refusal != nil {
+		too.Run, too.Billed = structs.RunUnknown, refusal.Billed
+	}
+	return too
+}
+
 // contentOf concatenates the text of an answer's events.
 func contentOf(events []engine.Event) string {
 	var b strings.Builder
--- a/services/dispatch/follow.go
+++ b/services/dispatch/follow.go
@@ -12,6 +12,7 @@
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/ledger"
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 	"havenwinch.dev/havenwinch/services/engine"
 	"havenwinch.dev/havenwinch/services/keeper"
 	"havenwinch.dev/havenwinch/structs"
@@ -196,7 +197,7 @@
 // wants the complete answer.
 func (g *disconnectSafeSink) reset() {
 	if w, ok := g.sink.(*BufferedSink); ok {
-		w.Events = nil
+		w.Reset()
 	}
 }
 
@@ -214,6 +215,19 @@
 	// Disconnected reports whether the caller has disconnected. Nil means that it is not
 	// checked.
 	Disconnected func() bool
+	// Hold counts the events. Overflowed is set once there was no room for one; the events are dropped then,
+	// and the sink reports that its caller has disconnected.
+	Hold       bytebudget.Hold
+	Overflowed bool
+}
+
+// eventSize is what an event takes in bytes without its data.
+const eventSize = 96
+
+// Reset drops the events.
+func (w *BufferedSink) Reset() {
+	w.Events = nil
+	w.Hold.Release()
 }
 
 // KeepAlive implements Sink.
@@ -221,6 +235,11 @@
 
 // Event implements Sink.
 func (w *BufferedSink) Event(e engine.Event) error {
+	if !w.Hold.GrowShared(len(e.Data) + eventSize) {
+		w.Reset()
+		w.Overflowed = true
+		return errCallerDisconnected
+	}
 	w.Events = append(w.Events, e)
 	return w.check()
 }
--- a/services/dispatch/service.go
+++ b/services/dispatch/service.go
@@ -12,6 +12,7 @@
 	"havenwinch.dev/havenwinch/models/ledger"
 	"havenwinch.dev/havenwinch/models/queue"
 	"havenwinch.dev/havenwinch/models/target"
+	"havenwinch.dev/havenwinch/modules/httpcall"
 	"havenwinch.dev/havenwinch/services/engine"
 	"havenwinch.dev/havenwinch/structs"
 )
@@ -109,7 +110,8 @@
 		call := r.Call
 		call.Timeout = time.Until(r.Deadline)
 		answer, err := d.opts.Engines.CallService(ctx, s.address, call)
-		d.release(s, err == nil)
+		// The memory of this box says nothing about the server.
+		d.release(s, err == nil || httpcall.IsErrNoMemory(err))
 		if err == nil {
 			at.settleService(ctx, nil)
 			if answer.Code < http.StatusInternalServerError {
--- a/services/engine/endless_test.go
+++ b/services/engine/endless_test.go
@@ -18,7 +18,7 @@
 const (
 	mebibyte = 1 << 20
 	// endlessMemory is the number of bytes that the clients of these tests may hold.
-	endlessMemory = 32 * mebibyte
+	endlessMemory = 8 * mebibyte
 	// memoryPerCall is what a call may need beyond what it holds: buffers of its connection, its goroutine.
 	memoryPerCall = 128 << 10
 )
@@ -33,7 +33,8 @@
 	"body":                {"HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("a", 64<<10)},
 	"body of huge length": {"HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", strings.Repeat("a", 64<<10)},
 	"chunks":              {chunked, asChunks(strings.Repeat("a", 64<<10))},
-	"small chunks":        {chunked, strings.Repeat(asChunks("a"), 4096)},
+	"small chunks":        {chunked, strings.Repeat(asChunks(strings.Repeat("a", 32)), 1024)},
+	"chunks of a byte":    {chunked, strings.Repeat(asChunks("a"), 4096)},
 	"one chunk":           {chunked + "fffffffffffff\r\n", strings.Repeat("a", 64<<10)},
 	"size line":           {chunked + "1;", strings.Repeat("a", 8192)},
 	"digits of a size":    {chunked, strings.Repeat("0", 8192)},
--- a/services/engine/stream.go
+++ b/services/engine/stream.go
@@ -24,8 +24,9 @@
 	// maxLine is the maximum length of a line of a stream, in bytes.
 	maxLine = 1 << 20
 	// maxSkipped is the maximum size of what comes between two events, in bytes: comments, empty lines, and
-	// events that the receiver has.
+	// events that the receiver has. Each line counts as minLine at least.
 	maxSkipped = 4 << 20
+	minLine    = 64
 	// maxShownID bounds the bytes of a wrong run's ID in an error.
 	maxShownID = 64
 )
@@ -36,8 +37,9 @@
 	lines *bufio.Reader
 	// last is the sequence number of the last event returned.
 	last int
-	// long is the buffer of lines beyond lineBuffer.
-	long []byte
+	// long is the buffer of lines beyond lineBuffer. holds is set if anything is held for the last line.
+	long  []byte
+	holds bool
 
 	mu sync.Mutex
 	// hold counts long and the last event returned. It has no bytes once closed is set.
@@ -68,6 +70,7 @@
 
 // grow counts n more bytes as held.
 func (s *Stream) grow(n int) error {
+	s.holds = true
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed || !s.hold.GrowShared(n) {
@@ -78,7 +81,10 @@
 
 // releaseLine drops what the last line took.
 func (s *Stream) releaseLine() {
-	s.long = nil
+	if !s.holds {
+		return
+	}
+	s.long, s.holds = nil, false
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hold.Release()
@@ -99,13 +105,14 @@
 	event := Event{Sequence: s.last + 1}
 	s.extend(streamIdleTimeout)
 	for skipped := 0; ; {
-		line, err := s.readLine()
-		if skipped += len(line) + 1; err == nil && skipped > maxLine+maxSkipped {
-			err = errors.Errorf("more than %d bytes without an event", maxSkipped)
+		if skipped > maxSkipped {
+			return event, s.broken(errors.Errorf("more than %d bytes without an event", maxSkipped))
 		}
+		line, err := s.readLine()
 		if err != nil {
 			return event, s.broken(err)
 		}
+		skipped += max(len(line), minLine)
 		field, value := splitField(line)
 		switch string(field) {
 		case "id":
