services/targetlist, cmd/havenwinch: answers are read strictly and within bounds

Cause: both used the library's codec. 11 of 13 forms that are no list replaced the list of targets, {} and an error's body among them, so that all targets were removed; the tool printed answers with status 000 as whole, a stream that was cut off after [DONE], and read answers without a bound. Change: both use modules/httpcall. A list needs its field targets and counts in the box's budget while it is read; the tool takes 64 MiB at most, and only lines with their ends.

--- a/cmd/havenwinch/client.go
+++ b/cmd/havenwinch/client.go
@@ -4,11 +4,13 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/url"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -16,10 +18,16 @@
 	"github.com/urfave/cli/v3"
 	"github.com/valyala/fasthttp"
 
+	"havenwinch.dev/havenwinch/modules/httpcall"
 	"havenwinch.dev/havenwinch/structs"
 )
 
-const requestTimeout = 15 * time.Second
+const (
+	requestTimeout = 15 * time.Second
+	dialTimeout    = 3 * time.Second
+	// maxAnswer is the maximum size of an answer in bytes.
+	maxAnswer = 64 << 20
+)
 
 // client calls the admin API of one or more boxes.
 type client struct {
@@ -38,9 +46,8 @@
 // do sends a request to one box and decodes its JSON answer. The statuses in accept
 // are decoded into answer like 200; the answer to a refused command needs this.
 func (c *client) do(box, method, path string, body, answer any, accept ...int) error {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + box + path)
 	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.key)
@@ -51,22 +58,58 @@
 		}
 		req.SetBody(data)
 	}
-	if err := fasthttp.DoTimeout(req, resp, requestTimeout); err != nil {
+	status, data, err := ask(box, req)
+	if err != nil {
 		return &failure{code: exitUnreachable, message: fmt.Sprintf("box %s can't be reached (%v): check --admin", box, err)}
 	}
-	for _, status := range append(accept, fasthttp.StatusOK) {
-		if resp.StatusCode() == status {
-			return json.Unmarshal(resp.Body(), answer)
+	if status == fasthttp.StatusOK || slices.Contains(accept, status) {
+		return json.Unmarshal(data, answer)
+	}
+	return refusal(status, data)
+}
+
+// ask sends a request and reads the whole of its answer, within requestTimeout.
+func ask(address string, req *fasthttp.Request) (status int, data []byte, err error) {
+	conn, answer, err := open(address, req, time.Now().Add(requestTimeout))
+	if err != nil {
+		return 0, nil, err
+	}
+	defer conn.Close()
+	data, err = readBody(answer)
+	return answer.Status, data, err
+}
+
+// open sends a request and reads the head of its answer. The zero deadline is none.
+func open(address string, req *fasthttp.Request, deadline time.Time) (*httpcall.Conn, *httpcall.Answer, error) {
+	conn, err := httpcall.DialURL(context.Background(), "http://"+address, dialTimeout)
+	if err != nil {
+		return nil, nil, err
+	}
+	conn.SetDeadline(deadline)
+	err = conn.Send(req)
+	if err == nil {
+		var answer *httpcall.Answer
+		if answer, err = conn.ReadAnswer(); err == nil {
+			return conn, answer, nil
 		}
 	}
-	return refusal(resp)
+	conn.Close()
+	return nil, nil, err
+}
+
+func readBody(answer *httpcall.Answer) ([]byte, error) {
+	body, err := httpcall.ReadBody(answer.Body, maxAnswer, nil)
+	if err != nil {
+		return nil, err
+	}
+	return body.Bytes(), nil
 }
 
 // refusal converts an error answer into a failure.
-func refusal(resp *fasthttp.Response) error {
+func refusal(status int, data []byte) error {
 	var e structs.ErrorBody
-	if err := json.Unmarshal(resp.Body(), &e); err != nil || e.Error.Kind == "" {
-		return &failure{code: exitError, message: fmt.Sprintf("status %d: %s", resp.StatusCode(), resp.Body())}
+	if err := json.Unmarshal(data, &e); err != nil || e.Error.Kind == "" {
+		return &failure{code: exitError, message: fmt.Sprintf("status %d: %s", status, data)}
 	}
 	return refusalOf(e.Error)
 }
--- a/cmd/havenwinch/send.go
+++ b/cmd/havenwinch/send.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/urfave/cli/v3"
 	"github.com/valyala/fasthttp"
@@ -54,26 +55,39 @@
 }
 
 func send(_ context.Context, c *cli.Command) error {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
 	if err := buildRequest(c, req); err != nil {
 		return err
 	}
-	client := &fasthttp.Client{StreamResponseBody: true, MaxIdemponentCallAttempts: 1}
-	if err := client.Do(req, resp); err != nil {
-		return &failure{code: exitUnreachable, message: fmt.Sprintf("the request got no answer (%v): send it again under the same idempotency key", err)}
+	conn, answer, err := open(c.String("caller"), req, time.Time{})
+	if err != nil {
+		return noAnswer(err)
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		body := bufio.NewReader(resp.BodyStream())
-		data, _ := body.ReadBytes('\n')
+	defer conn.Close()
+	if answer.Status != fasthttp.StatusOK {
+		data, err := readBody(answer)
+		if err != nil {
+			return noAnswer(err)
+		}
 		var e structs.ErrorBody
 		if json.Unmarshal(data, &e) != nil {
-			return &failure{code: exitError, message: fmt.Sprintf("status %d", resp.StatusCode())}
+			return &failure{code: exitError, message: fmt.Sprintf("status %d", answer.Status)}
 		}
 		return refusalOf(e.Error)
 	}
-	return printAnswer(bufio.NewScanner(resp.BodyStream()))
+	lines := bufio.NewScanner(answer.Body)
+	lines.Split(splitWholeLines)
+	return printAnswer(lines)
+}
+
+func noAnswer(err error) error {
+	return &failure{code: exitUnreachable, message: fmt.Sprintf("the request got no answer (%v): send it again under the same idempotency key", err)}
 }
 
+// splitWholeLines is bufio.ScanLines without a last line that has no end, as that may be cut off.
+func splitWholeLines(data []byte, _ bool) (int, []byte, error) { return bufio.ScanLines(data, false) }
+
 func buildRequest(c *cli.Command, req *fasthttp.Request) error {
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + c.String("caller") + "/v1/chat/completions")
--- a/cmd/havenwinchd/wire.go
+++ b/cmd/havenwinchd/wire.go
@@ -258,8 +258,8 @@
 	return k, nil
 }
 
-func newPoller(s *setting.Settings, d *dispatch.Dispatcher, engines *engine.Client, l *slog.Logger) *targetlist.Poller {
-	return &targetlist.Poller{Lister: &targetlist.HTTPLister{URL: s.PlatformURL}, Reporter: engines, Targets: d, Logger: l}
+func newPoller(s *setting.Settings, memory *bytebudget.Budget, d *dispatch.Dispatcher, engines *engine.Client, l *slog.Logger) *targetlist.Poller {
+	return &targetlist.Poller{Lister: &targetlist.HTTPLister{URL: s.PlatformURL, Memory: memory}, Reporter: engines, Targets: d, Logger: l}
 }
 
 func newCaller(s *setting.Settings, memory *bytebudget.Budget, d *dispatch.Dispatcher, store *configuration.Store, m *metrics.Metrics, r *timeline.Recorder, l *slog.Logger, g *graceful.Manager) *caller.Caller {
--- a/services/targetlist/targetlist.go
+++ b/services/targetlist/targetlist.go
@@ -17,6 +17,8 @@
 	"github.com/valyala/fasthttp"
 
 	"havenwinch.dev/havenwinch/models/target"
+	"havenwinch.dev/havenwinch/modules/bytebudget"
+	"havenwinch.dev/havenwinch/modules/httpcall"
 	"havenwinch.dev/havenwinch/modules/periodic"
 	"havenwinch.dev/havenwinch/services/engine"
 )
@@ -83,39 +85,75 @@
 // HTTPLister reads the list over HTTP. It uses the ETag so that an unchanged list is not
 // transferred again.
 type HTTPLister struct {
-	URL    string
-	client fasthttp.Client
+	URL string
+	// Memory is what the list is counted in while it is read; nil for no limit.
+	Memory *bytebudget.Budget
 	etag   string
 }
 
 // List implements Lister.
 func (l *HTTPLister) List(ctx context.Context) (List, bool, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(l.URL + "/targets")
-	if l.etag != "" {
-		req.Header.Set(fasthttp.HeaderIfNoneMatch, l.etag)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	conn, err := httpcall.DialURL(ctx, l.URL, listTimeout)
+	if err != nil {
+		return List{}, false, errors.Wrap(err, "fetching the list of targets")
 	}
-	l.client.MaxResponseBodySize = maxList
-	if err := l.client.DoTimeout(req, resp, listTimeout); err != nil {
+	defer conn.Close()
+	defer context.AfterFunc(ctx, conn.Close)()
+	answer, err := l.ask(conn)
+	if err != nil {
 		return List{}, false, errors.Wrap(err, "fetching the list of targets")
 	}
-	switch resp.StatusCode() {
+	switch answer.Status {
 	case fasthttp.StatusNotModified:
 		return List{}, true, nil
 	case fasthttp.StatusOK:
 	default:
-		return List{}, false, errors.Errorf("fetching the list of targets: unexpected status %d", resp.StatusCode())
+		return List{}, false, errors.Errorf("fetching the list of targets: unexpected status %d", answer.Status)
 	}
-	var list List
-	if err := json.Unmarshal(resp.Body(), &list); err != nil {
+	list, err := l.parse(answer)
+	if err != nil {
 		return List{}, false, errors.Wrap(err, "parsing the list of targets")
 	}
-	l.etag = string(resp.Header.Peek(fasthttp.HeaderETag))
+	l.etag = answer.Field("etag")
 	return list, false, nil
 }
 
+func (l *HTTPLister) ask(conn *httpcall.Conn) (*httpcall.Answer, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI(l.URL + "/targets")
+	if l.etag != "" {
+		req.Header.Set(fasthttp.HeaderIfNoneMatch, l.etag)
+	}
+	if err := conn.Send(req); err != nil {
+		return nil, err
+	}
+	return conn.ReadAnswer()
+}
+
+func (l *HTTPLister) parse(answer *httpcall.Answer) (List, error) {
+	body, err := httpcall.ReadBody(answer.Body, maxList, l.Memory)
+	if err != nil {
+		return List{}, err
+	}
+	defer body.Close()
+	var wire struct {
+		List
+		Targets json.RawMessage `json:"targets"`
+	}
+	if err := json.Unmarshal(body.Bytes(), &wire); err != nil {
+		return List{}, errors.WithStack(err)
+	}
+	// Without it all targets would be removed.
+	if wire.Targets == nil {
+		return List{}, errors.New("the list has no field \"targets\"")
+	}
+	err = json.Unmarshal(wire.Targets, &wire.List.Targets)
+	return wire.List, errors.WithStack(err)
+}
+
 // Poller keeps a table of targets up to date.
 type Poller struct {
 	Lister   Lister
