--- a/tests/single/single.go
+++ b/tests/single/single.go
@@ -25,6 +25,7 @@
 	"havenwinch.dev/havenwinch/models/ledger"
 	"havenwinch.dev/havenwinch/models/state"
 	"havenwinch.dev/havenwinch/models/target"
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 	"havenwinch.dev/havenwinch/modules/clock"
 	"havenwinch.dev/havenwinch/modules/digest"
 	"havenwinch.dev/havenwinch/modules/disk/disktest"
@@ -114,6 +115,8 @@
 	MaxBody int
 	// ReadTimeout limits the time for reading a request; 1 min by default.
 	ReadTimeout time.Duration
+	// Memory is what answers of targets are counted in; nil for no limit.
+	Memory *bytebudget.Budget
 	// WithholdQuarantineList withholds control's list of quarantined calls from the box until ApplyQuarantineList.
 	WithholdQuarantineList bool
 }
@@ -240,7 +243,7 @@
 	go s.Quarantine.Run(ctx)
 	s.Dispatcher = dispatch.New(dispatch.Options{
 		Box: Box + "@1", Name: Box, DataCentre: DataCentre, KeyWindow: opts.Window, Keepers: keepers, Config: store,
-		Engines: engine.New(engine.Options{Logger: s.Logger}), Quarantine: s.Quarantine, Policy: s.Policy, Clock: clock.System{}, Recorder: s.Recorder, Logger: s.Logger,
+		Engines: engine.New(engine.Options{Memory: opts.Memory, Logger: s.Logger}), Quarantine: s.Quarantine, Policy: s.Policy, Clock: clock.System{}, Recorder: s.Recorder, Logger: s.Logger,
 		KeepAliveInterval: 10 * time.Millisecond, Seed: 1, Metrics: metrics.New(),
 	})
 	s.Keeper, err = keeper.New(keeper.Options{
@@ -297,7 +300,7 @@
 		opts.MaxBody = 1 << 20
 	}
 	s.Caller = caller.New(caller.Options{
-		Dispatcher: s.Dispatcher, Config: s.Store, Counter: metrics.New(), Recorder: s.Recorder, Logger: s.Logger,
+		Dispatcher: s.Dispatcher, Config: s.Store, Counter: metrics.New(), Recorder: s.Recorder, Logger: s.Logger, Memory: opts.Memory,
 		Work: ctx, MaxBody: opts.MaxBody, MaxWait: time.Hour, ReadTimeout: opts.ReadTimeout, NewID: uuid.NewString, Now: time.Now,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
