services/dispatch: a follower ends at its deadline

Cause: a call that follows an earlier attempt under its key read that answer without a deadline, for as long as a comment came every 2 minutes. Change: it ends at its own deadline and is refused with request_in_progress.

--- a/routers/caller/answers_test.go
+++ b/routers/caller/answers_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/modules/bytebudget"
 	standin "havenwinch.dev/havenwinch/standin/engine"
 	"havenwinch.dev/havenwinch/structs"
@@ -158,3 +159,41 @@
 	}
 	s.WaitFor("the memory is free", func() bool { return memory.Held() == 0 })
 }
+
+// Guards against a caller that follows an earlier attempt beyond its own deadline.
+func TestFollowerEndsAtItsDeadline(t *testing.T) {
+	ended := make(chan struct{})
+	s := single.New(t, single.Options{Tokens: 1000, Wrap: func(h http.Handler, _ func()) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != chatPath && r.Header.Get("Last-Event-ID") == "" {
+				h.ServeHTTP(w, r)
+				return
+			}
+			_, _ = io.WriteString(w, ": queued\n\n")
+			w.(http.Flusher).Flush()
+			select {
+			case <-ended:
+			case <-r.Context().Done():
+			}
+		})
+	}})
+	first := make(chan struct{})
+	go func() {
+		defer close(first)
+		_, _ = sendAny(t, s, "POST", chatPath, chat("hi", 8, ""), "Idempotency-Key: k1", "Prefer: wait=5")
+	}()
+	s.WaitFor("the first attempt runs", func() bool {
+		return s.Record("north/a", "k1").GetState() == statev1.RequestState_REQUEST_STATE_STARTED
+	})
+	got := send(t, s, "POST", chatPath, chat("hi", 8, ""), "Idempotency-Key: k1", "Prefer: wait=1")
+	if got.status != http.StatusConflict || got.Error.Kind != structs.KindInProgress || got.Error.Run != structs.RunUnknown {
+		t.Errorf("status %d: %s", got.status, got.body)
+	}
+	select {
+	case <-first:
+		t.Error("the follower waited for the end of the first attempt")
+	default:
+	}
+	close(ended)
+	<-first
+}
--- a/services/dispatch/follow.go
+++ b/services/dispatch/follow.go
@@ -71,12 +71,12 @@
 	}
 	stream, err := d.opts.Engines.Resume(ctx, address, streamID(record), 0)
 	if err != nil {
-		return Result{}, answerGone(record)
+		return Result{}, unfollowed(ctx, record)
 	}
 	at := &attempt{d: d, admission: &Admission{Request: a.Request, keeper: a.keeper, record: record}, sink: &disconnectSafeSink{sink: sink}, startedAt: d.opts.Clock.Boot(), runs: record.GetRuns()}
 	out := at.forwardStream(ctx, address, stream, runOutcome{target: record.GetTarget(), replayed: true})
 	if out.err != nil {
-		return Result{}, answerGone(record)
+		return Result{}, unfollowed(ctx, record)
 	}
 	return Result{Usage: out.usage, Billed: min(out.usage.Total(), record.GetBound()), Finish: out.finish, Target: out.target, Replayed: true}, nil
 }
@@ -108,6 +108,15 @@
 	return record, nil
 }
 
+// unfollowed returns the refusal for an answer that could not be followed to its end.
+func unfollowed(ctx context.Context, record *statev1.RequestRecord) *Refusal {
+	if ctx.Err() == nil {
+		return answerGone(record)
+	}
+	return &Refusal{Kind: structs.KindInProgress, Run: structs.RunUnknown, RetryAfter: keeperRetryAfter,
+		Message: "the earlier attempt under this key has not ended before the deadline of this one: ask again with the same key after the stated time"}
+}
+
 func answerGone(record *statev1.RequestRecord) *Refusal {
 	if record.GetUncertain() {
 		return &Refusal{Kind: structs.KindOutcomeUnknown, Run: structs.RunUnknown, Billed: record.GetBilled(),
--- a/services/dispatch/serve.go
+++ b/services/dispatch/serve.go
@@ -43,12 +43,12 @@
 // Serve runs an admitted request and forwards its answer to the sink. The request is
 // settled exactly once, whatever its outcome.
 func (d *Dispatcher) Serve(ctx context.Context, a *Admission, sink Sink) (Result, *Refusal) {
+	ctx, cancel := context.WithDeadline(ctx, a.Request.Deadline)
+	defer cancel()
 	if !a.owned {
 		return d.follow(ctx, a, sink)
 	}
 	defer d.addReservations(a.keeper, -1)
-	ctx, cancel := context.WithDeadline(ctx, a.Request.Deadline)
-	defer cancel()
 	at := &attempt{d: d, admission: a, sink: &disconnectSafeSink{sink: sink}, need: d.needOf(a.Request), startedAt: d.opts.Clock.Boot(), runs: a.record.GetRuns()}
 	if a.takenOver {
 		return at.takeOver(ctx)
