--- a/services/dispatch/follow.go
+++ b/services/dispatch/follow.go
@@ -12,6 +12,7 @@
 
 	statev1 "havenwinch.dev/havenwinch/gen/havenwinch/state/v1"
 	"havenwinch.dev/havenwinch/models/ledger"
+	"havenwinch.dev/havenwinch/modules/bytebudget"
 	"havenwinch.dev/havenwinch/services/engine"
 	"havenwinch.dev/havenwinch/services/keeper"
 	"havenwinch.dev/havenwinch/structs"
@@ -70,12 +71,12 @@
 	}
 	stream, err := d.opts.Engines.Resume(ctx, address, streamID(record), 0)
 	if err != nil {
-		return Result{}, answerGone(record)
+		return Result{}, unfollowed(ctx, record)
 	}
 	at := &attempt{d: d, admission: &Admission{Request: a.Request, keeper: a.keeper, record: record}, sink: &disconnectSafeSink{sink: sink}, startedAt: d.opts.Clock.Boot(), runs: record.GetRuns()}
 	out := at.forwardStream(ctx, address, stream, runOutcome{target: record.GetTarget(), replayed: true})
 	if out.err != nil {
-		return Result{}, answerGone(record)
+		return Result{}, unfollowed(ctx, record)
 	}
 	return Result{Usage: out.usage, Billed: min(out.usage.Total(), record.GetBound()), Finish: out.finish, Target: out.target, Replayed: true}, nil
 }
@@ -107,6 +108,15 @@
 	return record, nil
 }
 
+// unfollowed returns the refusal for an answer that could not be followed to its end.
+func unfollowed(ctx context.Context, record *statev1.RequestRecord) *Refusal {
+	if ctx.Err() == nil {
+		return answerGone(record)
+	}
+	return &Refusal{Kind: structs.KindInProgress, Run: structs.RunUnknown, RetryAfter: keeperRetryAfter,
+		Message: "the earlier attempt under this key has not ended before the deadline of this one: ask again with the same key after the stated time"}
+}
+
 func answerGone(record *statev1.RequestRecord) *Refusal {
 	if record.GetUncertain() {
 		return &Refusal{Kind: structs.KindOutcomeUnknown, Run: structs.RunUnknown, Billed: record.GetBilled(),
@@ -196,7 +206,7 @@
 // wants the complete answer.
 func (g *disconnectSafeSink) reset() {
 	if w, ok := g.sink.(*BufferedSink); ok {
-		w.Events = nil
+		w.Reset()
 	}
 }
 
@@ -214,6 +224,19 @@
 	// Disconnected reports whether the caller has disconnected. Nil means that it is not
 	// checked.
 	Disconnected func() bool
+	// Hold counts the events. Overflowed is set once there was no room for one; the events are dropped then,
+	// and the sink reports that its caller has disconnected.
+	Hold       bytebudget.Hold
+	Overflowed bool
+}
+
+// eventSize is what an event takes in bytes without its data.
+const eventSize = 96
+
+// Reset drops the events.
+func (w *BufferedSink) Reset() {
+	w.Events = nil
+	w.Hold.Release()
 }
 
 // KeepAlive implements Sink.
@@ -221,6 +244,11 @@
 
 // Event implements Sink.
 func (w *BufferedSink) Event(e engine.Event) error {
+	if !w.Hold.GrowShared(len(e.Data) + eventSize) {
+		w.Reset()
+		w.Overflowed = true
+		return errCallerDisconnected
+	}
 	w.Events = append(w.Events, e)
 	return w.check()
 }
