--- a/tests/soak/view_test.go
+++ b/tests/soak/view_test.go
@@ -51,6 +51,12 @@
 
 // newViewedFleet configures a fleet each of whose entry boxes has a view.
 func newViewedFleet(t *testing.T, controls, entries int) (*fleet, map[string]*view) {
+	t.Helper()
+	return newPartlyViewedFleet(t, controls, entries, entries)
+}
+
+// newPartlyViewedFleet configures a fleet whose first entry boxes have a view.
+func newPartlyViewedFleet(t *testing.T, controls, entries, viewed int) (*fleet, map[string]*view) {
 	t.Helper()
 	f := newFleet(t, controls, entries)
 	secret, err := os.ReadFile(filepath.Join(f.dir, "secret"))
@@ -58,7 +64,7 @@
 		t.Fatal(err)
 	}
 	views := map[string]*view{}
-	for i, b := range f.withRole("entry") {
+	for i, b := range f.withRole("entry")[:viewed] {
 		ip := b.ip[:strings.LastIndex(b.ip, ".")+1] + strconv.Itoa(firstViewIP+i)
 		v := &view{box: b, ip: ip, controls: f.addresses("control", f.ports.between), links: map[string]*link{}, boxLinks: map[string]*link{}}
 		v.peers = peers.New(peers.Options{Box: b.name, Secret: secret, Clock: clock.System{}, Stamps: hlc.New(clock.System{})})
