services/relay: a stop sends nothing on a stream whose handler has returned

What operators saw: a box that stops while connections that it carries end has a data race (it ends with status 66 if built with the race detector), in net/http's response writer, which may panic there.

Cause: Stop tells the other boxes in goroutines of their own, for which the handlers of the streams do not wait.

Change: a handler returns once no message is being sent on its stream, and none is sent after that.

--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -348,6 +348,60 @@
 	}
 }
 
+// stoppingStream is a stream to a box whose message of the stop is held up until release is closed.
+type stoppingStream struct {
+	received         atomic.Bool
+	ended            chan struct{}
+	entered, release chan struct{}
+}
+
+func (s *stoppingStream) Receive() (*betweenv1.ConnectRequest, error) {
+	if !s.received.Swap(true) {
+		return &betweenv1.ConnectRequest{Target: "target"}, nil
+	}
+	<-s.ended
+	return nil, io.EOF
+}
+
+func (s *stoppingStream) Send(m *betweenv1.ConnectResponse) error {
+	if m.GetClosing() {
+		close(s.entered)
+		<-s.release
+	}
+	return nil
+}
+
+// Guards against a message of a stop that is sent on a stream whose handler has returned.
+func TestStopSendsNothingAfterTheEndOfAStream(t *testing.T) {
+	goOn := make(chan struct{})
+	address := listen(t, func(c *net.TCPConn) {
+		<-goOn
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	})
+	server := relay.NewServer(relay.ServerOptions{Targets: &targets{address: address}, IsCongested: func() bool { return false }, Count: func(string) {}})
+	stream := &stoppingStream{ended: make(chan struct{}), entered: make(chan struct{}), release: make(chan struct{})}
+	defer close(stream.ended)
+	returned := make(chan struct{})
+	go func() {
+		defer close(returned)
+		_ = server.Serve(context.Background(), stream)
+	}()
+	for server.Carried() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	server.Stop()
+	<-stream.entered
+	close(goOn)
+	select {
+	case <-returned:
+		t.Error("the handler returned while a message was sent on its stream")
+	case <-time.After(200 * time.Millisecond):
+	}
+	close(stream.release)
+	<-returned
+}
+
 // Guards against streams over another box that can't leave a silent target.
 func TestReadDeadlineOfCarriedConnection(t *testing.T) {
 	goOn := make(chan struct{})
--- a/services/relay/server.go
+++ b/services/relay/server.go
@@ -64,8 +64,9 @@
 type carried struct {
 	target net.Conn
 	stream ServerStream
-	// sending serializes the messages to the other box.
+	// sending serializes the messages to the other box; isEnded is set once none may be sent any more.
 	sending sync.Mutex
+	isEnded bool
 	// confirmsEnd is set if the other box says when it has sent all of a request.
 	confirmsEnd bool
 	// mu guards received, the number of bytes of the other box, isWriting, which is set while the last of
@@ -163,6 +164,7 @@
 
 func (s *Server) close(c *carried) {
 	_ = c.target.Close()
+	c.endSending()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.carried, c)
@@ -171,9 +173,19 @@
 func (c *carried) send(m *betweenv1.ConnectResponse) error {
 	c.sending.Lock()
 	defer c.sending.Unlock()
+	if c.isEnded {
+		return errors.WithStack(net.ErrClosed)
+	}
 	return c.stream.Send(m)
 }
 
+// endSending waits for a message that is being sent. Nothing may be sent on a stream whose handler has returned.
+func (c *carried) endSending() {
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	c.isEnded = true
+}
+
 // upload writes the other box's bytes to the target until the stream ends, which closes the
 // connection, or a write fails. What the target has sent before that can still be read.
 func (s *Server) upload(c *carried) {
