routers/gateway: a changed limit on heads reaches open connections

What callers saw: after max_header_bytes was raised, 431 for heads that the new limit holds, over connections that were opened before; after it was lowered, longer heads were still taken.

Cause: the size of the reader's buffer was the limit, and it was made with the connection.

Change: the limit is checked for each head. The buffer follows it before a head is read, and what has been read stays.

--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -10,7 +10,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"io"
 	"log/slog"
 	"math"
 	"net"
@@ -310,7 +312,7 @@
 func (c *connection) handleRequest(limits *statev1.CallerLimits) bool {
 	_ = c.conn.SetReadDeadline(time.Now().Add(time.Duration(limits.GetHeaderTimeout()) * time.Millisecond))
 	h := &fasthttp.RequestHeader{}
-	if err := c.readHead(h); err != nil {
+	if err := c.readHead(h, int(limits.GetMaxHeaderBytes())); err != nil {
 		return c.rejectHead(err)
 	}
 	c.closeAfter = h.ConnectionClose()
@@ -341,9 +343,22 @@
 	return c.forwardCall(a, h, call)
 }
 
-// readHead reads the head of a request. Heads that parsers could interpret in
+// setHeadLimit gives the reader a buffer for heads of up to n bytes. What has been read stays: a larger
+// buffer is kept while it holds bytes.
+func (c *connection) setHeadLimit(n int) {
+	read, _ := c.reader.Peek(c.reader.Buffered())
+	if n == c.reader.Size() || n < c.reader.Size() && len(read) > 0 {
+		return
+	}
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(read)), c.conn), n)
+	// Later steps look at the number of bytes that are buffered.
+	_, _ = c.reader.Peek(len(read))
+}
+
+// readHead reads the head of a request, of up to limit bytes. Heads that parsers could interpret in
 // different ways are rejected.
-func (c *connection) readHead(h *fasthttp.RequestHeader) error {
+func (c *connection) readHead(h *fasthttp.RequestHeader, limit int) error {
+	c.setHeadLimit(limit)
 	if err := http1.SkipEmptyLine(c.reader); err != nil {
 		return err
 	}
@@ -351,6 +366,9 @@
 	if err != nil {
 		return err
 	}
+	if len(head) > limit {
+		return errors.WithStack(http1.ErrHeadTooLong{MaxBytes: limit})
+	}
 	if _, err := http1.CheckRequest(head); err != nil {
 		return err
 	}
--- a/routers/gateway/server_test.go
+++ b/routers/gateway/server_test.go
@@ -76,6 +76,8 @@
 	cancel  context.CancelFunc
 	// callers counts the bytes on the connections of callers.
 	callers *meter.Meter
+	// limits take the place of those of the table if they are set.
+	limits atomic.Pointer[statev1.CallerLimits]
 }
 
 // newFixture starts a server that forwards to one target with the given handler.
@@ -118,18 +120,25 @@
 	f := forward.New(forward.Options{Dialect: testDialect, Store: table, Leases: noLeases{}, Quarantine: quarantine.New(quarantine.Options{List: &table.Quarantine, Clock: clock.System{}, Logger: logging.Discard()}), Clock: clock.System{}, Logger: logging.Discard(), Counter: noCounter{}, RetryStock: 10})
 	f.Refresh()
 	work, cancel := context.WithCancel(context.Background())
-	s := New(Options{Forwarder: f, Translator: plainTranslator{}, Limits: func() *statev1.CallerLimits { return table.Index().Table.GetLimits() }, Clock: clock.System{}, Logger: logging.Discard(), StopLinger: time.Minute, BaseContext: work})
+	fixture := &fixture{cancel: cancel, callers: &meter.Meter{}}
+	limits := func() *statev1.CallerLimits {
+		if l := fixture.limits.Load(); l != nil {
+			return l
+		}
+		return table.Index().Table.GetLimits()
+	}
+	s := New(Options{Forwarder: f, Translator: plainTranslator{}, Limits: limits, Clock: clock.System{}, Logger: logging.Discard(), StopLinger: time.Minute, BaseContext: work})
 	front, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	callers := &meter.Meter{}
-	go func() { _ = s.Serve(callers.WrapListener(front)) }()
+	fixture.server, fixture.address = s, front.Addr().String()
+	go func() { _ = s.Serve(fixture.callers.WrapListener(front)) }()
 	t.Cleanup(func() {
 		cancel()
 		_ = front.Close()
 	})
-	return &fixture{server: s, address: front.Addr().String(), cancel: cancel, callers: callers}
+	return fixture
 }
 
 // awaitRead waits until the server has read a number of bytes from its callers.
