models/state: a start that a late call has superseded can register again

What callers saw: a server that ran and heartbeat got no request any more, for good, after the first heartbeat of another start that had ended came late.

Cause: without a time of birth the call that comes last counts as the later start's. The running one was stored as gone, which is final, and its heartbeats were acknowledged without a change.

Change: an end that is only inferred from such a call is marked. A start with the mark is registered again after two calls a second or more apart, and its calls are committed.

--- a/models/state/starts.go
+++ b/models/state/starts.go
@@ -22,13 +22,18 @@
 	// of its end; a target calls every 1.2 s.
 	rivalMinMillis = 5000
 	rivalMinCalls  = 3
+	// supersededMinMillis and supersededMinCalls are the same for a start that was superseded by one that does
+	// not report its birth. No call that a partition has delayed comes that late after another one.
+	supersededMinMillis = 1000
+	supersededMinCalls  = 2
 	// maxRivals is the maximum number of such starts that are tracked.
 	maxRivals = 64
 )
 
 // putTarget applies a target's call, which reached the leader at the given time of
 // day in milliseconds. Calls of an earlier start and older calls of the same start
-// are ignored. A start that has announced its end can't become ready again.
+// are ignored. A start that has announced its end can't become ready again; one that was superseded can,
+// since the call of the other start may have come late.
 func (r *Routing) putTarget(t *statev1.RegisteredTarget, at int64) {
 	gone := t.GetState() == statev1.RegisteredTarget_STATE_GONE
 	old := r.Targets[t.GetId()]
@@ -36,10 +41,16 @@
 		// The call does not name the start that has ended, so it is the known one.
 		t.Born = old.GetBorn()
 	}
-	if r.isEarlierStart(t) && (gone || !r.replacesKnownStart(t, at)) {
+	if r.isEarlierStart(t) && (gone || !r.keepsCalling(t, at, rivalMinMillis, rivalMinCalls)) {
 		return
 	}
-	if isSameStart(old, t) && !isNewerCall(old, t) {
+	switch {
+	case !isSameStart(old, t):
+	case old.GetSuperseded() && !gone:
+		if t.GetSequence() <= old.GetSequence() || !r.keepsCalling(t, at, supersededMinMillis, supersededMinCalls) {
+			return
+		}
+	case !isNewerCall(old, t):
 		return
 	}
 	if old != nil && t.GetAddress() == "" {
@@ -75,10 +86,9 @@
 	return owner != nil && t.GetBorn() > 0 && t.GetBorn() < owner.GetBorn()
 }
 
-// replacesKnownStart reports whether a start that seems to be earlier than the known
-// one has kept calling for so long that it must be the running one. It records the
-// call.
-func (r *Routing) replacesKnownStart(t *statev1.RegisteredTarget, at int64) bool {
+// keepsCalling reports whether a start that seems to have ended has called so often, and for so long, that it
+// must be the running one. It records the call.
+func (r *Routing) keepsCalling(t *statev1.RegisteredTarget, at, minMillis int64, minCalls uint32) bool {
 	i := slices.IndexFunc(r.rivals, func(v *statev1.RivalTarget) bool { return v.GetId() == t.GetId() && v.GetBorn() == t.GetBorn() })
 	if i < 0 {
 		r.rivals = append(r.rivals, &statev1.RivalTarget{Id: t.GetId(), Born: t.GetBorn(), First: at, Calls: 1, Sequence: t.GetSequence()})
@@ -89,7 +99,7 @@
 	if t.GetSequence() <= known.GetSequence() {
 		return false
 	}
-	if at-known.GetFirst() >= rivalMinMillis && known.GetCalls()+1 >= rivalMinCalls {
+	if at-known.GetFirst() >= minMillis && known.GetCalls()+1 >= minCalls {
 		r.rivals = slices.Delete(slices.Clone(r.rivals), i, i+1)
 		return true
 	}
@@ -110,6 +120,7 @@
 		r.storeTarget(&statev1.RegisteredTarget{
 			Id: former.GetId(), Service: former.GetService(), Address: former.GetAddress(), DataCentre: former.GetDataCentre(),
 			Slots: former.GetSlots(), Sequence: former.GetSequence(), Born: former.GetBorn(), Version: former.GetVersion(), State: statev1.RegisteredTarget_STATE_GONE,
+			Superseded: t.GetBorn() == 0,
 		}, at)
 	}
 	r.idByAddress[t.GetAddress()] = t.GetId()
--- a/models/state/starts_test.go
+++ b/models/state/starts_test.go
@@ -87,6 +87,26 @@
 			calls: []call{{at: 100, row: start("a", "x", 20, ready, 9)}, {at: 1000, row: start("a", "x", 10, ready, 3)}, {at: 4000, row: start("a", "x", 10, ready, 3)}, {at: 8000, row: start("a", "x", 10, ready, 3)}},
 			want:  map[string]string{"a": "READY 20"},
 		},
+		"a late first call names no birth": {
+			calls: []call{{at: 100, row: start("a", "x", 0, ready, 9)}, {at: 1000, row: start("b", "x", 0, ready, 1)}, {at: 1300, row: start("a", "x", 0, ready, 10)}, {at: 2500, row: start("a", "x", 0, ready, 11)}},
+			want:  map[string]string{"a": "READY 0", "b": "GONE 0"},
+		},
+		"a late first call, then the draining of the running one": {
+			calls: []call{{at: 100, row: start("a", "x", 0, ready, 9)}, {at: 1000, row: start("b", "x", 0, ready, 1)}, {at: 1300, row: start("a", "x", 0, draining, 10)}, {at: 2500, row: start("a", "x", 0, draining, 11)}},
+			want:  map[string]string{"a": "DRAINING 0", "b": "GONE 0"},
+		},
+		"late calls of a start that another has followed": {
+			calls: []call{{at: 100, row: start("a", "x", 0, ready, 9)}, {at: 1000, row: start("b", "x", 0, ready, 1)}, {at: 1300, row: start("a", "x", 0, ready, 10)}, {at: 1900, row: start("a", "x", 0, ready, 11)}},
+			want:  map[string]string{"a": "GONE 0", "b": "READY 0"},
+		},
+		"the same late call again and again": {
+			calls: []call{{at: 100, row: start("a", "x", 0, ready, 9)}, {at: 1000, row: start("b", "x", 0, ready, 1)}, {at: 1300, row: start("a", "x", 0, ready, 10)}, {at: 4000, row: start("a", "x", 0, ready, 10)}, {at: 9000, row: start("a", "x", 0, ready, 8)}},
+			want:  map[string]string{"a": "GONE 0", "b": "READY 0"},
+		},
+		"a start that has left calls late": {
+			calls: []call{{at: 100, row: start("a", "x", 0, ready, 9)}, {at: 500, row: start("a", "", 0, gone, 10)}, {at: 1000, row: start("b", "x", 0, ready, 1)}, {at: 1300, row: start("a", "x", 0, ready, 11)}, {at: 4000, row: start("a", "x", 0, ready, 12)}},
+			want:  map[string]string{"a": "GONE 0", "b": "READY 0"},
+		},
 		"says now when it was born": {
 			calls: []call{{row: start("a", "x", 0, ready, 9)}, {row: start("a", "x", 10, ready, 1)}},
 			want:  map[string]string{"a": "READY 10"},
--- a/services/gateway/registry.go
+++ b/services/gateway/registry.go
@@ -118,7 +118,7 @@
 		return false
 	}
 	if known.GetState() > t.GetState() {
-		return true
+		return !known.GetSuperseded()
 	}
 	return known.GetState() == t.GetState() && known.GetAddress() == t.GetAddress() && known.GetService() == t.GetService() && known.GetVersion() == t.GetVersion() && known.GetSlots() == t.GetSlots()
 }
--- a/services/gateway/registry_test.go
+++ b/services/gateway/registry_test.go
@@ -35,3 +35,16 @@
 		})
 	}
 }
+
+// Guards against a running target that is never registered again after a late call of another start.
+func TestCallsOfASupersededStartAreCommitted(t *testing.T) {
+	for name, superseded := range map[string]bool{"it has left": false, "another start has called from its address": true} {
+		t.Run(name, func(t *testing.T) {
+			known := &statev1.RegisteredTarget{Id: "t", Service: "s", Address: "10.0.0.1:1", Sequence: 1, State: statev1.RegisteredTarget_STATE_GONE, Superseded: superseded}
+			row := &statev1.RegisteredTarget{Id: "t", Service: "s", Address: "10.0.0.1:1", Sequence: 2, State: statev1.RegisteredTarget_STATE_READY}
+			if got := isUnchanged(known, row); got == superseded {
+				t.Errorf("isUnchanged is %v", got)
+			}
+		})
+	}
+}
