services/forward: a restart does not renew the reserve of retries

What callers saw: more further sends to a service within a window than the bound allows, after entry boxes were killed while its targets rejected.

Cause: a process that starts had its whole part of the reserve, whatever its predecessor had spent in the window.

--- a/services/forward/retry_test.go
+++ b/services/forward/retry_test.go
@@ -88,3 +88,75 @@
 		})
 	}
 }
+
+// Guards against a reserve that each restart of a box renews: boxes that are killed and start again, one after the
+// other or all at once, keep to the reserve and the ratio of their calls in each window.
+func TestRestartsDoNotRenewTheReserve(t *testing.T) {
+	const window, length, step = 10 * time.Second, 30 * time.Second, 50 * time.Millisecond
+	opts := Options{RetryRatio: 0.2, RetryStock: 52, RetryWindow: window}
+	cases := map[string]struct {
+		boxes int
+		// isRestarted reports whether a box starts anew at a step.
+		isRestarted func(box, step int) bool
+	}{
+		"two boxes, both at once":       {2, func(_, step int) bool { return step > 0 && step%70 == 0 }},
+		"two boxes in turn":             {2, func(box, step int) bool { return step%60 == 30*box }},
+		"eight boxes, once":             {8, func(_, step int) bool { return step == 100 }},
+		"eight boxes in turn":           {8, func(box, step int) bool { return step%80 == 10*box }},
+		"360 boxes, all at once, often": {360, func(_, step int) bool { return step > 0 && step%50 == 0 }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var names []string
+			for n := range c.boxes {
+				names = append(names, fmt.Sprint("box-", n))
+			}
+			budgets := make([]retryBudget, c.boxes)
+			var sends, calls []time.Duration
+			for at := range int(length / step) {
+				now := time.Duration(at) * step
+				for n := range budgets {
+					if c.isRestarted(n, at) {
+						budgets[n] = retryBudget{withheldUntil: now + window}
+					}
+					if (at+n)%c.boxes < 2 {
+						budgets[n].refill("s", opts.retryTerms(c.boxes), window, now)
+						calls = append(calls, now)
+					}
+					for budgets[n].take("s", rate.NewFleet(names[n], names, 0), now) {
+						sends = append(sends, now)
+					}
+				}
+			}
+			within := func(list []time.Duration, from time.Duration) float64 {
+				return float64(len(slices.DeleteFunc(slices.Clone(list), func(s time.Duration) bool { return s < from || s >= from+window })))
+			}
+			for from := time.Duration(0); from+window <= length; from += step {
+				if got, bound := within(sends, from), opts.RetryStock+opts.RetryRatio*within(calls, from); got > bound {
+					t.Fatalf("%.0f retries in the window from %s, %.1f are allowed", got, from, bound)
+				}
+			}
+		})
+	}
+}
+
+// Guards against boxes that lose their part of the reserve by a restart.
+func TestReserveIsUsableOneWindowAfterARestart(t *testing.T) {
+	const window = 10 * time.Second
+	opts := Options{RetryRatio: 0.2, RetryStock: 52, RetryWindow: window}
+	for _, boxes := range []int{1, 2, 8, 30} {
+		left := 0
+		for range boxes {
+			b := retryBudget{withheldUntil: window}
+			b.refill("s", opts.retryTerms(boxes), window, 0)
+			if b.take("s", rate.Fleet{}, 0) {
+				t.Errorf("%d boxes: a retry of the reserve right after the start", boxes)
+			}
+			for b.refill("s", opts.retryTerms(boxes), window, window); b.take("s", rate.Fleet{}, window); left++ {
+			}
+		}
+		if whole := int(opts.retryTerms(boxes).stock) * boxes; left < whole*9/10 {
+			t.Errorf("%d boxes: %d retries of the reserve are usable, want 0.9 of %d", boxes, left, whole)
+		}
+	}
+}
