cmd/havenwinchd: a stopping box reports its leases once more after its last call

What callers saw: tokens that streams had reserved which a planned stop cut were lost to the organisation for good.

Cause: the last report went out before the calls were cut off, with what they had reserved.

Change: what is left of the leases is reported again once these calls have ended, within the rest of the stop limit. A log line tells what a box that leaves has still reserved, and whether control received the report.

--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -246,16 +246,24 @@
 	e.callers.Wait(waitCtx)
 	cancel()
 	e.seats.Stop()
-	returnCtx, done := context.WithTimeout(context.Background(), returnTimeout)
-	e.shared.Flush(returnCtx)
-	e.leases.SendFinalReport(returnCtx)
-	done()
+	e.returnLeases(returnTimeout)
 	e.callers.Wait(ctx)
 	// Calls that were cut off end at once, and their callers are told before the process ends.
 	answerCtx, answered := context.WithTimeout(context.Background(), e.Settings.StopLimit-workLimit(e.Settings))
 	e.callers.Wait(answerCtx)
 	answered()
+	// What they had reserved is returned now that they have ended.
+	e.returnLeases(e.Settings.StopLimit - workLimit(e.Settings))
 	e.relays.Wait(ctx)
 	handedOver.Wait()
 	_ = e.between.Close()
 }
+
+// returnLeases returns what no call uses any more of the leases to control, and the draws of calls to their
+// holders.
+func (e *entryRole) returnLeases(limit time.Duration) {
+	ctx, done := context.WithTimeout(context.Background(), limit)
+	defer done()
+	e.shared.Flush(ctx)
+	e.leases.SendFinalReport(ctx)
+}
--- a/services/gateway/report.go
+++ b/services/gateway/report.go
@@ -57,7 +57,8 @@
 	l.ReportNow()
 }
 
-// SendFinalReport sends the last report, after Leave and the end of the last request.
+// SendFinalReport sends a report after Leave. It is sent once more after the end of the last request, so that
+// what that had reserved is returned, too.
 func (l *Leases) SendFinalReport(ctx context.Context) { l.report(ctx) }
 
 // age returns for how long this process has run.
@@ -79,6 +80,9 @@
 	began := l.Clock.Boot()
 	resp, err := l.Client.Lease(ctx, r, l.age)
 	l.handleAnswer(resp, l.Clock.Boot()-began, err)
+	if r.GetLeaving() {
+		l.Logger.Info("leases returned", "received", err == nil, "reserved", reservedIn(r))
+	}
 	if l.Placement == nil {
 		return
 	}
@@ -90,6 +94,14 @@
 	l.Placement.TakeLimits(r, resp, l.Directory())
 }
 
+// reservedIn returns how many tokens a report says are reserved by running requests.
+func reservedIn(r *betweenv1.LeaseRequest) (sum uint64) {
+	for _, report := range r.GetReports() {
+		sum += report.GetReserved()
+	}
+	return sum
+}
+
 // request returns the next report: with a new sample, or with the last one again if
 // control has not confirmed it. It returns nil if no report is due yet.
 func (l *Leases) request() *betweenv1.LeaseRequest {
--- a/tests/soak/stop_test.go
+++ b/tests/soak/stop_test.go
@@ -75,3 +75,33 @@
 	}
 	<-exited
 }
+
+// Guards against tokens that are lost with the streams that a planned stop cuts.
+func TestStopReturnsWhatCutStreamsHadReserved(t *testing.T) {
+	const limit = 4 * time.Second
+	f := newFleet(t, 1, 1)
+	entry := f.withRole("entry")[0]
+	entry.env = append(entry.env, fmt.Sprintf("HAVENWINCH_STOP_LIMIT=%s", limit))
+	tb := startTestbed(t, f, 6, 1, 1)
+	conn, err := net.Dial("tcp", tb.address(entry, tb.ports.caller))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "POST /stream/once/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: cut\r\nApi-Key: key-large\r\nToken-Count: 100,60000\r\nContent-Length: 11\r\n\r\nbody of cut")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("the stream did not start: %v", err)
+	}
+	go func() { _, _ = io.Copy(io.Discard, resp.Body) }()
+	<-entry.signal(syscall.SIGTERM)
+	var last string
+	for line := range strings.SplitSeq(entry.logText(), "\n") {
+		if strings.Contains(line, `"msg":"leases returned"`) {
+			last = line
+		}
+	}
+	if !strings.Contains(last, `"received":true`) || !strings.Contains(last, `"reserved":0`) {
+		t.Errorf("the last report of the box is %q, want one that control got and that says that nothing is reserved", last)
+	}
+}
