modules/raft: a control box that stood still is not in step

Callers saw a stream go on at a server of another software version: a control box that had stood still told entry boxes that an old list of targets was complete.

Cause: Core.HandleAppend dated what it heard by the time of reading, so an append request that had waited counted as present news.

Change: a follower sends its boot clock's reading with each answer, with the start of its process. The leader returns the newest one while it holds its lease, and the follower counts as caught up as of that reading and no later. The leader returns it one round trip after a heartbeat and not only with the next one, so that news get no older by a heartbeat. These requests leave replication's state alone: new entries don't wait for their answers.

A leader of an earlier version returns no readings. Its requests count as of the box's last tick, and not at all in the first heartbeat interval after a pause: no proof, but followers stay in step during a rolling upgrade. A follower of an earlier version takes the time of reading as before.

The random schedules verify that no box is caught up as of a time before which an entry was committed that it lacks.

Bounds of entry boxes (0.9 s, 1 s, 0.6 s of wait) stay as they are.

--- a/modules/raft/core.go
+++ b/modules/raft/core.go
@@ -100,6 +100,10 @@
 	lastSent  time.Duration
 	// inFlight is set while a request is unanswered.
 	inFlight bool
+	// reading is the peer's newest clock reading, nil if it has sent none.
+	reading *betweenv1.ClockReading
+	// lastConfirmed is when a reading was last sent back ahead of the next heartbeat.
+	lastConfirmed time.Duration
 }
 
 // Core is the consensus state of one box. It is not safe for concurrent use.
@@ -125,6 +129,11 @@
 	// caughtUpAt is when this box last held every entry that its leader had
 	// committed.
 	caughtUpAt time.Duration
+	// startedAt is when this Core was made.
+	startedAt time.Duration
+	// lastTick is when Tick last ran, and pausedUntil when it ran after it had not
+	// for over a heartbeat interval, zero if it always has.
+	lastTick, pausedUntil time.Duration
 	// electionDeadline is when a box that has no leader starts an election.
 	electionDeadline time.Duration
 	// leaderSince is when this box became leader.
@@ -173,6 +182,8 @@
 		commit:             stored.SnapshotIndex,
 		delivered:          stored.SnapshotIndex,
 		lastContact:        now,
+		startedAt:          now,
+		lastTick:           now,
 		snapshot:           stored.Snapshot,
 		proposedAdmissions: map[string]string{},
 		learners:           map[string]time.Duration{},
@@ -256,6 +267,7 @@
 // Tick runs the actions whose time has come: heartbeats, membership changes and
 // elections.
 func (c *Core) Tick(now time.Duration) {
+	c.trackPauses(now)
 	if c.role == Leader {
 		c.tickLeader(now)
 		return
--- a/modules/raft/core_replicate.go
+++ b/modules/raft/core_replicate.go
@@ -44,6 +44,12 @@
 		}})
 		return
 	}
+	c.sendAppend(name, now)
+}
+
+// sendAppend sends a peer the entries from the next one on, which the log must hold.
+func (c *Core) sendAppend(name string, now time.Duration) {
+	p := c.peers[name]
 	c.send(Request{To: name, SentAt: now, Append: &betweenv1.AppendRequest{
 		Term:      c.term,
 		Leader:    c.opts.Self,
@@ -51,6 +57,7 @@
 		PrevTerm:  c.log.termAt(p.next - 1),
 		Entries:   c.log.from(p.next, maxAppendEntries),
 		Commit:    c.commit,
+		Heard:     c.heardFrom(p, now),
 	}})
 }
 
@@ -69,7 +76,7 @@
 		return &betweenv1.AppendResponse{Term: c.term, Incarnation: c.incarnation}
 	}
 	c.followLeader(r.GetTerm(), r.GetLeader(), now)
-	resp := &betweenv1.AppendResponse{Term: c.term, Incarnation: c.incarnation}
+	resp := &betweenv1.AppendResponse{Term: c.term, Incarnation: c.incarnation, Reading: c.clockReading(now)}
 	if !c.hasPrevEntry(r) {
 		resp.Index = c.indexBeforeConflict(r.GetPrevIndex())
 		return resp
@@ -82,7 +89,7 @@
 	last := r.GetPrevIndex() + uint64(len(r.GetEntries()))
 	c.setCommit(min(r.GetCommit(), last))
 	if c.commit >= r.GetCommit() && c.log.termAt(c.commit) == c.term {
-		c.caughtUpAt = now
+		c.caughtUpAt = max(c.caughtUpAt, c.madeAfter(r, now))
 	}
 	resp.Success = true
 	resp.Index = last
@@ -97,16 +104,6 @@
 	c.lastContact = now
 }
 
-// CaughtUpAt returns when this box was last known to hold every committed entry.
-// A leader holds them while a quorum follows it, once it has committed an entry
-// of its own term; a follower when it has all that such a leader has committed.
-func (c *Core) CaughtUpAt(now time.Duration) time.Duration {
-	if c.role == Leader && c.log.termAt(c.commit) == c.term {
-		c.caughtUpAt = max(c.caughtUpAt, c.quorumAcked(now))
-	}
-	return c.caughtUpAt
-}
-
 // hasPrevEntry reports whether the log holds the entry that precedes those of an
 // append request.
 func (c *Core) hasPrevEntry(r *betweenv1.AppendRequest) bool {
@@ -145,12 +142,14 @@
 		return
 	}
 	p.lastAcked = max(p.lastAcked, sentAt)
+	p.recordReading(r.GetReading())
 	if !r.GetSuccess() {
 		p.next = max(1, min(r.GetIndex()+1, p.next-1))
 		c.replicate(from, now)
 		return
 	}
 	c.recordMatch(from, r.GetIndex(), now)
+	c.confirm(from, now)
 }
 
 // acceptsResponse reports whether a response is to a request of this leader's
--- a/modules/raft/group_test.go
+++ b/modules/raft/group_test.go
@@ -61,6 +61,10 @@
 	isLost func(message) bool
 	// committed are the entries that any member has applied, in log order.
 	committed []string
+	// committedAt is when each of them was first applied.
+	committedAt []time.Duration
+	// earlier are the members of a version that neither sends nor reads clock readings.
+	earlier map[string]bool
 	// memberships are the members after each of the committed entries, the founders first.
 	memberships []map[string]string
 	// leaders maps each term to its leader.
@@ -146,6 +150,9 @@
 		return
 	}
 	for _, r := range out.Requests {
+		if r.Append != nil && g.earlier[m.name] {
+			r.Append.Heard = nil
+		}
 		g.network = append(g.network, message{from: m.name, request: r})
 	}
 }
@@ -164,6 +171,7 @@
 		return
 	}
 	g.committed = append(g.committed, value)
+	g.committedAt = append(g.committedAt, g.now)
 	members := maps.Clone(g.memberships[index-1])
 	if _, known := members[memberOf(e).GetBox()]; isChange(e) || e.GetKind() == betweenv1.LogEntry_KIND_MEMBER && known {
 		applyChange(members, e)
@@ -180,6 +188,18 @@
 	}
 }
 
+// checkCaughtUp verifies that a box has applied all entries that were committed before the
+// time as of which it is caught up.
+func (g *group) checkCaughtUp(m *member) {
+	at := m.core.CaughtUpAt(g.now)
+	if at > g.now {
+		g.t.Fatalf("%s is caught up as of %s from now", m.name, at-g.now)
+	}
+	if i := len(m.applied); i < len(g.committed) && g.committedAt[i] < at {
+		g.t.Fatalf("%s is caught up as of %s after entry %d was committed, which it lacks", m.name, at-g.committedAt[i], i+1)
+	}
+}
+
 // deliver delivers a message, and queues the answer when it is a request. Messages
 // to a member that is down or frozen are lost.
 func (g *group) deliver(msg message) {
@@ -199,7 +219,7 @@
 		case msg.request.Vote != nil:
 			msg.answer = c.HandleVote(msg.request.Vote, g.now)
 		case msg.request.Append != nil:
-			msg.answer = c.HandleAppend(msg.request.Append, g.now)
+			msg.answer = g.handleAppend(to, msg.request.Append)
 		default:
 			msg.answer = c.HandleInstall(msg.request.Install, g.now)
 		}
@@ -207,6 +227,17 @@
 	g.network = append(g.network, msg)
 }
 
+func (g *group) handleAppend(m *member, r *betweenv1.AppendRequest) *betweenv1.AppendResponse {
+	if !g.earlier[m.name] {
+		return m.core.HandleAppend(r, g.now)
+	}
+	r = proto.CloneOf(r)
+	r.Heard = nil
+	resp := m.core.HandleAppend(r, g.now)
+	resp.Reading = nil
+	return resp
+}
+
 func (g *group) handleResponse(c *Core, msg message) {
 	switch answer := msg.answer.(type) {
 	case *betweenv1.VoteResponse:
@@ -219,7 +250,8 @@
 }
 
 // check verifies the invariants: each term has at most one leader, at most one box
-// holds a lease, and the members of each box are those of the log.
+// holds a lease, the members of each box are those of the log, and none is caught up
+// as of a time at which it lacked committed entries.
 func (g *group) check() {
 	leases := 0
 	for _, name := range g.names {
@@ -228,6 +260,7 @@
 			continue
 		}
 		g.checkMembers(m)
+		g.checkCaughtUp(m)
 		if m.core.role == Leader {
 			if other := g.leaders[m.core.term]; other != "" && other != name {
 				g.t.Fatalf("%s and %s are both leader in term %d", name, other, m.core.term)
