services/forward: a box tells of the refusal of an only target

A box that dials the only target of a service for another box answered the target's refusal now with the refusal, now with "no path".

Cause: the failed dial begins a check of the service in the background. For a service of one target the check takes one more refused dial for the loss of the box's own links. DialTarget asked for the loss after its dial, so the answer hung on which of the two came first.

Change: the refusal of an only target is passed on, as no other target was dialled that could tell the loss of links from the end of the target. A box that knew of the loss before the dial answers "no path" as before.

The new case "the only target refuses, checked" lets the check end first; it failed before.

--- a/services/forward/paths.go
+++ b/services/forward/paths.go
@@ -197,12 +197,24 @@
 	if dial.IsShortage(err) {
 		return nil, errors.WithStack(relay.ErrBusy{Reason: err.Error()})
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) && !f.reachesOthers(ctx, t) || err != nil && f.isLost(t.Service) {
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	if refused && f.isOnly(t) {
+		// The check that this dial began may have ended. It has dialled no other target.
+		return nil, err
+	}
+	if refused && !f.reachesOthers(ctx, t) || err != nil && f.isLost(t.Service) {
 		return nil, errors.WithStack(lostLinks)
 	}
 	return c, err
 }
 
+// isOnly reports whether a service has no other target that may be dialled.
+func (f *Forwarder) isOnly(t *spread.Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.targets.CountUsable(t.Service) <= 1
+}
+
 // reachesOthers reports whether this box reaches other targets of a service after it could not
 // reach the given one, and dials some unless it has done so just before. It returns true if there
 // are none.
--- a/services/forward/paths_test.go
+++ b/services/forward/paths_test.go
@@ -16,6 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
 
+	"havenwinch.dev/havenwinch/models/spread"
 	"havenwinch.dev/havenwinch/services/relay"
 	"havenwinch.dev/havenwinch/structs"
 )
@@ -458,6 +459,21 @@
 	}
 }
 
+// awaitingChecks records the results of dials, and waits after the first one until the check that it
+// begins has ended.
+func awaitingChecks(f *Forwarder) func(t *spread.Target, err error) {
+	var first sync.Once
+	return func(t *spread.Target, err error) {
+		f.recordDial(t, err)
+		// The dials of the check run meanwhile.
+		wait := false
+		first.Do(func() { wait = true })
+		if wait {
+			awaitChecks(f)
+		}
+	}
+}
+
 // What a box answers that asks this one to carry a connection.
 func TestDialForAnotherBox(t *testing.T) {
 	tests := map[string]struct {
@@ -466,7 +482,9 @@
 		// id is the target that is asked for, the first one if empty.
 		id string
 		// lost is set if this box knows already that it reaches none.
-		lost            bool
+		lost bool
+		// checked is set if the check that the dial begins ends before the dial's error is looked at.
+		checked         bool
 		reached, noPath bool
 		refused, busy   bool
 	}{
@@ -477,6 +495,8 @@
 		"silent, others are reached":       {targets: 3, cut: 1, fault: linkSilent},
 		"a target that isn't registered":   {targets: 1, id: "unknown"},
 		"the only target refuses":          {targets: 1, cut: 1, fault: linkRefuses, refused: true},
+		"the only target refuses, checked": {targets: 1, cut: 1, fault: linkRefuses, checked: true, refused: true},
+		"refused by all, checked":          {targets: 3, cut: 3, fault: linkRefuses, checked: true, noPath: true},
 		"the only target, known to refuse": {targets: 1, cut: 1, fault: linkRefuses, lost: true, noPath: true},
 		"no descriptor":                    {targets: 3, cut: 3, fault: noDescriptor, busy: true},
 	}
@@ -494,6 +514,9 @@
 				}
 				awaitChecks(f)
 			}
+			if test.checked {
+				f.pool.dialled = awaitingChecks(f)
+			}
 			before := l.dialCount()
 			id := test.id
 			if id == "" {
