services/relay: a test for the memory of carried connections that nobody reads

A relay.Conn stops to read its stream at 64 KB, but the HTTP/2 client below it goes on up to the 4 MB that net/http grants each stream. Slow callers of long answers over another box can take that much each, uncounted.

The bound lets a box of 112 MB have 200 such connections.

--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -576,6 +576,47 @@
 	}
 }
 
+// Guards against many carried connections that together fill the memory of a box while nobody reads them.
+func TestUnreadBytesTakeLittleMemory(t *testing.T) {
+	// most lets a box of 112 MB have 200 connections. The connections here take it at two boxes together.
+	const connections, most = 40, 112 << 20 / 200
+	var sent atomic.Int64
+	open := make(chan struct{})
+	address := listen(t, func(c *net.TCPConn) {
+		defer c.Close()
+		<-open
+		for piece := make([]byte, 64<<10); ; {
+			n, err := c.Write(piece)
+			sent.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	})
+	d := newDialer(newCarrier(t, "box", secret, &targets{address: address}))
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for range connections {
+		c, err := d.Dial(context.Background(), "service", "target")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	close(open)
+	for last := int64(-1); sent.Load() != last; time.Sleep(500 * time.Millisecond) {
+		last = sent.Load()
+	}
+	// Buffers in a sync.Pool are free, and outlive one collection.
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if per := int64(after.HeapAlloc-before.HeapAlloc) / connections; per > most {
+		t.Errorf("a connection that nobody reads takes %d bytes, want at most %d", per, most)
+	}
+}
+
 // BenchmarkHop measures a request of 400 bytes with an answer of 800 bytes over a connection that
 // another box carries, and directly.
 func BenchmarkHop(b *testing.B) {
