services/peers: carried connections keep at most 64 KB that nobody reads

Cause: the client of carried connections left the receive buffer of a stream at the 4 MB of net/http, beside the 64 KB that relay.Conn bounds and outside the count of held bytes.

Change: MaxReceiveBufferPerStream is 64 KB, the least that net/http takes, for the client of carried connections; other clients keep the default. The buffer also bounds what one connection carries in a round trip between boxes.

TestUnreadBytesTakeLittleMemory failed before with 4374748 bytes a connection, want at most 587202, and passes now, 5 of 5 with the race detector.

--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -40,6 +40,9 @@
 	// maxFrame is the maximum size of an HTTP/2 frame, in bytes. A client keeps a buffer of this
 	// size, of up to 512 KiB, for each stream on which it sends.
 	maxFrame = 16 << 10
+	// carriedBuffer is the size in bytes of what is kept of a carried connection that nobody reads. It bounds
+	// the memory of slow callers, and what a connection carries in a round trip between the boxes.
+	carriedBuffer = 64 << 10
 	// maxClockSkew is the maximum difference between the clocks of two boxes.
 	maxClockSkew = 10 * time.Minute
 
@@ -89,15 +92,16 @@
 // New returns Peers that use HTTP/2, with TLS if it is configured.
 func New(opts Options) *Peers {
 	return &Peers{
-		opts: opts, client: newClient(opts, restPing, pingTimeout), carrying: newClient(opts, restPing, carriedPingTimeout),
-		recording: newClient(opts, recordRestPing, pingTimeout),
+		opts: opts, client: newClient(opts, restPing, pingTimeout, 0), carrying: newClient(opts, restPing, carriedPingTimeout, carriedBuffer),
+		recording: newClient(opts, recordRestPing, pingTimeout, 0),
 		keepers:   map[string]betweenv1connect.KeeperServiceClient{},
 	}
 }
 
 // newClient returns a client that pings a connection after the time rest without a frame, and gives
-// it up when a ping has had no answer for the time ping.
-func newClient(opts Options, rest, ping time.Duration) *http.Client {
+// it up when a ping has had no answer for the time ping. It keeps up to buffer bytes of a stream that are not
+// read, zero for the 4 MB of net/http.
+func newClient(opts Options, rest, ping time.Duration, buffer int) *http.Client {
 	var protocols http.Protocols
 	protocols.SetHTTP2(opts.TLS != nil)
 	protocols.SetUnencryptedHTTP2(opts.TLS == nil)
@@ -111,7 +115,7 @@
 		TLSClientConfig: opts.TLS.Clone(),
 		DialContext:     dial.WithTimeout(dial.Hedged(dialer.DialContext, redialInterval), dialTimeout),
 		IdleConnTimeout: idleTimeout,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: rest, PingTimeout: ping},
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: rest, PingTimeout: ping, MaxReceiveBufferPerStream: buffer},
 	}}
 }
 
