--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,7 @@
 	@status=0; set -x; \
 	$(GO) test -race -count=$(RACE_COUNT) -skip '$(LONG)|$(ENDS)$(if $(SKIP),|$(SKIP))' ./... || status=1; \
 	$(GO) test -race -count=$(RACE_COUNT) -run '$(LONG)' $(if $(SKIP),-skip '$(SKIP)') ./tests/soak || status=1; \
-	$(GO) test -race -count=$(RACE_COUNT) -run '$(ENDS)' $(if $(SKIP),-skip '$(SKIP)') ./tests/soak || status=1; \
+	$(GO) test -race -count=$(RACE_COUNT) -run '$(ENDS)' $(if $(SKIP),-skip '$(SKIP)') ./tests/soak ./tests/integration || status=1; \
 	exit $$status
 
 bench:
