--- a/cmd/havenwinchd/forward_entry.go
+++ b/cmd/havenwinchd/forward_entry.go
@@ -116,7 +116,6 @@
 		RetryRatio:    b.Settings.RetryRatio,
 		RetryStock:    b.Settings.RetryStock,
 		RetryWindow:   b.Settings.RetryWindow,
-		RetryHold:     b.Settings.RetryWindow,
 	})
 	e.leases.Placement = e.forwarder
 	e.relays = relay.NewServer(relay.ServerOptions{Targets: e.forwarder, Meter: e.meter, IsCongested: e.overload.IsCongested, Count: b.Metrics.Relay})
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -127,9 +127,6 @@
 	RetryStock float64
 	// RetryWindow is the window of that limit, 10 s if zero.
 	RetryWindow time.Duration
-	// RetryHold is how long from New on none of RetryStock is spent: an earlier process of the box may
-	// have spent its part within the same window. Zero if there was none.
-	RetryHold time.Duration
 }
 
 // Forwarder forwards the calls that one box receives.
@@ -206,9 +203,6 @@
 	}
 	f := &Forwarder{opts: opts, started: opts.Clock.Boot(), reportWait: reportTimeout, stallWait: stallLimit, silentWait: silentTimeout, uploadStall: uploadStall, uploadStalls: map[*spread.Target]int{}, heardWithin: heardLimit, silence: spread.DefaultSilenceTerms(), pool: newPool(opts.Clock.Boot, opts.Meter, opts.IsCongested), targets: spread.NewTable(opts.DataCentre), ready: make(chan struct{}), breaks: map[*spread.Target]*targetBreaks{},
 		reach: reach.NewTracker(), nextProbe: map[string]int{}, checks: map[string]chan struct{}{}, seatWaiters: map[seatWaiter]chan struct{}{}, queries: map[*spread.Target]*silenceQuery{}}
-	if opts.RetryHold > 0 {
-		f.retries.withheldUntil = f.started + opts.RetryHold
-	}
 	f.pool.isLost, f.pool.relay, f.pool.dialled = f.isLost, f.dialRelay, f.recordDial
 	// Until control sends the fleet's clock, this box's wall clock is a close estimate.
 	f.fleet = rate.NewFleet(opts.Box, nil, time.Duration(opts.Clock.Wall().UnixNano())-f.started)
--- a/services/forward/retry.go
+++ b/services/forward/retry.go
@@ -20,22 +20,14 @@
 // Where a box's part of the reserve is less than one retry, the reserve is handed out as a rate
 // for the whole fleet instead (package rate): divided evenly, no box had any retry from 128
 // boxes on at a reserve of 212.
-//
-// An earlier process of this box may have spent its part of the reserve in the present window. So
-// the reserve is withheld for some time after the start; the ratio of the calls is not.
 type retryBudget struct {
 	mu       sync.Mutex
 	services map[string]*serviceBudget
-	// withheldUntil is when the reserve may be spent, on the boot clock.
-	withheldUntil time.Duration
 }
 
 // serviceBudget is the retry budget of one service.
 type serviceBudget struct {
 	tokens float64
-	// hasStock is set once this box's part of the reserve was added to tokens, or it was less than
-	// one retry.
-	hasStock bool
 	// fleetMeter meters this box's part of the reserve where that is a rate. perSecond is the
 	// rate, 0 where the box has a reserve of its own.
 	fleetMeter rate.Meter
@@ -89,14 +81,14 @@
 	}
 	row := b.services[service]
 	if row == nil {
-		row = &serviceBudget{hasStock: terms.stock < 1}
+		row = &serviceBudget{}
 		b.services[service] = row
+		if terms.stock >= 1 {
+			row.tokens = terms.stock
+		}
 	}
 	if terms.stock >= 1 {
 		row.perSecond = 0
-		if !row.hasStock && now >= b.withheldUntil {
-			row.tokens, row.hasStock = terms.stock, true
-		}
 		row.tokens = min(terms.stock, row.tokens+terms.ratio)
 		return
 	}
@@ -117,7 +109,7 @@
 	case row.tokens >= 1:
 		row.tokens--
 		return true
-	case row.perSecond == 0 || now < b.withheldUntil:
+	case row.perSecond == 0:
 		return false
 	default:
 		return row.fleetMeter.Acquire(fleet, row.perSecond, xxhash.Sum64String(service), now)
@@ -130,7 +122,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	row := b.services[service]
-	return row != nil && (row.tokens >= 1 || row.perSecond > 0 && f.opts.Clock.Boot() >= b.withheldUntil)
+	return row != nil && (row.tokens >= 1 || row.perSecond > 0)
 }
 
 // takeRetry spends one retry of a service and reports whether this box had one.
